--- /dev/null
+++ b/src/core/errors.ts
@@ -0,0 +1,183 @@
+/**
+ * The closed list of error kinds and the table from kind to answer.
+ *
+ * Every failure that can reach a caller, an operator or another instance is one
+ * of these kinds. The table decides the HTTP status, whether the work ran, and
+ * whether the sender may try again, so that no module decides this on its own.
+ */
+import { Maybe } from "true-myth";
+
+export enum ErrorKind {
+  InvalidRequest = "invalidRequest",
+  Unauthenticated = "unauthenticated",
+  Forbidden = "forbidden",
+  NotFound = "notFound",
+  PayloadTooLarge = "payloadTooLarge",
+  Overloaded = "overloaded",
+  CustomerLimit = "customerLimit",
+  NoUpstream = "noUpstream",
+  NoQuorum = "noQuorum",
+  DeadlineExceeded = "deadlineExceeded",
+  UpstreamFailed = "upstreamFailed",
+  OutcomeUnknown = "outcomeUnknown",
+  KeyReused = "keyReused",
+  CallInProgress = "callInProgress",
+  AnswerLost = "answerLost",
+  AnswerDiverged = "answerDiverged",
+  AnswerFailed = "answerFailed",
+  Superseded = "superseded",
+  TicketConflict = "ticketConflict",
+  TicketOutdated = "ticketOutdated",
+  InvalidTicket = "invalidTicket",
+  NotLeader = "notLeader",
+  PeerUnreachable = "peerUnreachable",
+  ProtocolError = "protocolError",
+  InvalidSettings = "invalidSettings",
+  Storage = "storage",
+  ShuttingDown = "shuttingDown",
+  Internal = "internal",
+}
+
+/** Whether the work behind a failed request was executed. */
+export enum Execution {
+  NotRun = "notRun",
+  Unknown = "unknown",
+  Partial = "partial",
+}
+
+export interface ErrorAnswer {
+  readonly httpStatus: number;
+  readonly execution: Execution;
+  /** The sender may send the same request again. */
+  readonly retryable: boolean;
+}
+
+const notRun = Execution.NotRun;
+const unknown = Execution.Unknown;
+const partial = Execution.Partial;
+
+export const errorAnswers: Readonly<Record<ErrorKind, ErrorAnswer>> = {
+  [ErrorKind.InvalidRequest]: answer(400, notRun, false),
+  [ErrorKind.Unauthenticated]: answer(401, notRun, false),
+  [ErrorKind.Forbidden]: answer(403, notRun, false),
+  [ErrorKind.NotFound]: answer(404, notRun, false),
+  [ErrorKind.PayloadTooLarge]: answer(413, notRun, false),
+  [ErrorKind.Overloaded]: answer(503, notRun, true),
+  [ErrorKind.CustomerLimit]: answer(429, notRun, true),
+  [ErrorKind.NoUpstream]: answer(503, notRun, true),
+  [ErrorKind.NoQuorum]: answer(503, notRun, true),
+  [ErrorKind.DeadlineExceeded]: answer(504, partial, true),
+  [ErrorKind.UpstreamFailed]: answer(502, partial, true),
+  [ErrorKind.OutcomeUnknown]: answer(504, unknown, false),
+  [ErrorKind.KeyReused]: answer(422, notRun, false),
+  [ErrorKind.CallInProgress]: answer(409, unknown, true),
+  [ErrorKind.AnswerLost]: answer(410, partial, false),
+  [ErrorKind.AnswerDiverged]: answer(409, partial, false),
+  [ErrorKind.AnswerFailed]: answer(502, partial, true),
+  [ErrorKind.Superseded]: answer(409, partial, true),
+  [ErrorKind.TicketConflict]: answer(409, notRun, false),
+  [ErrorKind.TicketOutdated]: answer(409, notRun, false),
+  [ErrorKind.InvalidTicket]: answer(422, notRun, false),
+  [ErrorKind.NotLeader]: answer(503, notRun, true),
+  [ErrorKind.PeerUnreachable]: answer(503, unknown, true),
+  [ErrorKind.ProtocolError]: answer(502, unknown, false),
+  [ErrorKind.InvalidSettings]: answer(500, notRun, false),
+  [ErrorKind.Storage]: answer(500, unknown, false),
+  [ErrorKind.ShuttingDown]: answer(503, notRun, true),
+  [ErrorKind.Internal]: answer(500, unknown, false),
+};
+
+/** A failure with what is known about it. Optional details are `Maybe`. */
+export interface SystemError {
+  readonly kind: ErrorKind;
+  readonly message: string;
+  readonly retryAfterMs: Maybe<number>;
+  /** Path of the offending field, for settings, tickets and requests. */
+  readonly fieldPath: Maybe<string>;
+}
+
+export interface ErrorDetails {
+  readonly retryAfterMs?: number;
+  readonly fieldPath?: string;
+}
+
+export function createError(
+  kind: ErrorKind,
+  message: string,
+  details: ErrorDetails = {},
+): SystemError {
+  return {
+    kind,
+    message,
+    retryAfterMs: Maybe.of(details.retryAfterMs),
+    fieldPath: Maybe.of(details.fieldPath),
+  };
+}
+
+/** The JSON body that callers and operators receive for a failure. */
+export interface ErrorBody {
+  readonly error: {
+    readonly type: ErrorKind;
+    readonly message: string;
+    readonly execution: Execution;
+    readonly retryable: boolean;
+    readonly retryAfterMs?: number;
+    readonly fieldPath?: string;
+  };
+}
+
+export function getErrorBody(error: SystemError): ErrorBody {
+  const { execution, retryable } = errorAnswers[error.kind];
+  const retryAfterMs = error.retryAfterMs.unwrapOr(-1);
+  const fieldPath = error.fieldPath.unwrapOr("");
+  return {
+    error: {
+      type: error.kind,
+      message: error.message,
+      execution,
+      retryable,
+      ...(retryAfterMs >= 0 ? { retryAfterMs } : {}),
+      ...(fieldPath !== "" ? { fieldPath } : {}),
+    },
+  };
+}
+
+/** Compact form of an error in messages between instances. */
+export interface ErrorRecord {
+  readonly kind: string;
+  readonly message: string;
+  readonly retryAfterMs?: number;
+}
+
+export function toErrorRecord(error: SystemError): ErrorRecord {
+  const retryAfterMs = error.retryAfterMs.unwrapOr(-1);
+  return {
+    kind: error.kind,
+    message: error.message,
+    ...(retryAfterMs >= 0 ? { retryAfterMs } : {}),
+  };
+}
+
+export function fromErrorRecord(record: ErrorRecord): SystemError {
+  const kinds: readonly string[] = Object.values(ErrorKind);
+  const kind = kinds.includes(record.kind)
+    ? record.kind as ErrorKind
+    : ErrorKind.ProtocolError;
+  return createError(kind, String(record.message), {
+    ...(record.retryAfterMs === undefined
+      ? {}
+      : { retryAfterMs: record.retryAfterMs }),
+  });
+}
+
+export function getErrorMessage(cause: unknown): string {
+  return cause instanceof Error ? cause.message : String(cause);
+}
+
+function answer(
+  httpStatus: number,
+  execution: Execution,
+  retryable: boolean,
+): ErrorAnswer {
+  return { httpStatus, execution, retryable };
+}
--- /dev/null
+++ b/src/core/log_events.ts
@@ -0,0 +1,93 @@
+/**
+ * The numbered log events. `docs/log_events.md` lists them for operators.
+ *
+ * Numbers are stable: an event keeps its number, and a retired number is not
+ * used again. The thousands digit names the area.
+ */
+
+export enum LogLevel {
+  Debug = "debug",
+  Info = "info",
+  Warn = "warn",
+  Error = "error",
+}
+
+export interface LogEvent {
+  readonly number: number;
+  readonly level: LogLevel;
+  readonly text: string;
+}
+
+function event(number: number, level: LogLevel, text: string): LogEvent {
+  return { number, level, text };
+}
+
+const { Debug, Info, Warn, Error: Failure } = LogLevel;
+
+export const logEvents = {
+  // 1xxx: process
+  daemonStarted: event(1001, Info, "daemon started"),
+  daemonStopping: event(1002, Info, "graceful shutdown started"),
+  daemonStopped: event(1003, Info, "daemon stopped"),
+  taskRestarted: event(1004, Warn, "task failed and is restarted"),
+  taskGaveUp: event(1005, Failure, "task failed too often"),
+  unexpectedError: event(1006, Failure, "unexpected error"),
+  drainWaiting: event(1007, Info, "drain waits for open work"),
+  // 2xxx: answers
+  answerOpened: event(2001, Debug, "answer opened"),
+  answerFinished: event(2002, Debug, "answer finished"),
+  answerFailed: event(2003, Warn, "answer failed"),
+  attemptStarted: event(2004, Debug, "attempt started"),
+  attemptLost: event(2005, Warn, "attempt lost its engine"),
+  attemptSuspected: event(2006, Warn, "engine is silent, hedge started"),
+  copyReplicaLost: event(
+    2007,
+    Warn,
+    "replica lost, copying to another instance",
+  ),
+  answerUnreplicated: event(
+    2008,
+    Warn,
+    "no replica reachable, answer is unreplicated",
+  ),
+  answerTakenOver: event(2009, Warn, "answer taken over from its owner"),
+  answerSuperseded: event(2010, Warn, "answer superseded by a newer owner"),
+  answerReset: event(2011, Warn, "answer starts over on another version"),
+  // 3xxx: calls to plain services
+  callOutcomeUnknown: event(3001, Warn, "call dispatched without an answer"),
+  callRefused: event(3002, Info, "call refused before dispatch"),
+  claimFailed: event(3003, Warn, "claim could not be committed"),
+  // 4xxx: upstreams
+  upstreamAdded: event(4001, Info, "upstream added"),
+  upstreamLeaving: event(4002, Info, "upstream is leaving"),
+  upstreamRemoved: event(4003, Info, "upstream removed"),
+  upstreamCircuitOpened: event(4004, Warn, "circuit opened for upstream"),
+  upstreamCircuitClosed: event(4005, Info, "circuit closed for upstream"),
+  cacheEventsGap: event(4006, Info, "gap in cache events, resync"),
+  // 5xxx: peers and membership
+  peerConnected: event(5001, Debug, "peer connected"),
+  peerLost: event(5002, Warn, "peer connection lost"),
+  peerRejected: event(5003, Warn, "peer connection rejected"),
+  instanceLost: event(5004, Warn, "instance considered lost"),
+  instanceBack: event(5005, Info, "instance reachable again"),
+  platformListFailed: event(5006, Warn, "platform list could not be read"),
+  peerConnectFailed: event(5007, Debug, "connection to peer failed"),
+  // 6xxx: control
+  leaderElected: event(6001, Info, "became control leader"),
+  leaderStepped: event(6002, Warn, "stepped down as control leader"),
+  ticketAccepted: event(6003, Info, "ticket accepted"),
+  ticketRefused: event(6004, Info, "ticket refused"),
+  configurationApplied: event(6005, Info, "configuration applied"),
+  rolloutDecided: event(6006, Info, "version rollout decided"),
+  orderSent: event(6007, Info, "engine order sent"),
+  storageFailed: event(6008, Failure, "data folder could not be written"),
+  voterReplaced: event(6009, Info, "voter replaced"),
+  leaseExpired: event(
+    6010,
+    Warn,
+    "traffic lease expired, using the stable version",
+  ),
+  // 7xxx: callers
+  requestRefused: event(7001, Debug, "request refused"),
+  requestFailed: event(7002, Warn, "request failed"),
+} as const satisfies Record<string, LogEvent>;
--- /dev/null
+++ b/src/core/metrics.ts
@@ -0,0 +1,39 @@
+/**
+ * Metrics over StatsD. Without a configured server the client is a mock that
+ * sends nothing.
+ */
+import { StatsD } from "hot-shots";
+
+export interface Metrics {
+  increment(name: string, value?: number): void;
+  gauge(name: string, value: number): void;
+  timing(name: string, durationMs: number): void;
+  close(): void;
+}
+
+export interface MetricsOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly instanceId: string;
+}
+
+export function createMetrics(options: MetricsOptions | undefined): Metrics {
+  const client = new StatsD(
+    options
+      ? {
+        host: options.host,
+        port: options.port,
+        prefix: "apricotyoke.",
+        globalTags: { instance: options.instanceId },
+        maxBufferSize: 1400, // fits one Ethernet frame
+        errorHandler: () => {}, // metrics must never stop the service
+      }
+      : { mock: true },
+  );
+  return {
+    increment: (name, value = 1) => client.increment(name, value),
+    gauge: (name, value) => client.gauge(name, value),
+    timing: (name, durationMs) => client.timing(name, durationMs),
+    close: () => client.close(),
+  };
+}
--- /dev/null
+++ b/src/peer/messages.ts
@@ -0,0 +1,181 @@
+/**
+ * Messages between instances: one request and one reply type per kind.
+ *
+ * Requests are checked against these schemas on arrival. Replies come from a
+ * peer that holds the pre-shared key and are checked the same way.
+ */
+import { z } from "zod";
+import { InstanceState } from "../core/types.ts";
+import { FinishReason } from "../core/types.ts";
+
+const idSchema = z.string().min(1).max(200);
+const positionSchema = z.int().min(0).max(10_000_000);
+const tokensSchema = z.array(z.string().max(4_096)).max(100_000);
+
+export enum PeerCallKind {
+  Heartbeat = "heartbeat",
+  CopyBatch = "copyBatch",
+  ReadAnswer = "readAnswer",
+  TakeOver = "takeOver",
+  Propose = "propose",
+}
+
+export const attemptSchema = z.object({
+  attemptNumber: z.int().min(0),
+  instanceId: idSchema,
+});
+
+const spanSchema = z.object({
+  ...attemptSchema.shape,
+  fromPosition: positionSchema,
+});
+
+const endSchema = z.object({
+  reason: z.enum(FinishReason),
+  tokenCount: positionSchema,
+  errorMessage: z.string().max(2_000),
+});
+
+export const generationRequestSchema = z.object({
+  model: idSchema,
+  adapter: z.string().max(200),
+  prompt: z.string(),
+  maxTokens: z.int().min(1),
+  route: z.string().max(200),
+  priority: z.int(),
+});
+
+export const answerMetaSchema = z.object({
+  customerId: idSchema,
+  request: generationRequestSchema,
+  version: z.string().max(200),
+  createdAtWallMs: z.number(),
+  deadlineAtWallMs: z.number(),
+  isStreaming: z.boolean(),
+});
+
+export const heartbeatSchema = z.object({
+  instanceId: idSchema,
+  domainId: idSchema,
+  host: z.string().max(200),
+  peerPort: z.int().min(0).max(65535),
+  state: z.enum(InstanceState),
+  incarnation: z.number(),
+  revision: z.int().min(0),
+});
+
+/**
+ * New tokens of one answer for its replica. `owner` fences older owners.
+ * `meta` and `lineage` are present when the replica may not have them.
+ */
+export const copyUpdateSchema = z.object({
+  answerId: idSchema,
+  owner: attemptSchema,
+  /** Increases when the answer starts over; a higher one replaces the copy. */
+  generation: z.int().min(0),
+  fromPosition: positionSchema,
+  tokens: tokensSchema,
+  lineage: z.array(spanSchema).max(10_000).optional(),
+  meta: answerMetaSchema.optional(),
+  end: endSchema.optional(),
+});
+
+export enum CopyStatus {
+  Held = "held",
+  /** The replica lacks earlier tokens; the owner sends the whole journal. */
+  Incomplete = "incomplete",
+  Superseded = "superseded",
+  Full = "full",
+}
+
+export const copyResultSchema = z.object({
+  answerId: idSchema,
+  /** Generation of the held copy. */
+  generation: z.int().min(0),
+  status: z.enum(CopyStatus),
+  nextPosition: positionSchema,
+  isEnded: z.boolean(),
+});
+
+export enum ReadStatus {
+  Tokens = "tokens",
+  /** Held here, but the named instance owns it. */
+  HeldCopy = "heldCopy",
+  NotHeld = "notHeld",
+  Diverged = "diverged",
+  Forbidden = "forbidden",
+}
+
+export const readAnswerSchema = z.object({
+  answerId: idSchema,
+  customerId: idSchema,
+  fromPosition: positionSchema,
+  /** Attempt of the last token the caller has, to check the lineage. */
+  lastAttempt: attemptSchema.optional(),
+  waitMs: z.int().min(0).max(30_000),
+});
+
+export const readReplySchema = z.object({
+  status: z.enum(ReadStatus),
+  ownerId: z.string().max(200),
+  tokens: tokensSchema,
+  lineage: z.array(spanSchema),
+  end: endSchema.optional(),
+});
+
+export const takeOverSchema = z.object({
+  answerId: idSchema,
+  customerId: idSchema,
+});
+
+export const takeOverReplySchema = z.object({
+  isHeld: z.boolean(),
+  ownerId: z.string().max(200),
+});
+
+export const proposeSchema = z.object({ command: z.unknown() });
+
+/** `leaderId` names where to try next when this instance is not the leader. */
+export const proposeReplySchema = z.object({
+  isLeader: z.boolean(),
+  leaderId: z.string().max(200),
+  result: z.unknown(),
+});
+
+export const peerCalls = {
+  [PeerCallKind.Heartbeat]: {
+    request: heartbeatSchema,
+    reply: heartbeatSchema,
+  },
+  [PeerCallKind.CopyBatch]: {
+    request: z.object({ updates: z.array(copyUpdateSchema).max(10_000) }),
+    reply: z.object({ results: z.array(copyResultSchema) }),
+  },
+  [PeerCallKind.ReadAnswer]: {
+    request: readAnswerSchema,
+    reply: readReplySchema,
+  },
+  [PeerCallKind.TakeOver]: {
+    request: takeOverSchema,
+    reply: takeOverReplySchema,
+  },
+  [PeerCallKind.Propose]: {
+    request: proposeSchema,
+    reply: proposeReplySchema,
+  },
+} as const;
+
+export type PeerCalls = typeof peerCalls;
+export type PeerRequest<K extends PeerCallKind> = z.output<
+  PeerCalls[K]["request"]
+>;
+export type PeerReply<K extends PeerCallKind> = z.output<
+  PeerCalls[K]["reply"]
+>;
+
+export type AnswerMeta = z.output<typeof answerMetaSchema>;
+export type CopyUpdate = z.output<typeof copyUpdateSchema>;
+export type CopyResult = z.output<typeof copyResultSchema>;
+export type Heartbeat = z.output<typeof heartbeatSchema>;
+export type ReadRequest = z.output<typeof readAnswerSchema>;
+export type ReadReply = z.output<typeof readReplySchema>;
--- /dev/null
+++ b/src/peer/peer_client.ts
@@ -0,0 +1,207 @@
+/**
+ * Calls to other instances, over one connection per instance that is opened on
+ * demand and opened again after it was lost.
+ */
+import type { Buffer } from "node:buffer";
+import tls from "node:tls";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import {
+  createError,
+  ErrorKind,
+  type ErrorRecord,
+  fromErrorRecord,
+  getErrorMessage,
+  type SystemError,
+} from "../core/errors.ts";
+import { logEvents } from "../core/log_events.ts";
+import type { Logger } from "../core/logger.ts";
+import type { InstanceId } from "../core/types.ts";
+import { createFrameDecoder, encodeFrame } from "./frame_codec.ts";
+import {
+  type PeerCallKind,
+  peerCalls,
+  type PeerReply,
+  type PeerRequest,
+} from "./messages.ts";
+import type { PeerKey } from "./peer_key.ts";
+import { commonTlsOptions, getClientPskCallback } from "./peer_tls.ts";
+
+export interface PeerAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+export interface PeerClient {
+  call<K extends PeerCallKind>(
+    instanceId: InstanceId,
+    kind: K,
+    options: { readonly body: PeerRequest<K>; readonly timeoutMs: number },
+  ): ResultAsync<PeerReply<K>, SystemError>;
+  close(): void;
+}
+
+export interface PeerClientOptions {
+  readonly keys: readonly PeerKey[];
+  readonly logger: Logger;
+  getAddress(instanceId: InstanceId): PeerAddress | undefined;
+  /** Called when an established connection breaks. */
+  onConnectionLost(instanceId: InstanceId): void;
+}
+
+interface Connection {
+  readonly socket: tls.TLSSocket;
+  readonly address: PeerAddress;
+  readonly pending: Map<number, (reply: Result<unknown, SystemError>) => void>;
+}
+
+/** Requests waiting in a slow connection; beyond this calls are refused. */
+const maxUnsentBytes = 64 * 1024 * 1024;
+const connectTimeoutMs = 1_000;
+
+export function createPeerClient(options: PeerClientOptions): PeerClient {
+  const connections = new Map<InstanceId, Connection>();
+  let nextCallId = 1;
+  let isClosed = false;
+  return { call, close };
+
+  function call<K extends PeerCallKind>(
+    instanceId: InstanceId,
+    kind: K,
+    { body, timeoutMs }: { body: PeerRequest<K>; timeoutMs: number },
+  ): ResultAsync<PeerReply<K>, SystemError> {
+    return new ResultAsync(send(instanceId, kind, { body, timeoutMs }))
+      .andThen((value) => parseReply(kind, value));
+  }
+
+  function parseReply<K extends PeerCallKind>(
+    kind: K,
+    value: unknown,
+  ): Result<PeerReply<K>, SystemError> {
+    const parsed = peerCalls[kind].reply.safeParse(value);
+    if (parsed.success) return ok(parsed.data as PeerReply<K>);
+    return err(createError(
+      ErrorKind.ProtocolError,
+      `malformed reply to ${kind}: ${parsed.error.message}`,
+    ));
+  }
+
+  function send(
+    instanceId: InstanceId,
+    kind: PeerCallKind,
+    { body, timeoutMs }: { body: unknown; timeoutMs: number },
+  ): Promise<Result<unknown, SystemError>> {
+    const connection = getConnection(instanceId);
+    if (!connection) {
+      return Promise.resolve(unreachable(`no address for ${instanceId}`));
+    }
+    const callId = nextCallId++;
+    const frame = encodeFrame({ callId, kind, body });
+    if (frame.isErr()) return Promise.resolve(err(frame.error));
+    if (connection.socket.writableLength > maxUnsentBytes) {
+      return Promise.resolve(unreachable(`${instanceId} does not read`));
+    }
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        connection.pending.delete(callId);
+        resolve(unreachable(
+          `${instanceId} did not answer ${kind} in ${timeoutMs} ms`,
+        ));
+      }, timeoutMs);
+      connection.pending.set(callId, (reply) => {
+        clearTimeout(timer);
+        resolve(reply);
+      });
+      connection.socket.write(frame.value);
+    });
+  }
+
+  function getConnection(instanceId: InstanceId): Connection | undefined {
+    const address = options.getAddress(instanceId);
+    const existing = connections.get(instanceId);
+    if (existing && (!address || isSameAddress(existing.address, address))) {
+      return existing;
+    }
+    if (!address || isClosed) return undefined;
+    existing?.socket.destroy();
+    const connection = connect(instanceId, address);
+    connections.set(instanceId, connection);
+    return connection;
+  }
+
+  function connect(instanceId: InstanceId, address: PeerAddress): Connection {
+    const socket = tls.connect({
+      ...commonTlsOptions,
+      host: address.host,
+      port: address.port,
+      pskCallback: getClientPskCallback(options.keys),
+      // The shared key authenticates the server; there is no certificate.
+      checkServerIdentity: () => undefined,
+    });
+    const connection: Connection = { socket, address, pending: new Map() };
+    const decoder = createFrameDecoder();
+    let isEstablished = false;
+    const connectTimer = setTimeout(() => socket.destroy(), connectTimeoutMs);
+    socket.setNoDelay(true);
+    socket.on("secureConnect", () => {
+      isEstablished = true;
+      clearTimeout(connectTimer);
+      options.logger.log(logEvents.peerConnected, { peer: instanceId });
+    });
+    socket.on("data", (chunk: Buffer) => {
+      const decoded = decoder.push(chunk);
+      if (decoded.isErr()) socket.destroy();
+      else for (const value of decoded.value) receive(connection, value);
+    });
+    socket.on("error", (cause) => {
+      options.logger.log(logEvents.peerConnectFailed, {
+        peer: instanceId,
+        reason: getErrorMessage(cause),
+      });
+    });
+    socket.on("close", () => {
+      clearTimeout(connectTimer);
+      if (connections.get(instanceId) === connection) {
+        connections.delete(instanceId);
+      }
+      const pending = [...connection.pending.values()];
+      connection.pending.clear();
+      for (const resolve of pending) {
+        resolve(unreachable(`connection to ${instanceId} is closed`));
+      }
+      if (isEstablished && !isClosed) {
+        options.logger.log(logEvents.peerLost, { peer: instanceId });
+        options.onConnectionLost(instanceId);
+      }
+    });
+    return connection;
+  }
+
+  function receive(connection: Connection, value: unknown): void {
+    const envelope = value as {
+      callId?: number;
+      reply?: unknown;
+      error?: ErrorRecord;
+    };
+    const resolve = connection.pending.get(envelope?.callId ?? -1);
+    if (!resolve) return; // the call has timed out
+    connection.pending.delete(envelope.callId!);
+    resolve(
+      envelope.error
+        ? err(fromErrorRecord(envelope.error))
+        : ok(envelope.reply),
+    );
+  }
+
+  function close(): void {
+    isClosed = true;
+    for (const connection of connections.values()) connection.socket.destroy();
+  }
+}
+
+function isSameAddress(left: PeerAddress, right: PeerAddress): boolean {
+  return left.host === right.host && left.port === right.port;
+}
+
+function unreachable(message: string): Result<never, SystemError> {
+  return err(createError(ErrorKind.PeerUnreachable, message));
+}
--- /dev/null
+++ b/src/settings/load_settings.ts
@@ -0,0 +1,44 @@
+/**
+ * Reads and checks the settings file. Every problem is reported with the path
+ * of the field and what is allowed there.
+ */
+import { readFileSync } from "node:fs";
+import { err, ok, Result } from "neverthrow";
+import { createError, ErrorKind, getErrorMessage } from "../core/errors.ts";
+import type { SystemError } from "../core/errors.ts";
+import { type Settings, settingsSchema } from "./schema.ts";
+
+export function loadSettings(filePath: string): Result<Settings, SystemError> {
+  return readText(filePath).andThen(parseJson).andThen(checkSettings);
+
+  function readText(path: string): Result<string, SystemError> {
+    return Result.fromThrowable(
+      () => readFileSync(path, "utf8"),
+      (cause) => invalid(`cannot read ${path}: ${getErrorMessage(cause)}`),
+    )();
+  }
+
+  function parseJson(text: string): Result<unknown, SystemError> {
+    return Result.fromThrowable(
+      () => JSON.parse(text) as unknown,
+      (cause) => invalid(`${filePath} is not JSON: ${getErrorMessage(cause)}`),
+    )();
+  }
+}
+
+export function checkSettings(value: unknown): Result<Settings, SystemError> {
+  const parsed = settingsSchema.safeParse(value);
+  if (parsed.success) return ok(parsed.data);
+  const lines = parsed.error.issues.map((issue) =>
+    `${issue.path.join(".") || "(settings)"}: ${issue.message}`
+  );
+  return err(invalid(lines.join("\n"), parsed.error.issues[0]?.path.join(".")));
+}
+
+function invalid(message: string, fieldPath?: string): SystemError {
+  return createError(
+    ErrorKind.InvalidSettings,
+    message,
+    fieldPath === undefined ? {} : { fieldPath },
+  );
+}
--- /dev/null
+++ b/src/settings/schema.ts
@@ -0,0 +1,162 @@
+/**
+ * Schema of the daemon's settings file. `docs/settings.md` explains each field.
+ *
+ * Objects are strict: an unknown key is refused, so that a misspelt field is
+ * found at start-up.
+ */
+import { z } from "zod";
+import { LogLevel } from "../core/log_events.ts";
+
+const idSchema = z.string().regex(
+  /^[a-z0-9][a-z0-9-]{0,62}$/,
+  "must be lower-case letters, digits and dashes, at most 63 characters",
+);
+const portSchema = z.int().min(0).max(65535);
+const durationMsSchema = z.int().min(1).max(86_400_000);
+const hashSchema = z.string().regex(
+  /^[0-9a-f]{64}$/,
+  "must be a SHA-256 hash as 64 hexadecimal digits",
+);
+
+const listenSchema = z.strictObject({
+  host: z.string().min(1),
+  port: portSchema,
+});
+
+const peerKeySchema = z.strictObject({
+  keyId: idSchema,
+  /** Hexadecimal pre-shared key of at least 128 bits. */
+  keyHex: z.string().regex(
+    /^([0-9a-f]{2}){16,64}$/,
+    "must be 16 to 64 bytes in hexadecimal",
+  ),
+});
+
+const customerSchema = z.strictObject({
+  customerId: idSchema,
+  tokenSha256: z.array(hashSchema).min(1),
+  weight: z.number().positive().max(1000).default(1),
+});
+
+const operatorSchema = z.strictObject({
+  operatorId: idSchema,
+  tokenSha256: z.array(hashSchema).min(1),
+});
+
+const routeSchema = z.strictObject({
+  method: z.enum(["GET", "POST", "PUT", "PATCH", "DELETE"]),
+  pathPrefix: z.string().startsWith("/"),
+  idempotent: z.boolean(),
+});
+
+const modelServiceSchema = z.strictObject({
+  kind: z.literal("model"),
+  service: idSchema,
+  stableVersion: idSchema,
+  checksFencing: z.boolean().default(true),
+});
+
+const applicationServiceSchema = z.strictObject({
+  kind: z.literal("application"),
+  service: idSchema,
+  routes: z.array(routeSchema).min(1),
+  timeoutMs: durationMsSchema.default(10_000),
+});
+
+export const serviceSchema = z.discriminatedUnion("kind", [
+  modelServiceSchema,
+  applicationServiceSchema,
+]);
+
+const answersSchema = z.strictObject({
+  retentionMs: durationMsSchema.default(600_000),
+  maxCopyBytes: z.int().min(1_048_576).default(536_870_912),
+  copyTimeoutMs: durationMsSchema.default(500),
+  maxTokens: z.int().min(1).max(1_000_000).default(65_536),
+  deadlineMs: durationMsSchema.default(1_800_000),
+}).prefault({});
+
+const limitsSchema = z.strictObject({
+  maxOpenAnswers: z.int().min(1).default(2_000),
+  maxBodyBytes: z.int().min(1024).max(16_777_216).default(1_048_576),
+  /** Retries, hedges and resumes as a share of useful work. */
+  failureBudgetRatio: z.number().min(0).max(1).default(0.1),
+}).prefault({});
+
+const membershipSchema = z.strictObject({
+  listUrl: z.url(),
+  pollIntervalMs: durationMsSchema.default(500),
+  heartbeatIntervalMs: durationMsSchema.default(250),
+  lostAfterMs: durationMsSchema.default(1_200),
+});
+
+const controlSchema = z.strictObject({
+  dataFolder: z.string().min(1),
+});
+
+export const settingsSchema = z.strictObject({
+  instanceId: idSchema,
+  domainId: idSchema,
+  callers: listenSchema,
+  peers: z.strictObject({
+    ...listenSchema.shape,
+    /** The first key is used to connect, all are accepted. */
+    keys: z.array(peerKeySchema).min(1).max(8),
+  }),
+  membership: membershipSchema,
+  /** Instances with disks that keep the control log. */
+  controlInstanceIds: z.array(idSchema).min(1).max(16),
+  control: controlSchema.optional(),
+  customers: z.array(customerSchema).min(1),
+  operators: z.array(operatorSchema).min(1),
+  services: z.array(serviceSchema).min(1),
+  answers: answersSchema,
+  limits: limitsSchema,
+  metrics: listenSchema.optional(),
+  log: z.strictObject({
+    level: z.enum(LogLevel).default(LogLevel.Info),
+    format: z.enum(["json", "text"]).default("json"),
+  }).prefault({}),
+}).superRefine((settings, context) => {
+  const isControl = settings.controlInstanceIds.includes(settings.instanceId);
+  if (isControl && !settings.control) {
+    context.addIssue({
+      code: "custom",
+      path: ["control"],
+      message: "is required: controlInstanceIds names this instance",
+    });
+  }
+  if (!isControl && settings.control) {
+    context.addIssue({
+      code: "custom",
+      path: ["control"],
+      message: "must be absent: controlInstanceIds does not name this instance",
+    });
+  }
+  const { heartbeatIntervalMs, lostAfterMs } = settings.membership;
+  if (lostAfterMs < 3 * heartbeatIntervalMs) {
+    context.addIssue({
+      code: "custom",
+      path: ["membership", "lostAfterMs"],
+      message: "must be at least three times heartbeatIntervalMs",
+    });
+  }
+  addDuplicateIssues(settings.customers.map((c) => c.customerId), "customers");
+  addDuplicateIssues(settings.services.map((s) => s.service), "services");
+
+  function addDuplicateIssues(names: readonly string[], path: string): void {
+    names.forEach((name, index) => {
+      if (names.indexOf(name) === index) return;
+      context.addIssue({
+        code: "custom",
+        path: [path, index],
+        message: `"${name}" is listed twice`,
+      });
+    });
+  }
+});
+
+export type Settings = z.output<typeof settingsSchema>;
+export type ServiceSettings = z.output<typeof serviceSchema>;
+export type ModelService = z.output<typeof modelServiceSchema>;
+export type ApplicationService = z.output<typeof applicationServiceSchema>;
