Serve a request from caller to engine and back as separate processes

Adds the peer protocol over TLS with pre-shared keys, journals with one replica in another failure domain, resume on another engine, takeover by the replica, claims on idempotency keys (in memory on the first control instance for now), the HTTP interfaces, the daemon, a simulated engine and worker, and the demo.

--- /dev/null
+++ b/measure/launcher.ts
@@ -0,0 +1,331 @@
+/**
+ * Starts the processes of a measurement: instances, simulated engines and
+ * workers, and the platform list. Everything it starts ends with it.
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { createHash, randomBytes } from "node:crypto";
+import { mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
+import { createServer, type Server } from "node:http";
+import { createServer as createTcpServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+import type { EngineOptions } from "./simulated_engine_options.ts";
+
+export interface InstanceHandle {
+  readonly instanceId: string;
+  readonly domainId: string;
+  readonly callerPort: number;
+  readonly peerPort: number;
+  readonly callerUrl: string;
+  readonly dataFolder: string;
+  process: ChildProcess;
+}
+
+export interface UpstreamHandle {
+  readonly upstreamId: string;
+  readonly domainId: string;
+  readonly version: string;
+  readonly baseUrl: string;
+  readonly process: ChildProcess;
+}
+
+export interface ClusterOptions {
+  readonly domainIds: readonly string[];
+  readonly instancesPerDomain: number;
+  readonly enginesPerDomain: number;
+  readonly workersPerDomain: number;
+  readonly seed: number;
+  readonly engine?: Partial<EngineOptions>;
+  /** Changes the settings of every instance before they are written. */
+  readonly changeSettings?: (settings: Record<string, unknown>) => void;
+}
+
+export interface Cluster {
+  readonly instances: InstanceHandle[];
+  readonly engines: UpstreamHandle[];
+  readonly workers: UpstreamHandle[];
+  readonly customerToken: (customerId: string) => string;
+  readonly operatorToken: string;
+  readonly folder: string;
+  /** State shown by the platform list, by instance or upstream id. */
+  readonly listedStates: Map<string, "live" | "leaving">;
+  startInstance(instanceId: string): void;
+  waitUntilReady(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+export const modelService = "taller-lm";
+export const applicationService = "clinica-app";
+export const stableVersion = "v1";
+export const customerIds = ["bench-a", "bench-b", "bench-c"];
+const operatorToken = "operator-token";
+const readyTimeoutMs = 10_000;
+
+const distFolder = fileURLToPath(new URL("..", import.meta.url));
+
+const defaultEngine: EngineOptions = {
+  service: modelService,
+  version: stableVersion,
+  seed: 0,
+  maxBatch: 32,
+  stepMs: 8,
+  stepPerRequestMs: 0.2,
+  prefillTokensPerMs: 20,
+  cacheBlocks: 2_000,
+  loadLagMs: 400,
+  checksFencing: true,
+  loadVersionMs: 500,
+};
+
+export async function startCluster(options: ClusterOptions): Promise<Cluster> {
+  const folder = mkdtempSync(join(tmpdir(), "apricotyoke-"));
+  const children = new Set<ChildProcess>();
+  const listedStates = new Map<string, "live" | "leaving">();
+  const onExit = () => {
+    for (const child of children) child.kill("SIGKILL");
+    rmSync(folder, { recursive: true, force: true });
+  };
+  process.once("exit", onExit);
+  for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.once(signal, () => process.exit(130));
+  }
+  const list = await startList();
+  const engines = await startUpstreams("engine", options.enginesPerDomain);
+  const workers = await startUpstreams("worker", options.workersPerDomain);
+  const instances = await planInstances();
+  const keyHex = randomBytes(32).toString("hex");
+  const settingsPaths = new Map(instances.map((instance) => [
+    instance.instanceId,
+    writeSettings(instance),
+  ]));
+  for (const { instanceId } of instances) startInstance(instanceId);
+  return {
+    instances,
+    engines,
+    workers,
+    customerToken: (customerId) => `token-of-${customerId}`,
+    operatorToken,
+    folder,
+    listedStates,
+    startInstance,
+    waitUntilReady,
+    stop,
+  };
+
+  function spawnNode(
+    script: string,
+    args: readonly string[],
+    stderr: "ignore" | number,
+  ): ChildProcess {
+    const child = spawn(process.execPath, [join(distFolder, script), ...args], {
+      stdio: ["ignore", "pipe", stderr],
+    });
+    children.add(child);
+    child.once("exit", () => children.delete(child));
+    return child;
+  }
+
+  async function startUpstreams(
+    kind: "engine" | "worker",
+    perDomain: number,
+  ): Promise<UpstreamHandle[]> {
+    const planned = options.domainIds.flatMap((domainId) =>
+      Array.from({ length: perDomain }, (_, index) => ({ domainId, index }))
+    );
+    return await Promise.all(planned.map(async ({ domainId, index }) => {
+      const upstreamId = `${kind}-${domainId}-${index}`;
+      const engineOptions = {
+        ...defaultEngine,
+        ...options.engine,
+        seed: options.seed + children.size,
+      };
+      const child = kind === "engine"
+        ? spawnNode(
+          "measure/simulated_engine.js",
+          [JSON.stringify(engineOptions)],
+          "ignore",
+        )
+        : spawnNode("measure/simulated_worker.js", ['{"workMs":20}'], "ignore");
+      const port = await readPort(child);
+      return {
+        upstreamId,
+        domainId,
+        version: kind === "engine" ? engineOptions.version : "",
+        baseUrl: `http://127.0.0.1:${port}`,
+        process: child,
+      };
+    }));
+  }
+
+  async function planInstances(): Promise<InstanceHandle[]> {
+    const planned = options.domainIds.flatMap((domainId) =>
+      Array.from({ length: options.instancesPerDomain }, (_, index) => ({
+        domainId,
+        index,
+      }))
+    );
+    const ports = await getFreePorts(planned.length * 2);
+    return planned.map(({ domainId, index }, number) => ({
+      instanceId: `${domainId}-${index}`,
+      domainId,
+      callerPort: ports[2 * number]!,
+      peerPort: ports[2 * number + 1]!,
+      callerUrl: `http://127.0.0.1:${ports[2 * number]}`,
+      dataFolder: join(folder, `${domainId}-${index}-data`),
+      process: undefined as unknown as ChildProcess,
+    }));
+  }
+
+  function writeSettings(instance: InstanceHandle): string {
+    // One control instance in each domain keeps a majority when one is cut.
+    const controlInstanceIds = options.domainIds.map((id) => `${id}-0`);
+    const settings: Record<string, unknown> = {
+      instanceId: instance.instanceId,
+      domainId: instance.domainId,
+      callers: { host: "127.0.0.1", port: instance.callerPort },
+      peers: {
+        host: "127.0.0.1",
+        port: instance.peerPort,
+        keys: [{ keyId: "k1", keyHex }],
+      },
+      membership: { listUrl: list.url },
+      controlInstanceIds,
+      ...(controlInstanceIds.includes(instance.instanceId)
+        ? { control: { dataFolder: instance.dataFolder } }
+        : {}),
+      customers: customerIds.map((customerId) => ({
+        customerId,
+        tokenSha256: [getHash(`token-of-${customerId}`)],
+      })),
+      operators: [{
+        operatorId: "oncall",
+        tokenSha256: [getHash(operatorToken)],
+      }],
+      services: [
+        { kind: "model", service: modelService, stableVersion },
+        {
+          kind: "application",
+          service: applicationService,
+          routes: [
+            { method: "GET", pathPrefix: "/", idempotent: true },
+            { method: "POST", pathPrefix: "/bookings", idempotent: false },
+          ],
+        },
+      ],
+    };
+    options.changeSettings?.(settings);
+    const path = join(folder, `${instance.instanceId}.json`);
+    writeFileSync(path, JSON.stringify(settings, null, 2));
+    return path;
+  }
+
+  function startInstance(instanceId: string): void {
+    const instance = instances.find((entry) =>
+      entry.instanceId === instanceId
+    )!;
+    const logFile = openSync(join(folder, `${instanceId}.log`), "a");
+    instance.process = spawnNode(
+      "src/daemon/main.js",
+      ["--settings", settingsPaths.get(instanceId)!],
+      logFile,
+    );
+  }
+
+  function startList(): Promise<{ server: Server; url: string }> {
+    const server = createServer((_, response) => {
+      response.writeHead(200, { "content-type": "application/json" });
+      response.end(JSON.stringify(getList()));
+    });
+    return new Promise((resolve) => {
+      server.listen(0, "127.0.0.1", () => {
+        const address = server.address();
+        const port = typeof address === "object" ? address?.port : 0;
+        resolve({ server, url: `http://127.0.0.1:${port}/list` });
+      });
+    });
+  }
+
+  function getList(): unknown {
+    const getState = (id: string) => listedStates.get(id) ?? "live";
+    return {
+      instances: instances.map((instance) => ({
+        instanceId: instance.instanceId,
+        domainId: instance.domainId,
+        host: "127.0.0.1",
+        peerPort: instance.peerPort,
+        state: getState(instance.instanceId),
+      })),
+      upstreams: [...engines, ...workers].map((upstream) => ({
+        upstreamId: upstream.upstreamId,
+        kind: engines.includes(upstream) ? "engine" : "application",
+        service: engines.includes(upstream) ? modelService : applicationService,
+        version: upstream.version,
+        domainId: upstream.domainId,
+        baseUrl: upstream.baseUrl,
+        state: getState(upstream.upstreamId),
+      })),
+    };
+  }
+
+  async function waitUntilReady(): Promise<void> {
+    const giveUpAtMs = Date.now() + readyTimeoutMs;
+    const headers = { authorization: `Bearer ${operatorToken}` };
+    for (const { callerUrl, instanceId } of instances) {
+      while (true) {
+        if (Date.now() > giveUpAtMs) throw new Error(`${instanceId} not ready`);
+        const isReady = await fetch(`${callerUrl}/admin/instances`, { headers })
+          .then((response) => response.json())
+          .then((body) =>
+            (body as { instances: { isReachable: boolean }[] }).instances
+              .filter((entry) => entry.isReachable).length === instances.length
+          )
+          .catch(() => false);
+        if (isReady) break;
+        await new Promise((resolve) => setTimeout(resolve, 50));
+      }
+    }
+  }
+
+  async function stop(): Promise<void> {
+    const exits = [...children].map((child) =>
+      new Promise((resolve) => child.once("exit", resolve))
+    );
+    for (const child of children) child.kill("SIGKILL");
+    await Promise.all(exits);
+    list.server.close();
+    list.server.closeAllConnections();
+    rmSync(folder, { recursive: true, force: true });
+    process.off("exit", onExit);
+  }
+}
+
+export function getHash(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
+
+function readPort(child: ChildProcess): Promise<number> {
+  return new Promise((resolve, reject) => {
+    child.once("exit", () => reject(new Error("process ended at start")));
+    child.stdout!.once("data", (chunk) => {
+      resolve((JSON.parse(String(chunk)) as { port: number }).port);
+    });
+  });
+}
+
+async function getFreePorts(count: number): Promise<number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, () => {
+    const server = createTcpServer();
+    return new Promise<typeof server>((resolve) =>
+      server.listen(0, "127.0.0.1", () => resolve(server))
+    );
+  }));
+  const ports = servers.map((server) =>
+    (server.address() as { port: number }).port
+  );
+  await Promise.all(
+    servers.map((server) => new Promise((resolve) => server.close(resolve))),
+  );
+  return ports;
+}
--- /dev/null
+++ b/measure/prefix_cache.ts
@@ -0,0 +1,81 @@
+/**
+ * Bounded prefix cache of a simulated engine, with events that come late and
+ * with gaps.
+ */
+import { createHash } from "node:crypto";
+import type { Random } from "../src/core/random.ts";
+
+export interface CacheEvent {
+  readonly seq: number;
+  readonly kind: "stored" | "evicted";
+  readonly block: string;
+}
+
+export interface PrefixCache {
+  /** Stores the prompt's blocks and returns the tokens that were cached. */
+  touch(prompt: string): number;
+  readEvents(after: number): {
+    readonly events: readonly CacheEvent[];
+    readonly blocks?: readonly string[];
+    readonly seq: number;
+  };
+}
+
+const blockChars = 256;
+const blockTokens = blockChars / 4;
+const maxEvents = 1_000;
+const eventDelayMs = 500;
+const lossRatio = 0.02;
+
+export function createPrefixCache(
+  maxBlocks: number,
+  random: Random,
+): PrefixCache {
+  const blocks = new Set<string>();
+  const events: { event: CacheEvent; visibleAtMs: number }[] = [];
+  let nextSeq = 1;
+  return { touch, readEvents };
+
+  function touch(prompt: string): number {
+    let cachedBlocks = 0;
+    let isPrefixCached = true;
+    for (let end = blockChars; end <= prompt.length; end += blockChars) {
+      const block = getPrefixHash(prompt.slice(0, end));
+      isPrefixCached &&= blocks.delete(block);
+      if (isPrefixCached) cachedBlocks += 1;
+      else record("stored", block);
+      blocks.add(block);
+    }
+    while (blocks.size > maxBlocks) {
+      const oldest = blocks.values().next().value!;
+      blocks.delete(oldest);
+      record("evicted", oldest);
+    }
+    return cachedBlocks * blockTokens;
+  }
+
+  function record(kind: CacheEvent["kind"], block: string): void {
+    const event = { seq: nextSeq++, kind, block };
+    if (random.next() < lossRatio) return;
+    events.push({ event, visibleAtMs: Date.now() + eventDelayMs });
+    if (events.length > maxEvents) events.shift();
+  }
+
+  /** With `after` 0 the whole set of blocks is returned, for a resync. */
+  function readEvents(after: number) {
+    if (after === 0) {
+      return { events: [], blocks: [...blocks], seq: nextSeq - 1 };
+    }
+    const nowMs = Date.now();
+    const visible = events
+      .filter(({ event, visibleAtMs }) =>
+        event.seq > after && visibleAtMs <= nowMs
+      )
+      .map(({ event }) => event);
+    return { events: visible, seq: visible.at(-1)?.seq ?? after };
+  }
+}
+
+export function getPrefixHash(prefix: string): string {
+  return createHash("sha256").update(prefix).digest("hex").slice(0, 16);
+}
--- /dev/null
+++ b/measure/statistics.ts
@@ -0,0 +1,51 @@
+/**
+ * Figures of a measurement.
+ */
+import type { Cluster } from "./launcher.ts";
+
+export function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+export function getPercentile(
+  values: readonly number[],
+  quantile: number,
+): number {
+  if (values.length === 0) return 0;
+  const sorted = [...values].sort((left, right) => left - right);
+  const index = Math.ceil(quantile * sorted.length) - 1;
+  return sorted[Math.max(0, index)]!;
+}
+
+interface InstanceStatus {
+  readonly answers: {
+    readonly usefulTokens: number;
+    readonly droppedTokens: number;
+    readonly refilledTokens: number;
+  };
+}
+
+/** Token accounts over all instances that still run. */
+export async function getTotals(cluster: Cluster) {
+  const headers = { authorization: `Bearer ${cluster.operatorToken}` };
+  const statuses = await Promise.all(
+    cluster.instances.map((instance) =>
+      fetch(`${instance.callerUrl}/admin/status`, {
+        headers,
+        signal: AbortSignal.timeout(1_000),
+      })
+        .then((response) => response.json() as Promise<InstanceStatus>)
+        .catch(() => undefined)
+    ),
+  );
+  const answers = statuses.flatMap((status) => status ? [status.answers] : []);
+  const usefulTokens = sum(answers.map((entry) => entry.usefulTokens));
+  const droppedTokens = sum(answers.map((entry) => entry.droppedTokens));
+  const refilledTokens = sum(answers.map((entry) => entry.refilledTokens));
+  return {
+    usefulTokens,
+    droppedTokens,
+    refilledTokens,
+    extraTokensRatio: usefulTokens === 0 ? 0 : droppedTokens / usefulTokens,
+  };
+}
--- /dev/null
+++ b/src/answers/attempt_runner.ts
@@ -0,0 +1,37 @@
+/**
+ * Interface between the owner of an answer and the engines: an attempt is
+ * started with the journal so far and reports to its sink.
+ */
+import type { SystemError } from "../core/errors.ts";
+import type { FinishReason, UpstreamId } from "../core/types.ts";
+import type { AnswerMeta } from "../peer/messages.ts";
+
+export interface AttemptRequest {
+  readonly answerId: string;
+  readonly attemptNumber: number;
+  readonly meta: AnswerMeta;
+  /** The journal so far; the attempt goes on after its last token. */
+  readonly tokens: readonly string[];
+  readonly isHedge: boolean;
+  /** Engines that failed or are in use for this answer. */
+  readonly avoidedUpstreamIds: readonly UpstreamId[];
+}
+
+export interface AttemptSink {
+  onTokens(fromPosition: number, tokens: readonly string[]): void;
+  onEnded(reason: FinishReason, tokenCount: number): void;
+  onFailed(error: SystemError): void;
+}
+
+export interface AttemptHandle {
+  /** The chosen engine, once there is one. */
+  getUpstreamId(): UpstreamId | undefined;
+  /** Silence beyond this makes the attempt suspect. */
+  getSilenceLimitMs(): number;
+  /** Stops the attempt; the sink hears nothing afterwards. */
+  cancel(): void;
+}
+
+export interface AttemptRunner {
+  start(request: AttemptRequest, sink: AttemptSink): AttemptHandle;
+}
--- /dev/null
+++ b/src/answers/replica_placement.ts
@@ -0,0 +1,54 @@
+/**
+ * Chooses the instance that holds the second copy of an answer.
+ */
+import type { Random } from "../core/random.ts";
+import {
+  type AnswerId,
+  type InstanceId,
+  type InstanceInfo,
+  InstanceState,
+} from "../core/types.ts";
+import type { MembershipView } from "../membership/membership_view.ts";
+import { parseAnswerId, rankInstances } from "./answer_id.ts";
+
+/** Chosen before the answer has an id, because the id names the replica. */
+export function chooseFirstReplica(
+  membership: MembershipView,
+  random: Random,
+): InstanceId | undefined {
+  const candidates = getCandidates(membership, []);
+  return candidates[random.nextInt(Math.max(1, candidates.length))]
+    ?.instanceId;
+}
+
+/** The named replica first, then rendezvous order, other domains first. */
+export function chooseReplica(
+  membership: MembershipView,
+  answerId: AnswerId,
+  avoided: readonly InstanceId[],
+): InstanceId | undefined {
+  const candidateIds = getCandidates(membership, avoided)
+    .map((instance) => instance.instanceId);
+  const firstReplicaId = parseAnswerId(answerId)
+    .andThen((parts) => parts.firstReplicaId).unwrapOr("");
+  if (candidateIds.includes(firstReplicaId)) return firstReplicaId;
+  return rankInstances(answerId, candidateIds)[0];
+}
+
+/** Reachable instances of other domains, or of this one if there are none. */
+function getCandidates(
+  membership: MembershipView,
+  avoided: readonly InstanceId[],
+): InstanceInfo[] {
+  const self = membership.getSelf();
+  const reachable = membership.listInstances().filter((instance) =>
+    instance.instanceId !== self.instanceId &&
+    instance.state === InstanceState.Live &&
+    membership.isReachable(instance.instanceId) &&
+    !avoided.includes(instance.instanceId)
+  );
+  const elsewhere = reachable.filter((instance) =>
+    instance.domainId !== self.domainId
+  );
+  return elsewhere.length > 0 ? elsewhere : reachable;
+}
--- /dev/null
+++ b/src/calls/call_service.ts
@@ -0,0 +1,296 @@
+/**
+ * Calls to application services. Idempotent calls are retried on other workers;
+ * non-idempotent calls are claimed first and dispatched at most once.
+ */
+import { createHash, randomUUID } from "node:crypto";
+import { err, ok, type Result } from "neverthrow";
+import type { ControlClient } from "../control/control_client.ts";
+import {
+  type ClaimKey,
+  type ClaimResult,
+  claimResultSchema,
+  ClaimStatus,
+  CommandKind,
+  type Outcome,
+  OutcomeKind,
+  type StoredResponse,
+} from "../control/commands.ts";
+import { assertNever } from "../core/assert_never.ts";
+import type { Clock } from "../core/clock.ts";
+import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
+import { logEvents } from "../core/log_events.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Random } from "../core/random.ts";
+import { type UpstreamId, UpstreamKind } from "../core/types.ts";
+import type { ApplicationService } from "../settings/schema.ts";
+import type {
+  ApplicationCall,
+  ApplicationClient,
+} from "../upstreams/application_client.ts";
+import type {
+  UpstreamRegistry,
+  UpstreamStatus,
+} from "../upstreams/upstream_registry.ts";
+
+export interface ServiceCall extends ApplicationCall {
+  readonly customerId: string;
+  readonly service: ApplicationService;
+}
+
+export interface CallService {
+  execute(call: ServiceCall): Promise<Result<StoredResponse, SystemError>>;
+}
+
+export interface CallServiceOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly random: Random;
+  readonly control: ControlClient;
+  readonly registry: UpstreamRegistry;
+  readonly client: ApplicationClient;
+}
+
+enum DispatchKind {
+  Answered = "answered",
+  /** No byte reached a worker, or the worker refused before it ran. */
+  NotRun = "notRun",
+  Unknown = "unknown",
+}
+
+type Dispatch =
+  | { readonly kind: DispatchKind.Answered; readonly response: StoredResponse }
+  | { readonly kind: DispatchKind.NotRun; readonly message: string }
+  | { readonly kind: DispatchKind.Unknown; readonly message: string };
+
+const claimTimeoutMs = 4_000;
+const settleTimeoutMs = 10_000;
+/** A resend waits this long for the first dispatch to be answered. */
+const pendingWaitMs = 3_000;
+const pendingPollMs = 200;
+const maxTries = 4;
+
+export function createCallService(options: CallServiceOptions): CallService {
+  const { clock, logger, random, control, registry, client } = options;
+  return { execute };
+
+  function execute(
+    call: ServiceCall,
+  ): Promise<Result<StoredResponse, SystemError>> {
+    return isIdempotent(call) ? executeIdempotent(call) : executeOnce(call);
+  }
+
+  async function executeIdempotent(
+    call: ServiceCall,
+  ): Promise<Result<StoredResponse, SystemError>> {
+    const deadlineMs = clock.nowMs() + call.service.timeoutMs;
+    let last: Dispatch = { kind: DispatchKind.NotRun, message: "no worker" };
+    const triedIds: UpstreamId[] = [];
+    for (let tries = 0; tries < maxTries; tries++) {
+      const worker = chooseWorker(call.service.service, triedIds);
+      const remainingMs = deadlineMs - clock.nowMs();
+      if (!worker || remainingMs <= 0) break;
+      triedIds.push(worker.info.upstreamId);
+      // Leaves time for a second try when the first worker is frozen.
+      const timeoutMs = Math.min(remainingMs, call.service.timeoutMs / 2);
+      last = await dispatch(worker, call, timeoutMs);
+      if (last.kind === DispatchKind.Answered) return ok(last.response);
+    }
+    return last.kind === DispatchKind.NotRun
+      ? err(getNoWorkerError(call, last.message))
+      : err(createError(ErrorKind.UpstreamFailed, getMessage(last)));
+  }
+
+  async function executeOnce(
+    call: ServiceCall,
+  ): Promise<Result<StoredResponse, SystemError>> {
+    if (call.idempotencyKey === "") {
+      return err(createError(
+        ErrorKind.InvalidRequest,
+        "this route is not idempotent and needs an Idempotency-Key header",
+        { fieldPath: "headers.Idempotency-Key" },
+      ));
+    }
+    const key: ClaimKey = {
+      customerId: call.customerId,
+      service: call.service.service,
+      idempotencyKey: call.idempotencyKey,
+    };
+    const claimId = randomUUID();
+    const claim = await claimKey(key, { claimId, call });
+    if (claim.isErr()) {
+      // The claim may still be committed; freeing it is safe because this
+      // claim id is never dispatched.
+      void settle(key, claimId, { kind: OutcomeKind.NotRun });
+      logger.log(logEvents.claimFailed, { reason: claim.error.message });
+      return err(claim.error);
+    }
+    switch (claim.value.status) {
+      case ClaimStatus.Granted:
+        return dispatchOnce(call, key, claimId);
+      case ClaimStatus.Answered:
+        return ok(claim.value.response!);
+      case ClaimStatus.KeyReused:
+        return err(createError(
+          ErrorKind.KeyReused,
+          "the Idempotency-Key was used with another request",
+        ));
+      case ClaimStatus.Pending:
+        return err(createError(
+          ErrorKind.OutcomeUnknown,
+          "an earlier request with this key was dispatched without an answer",
+        ));
+      default:
+        return assertNever(claim.value.status);
+    }
+  }
+
+  /** Claims the key, and waits for another dispatch that holds it. */
+  async function claimKey(
+    key: ClaimKey,
+    { claimId, call }: { claimId: string; call: ServiceCall },
+  ): Promise<Result<ClaimResult, SystemError>> {
+    const waitUntilMs = clock.nowMs() + pendingWaitMs;
+    while (true) {
+      const result = await control.propose({
+        kind: CommandKind.Claim,
+        key,
+        bodySha256: getRequestHash(call),
+        claimId,
+        atWallMs: clock.wallMs(),
+      }, claimTimeoutMs);
+      if (result.isErr()) return err(result.error);
+      const claim = claimResultSchema.parse(result.value);
+      const isPending = claim.status === ClaimStatus.Pending;
+      if (!isPending || clock.nowMs() > waitUntilMs) return ok(claim);
+      await clock.sleep(pendingPollMs);
+    }
+  }
+
+  async function dispatchOnce(
+    call: ServiceCall,
+    key: ClaimKey,
+    claimId: string,
+  ): Promise<Result<StoredResponse, SystemError>> {
+    const dispatched = await dispatchUntilSent(call);
+    switch (dispatched.kind) {
+      case DispatchKind.Answered:
+        // Without the stored outcome a resend would be told "unknown".
+        await settle(key, claimId, {
+          kind: OutcomeKind.Answered,
+          response: dispatched.response,
+        });
+        return ok(dispatched.response);
+      case DispatchKind.NotRun:
+        await settle(key, claimId, { kind: OutcomeKind.NotRun });
+        return err(getNoWorkerError(call, dispatched.message));
+      case DispatchKind.Unknown:
+        logger.log(logEvents.callOutcomeUnknown, {
+          service: call.service.service,
+          reason: dispatched.message,
+        });
+        return err(createError(
+          ErrorKind.OutcomeUnknown,
+          `the call was dispatched without an answer: ${dispatched.message}`,
+        ));
+      default:
+        return assertNever(dispatched);
+    }
+  }
+
+  /** Tries workers until one may have received the call. */
+  async function dispatchUntilSent(call: ServiceCall): Promise<Dispatch> {
+    const triedIds: UpstreamId[] = [];
+    let last: Dispatch = { kind: DispatchKind.NotRun, message: "no worker" };
+    for (let tries = 0; tries < maxTries; tries++) {
+      const worker = chooseWorker(call.service.service, triedIds);
+      if (!worker) break;
+      triedIds.push(worker.info.upstreamId);
+      last = await dispatch(worker, call, call.service.timeoutMs);
+      if (last.kind !== DispatchKind.NotRun) break;
+    }
+    return last;
+  }
+
+  async function dispatch(
+    worker: UpstreamStatus,
+    call: ServiceCall,
+    timeoutMs: number,
+  ): Promise<Dispatch> {
+    const { upstreamId, baseUrl } = worker.info;
+    registry.addInFlight(upstreamId, 1);
+    const result = await client.send(baseUrl, call, timeoutMs);
+    registry.addInFlight(upstreamId, -1);
+    return result.match<Dispatch>(
+      (response) => {
+        if (response.isNotRun) {
+          return { kind: DispatchKind.NotRun, message: response.body };
+        }
+        const { status, contentType, body } = response;
+        return {
+          kind: DispatchKind.Answered,
+          response: { status, contentType, body },
+        };
+      },
+      ({ mayHaveRun, message }) => ({
+        kind: mayHaveRun ? DispatchKind.Unknown : DispatchKind.NotRun,
+        message,
+      }),
+    );
+  }
+
+  async function settle(
+    key: ClaimKey,
+    claimId: string,
+    outcome: Outcome,
+  ): Promise<void> {
+    const result = await control.propose({
+      kind: CommandKind.SettleClaim,
+      key,
+      claimId,
+      outcome,
+      atWallMs: clock.wallMs(),
+    }, settleTimeoutMs);
+    if (result.isOk()) return;
+    logger.log(logEvents.claimFailed, { reason: result.error.message });
+  }
+
+  function chooseWorker(
+    service: string,
+    triedIds: readonly UpstreamId[],
+  ): UpstreamStatus | undefined {
+    const workers = registry.listUsable(UpstreamKind.Application, service)
+      .filter((worker) => !triedIds.includes(worker.info.upstreamId));
+    if (workers.length === 0) return undefined;
+    const first = workers[random.nextInt(workers.length)]!;
+    const second = workers[random.nextInt(workers.length)]!;
+    return second.inFlightCount < first.inFlightCount ? second : first;
+  }
+}
+
+/** Routes that no rule declares count as non-idempotent. */
+function isIdempotent(call: ServiceCall): boolean {
+  const matching = call.service.routes
+    .filter((route) =>
+      route.method === call.method && call.path.startsWith(route.pathPrefix)
+    )
+    .sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+  return matching[0]?.idempotent ?? false;
+}
+
+function getRequestHash(call: ServiceCall): string {
+  return createHash("sha256")
+    .update(JSON.stringify([call.method, call.path, call.body]))
+    .digest("hex");
+}
+
+function getNoWorkerError(call: ServiceCall, message: string): SystemError {
+  return createError(
+    ErrorKind.NoUpstream,
+    `no worker of ${call.service.service} took the call: ${message}`,
+    { retryAfterMs: 1_000 },
+  );
+}
+
+function getMessage(dispatched: Dispatch): string {
+  return dispatched.kind === DispatchKind.Answered ? "" : dispatched.message;
+}
--- /dev/null
+++ b/src/control/commands.ts
@@ -0,0 +1,77 @@
+/**
+ * Commands of the control log and their results. Commands carry the time at
+ * which they were proposed, so that every replica applies them alike.
+ */
+import { z } from "zod";
+
+export enum CommandKind {
+  Claim = "claim",
+  SettleClaim = "settleClaim",
+}
+
+const claimKeySchema = z.object({
+  customerId: z.string().min(1).max(200),
+  service: z.string().min(1).max(200),
+  idempotencyKey: z.string().min(1).max(200),
+});
+
+export enum OutcomeKind {
+  Answered = "answered",
+  NotRun = "notRun",
+}
+
+export const storedResponseSchema = z.object({
+  status: z.int().min(100).max(599),
+  contentType: z.string().max(200),
+  body: z.string().max(262_144),
+});
+
+const outcomeSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal(OutcomeKind.Answered),
+    response: storedResponseSchema,
+  }),
+  z.object({ kind: z.literal(OutcomeKind.NotRun) }),
+]);
+
+export const commandSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal(CommandKind.Claim),
+    key: claimKeySchema,
+    bodySha256: z.string().length(64),
+    /** Unique per dispatch, so that a resent claim gets the same reply. */
+    claimId: z.string().min(1).max(200),
+    atWallMs: z.number(),
+  }),
+  z.object({
+    kind: z.literal(CommandKind.SettleClaim),
+    key: claimKeySchema,
+    claimId: z.string().min(1).max(200),
+    outcome: outcomeSchema,
+    atWallMs: z.number(),
+  }),
+]);
+
+export type ClaimKey = z.output<typeof claimKeySchema>;
+export type StoredResponse = z.output<typeof storedResponseSchema>;
+export type Outcome = z.output<typeof outcomeSchema>;
+export type Command = z.output<typeof commandSchema>;
+export type ClaimCommand = Extract<Command, { kind: CommandKind.Claim }>;
+export type SettleCommand = Extract<Command, { kind: CommandKind.SettleClaim }>;
+
+export enum ClaimStatus {
+  /** The proposer may dispatch the call. */
+  Granted = "granted",
+  /** Another dispatch holds the key and has no answer yet. */
+  Pending = "pending",
+  Answered = "answered",
+  /** The key was used with another body. */
+  KeyReused = "keyReused",
+}
+
+export const claimResultSchema = z.object({
+  status: z.enum(ClaimStatus),
+  response: storedResponseSchema.optional(),
+});
+
+export type ClaimResult = z.output<typeof claimResultSchema>;
--- /dev/null
+++ b/src/daemon/drain.ts
@@ -0,0 +1,71 @@
+/**
+ * Graceful shutdown: readiness turns false at once so that the load balancer
+ * stops sending, requests that still arrive are served for a grace time, then
+ * the instance waits until all its answers and requests are finished.
+ */
+import type { AnswerService } from "../answers/answer_service.ts";
+import type { Clock } from "../core/clock.ts";
+import { logEvents } from "../core/log_events.ts";
+import type { Logger } from "../core/logger.ts";
+
+export interface Drain {
+  isReady(): boolean;
+  isAccepting(): boolean;
+  /** Counts an open request until the returned function is called. */
+  trackRequest(): () => void;
+  /** Resolves when nothing is left that a stop would cut off. */
+  run(): Promise<void>;
+}
+
+export interface DrainOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly answers: AnswerService;
+  announceLeaving(): void;
+}
+
+/** Time for the load balancer to see that the instance is not ready. */
+const acceptGraceMs = 2_000;
+/** Time for owners to copy their answers to other instances. */
+const replicaMoveMs = 500;
+const pollMs = 50;
+
+export function createDrain(options: DrainOptions): Drain {
+  const { clock, logger, answers } = options;
+  let isDraining = false;
+  let isAccepting = true;
+  let openRequests = 0;
+  return {
+    isReady: () => !isDraining,
+    isAccepting: () => isAccepting,
+    trackRequest,
+    run,
+  };
+
+  function trackRequest(): () => void {
+    openRequests += 1;
+    let isOpen = true;
+    return () => {
+      if (isOpen) openRequests -= 1;
+      isOpen = false;
+    };
+  }
+
+  async function run(): Promise<void> {
+    isDraining = true;
+    options.announceLeaving();
+    await clock.sleep(acceptGraceMs);
+    isAccepting = false;
+    let logged = -1;
+    while (openRequests > 0 || answers.getOpenCount() > 0) {
+      const openAnswers = answers.getOpenCount();
+      if (openAnswers !== logged) {
+        logger.log(logEvents.drainWaiting, { openAnswers, openRequests });
+        logged = openAnswers;
+      }
+      await clock.sleep(pollMs);
+    }
+    await answers.handOverFinished();
+    await clock.sleep(replicaMoveMs);
+  }
+}
--- /dev/null
+++ b/src/entry/caller_app.ts
@@ -0,0 +1,366 @@
+/**
+ * HTTP interface for callers: completions, answers and application services.
+ */
+import type { ServerResponse } from "node:http";
+import { RESPONSE_ALREADY_SENT } from "@hono/node-server/utils/response";
+import { type Context, Hono } from "hono";
+import { bodyLimit } from "hono/body-limit";
+import { err, ok, type Result } from "neverthrow";
+import type { AnswerReader } from "../answers/answer_reader.ts";
+import type { AnswerService } from "../answers/answer_service.ts";
+import type { CallService } from "../calls/call_service.ts";
+import type { Clock } from "../core/clock.ts";
+import {
+  createError,
+  errorAnswers,
+  ErrorKind,
+  getErrorBody,
+  getErrorMessage,
+  type SystemError,
+} from "../core/errors.ts";
+import { logEvents } from "../core/log_events.ts";
+import type { Logger } from "../core/logger.ts";
+import type { AnswerId, CustomerId } from "../core/types.ts";
+import type {
+  ApplicationService,
+  ModelService,
+  Settings,
+} from "../settings/schema.ts";
+import {
+  type AnswerStreamOptions,
+  collectAnswer,
+  streamAnswer,
+} from "./answer_stream.ts";
+import type { Authenticator } from "./authenticator.ts";
+import {
+  type CompletionRequest,
+  parseCompletionRequest,
+} from "./completion_request.ts";
+import { type EventPosition, parseEventId } from "./event_id.ts";
+
+export interface CallerAppOptions {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly authenticator: Authenticator;
+  readonly answers: AnswerService;
+  readonly reader: AnswerReader;
+  readonly calls: CallService;
+  isReady(): boolean;
+  /** False once the drain no longer takes new requests. */
+  isAccepting(): boolean;
+  trackRequest(): () => void;
+}
+
+interface CallerEnv {
+  readonly Bindings: { readonly outgoing: ServerResponse };
+}
+
+type CallerContext = Context<CallerEnv>;
+
+const answerIdHeader = "x-answer-id";
+const overloadRetryMs = 1_000;
+const startPosition: EventPosition = {
+  fromPosition: 0,
+  lastAttempt: undefined,
+};
+
+export function createCallerApp(options: CallerAppOptions): Hono<CallerEnv> {
+  const { settings, clock, logger, answers, reader, calls } = options;
+  const app = new Hono<CallerEnv>();
+  app.onError((cause, context) => {
+    logger.log(logEvents.unexpectedError, { reason: getErrorMessage(cause) });
+    const message = "the request failed unexpectedly";
+    return refuse(context, createError(ErrorKind.Internal, message));
+  });
+  app.notFound((context) =>
+    refuse(context, createError(ErrorKind.NotFound, "no such path"))
+  );
+  app.get("/healthz", (context) => context.json({ status: "ok" }));
+  app.get(
+    "/readyz",
+    (context) =>
+      context.json({ ready: options.isReady() }, options.isReady() ? 200 : 503),
+  );
+  app.use(
+    "/v1/*",
+    bodyLimit({
+      maxSize: settings.limits.maxBodyBytes,
+      onError: (context) =>
+        refuse(
+          context,
+          createError(
+            ErrorKind.PayloadTooLarge,
+            `the body exceeds ${settings.limits.maxBodyBytes} bytes`,
+          ),
+        ),
+    }),
+  );
+  app.post("/v1/completions", tracked(complete));
+  app.get("/v1/answers/:answerId", tracked(getAnswer));
+  app.delete("/v1/answers/:answerId", tracked(cancelAnswer));
+  app.all("/v1/services/:service/*", tracked(callService));
+  return app;
+
+  function tracked(
+    handler: (
+      context: CallerContext,
+      customerId: CustomerId,
+    ) => Promise<Response>,
+  ) {
+    return async (context: CallerContext): Promise<Response> => {
+      if (!options.isAccepting()) {
+        return refuse(
+          context,
+          createError(ErrorKind.ShuttingDown, "this instance is leaving"),
+        );
+      }
+      const customer = options.authenticator.authenticateCustomer(
+        context.req.header("authorization"),
+      );
+      if (customer.isErr()) return refuse(context, customer.error);
+      const release = options.trackRequest();
+      try {
+        return await handler(context, customer.value);
+      } finally {
+        release();
+      }
+    };
+  }
+
+  async function complete(
+    context: CallerContext,
+    customerId: CustomerId,
+  ): Promise<Response> {
+    const parsed = parseCompletionRequest(
+      await context.req.text(),
+      settings.answers.maxTokens,
+    );
+    const opened = parsed.andThen((request) => open(request, customerId));
+    if (opened.isErr()) return refuse(context, opened.error);
+    const { answerId, model, isStreaming } = opened.value;
+    context.header(answerIdHeader, answerId);
+    if (context.req.header("prefer") === "respond-async") {
+      return context.json({ id: answerId, status: "running" }, 202);
+    }
+    const stream = getStreamOptions(customerId, {
+      answerId,
+      model,
+      position: startPosition,
+      canReset: true,
+    });
+    return isStreaming
+      ? await sendStream(context, stream)
+      : await sendBuffered(context, stream);
+  }
+
+  function open(
+    { generation, isStreaming }: CompletionRequest,
+    customerId: CustomerId,
+  ): Result<
+    { answerId: AnswerId; model: string; isStreaming: boolean },
+    SystemError
+  > {
+    const service = findService("model", generation.model);
+    if (!service) {
+      return err(createError(
+        ErrorKind.NotFound,
+        `no such model: ${generation.model}`,
+        { fieldPath: "model" },
+      ));
+    }
+    if (answers.getOpenCount() >= settings.limits.maxOpenAnswers) {
+      return err(createError(
+        ErrorKind.Overloaded,
+        "too many open answers on this instance",
+        { retryAfterMs: overloadRetryMs },
+      ));
+    }
+    const createdAtWallMs = clock.wallMs();
+    const answerId = answers.open({
+      customerId,
+      request: generation,
+      version: (service as ModelService).stableVersion,
+      createdAtWallMs,
+      deadlineAtWallMs: createdAtWallMs + settings.answers.deadlineMs,
+      isStreaming,
+    });
+    return ok({ answerId, model: generation.model, isStreaming });
+  }
+
+  async function getAnswer(
+    context: CallerContext,
+    customerId: CustomerId,
+  ): Promise<Response> {
+    const answerId = context.req.param("answerId") ?? "";
+    const isStreaming =
+      context.req.header("accept")?.includes("text/event-stream") === true;
+    const lastEventId = context.req.header("last-event-id");
+    const position = lastEventId === undefined
+      ? startPosition
+      : parseEventId(lastEventId).unwrapOr(undefined);
+    if (!position) {
+      return refuse(
+        context,
+        createError(ErrorKind.InvalidRequest, "malformed Last-Event-ID", {
+          fieldPath: "headers.Last-Event-ID",
+        }),
+      );
+    }
+    context.header(answerIdHeader, answerId);
+    const stream = getStreamOptions(customerId, {
+      answerId,
+      model: "",
+      position,
+      canReset: context.req.query("reset") === "true",
+    });
+    if (!isStreaming) return await sendBuffered(context, stream);
+    // The first read decides between an error status and a stream.
+    const first = await reader.read({
+      answerId,
+      customerId,
+      ...position,
+      waitMs: 0,
+    });
+    const mayStream = first.isOk() ||
+      (first.error.kind === ErrorKind.AnswerDiverged && stream.canReset);
+    if (!mayStream && first.isErr()) return refuse(context, first.error);
+    return await sendStream(context, stream);
+  }
+
+  function cancelAnswer(
+    context: CallerContext,
+    customerId: CustomerId,
+  ): Promise<Response> {
+    const answerId = context.req.param("answerId") ?? "";
+    const isCancelled = answers.cancel(answerId, {
+      customerId,
+      message: "cancelled by the caller",
+    });
+    return Promise.resolve(
+      isCancelled
+        ? context.json({ id: answerId, status: "cancelled" })
+        : refuse(
+          context,
+          createError(ErrorKind.NotFound, "not owned by this instance"),
+        ),
+    );
+  }
+
+  async function callService(
+    context: CallerContext,
+    customerId: CustomerId,
+  ): Promise<Response> {
+    const name = context.req.param("service") ?? "";
+    const service = findService("application", name);
+    if (!service) {
+      const message = `no such service: ${name}`;
+      return refuse(context, createError(ErrorKind.NotFound, message));
+    }
+    const url = new URL(context.req.url);
+    const path = url.pathname.slice(`/v1/services/${name}`.length) + url.search;
+    const result = await calls.execute({
+      customerId,
+      service: service as ApplicationService,
+      method: context.req.method,
+      path,
+      contentType: context.req.header("content-type") ?? "",
+      body: await context.req.text(),
+      idempotencyKey: (context.req.header("idempotency-key") ?? "").slice(
+        0,
+        200,
+      ),
+    });
+    if (result.isErr()) return refuse(context, result.error);
+    const { status, contentType, body } = result.value;
+    return new Response(body === "" ? null : body, {
+      status,
+      headers: contentType === "" ? {} : { "content-type": contentType },
+    });
+  }
+
+  function findService(kind: "model" | "application", name: string) {
+    return settings.services.find((service) =>
+      service.kind === kind && service.service === name
+    );
+  }
+
+  function getStreamOptions(
+    customerId: CustomerId,
+    stream: Omit<AnswerStreamOptions, "reader" | "customerId">,
+  ): AnswerStreamOptions {
+    return { ...stream, reader, customerId };
+  }
+
+  async function sendBuffered(
+    context: CallerContext,
+    stream: AnswerStreamOptions,
+  ): Promise<Response> {
+    const answer = await collectAnswer(stream, context.req.raw.signal);
+    if (answer.isErr()) return refuse(context, answer.error);
+    const { text, end } = answer.value;
+    return context.json({
+      id: stream.answerId,
+      object: "text_completion",
+      model: stream.model,
+      choices: [{ index: 0, text, finish_reason: end.reason }],
+      usage: { completion_tokens: end.tokenCount },
+    });
+  }
+
+  /** Writes to the Node.js response, which reports backpressure. */
+  async function sendStream(
+    context: CallerContext,
+    stream: AnswerStreamOptions,
+  ): Promise<Response> {
+    const { outgoing } = context.env;
+    outgoing.writeHead(200, {
+      "content-type": "text/event-stream",
+      "cache-control": "no-store",
+      [answerIdHeader]: stream.answerId,
+    });
+    outgoing.flushHeaders();
+    const result = await streamAnswer(stream, {
+      write: (text) => writeText(outgoing, text),
+    });
+    if (result.isErr()) {
+      logger.log(logEvents.requestFailed, {
+        answer: stream.answerId,
+        kind: result.error.kind,
+      });
+    }
+    outgoing.end();
+    return RESPONSE_ALREADY_SENT;
+  }
+
+  function refuse(context: Context, error: SystemError): Response {
+    logger.log(logEvents.requestRefused, {
+      kind: error.kind,
+      reason: error.message,
+    });
+    const { httpStatus } = errorAnswers[error.kind];
+    const headers = error.retryAfterMs.mapOr<Record<string, string>>(
+      {},
+      (retryAfterMs) => ({
+        "retry-after": String(Math.ceil(retryAfterMs / 1_000)),
+      }),
+    );
+    return context.json(getErrorBody(error), httpStatus as 500, headers);
+  }
+}
+
+function writeText(outgoing: ServerResponse, text: string): Promise<boolean> {
+  if (outgoing.destroyed || outgoing.writableEnded) {
+    return Promise.resolve(false);
+  }
+  if (outgoing.write(text)) return Promise.resolve(true);
+  return new Promise((resolve) => {
+    const finish = () => {
+      outgoing.off("drain", finish);
+      outgoing.off("close", finish);
+      resolve(!outgoing.destroyed);
+    };
+    outgoing.on("drain", finish);
+    outgoing.on("close", finish);
+  });
+}
--- /dev/null
+++ b/src/entry/event_id.ts
@@ -0,0 +1,29 @@
+/**
+ * Event ids of answer streams: `<attempt>.<instance>.<next position>`. They say
+ * where a caller goes on, and of which attempt its last token was.
+ */
+import { Maybe } from "true-myth";
+import type { AttemptId } from "../core/types.ts";
+
+export interface EventPosition {
+  readonly fromPosition: number;
+  readonly lastAttempt: AttemptId | undefined;
+}
+
+const eventIdPattern = /^(\d{1,15})\.([a-z0-9-]{1,63})\.(\d{1,9})$/;
+
+export function formatEventId(
+  attempt: AttemptId,
+  nextPosition: number,
+): string {
+  return `${attempt.attemptNumber}.${attempt.instanceId}.${nextPosition}`;
+}
+
+export function parseEventId(eventId: string): Maybe<EventPosition> {
+  const match = eventIdPattern.exec(eventId);
+  if (!match) return Maybe.nothing();
+  return Maybe.just({
+    fromPosition: Number(match[3]),
+    lastAttempt: { attemptNumber: Number(match[1]), instanceId: match[2]! },
+  });
+}
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -118,6 +118,9 @@
 export const readReplySchema = z.object({
   status: z.enum(ReadStatus),
   ownerId: z.string().max(200),
+  /** Ownership epoch and tokens held, to pick the best of several copies. */
+  ownerNumber: z.int().min(0),
+  heldCount: positionSchema,
   tokens: tokensSchema,
   lineage: z.array(spanSchema),
   end: endSchema.optional(),
@@ -178,4 +181,5 @@
 export type CopyResult = z.output<typeof copyResultSchema>;
 export type Heartbeat = z.output<typeof heartbeatSchema>;
 export type ReadRequest = z.output<typeof readAnswerSchema>;
+export type TakeOverReply = z.output<typeof takeOverReplySchema>;
 export type ReadReply = z.output<typeof readReplySchema>;
--- /dev/null
+++ b/src/upstreams/application_client.ts
@@ -0,0 +1,102 @@
+/**
+ * Adapter to application workers: plain HTTP calls.
+ */
+import { ResultAsync } from "neverthrow";
+import { Agent, request } from "undici";
+import { getErrorMessage } from "../core/errors.ts";
+
+export interface ApplicationCall {
+  readonly method: string;
+  readonly path: string;
+  readonly contentType: string;
+  readonly body: string;
+  /** Sent to the worker for its own records; empty without a key. */
+  readonly idempotencyKey: string;
+}
+
+export interface ApplicationResponse {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: string;
+  /** The worker says that it did not execute the call. */
+  readonly isNotRun: boolean;
+}
+
+export interface ApplicationFailure {
+  /** False only when no byte of the call reached the worker. */
+  readonly mayHaveRun: boolean;
+  readonly message: string;
+}
+
+export interface ApplicationClient {
+  send(
+    baseUrl: string,
+    call: ApplicationCall,
+    timeoutMs: number,
+  ): ResultAsync<ApplicationResponse, ApplicationFailure>;
+  close(): Promise<void>;
+}
+
+/** A worker answers 429 or 503 with this header when it refused the call. */
+const executionHeader = "x-execution";
+const connectTimeoutMs = 1_000;
+const maxResponseChars = 262_144;
+/** Errors that undici reports before it writes to the connection. */
+const connectErrorCodes: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+export function createApplicationClient(): ApplicationClient {
+  const agent = new Agent({
+    connect: { timeout: connectTimeoutMs },
+    keepAliveTimeout: 4_000,
+    maxResponseSize: maxResponseChars,
+  });
+  return { send, close: () => agent.destroy() };
+
+  function send(
+    baseUrl: string,
+    call: ApplicationCall,
+    timeoutMs: number,
+  ): ResultAsync<ApplicationResponse, ApplicationFailure> {
+    return ResultAsync.fromPromise(sendCall(), (cause) => ({
+      mayHaveRun: !connectErrorCodes.has(getErrorCode(cause)),
+      message: getErrorMessage(cause),
+    }));
+
+    async function sendCall(): Promise<ApplicationResponse> {
+      const response = await request(`${baseUrl}${call.path}`, {
+        dispatcher: agent,
+        method: call.method as "GET",
+        signal: AbortSignal.timeout(timeoutMs),
+        headers: getHeaders(call),
+        ...(call.body === "" ? {} : { body: call.body }),
+      });
+      const contentType = response.headers["content-type"];
+      return {
+        status: response.statusCode,
+        contentType: typeof contentType === "string" ? contentType : "",
+        body: await response.body.text(),
+        isNotRun: response.headers[executionHeader] === "not-run" &&
+          (response.statusCode === 429 || response.statusCode === 503),
+      };
+    }
+  }
+}
+
+function getHeaders(call: ApplicationCall): Record<string, string> {
+  return {
+    ...(call.contentType === "" ? {} : { "content-type": call.contentType }),
+    ...(call.idempotencyKey === ""
+      ? {}
+      : { "idempotency-key": call.idempotencyKey }),
+  };
+}
+
+function getErrorCode(cause: unknown): string {
+  const code = (cause as { code?: unknown } | null)?.code;
+  return typeof code === "string" ? code : "";
+}
--- /dev/null
+++ b/src/upstreams/upstream_registry.ts
@@ -0,0 +1,128 @@
+/**
+ * The upstreams that the platform lists, with this instance's own work in
+ * flight and what they last reported.
+ */
+import type { Clock } from "../core/clock.ts";
+import { logEvents } from "../core/log_events.ts";
+import type { Logger } from "../core/logger.ts";
+import {
+  type UpstreamId,
+  type UpstreamInfo,
+  type UpstreamKind,
+  UpstreamState,
+} from "../core/types.ts";
+
+export interface LoadReport {
+  readonly runningCount: number;
+  readonly waitingCount: number;
+  readonly receivedAtMs: number;
+}
+
+export interface UpstreamStatus {
+  info: UpstreamInfo;
+  /** Requests this instance has open there. */
+  inFlightCount: number;
+  load: LoadReport | undefined;
+  /** The upstream reports that it is leaving, or a ticket says so. */
+  isLeavingReported: boolean;
+}
+
+export interface UpstreamRegistry {
+  update(upstreams: readonly UpstreamInfo[]): void;
+  get(upstreamId: UpstreamId): UpstreamStatus | undefined;
+  list(): UpstreamStatus[];
+  /** Upstreams that may get new work. */
+  listUsable(kind: UpstreamKind, service: string): UpstreamStatus[];
+  reportLoad(
+    upstreamId: UpstreamId,
+    report: {
+      readonly runningCount: number;
+      readonly waitingCount: number;
+      readonly isLeaving: boolean;
+    },
+  ): void;
+  addInFlight(upstreamId: UpstreamId, change: 1 | -1): void;
+}
+
+export interface UpstreamRegistryOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+export function createUpstreamRegistry(
+  { clock, logger }: UpstreamRegistryOptions,
+): UpstreamRegistry {
+  const statuses = new Map<UpstreamId, UpstreamStatus>();
+  return {
+    update,
+    get: (upstreamId) => statuses.get(upstreamId),
+    list: () => [...statuses.values()],
+    listUsable,
+    reportLoad,
+    addInFlight,
+  };
+
+  function update(upstreams: readonly UpstreamInfo[]): void {
+    const listedIds = new Set(upstreams.map((info) => info.upstreamId));
+    for (const upstreamId of statuses.keys()) {
+      if (listedIds.has(upstreamId)) continue;
+      statuses.delete(upstreamId);
+      logger.log(logEvents.upstreamRemoved, { upstream: upstreamId });
+    }
+    for (const info of upstreams) updateOne(info);
+  }
+
+  function updateOne(info: UpstreamInfo): void {
+    const status = statuses.get(info.upstreamId);
+    if (!status) {
+      statuses.set(info.upstreamId, {
+        info,
+        inFlightCount: 0,
+        load: undefined,
+        isLeavingReported: false,
+      });
+      logger.log(logEvents.upstreamAdded, { upstream: info.upstreamId });
+      return;
+    }
+    if (
+      info.state === UpstreamState.Leaving &&
+      status.info.state !== UpstreamState.Leaving
+    ) {
+      logger.log(logEvents.upstreamLeaving, { upstream: info.upstreamId });
+    }
+    status.info = info;
+  }
+
+  function listUsable(kind: UpstreamKind, service: string): UpstreamStatus[] {
+    return [...statuses.values()].filter(({ info, isLeavingReported }) =>
+      info.kind === kind && info.service === service &&
+      info.state === UpstreamState.Live && !isLeavingReported
+    );
+  }
+
+  function reportLoad(
+    upstreamId: UpstreamId,
+    report: {
+      runningCount: number;
+      waitingCount: number;
+      isLeaving: boolean;
+    },
+  ): void {
+    const status = statuses.get(upstreamId);
+    if (!status) return;
+    status.load = {
+      runningCount: report.runningCount,
+      waitingCount: report.waitingCount,
+      receivedAtMs: clock.nowMs(),
+    };
+    if (report.isLeaving && !status.isLeavingReported) {
+      logger.log(logEvents.upstreamLeaving, { upstream: upstreamId });
+    }
+    status.isLeavingReported = report.isLeaving;
+  }
+
+  function addInFlight(upstreamId: UpstreamId, change: 1 | -1): void {
+    const status = statuses.get(upstreamId);
+    if (status) status.inFlightCount += change;
+  }
+}
