--- a/src/answers/answer_machine.ts
+++ b/src/answers/answer_machine.ts
@@ -82,7 +82,7 @@
       receiveTokens(state, event, { effects, nowMs });
       break;
     case AnswerEventKind.AttemptEnded:
-      endAttempt(state, event, effects);
+      endAttempt(state, event, { effects, nowMs });
       break;
     case AnswerEventKind.AttemptFailed:
       failAttempt(state, event, { effects, nowMs });
@@ -131,27 +131,19 @@
   { effects, nowMs }: Turn,
 ): void {
   const attempt = state.attempts.get(event.attemptNumber);
-  const skipCount = state.tokens.length - event.fromPosition;
-  const newTokens = event.tokens.slice(Math.max(0, skipCount));
-  const isUseful = attempt && !state.end && skipCount >= 0 &&
-    newTokens.length > 0 && !(skipCount > 0 && attempt.isHedge);
-  if (!isUseful) {
+  if (!attempt || state.end) {
     state.waste.droppedTokens += event.tokens.length;
-    if (attempt && skipCount !== 0) {
-      // The attempt is behind the journal or left a gap, so it cannot go on.
-      cancelAttempt(state, event.attemptNumber, effects);
-    }
     return;
   }
-  // An attempt that repeats a position it already delivered is broken; tokens
-  // that another attempt delivered first belong to another generation.
-  if (skipCount > 0) {
+  // Tokens elsewhere than at the end of the journal belong to an attempt that
+  // is behind, or to an engine that repeats or skips positions.
+  if (event.fromPosition !== state.tokens.length) {
     state.waste.droppedTokens += event.tokens.length;
     cancelAttempt(state, event.attemptNumber, effects);
     ensureAttempt(state, effects, nowMs);
     return;
   }
-  appendTokens(state, attempt, { tokens: newTokens, nowMs });
+  appendTokens(state, attempt, { tokens: event.tokens, nowMs });
   for (const other of [...state.attempts.keys()]) {
     if (other !== event.attemptNumber) cancelAttempt(state, other, effects);
   }
@@ -180,14 +172,12 @@
 function endAttempt(
   state: AnswerState,
   event: Extract<AnswerEvent, { kind: AnswerEventKind.AttemptEnded }>,
-  effects: AnswerEffect[],
+  { effects, nowMs }: Turn,
 ): void {
-  const attempt = state.attempts.get(event.attemptNumber);
-  if (!attempt || state.end) return;
-  const isWhole = event.tokenCount === state.tokens.length &&
-    (!attempt.isHedge || state.tokens.length === attempt.fromPosition);
-  if (!isWhole) {
+  if (!state.attempts.has(event.attemptNumber) || state.end) return;
+  if (event.tokenCount !== state.tokens.length) {
     cancelAttempt(state, event.attemptNumber, effects);
+    ensureAttempt(state, effects, nowMs);
     return;
   }
   state.attempts.delete(event.attemptNumber);
