--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -159,7 +159,13 @@
   const app = new Hono();
   app.route(
     "/admin",
-    createOperatorApp({ authenticator, membership, registry, answers }),
+    createOperatorApp({
+      authenticator,
+      membership,
+      registry,
+      answers,
+      getPeerTraffic: peers.getTraffic,
+    }),
   );
   app.route(
     "/",
--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -1,10 +1,12 @@
 /**
  * HTTP interface for operators, used by the command-line tool.
  */
+import process from "node:process";
 import { Hono } from "hono";
 import type { AnswerService } from "../answers/answer_service.ts";
 import { errorAnswers, getErrorBody } from "../core/errors.ts";
 import type { MembershipView } from "../membership/membership_view.ts";
+import type { PeerTraffic } from "../peer/peer_client.ts";
 import type { UpstreamRegistry } from "../upstreams/upstream_registry.ts";
 import type { Authenticator } from "./authenticator.ts";
 
@@ -13,6 +15,7 @@
   readonly membership: MembershipView;
   readonly registry: UpstreamRegistry;
   readonly answers: AnswerService;
+  getPeerTraffic(): PeerTraffic;
 }
 
 export function createOperatorApp(options: OperatorAppOptions): Hono {
@@ -32,6 +35,8 @@
     context.json({
       instance: membership.getSelf(),
       answers: answers.getStats(),
+      peerTraffic: options.getPeerTraffic(),
+      process: getProcessStats(),
     }));
   app.get("/instances", (context) =>
     context.json({
@@ -50,3 +55,14 @@
     }));
   return app;
 }
+
+function getProcessStats() {
+  const cpu = process.cpuUsage();
+  const memory = process.memoryUsage();
+  return {
+    uptimeMs: Math.round(process.uptime() * 1_000),
+    cpuMs: Math.round((cpu.user + cpu.system) / 1_000),
+    residentBytes: memory.rss,
+    heapUsedBytes: memory.heapUsed,
+  };
+}
--- a/src/peer/peer_client.ts
+++ b/src/peer/peer_client.ts
@@ -31,7 +31,14 @@
   readonly port: number;
 }
 
+/** Bytes on connections that this instance opened, since its start. */
+export interface PeerTraffic {
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+}
+
 export interface PeerClient {
+  getTraffic(): PeerTraffic;
   call<K extends PeerCallKind>(
     instanceId: InstanceId,
     kind: K,
@@ -60,9 +67,10 @@
 
 export function createPeerClient(options: PeerClientOptions): PeerClient {
   const connections = new Map<InstanceId, Connection>();
+  const closedTraffic = { sentBytes: 0, receivedBytes: 0 };
   let nextCallId = 1;
   let isClosed = false;
-  return { call, close };
+  return { call, getTraffic, close };
 
   function call<K extends PeerCallKind>(
     instanceId: InstanceId,
@@ -160,6 +168,8 @@
     });
     socket.on("close", () => {
       clearTimeout(connectTimer);
+      closedTraffic.sentBytes += socket.bytesWritten;
+      closedTraffic.receivedBytes += socket.bytesRead;
       if (connections.get(instanceId) === connection) {
         connections.delete(instanceId);
       }
@@ -192,6 +202,15 @@
     );
   }
 
+  function getTraffic(): PeerTraffic {
+    let { sentBytes, receivedBytes } = closedTraffic;
+    for (const { socket } of connections.values()) {
+      sentBytes += socket.bytesWritten;
+      receivedBytes += socket.bytesRead;
+    }
+    return { sentBytes, receivedBytes };
+  }
+
   function close(): void {
     isClosed = true;
     for (const connection of connections.values()) connection.socket.destroy();
