--- /dev/null
+++ b/scripts/reference_pages.ts
@@ -0,0 +1,132 @@
+/**
+ * Text of the reference pages that come from the code.
+ */
+import { z } from "zod";
+import { errorAnswers, type ErrorKind } from "../src/core/errors.ts";
+import { logEvents } from "../src/core/log_events.ts";
+import { settingsSchema } from "../src/settings/schema.ts";
+
+interface JsonSchema {
+  readonly type?: string;
+  readonly properties?: Readonly<Record<string, JsonSchema>>;
+  readonly required?: readonly string[];
+  readonly items?: JsonSchema;
+  readonly oneOf?: readonly JsonSchema[];
+  readonly anyOf?: readonly JsonSchema[];
+  readonly enum?: readonly unknown[];
+  readonly const?: unknown;
+  readonly default?: unknown;
+  readonly minimum?: number;
+  readonly maximum?: number;
+  readonly exclusiveMinimum?: number;
+  readonly minItems?: number;
+  readonly maxItems?: number;
+  readonly pattern?: string;
+  readonly format?: string;
+}
+
+export function getErrorsPage(): string {
+  const rows = Object.entries(errorAnswers).map(([kind, answer]) => [
+    `\`${kind as ErrorKind}\``,
+    String(answer.httpStatus),
+    answer.execution,
+    answer.retryable ? "yes" : "no",
+  ]);
+  return `# Errors
+
+Every failure is one of these kinds. The JSON body of a failed request is
+\`{"error": {"type", "message", "execution", "retryable", "retryAfterMs",
+"fieldPath"}}\`; the last two are present where they are known. \`execution\`
+says whether the work behind the request ran: \`notRun\` is a guarantee,
+\`partial\` means that a generation may have started, \`unknown\` that the outcome
+is not known. Generated from \`src/core/errors.ts\` by \`npm run docs\`.
+
+${getTable(["Kind", "HTTP status", "Execution", "Retry"], rows)}`;
+}
+
+export function getLogEventsPage(): string {
+  const rows = Object.entries(logEvents)
+    .sort(([, left], [, right]) => left.number - right.number)
+    .map(([name, event]) => [
+      String(event.number),
+      event.level,
+      `\`${name}\``,
+      event.text,
+    ]);
+  return `# Log events
+
+Each log line is a JSON object with \`time\`, \`level\`, \`event\` (the number),
+\`text\` and further fields. Numbers are stable; the thousands digit names the
+area: 1 process, 2 answers, 3 application calls, 4 upstreams, 5 peers and
+membership, 6 control, 7 callers. Generated from \`src/core/log_events.ts\` by
+\`npm run docs\`.
+
+${getTable(["Number", "Level", "Name", "Text"], rows)}`;
+}
+
+export function getSettingsPage(): string {
+  const schema = z.toJSONSchema(settingsSchema, {
+    io: "input",
+    unrepresentable: "any",
+  }) as JsonSchema;
+  const rows = listFields(schema, "");
+  return `# Settings
+
+The daemon reads one JSON file. Unknown keys are rejected, and
+\`apricotyoked --settings FILE --check\` reports every problem with its path.
+Fields carry their unit as a suffix: \`Ms\` milliseconds, \`Bytes\` bytes, \`Ratio\` a
+share between 0 and 1. \`[]\` marks the elements of a list. Generated from
+\`src/settings/schema.ts\` by \`npm run docs\`.
+
+${getTable(["Field", "Type", "Allowed", "Default"], rows)}`;
+}
+
+export function listFields(schema: JsonSchema, path: string): string[][] {
+  const variants = schema.oneOf ?? schema.anyOf;
+  if (variants) return variants.flatMap((one) => listFields(one, path));
+  if (schema.type === "array" && schema.items) {
+    return listFields(schema.items, `${path}[]`);
+  }
+  if (!schema.properties) {
+    return [[
+      `\`${path}\``,
+      schema.type ?? "string",
+      getAllowed(schema),
+      getDefault(schema),
+    ]];
+  }
+  return Object.entries(schema.properties).flatMap(([name, property]) =>
+    listFields(property, path === "" ? name : `${path}.${name}`)
+  );
+}
+
+function getAllowed(schema: JsonSchema): string {
+  if (schema.const !== undefined) return `\`${String(schema.const)}\``;
+  if (schema.enum) return schema.enum.map((one) => `\`${one}\``).join(", ");
+  const parts: string[] = [];
+  const minimum = schema.minimum ?? schema.exclusiveMinimum;
+  if (minimum !== undefined) {
+    parts.push(`${schema.minimum === undefined ? "above" : "from"} ${minimum}`);
+  }
+  if (schema.maximum !== undefined) parts.push(`to ${schema.maximum}`);
+  if (schema.pattern) {
+    parts.push(`\`${schema.pattern.replaceAll("|", "\\|")}\``);
+  }
+  if (schema.format) parts.push(schema.format);
+  return parts.join(" ");
+}
+
+function getDefault(schema: JsonSchema): string {
+  return schema.default === undefined
+    ? ""
+    : `\`${JSON.stringify(schema.default)}\``;
+}
+
+function getTable(
+  header: readonly string[],
+  rows: readonly (readonly string[])[],
+): string {
+  const lines = [header, header.map(() => "---"), ...rows]
+    .map((cells) => `| ${cells.join(" | ")} |`);
+  return `${lines.join("\n")}\n`;
+}
--- /dev/null
+++ b/scripts/reference_pages_test.ts
@@ -0,0 +1,29 @@
+/**
+ * The committed reference pages must say what the code says.
+ */
+import { readFileSync } from "node:fs";
+import { expect, test } from "vitest";
+import { logEvents } from "../src/core/log_events.ts";
+import {
+  getErrorsPage,
+  getLogEventsPage,
+  getSettingsPage,
+} from "./reference_pages.ts";
+
+/** The formatter aligns tables and wraps lines. */
+function normalize(text: string): string {
+  return text.replace(/-{3,}/g, "---").replace(/\s+/g, " ").trim();
+}
+
+test.each([
+  ["docs/errors.md", getErrorsPage()],
+  ["docs/log_events.md", getLogEventsPage()],
+  ["docs/settings.md", getSettingsPage()],
+])("%s is up to date; run `npm run docs` after a change", (path, expected) => {
+  expect(normalize(readFileSync(path, "utf8"))).toBe(normalize(expected));
+});
+
+test("no two log events share a number", () => {
+  const numbers = Object.values(logEvents).map((event) => event.number);
+  expect(new Set(numbers).size).toBe(numbers.length);
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,11 @@
 
 export default defineConfig({
   test: {
-    include: ["src/**/*_test.ts", "measure/**/*_test.ts"],
+    include: [
+      "src/**/*_test.ts",
+      "measure/**/*_test.ts",
+      "scripts/**/*_test.ts",
+    ],
     testTimeout: 20_000,
     pool: "forks",
     maxWorkers: 4,
