--- /dev/null
+++ b/src/reports/usage.ts
@@ -0,0 +1,60 @@
+/**
+ * Usage that instances report to control: tokens by customer, service and
+ * cause, and how many events met each service-level objective.
+ */
+import { z } from "zod";
+
+/** Why tokens were spent. */
+export enum TokenCause {
+  /** Reached a caller. */
+  Useful = "useful",
+  /** Generated a second time, by a hedge or a stale attempt. */
+  Duplicated = "duplicated",
+  /** Thrown away when an answer started over. */
+  Discarded = "discarded",
+  /** Journal tokens that an engine prefilled again for a resume. */
+  Refilled = "refilled",
+}
+
+export enum Objective {
+  FirstToken = "firstToken",
+  TokenGap = "tokenGap",
+  Resume = "resume",
+  WholeAnswer = "wholeAnswer",
+  ApplicationCall = "applicationCall",
+}
+
+const nameSchema = z.string().min(1).max(200);
+const countSchema = z.int().min(0);
+
+export const tokenUsageSchema = z.object({
+  customerId: nameSchema,
+  service: nameSchema,
+  cause: z.enum(TokenCause),
+  tokens: countSchema,
+});
+
+export const objectiveUsageSchema = z.object({
+  service: nameSchema,
+  route: nameSchema,
+  objective: z.enum(Objective),
+  goodCount: countSchema,
+  totalCount: countSchema,
+});
+
+/**
+ * One batch of an instance. The sequence number goes up by one per batch
+ * within an incarnation, so that a batch that is sent twice counts once.
+ */
+export const usageBatchSchema = z.object({
+  instanceId: nameSchema,
+  incarnation: z.number(),
+  sequence: z.int().min(1),
+  atWallMs: z.number(),
+  tokens: z.array(tokenUsageSchema).max(10_000),
+  objectives: z.array(objectiveUsageSchema).max(10_000),
+});
+
+export type TokenUsage = z.output<typeof tokenUsageSchema>;
+export type ObjectiveUsage = z.output<typeof objectiveUsageSchema>;
+export type UsageBatch = z.output<typeof usageBatchSchema>;
