Define the configuration that tickets change

Rollout logic and limits need the types of services, versions, rollouts, customer limits and retry budgets before tickets are complete. Objects are maps from name to complete state, so that a change can name exactly what it replaces. Lists of objects were ruled out because two entries could carry the same name.

--- /dev/null
+++ b/src/control/configuration.ts
@@ -0,0 +1,252 @@
+/**
+ * The configuration that results from the settings file and all accepted
+ * tickets. `revision` increases with every change; revision 0 is the state that
+ * the settings file gives.
+ *
+ * Objects are maps from name to complete state. A change names the objects it
+ * replaces; `null` removes one.
+ */
+import { z } from "zod";
+import { type UpstreamInfo, UpstreamState } from "../core/types.ts";
+import type { Random } from "../core/random.ts";
+import {
+  type ApplicationService,
+  idSchema,
+  type ModelService,
+  routeSchema,
+  type Settings,
+} from "../settings/schema.ts";
+import { intInRange, strictFields } from "../core/strict_fields.ts";
+
+const dayMs = 86_400_000;
+
+export const serviceConfigurationSchema = z.discriminatedUnion("kind", [
+  strictFields({
+    kind: z.literal("model"),
+    /** Whether the engines reject an order with a stale fencing token. */
+    checksFencing: z.boolean().default(true),
+  }),
+  strictFields({
+    kind: z.literal("application"),
+    routes: z.array(routeSchema).min(1).max(1_000),
+    timeoutMs: intInRange(1, dayMs).default(10_000),
+  }),
+], { error: 'must be an object with kind "model" or "application"' });
+
+export const serviceVersionsSchema = z.discriminatedUnion("kind", [
+  strictFields({
+    kind: z.literal("stable"),
+    stableVersion: idSchema,
+    /** Receives traffic only as its rollout permits. */
+    candidateVersion: idSchema.nullable().default(null),
+  }),
+  strictFields({
+    kind: z.literal("weighted"),
+    /** Share of traffic per version, relative to the sum of the weights. */
+    weights: z.record(idSchema, z.number().min(0).max(1_000)),
+  }),
+], { error: 'must be an object with kind "stable" or "weighted"' });
+
+export const rolloutSchema = strictFields({
+  candidateVersion: idSchema,
+  /** All traffic must be on the candidate version by then. */
+  targetDate: z.iso.datetime({
+    offset: true,
+    error: 'must be a date and time such as "2027-01-31T18:00:00Z"',
+  }),
+  /** Time at full traffic, at the end, before the rollout completes. */
+  soakMs: intInRange(0, 30 * dayMs).default(600_000),
+});
+
+export const customerLimitsSchema = strictFields({
+  /** Share relative to the other customers' weights. */
+  weight: z.number().positive().max(1_000).default(1),
+  /** Open answers of the customer over all instances. */
+  maxOpenAnswers: intInRange(0, 1_000_000).nullable().default(null),
+  maxRateTokensPerS: intInRange(0, 100_000_000).nullable().default(null),
+});
+
+export const retryBudgetSchema = strictFields({
+  /** Retries, hedges and resumes as a share of useful work. */
+  failureBudgetRatio: z.number().min(0).max(1),
+});
+
+export const leavingUpstreamSchema = strictFields({
+  reason: z.string().max(500).default(""),
+});
+
+const objectSchemas = {
+  services: serviceConfigurationSchema,
+  versions: serviceVersionsSchema,
+  rollouts: rolloutSchema,
+  limits: customerLimitsSchema,
+  retryBudgets: retryBudgetSchema,
+  leavingUpstreams: leavingUpstreamSchema,
+} as const;
+
+export type ObjectKind = keyof typeof objectSchemas;
+export const objectKinds = Object.keys(objectSchemas) as ObjectKind[];
+
+function mapOf<T extends z.ZodType>(schema: T) {
+  return z.record(idSchema, schema);
+}
+
+/** Fields of a change: per kind of object, the new state or `null`. */
+export const changeFields = {
+  services: mapOf(serviceConfigurationSchema.nullable()).optional(),
+  versions: mapOf(serviceVersionsSchema.nullable()).optional(),
+  rollouts: mapOf(rolloutSchema.nullable()).optional(),
+  limits: mapOf(customerLimitsSchema.nullable()).optional(),
+  retryBudgets: mapOf(retryBudgetSchema.nullable()).optional(),
+  leavingUpstreams: mapOf(leavingUpstreamSchema.nullable()).optional(),
+} as const;
+
+export const configurationChangesSchema = strictFields(changeFields);
+
+export const configurationSchema = strictFields({
+  revision: z.int().min(0),
+  services: mapOf(serviceConfigurationSchema),
+  versions: mapOf(serviceVersionsSchema),
+  rollouts: mapOf(rolloutSchema),
+  limits: mapOf(customerLimitsSchema),
+  retryBudgets: mapOf(retryBudgetSchema),
+  leavingUpstreams: mapOf(leavingUpstreamSchema),
+});
+
+export type ServiceConfiguration = z.output<typeof serviceConfigurationSchema>;
+export type ServiceVersions = z.output<typeof serviceVersionsSchema>;
+export type Rollout = z.output<typeof rolloutSchema>;
+export type CustomerLimits = z.output<typeof customerLimitsSchema>;
+export type RetryBudget = z.output<typeof retryBudgetSchema>;
+export type ConfigurationChanges = z.output<typeof configurationChangesSchema>;
+export type Configuration = z.output<typeof configurationSchema>;
+
+/** Read access to the configuration in force at this instance. */
+export interface ConfigurationView {
+  getConfiguration(): Configuration;
+}
+
+/** The state that the settings file gives: revision 0. */
+export function getInitialConfiguration(
+  settings: Pick<Settings, "services" | "customers" | "limits">,
+): Configuration {
+  const { failureBudgetRatio } = settings.limits;
+  const configuration = getEmptyConfiguration();
+  for (const { service, ...rest } of settings.services) {
+    configuration.retryBudgets[service] = { failureBudgetRatio };
+    if (rest.kind === "application") {
+      configuration.services[service] = rest;
+      continue;
+    }
+    const { stableVersion, ...model } = rest;
+    configuration.services[service] = model;
+    configuration.versions[service] = {
+      kind: "stable",
+      stableVersion,
+      candidateVersion: null,
+    };
+  }
+  for (const { customerId, weight } of settings.customers) {
+    configuration.limits[customerId] = {
+      weight,
+      maxOpenAnswers: null,
+      maxRateTokensPerS: null,
+    };
+  }
+  return configuration;
+}
+
+export function getEmptyConfiguration(): Configuration {
+  return {
+    revision: 0,
+    services: {},
+    versions: {},
+    rollouts: {},
+    limits: {},
+    retryBudgets: {},
+    leavingUpstreams: {},
+  };
+}
+
+/** The configuration at `revision` with the named objects replaced. */
+export function applyChanges(
+  configuration: Configuration,
+  changes: ConfigurationChanges,
+  revision: number,
+): Configuration {
+  const next = { ...configuration, revision };
+  for (const kind of objectKinds) {
+    const replaced = changes[kind];
+    if (!replaced) continue;
+    const objects: Record<string, unknown> = { ...configuration[kind] };
+    for (const [name, state] of Object.entries(replaced)) {
+      if (state === null) delete objects[name];
+      else objects[name] = state;
+    }
+    Object.assign(next, { [kind]: objects });
+  }
+  return next;
+}
+
+/** Reads an entry by name; a plain index would also find `constructor`. */
+export function lookUp<T>(
+  objects: Readonly<Record<string, T>>,
+  name: string,
+): T | undefined {
+  return Object.hasOwn(objects, name) ? objects[name] : undefined;
+}
+
+export function findModel(
+  configuration: Configuration,
+  name: string,
+):
+  | { model: Omit<ModelService, "stableVersion">; versions: ServiceVersions }
+  | undefined {
+  const service = lookUp(configuration.services, name);
+  const versions = lookUp(configuration.versions, name);
+  if (service?.kind !== "model" || !versions) return undefined;
+  return { model: { ...service, service: name }, versions };
+}
+
+export function findApplication(
+  configuration: Configuration,
+  name: string,
+): ApplicationService | undefined {
+  const service = lookUp(configuration.services, name);
+  if (service?.kind !== "application") return undefined;
+  return { ...service, service: name };
+}
+
+/**
+ * The version for a new answer where no rollout gives permission for another.
+ */
+export function chooseVersion(
+  versions: ServiceVersions,
+  random: Pick<Random, "next">,
+): string {
+  if (versions.kind === "stable") return versions.stableVersion;
+  const weights = Object.entries(versions.weights);
+  const total = weights.reduce((sum, [, weight]) => sum + weight, 0);
+  let left = random.next() * total;
+  for (const [version, weight] of weights) {
+    left -= weight;
+    if (left < 0) return version;
+  }
+  return weights.at(-1)![0];
+}
+
+/** Marks the upstreams that a ticket declares as leaving. */
+export function markLeaving(
+  upstreams: readonly UpstreamInfo[],
+  configuration: Configuration,
+): readonly UpstreamInfo[] {
+  return upstreams.map((info) =>
+    lookUp(configuration.leavingUpstreams, info.upstreamId)
+      ? { ...info, state: UpstreamState.Leaving }
+      : info
+  );
+}
+
+export function getTargetWallMs(rollout: Rollout): number {
+  return Date.parse(rollout.targetDate);
+}
--- a/src/settings/load_settings.ts
+++ b/src/settings/load_settings.ts
@@ -6,6 +6,7 @@
 import { err, ok, Result } from "neverthrow";
 import { createError, ErrorKind, getErrorMessage } from "../core/errors.ts";
 import type { SystemError } from "../core/errors.ts";
+import { getFieldIssues } from "../core/strict_fields.ts";
 import { type Settings, settingsSchema } from "./schema.ts";
 
 export function loadSettings(filePath: string): Result<Settings, SystemError> {
@@ -29,10 +30,11 @@
 export function checkSettings(value: unknown): Result<Settings, SystemError> {
   const parsed = settingsSchema.safeParse(value);
   if (parsed.success) return ok(parsed.data);
-  const lines = parsed.error.issues.map((issue) =>
-    `${issue.path.join(".") || "(settings)"}: ${issue.message}`
+  const issues = getFieldIssues(parsed.error);
+  const lines = issues.map(({ path, message }) =>
+    `${path || "(settings)"}: ${message}`
   );
-  return err(invalid(lines.join("\n"), parsed.error.issues[0]?.path.join(".")));
+  return err(invalid(lines.join("\n"), issues[0]?.path));
 }
 
 function invalid(message: string, fieldPath?: string): SystemError {
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -6,24 +6,25 @@
  */
 import { z } from "zod";
 import { LogLevel } from "../core/log_events.ts";
+import { strictFields } from "../core/strict_fields.ts";
 
-const idSchema = z.string().regex(
+export const idSchema = z.string().regex(
   /^[a-z0-9][a-z0-9-]{0,62}$/,
   "must be lower-case letters, digits and dashes, at most 63 characters",
 );
 const portSchema = z.int().min(0).max(65535);
-const durationMsSchema = z.int().min(1).max(86_400_000);
+export const durationMsSchema = z.int().min(1).max(86_400_000);
 const hashSchema = z.string().regex(
   /^[0-9a-f]{64}$/,
   "must be a SHA-256 hash as 64 hexadecimal digits",
 );
 
-const listenSchema = z.strictObject({
+const listenSchema = strictFields({
   host: z.string().min(1),
   port: portSchema,
 });
 
-const peerKeySchema = z.strictObject({
+const peerKeySchema = strictFields({
   keyId: idSchema,
   /** Hexadecimal pre-shared key of at least 128 bits. */
   keyHex: z.string().regex(
@@ -32,31 +33,31 @@
   ),
 });
 
-const customerSchema = z.strictObject({
+const customerSchema = strictFields({
   customerId: idSchema,
   tokenSha256: z.array(hashSchema).min(1),
   weight: z.number().positive().max(1000).default(1),
 });
 
-const operatorSchema = z.strictObject({
+const operatorSchema = strictFields({
   operatorId: idSchema,
   tokenSha256: z.array(hashSchema).min(1),
 });
 
-const routeSchema = z.strictObject({
+export const routeSchema = strictFields({
   method: z.enum(["GET", "POST", "PUT", "PATCH", "DELETE"]),
   pathPrefix: z.string().startsWith("/"),
   idempotent: z.boolean(),
 });
 
-const modelServiceSchema = z.strictObject({
+const modelServiceSchema = strictFields({
   kind: z.literal("model"),
   service: idSchema,
   stableVersion: idSchema,
   checksFencing: z.boolean().default(true),
 });
 
-const applicationServiceSchema = z.strictObject({
+const applicationServiceSchema = strictFields({
   kind: z.literal("application"),
   service: idSchema,
   routes: z.array(routeSchema).min(1),
@@ -68,7 +69,7 @@
   applicationServiceSchema,
 ]);
 
-const answersSchema = z.strictObject({
+const answersSchema = strictFields({
   retentionMs: durationMsSchema.default(600_000),
   maxCopyBytes: z.int().min(1_048_576).default(536_870_912),
   copyTimeoutMs: durationMsSchema.default(500),
@@ -76,29 +77,29 @@
   deadlineMs: durationMsSchema.default(1_800_000),
 }).prefault({});
 
-const limitsSchema = z.strictObject({
+const limitsSchema = strictFields({
   maxOpenAnswers: z.int().min(1).default(2_000),
   maxBodyBytes: z.int().min(1024).max(16_777_216).default(1_048_576),
   /** Retries, hedges and resumes as a share of useful work. */
   failureBudgetRatio: z.number().min(0).max(1).default(0.1),
 }).prefault({});
 
-const membershipSchema = z.strictObject({
+const membershipSchema = strictFields({
   listUrl: z.url(),
   pollIntervalMs: durationMsSchema.default(500),
   heartbeatIntervalMs: durationMsSchema.default(250),
   lostAfterMs: durationMsSchema.default(1_200),
 });
 
-const controlSchema = z.strictObject({
+const controlSchema = strictFields({
   dataFolder: z.string().min(1),
 });
 
-export const settingsSchema = z.strictObject({
+export const settingsSchema = strictFields({
   instanceId: idSchema,
   domainId: idSchema,
   callers: listenSchema,
-  peers: z.strictObject({
+  peers: strictFields({
     ...listenSchema.shape,
     /** The first key is used to connect, all are accepted. */
     keys: z.array(peerKeySchema).min(1).max(8),
@@ -113,7 +114,7 @@
   answers: answersSchema,
   limits: limitsSchema,
   metrics: listenSchema.optional(),
-  log: z.strictObject({
+  log: strictFields({
     level: z.enum(LogLevel).default(LogLevel.Info),
     format: z.enum(["json", "text"]).default("json"),
   }).prefault({}),
