Apply numbered change tickets in the control state machine

A ticket is checked against a strict schema and against the state that it would produce, then applied as a whole. A number belongs to one content for good, also for disjoint objects, because two operators can pick the same number concurrently. The record of a ticket is kept while any object has its state and for the newest 4,000 tickets; a lower number without a record is outdated, so a discarded number cannot be used again.

The settings files of control instances can differ, so the log takes its first configuration from the first submission and not from a file. Reads of tickets go through the log, so a stale leader cannot answer them.

--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -3,10 +3,16 @@
  * which they were proposed, so that every replica applies them alike.
  */
 import { z } from "zod";
+import { configurationSchema } from "./configuration.ts";
+import { ticketNumberSchema } from "./ticket.ts";
+import { ticketRecordSchema } from "./ticket_table.ts";
 
 export enum CommandKind {
   Claim = "claim",
   SettleClaim = "settleClaim",
+  SubmitTicket = "submitTicket",
+  /** Reads go through the log, so that a stale leader cannot answer them. */
+  ReadTickets = "readTickets",
 }
 
 const claimKeySchema = z.object({
@@ -50,6 +56,21 @@
     outcome: outcomeSchema,
     atWallMs: z.number(),
   }),
+  z.object({
+    kind: z.literal(CommandKind.SubmitTicket),
+    /** Checked when it is applied, so that the check is part of the state. */
+    ticket: z.unknown(),
+    /** Sent only after the log replied that it has no state yet. */
+    initial: configurationSchema.optional(),
+    atWallMs: z.number(),
+  }),
+  z.object({
+    kind: z.literal(CommandKind.ReadTickets),
+    /** Only this ticket; otherwise the newest ones below `beforeNumber`. */
+    number: ticketNumberSchema.optional(),
+    beforeNumber: ticketNumberSchema.default(Number.MAX_SAFE_INTEGER),
+    limit: z.int().min(1).max(1_000).default(100),
+  }),
 ]);
 
 export type ClaimKey = z.output<typeof claimKeySchema>;
@@ -59,6 +80,15 @@
 export type ClaimCommand = Extract<Command, { kind: CommandKind.Claim }>;
 export type SettleCommand = Extract<Command, { kind: CommandKind.SettleClaim }>;
 
+export type ReadTicketsCommand = Extract<
+  Command,
+  { kind: CommandKind.ReadTickets }
+>;
+
+export const readTicketsResultSchema = z.object({
+  records: z.array(ticketRecordSchema),
+});
+
 export enum ClaimStatus {
   /** The proposer may dispatch the call. */
   Granted = "granted",
--- /dev/null
+++ b/src/control/ticket_table.ts
@@ -0,0 +1,221 @@
+/**
+ * Accepted tickets and the configuration that results from them: part of the
+ * replicated state.
+ *
+ * A number belongs to one content for good. Records are kept while any object
+ * still has the state of that ticket, and beyond that for the newest ones; a
+ * number at or below the highest one without a record is outdated.
+ */
+import { z } from "zod";
+import {
+  applyChanges,
+  type Configuration,
+  type ConfigurationChanges,
+  getEmptyConfiguration,
+} from "./configuration.ts";
+import { checkTicket } from "./configuration_checks.ts";
+import {
+  getContentSha256,
+  listTouched,
+  parseTicket,
+  type Ticket,
+  ticketNumberSchema,
+  ticketSchema,
+} from "./ticket.ts";
+
+export const ticketRecordSchema = z.object({
+  number: ticketNumberSchema,
+  contentSha256: z.string(),
+  /** Revision of the configuration that the ticket produced. */
+  revision: z.int().min(1),
+  acceptedAtWallMs: z.number(),
+  ticket: ticketSchema,
+});
+
+export type TicketRecord = z.output<typeof ticketRecordSchema>;
+
+const fieldIssueSchema = z.object({ path: z.string(), message: z.string() });
+
+export const ticketResultSchema = z.discriminatedUnion("status", [
+  z.object({
+    status: z.literal("accepted"),
+    number: ticketNumberSchema,
+    revision: z.int(),
+    acceptedAtWallMs: z.number(),
+  }),
+  z.object({
+    status: z.literal("invalid"),
+    issues: z.array(fieldIssueSchema),
+  }),
+  /** The number is in use with other content. */
+  z.object({ status: z.literal("conflict"), inForce: ticketRecordSchema }),
+  z.object({
+    status: z.literal("outdated"),
+    /** Last ticket that touched one of the objects, if it has a record. */
+    inForce: ticketRecordSchema.nullable(),
+    /** A higher number is accepted. */
+    lastNumber: z.int(),
+  }),
+  /** The log has no state yet: submit again with the one in force. */
+  z.object({ status: z.literal("initialRequired") }),
+]);
+
+export type TicketResult = z.output<typeof ticketResultSchema>;
+
+export interface TicketSnapshot {
+  readonly configuration: Configuration;
+  readonly isInitialized: boolean;
+  readonly records: readonly TicketRecord[];
+  readonly lastNumbers: readonly (readonly [string, number])[];
+  readonly discardedUpTo: number;
+}
+
+export interface TicketSubmission {
+  readonly ticket: unknown;
+  /** Configuration to start from when the log has none yet. */
+  readonly initial?: Configuration | undefined;
+  readonly atWallMs: number;
+}
+
+export interface TicketTable {
+  submit(submission: TicketSubmission): TicketResult;
+  /** Changes objects without a ticket, as a decided rollout does. */
+  change(changes: ConfigurationChanges): Configuration;
+  getConfiguration(): Configuration;
+  getRecord(number: number): TicketRecord | undefined;
+  /** Newest first, at most `limit` with numbers below `beforeNumber`. */
+  listRecords(beforeNumber: number, limit: number): TicketRecord[];
+  getSnapshot(): TicketSnapshot;
+  restore(snapshot: TicketSnapshot): void;
+}
+
+export interface TicketTableOptions {
+  /** Records kept at least; resends of these get the same reply. */
+  readonly retainedRecords?: number;
+  onChanged?(configuration: Configuration, changes: ConfigurationChanges): void;
+}
+
+/** Half a day at 7,400 changes a day, about 3 MB at 0.7 KB a record. */
+const defaultRetainedRecords = 4_000;
+
+export function createTicketTable(
+  options: TicketTableOptions = {},
+): TicketTable {
+  const retainedRecords = options.retainedRecords ?? defaultRetainedRecords;
+  let configuration = getEmptyConfiguration();
+  let isInitialized = false;
+  /** In order of acceptance. */
+  let records = new Map<number, TicketRecord>();
+  /** Per object, the number of the last ticket that touched it. */
+  let lastNumbers = new Map<string, number>();
+  let discardedUpTo = 0;
+  return {
+    submit,
+    change,
+    getConfiguration: () => configuration,
+    getRecord: (number) => records.get(number),
+    listRecords: (beforeNumber, limit) =>
+      [...records.values()]
+        .filter(({ number }) => number < beforeNumber)
+        .sort((left, right) => right.number - left.number)
+        .slice(0, limit),
+    getSnapshot: () => ({
+      configuration,
+      isInitialized,
+      records: [...records.values()],
+      lastNumbers: [...lastNumbers],
+      discardedUpTo,
+    }),
+    restore,
+  };
+
+  function submit(submission: TicketSubmission): TicketResult {
+    const parsed = parseTicket(submission.ticket);
+    if (parsed.isErr()) return { status: "invalid", issues: parsed.error };
+    const ticket = parsed.value;
+    if (!isInitialized) {
+      if (!submission.initial) return { status: "initialRequired" };
+      configuration = submission.initial;
+      isInitialized = true;
+    }
+    const contentSha256 = getContentSha256(ticket);
+    const record = records.get(ticket.number);
+    if (record) {
+      return record.contentSha256 === contentSha256
+        ? getAcceptedReply(record)
+        : { status: "conflict", inForce: record };
+    }
+    const lastNumber = getLastNumber(ticket);
+    if (ticket.number <= lastNumber) {
+      const inForce = records.get(lastNumber) ?? null;
+      return { status: "outdated", inForce, lastNumber };
+    }
+    const next = applyChanges(configuration, ticket, configuration.revision);
+    const issues = checkTicket({
+      ticket,
+      current: configuration,
+      next,
+      atWallMs: submission.atWallMs,
+    });
+    if (issues.length > 0) return { status: "invalid", issues };
+    return accept(ticket, contentSha256, submission.atWallMs);
+  }
+
+  function getLastNumber(ticket: Ticket): number {
+    return listTouched(ticket).reduce(
+      (last, path) => Math.max(last, lastNumbers.get(path) ?? 0),
+      discardedUpTo,
+    );
+  }
+
+  function accept(
+    ticket: Ticket,
+    contentSha256: string,
+    acceptedAtWallMs: number,
+  ): TicketResult {
+    const { number, comment: _comment, ...changes } = ticket;
+    const record: TicketRecord = {
+      number,
+      contentSha256,
+      revision: configuration.revision + 1,
+      acceptedAtWallMs,
+      ticket,
+    };
+    for (const path of listTouched(ticket)) lastNumbers.set(path, number);
+    records.set(number, record);
+    if (records.size > 2 * retainedRecords) discardRecords();
+    change(changes);
+    return getAcceptedReply(record);
+  }
+
+  function change(changes: ConfigurationChanges): Configuration {
+    const revision = configuration.revision + 1;
+    configuration = applyChanges(configuration, changes, revision);
+    options.onChanged?.(configuration, changes);
+    return configuration;
+  }
+
+  /** Runs once per `retainedRecords` tickets, to keep acceptance cheap. */
+  function discardRecords(): void {
+    const inForce = new Set(lastNumbers.values());
+    const surplus = [...records.keys()].slice(0, -retainedRecords);
+    for (const number of surplus) {
+      if (inForce.has(number)) continue;
+      records.delete(number);
+      discardedUpTo = Math.max(discardedUpTo, number);
+    }
+  }
+
+  function restore(snapshot: TicketSnapshot): void {
+    configuration = snapshot.configuration;
+    isInitialized = snapshot.isInitialized;
+    records = new Map(snapshot.records.map((entry) => [entry.number, entry]));
+    lastNumbers = new Map(snapshot.lastNumbers);
+    discardedUpTo = snapshot.discardedUpTo;
+  }
+}
+
+function getAcceptedReply(record: TicketRecord): TicketResult {
+  const { number, revision, acceptedAtWallMs } = record;
+  return { status: "accepted", number, revision, acceptedAtWallMs };
+}
