Decide whom to send a configuration and whom to ask for one

The control leader pushes a revision to one relay in each failure domain and to the instances of its own; relays forward inside their domain; an instance that sees a higher revision and does not get it within 300 ms pulls it, preferably inside its domain. Updates carry the objects changed since the receiver's revision, because the whole configuration is about 150 KB at planned scale.

Changes never extend revision 0: that state comes from the local settings file, which can differ between instances.

--- /dev/null
+++ b/src/control/configuration_node.ts
@@ -0,0 +1,141 @@
+/**
+ * One instance's part in the propagation: its store and its decisions, as
+ * functions from messages to replies and effects. It does no input or output.
+ */
+import { z } from "zod";
+import type { InstanceId } from "../core/types.ts";
+import type { Configuration, ConfigurationChanges } from "./configuration.ts";
+import {
+  type ConfigurationStore,
+  configurationUpdateSchema,
+  createConfigurationStore,
+} from "./configuration_store.ts";
+import {
+  createPropagation,
+  type Propagation,
+  type PropagationEffect,
+  type PropagationEvent,
+  type PropagationOptions,
+} from "./propagation.ts";
+
+const instanceIdSchema = z.string().min(1).max(200);
+
+export const configurationPushSchema = z.object({
+  from: instanceIdSchema,
+  update: configurationUpdateSchema,
+  /** The receiver forwards the update inside its failure domain. */
+  mustForward: z.boolean(),
+});
+
+export const configurationPushReplySchema = z.object({
+  /** Revisions in force at the receiver and, from a relay, in its domain. */
+  members: z.array(z.object({
+    instanceId: instanceIdSchema,
+    revision: z.int().min(0),
+  })).max(10_000),
+});
+
+export const configurationPullSchema = z.object({
+  revision: z.int().min(0),
+});
+
+export const configurationPullReplySchema = z.object({
+  update: configurationUpdateSchema,
+});
+
+export type ConfigurationPush = z.output<typeof configurationPushSchema>;
+export type PushReply = z.output<typeof configurationPushReplySchema>;
+export type ConfigurationPull = z.output<typeof configurationPullSchema>;
+export type PullReply = z.output<typeof configurationPullReplySchema>;
+
+export interface ConfigurationNode {
+  readonly store: ConfigurationStore;
+  readonly propagation: Propagation;
+  handle(event: PropagationEvent, nowMs: number): PropagationEffect[];
+  /** Takes a configuration from the control log of this instance. */
+  record(
+    committed: Configuration,
+    changes: ConfigurationChanges | undefined,
+    nowMs: number,
+  ): PropagationEffect[];
+  getPush(
+    effect: Extract<PropagationEffect, { kind: "push" }>,
+  ): ConfigurationPush;
+  getPull(): ConfigurationPull;
+  receivePush(
+    push: ConfigurationPush,
+    nowMs: number,
+  ): { readonly reply: PushReply; readonly effects: PropagationEffect[] };
+  receivePull(pull: ConfigurationPull): PullReply;
+  endPull(
+    from: InstanceId,
+    reply: PullReply | undefined,
+    nowMs: number,
+  ): PropagationEffect[];
+}
+
+export interface ConfigurationNodeOptions
+  extends Omit<PropagationOptions, "getRevision"> {
+  readonly initial: Configuration;
+}
+
+export function createConfigurationNode(
+  options: ConfigurationNodeOptions,
+): ConfigurationNode {
+  const store = createConfigurationStore(options.initial);
+  const propagation = createPropagation({
+    ...options,
+    getRevision: store.getRevision,
+  });
+  return {
+    store,
+    propagation,
+    handle: propagation.handle,
+    record: (committed, changes, nowMs) =>
+      store.tryRecord(committed, changes)
+        ? propagation.handle({ kind: "tick" }, nowMs)
+        : [],
+    getPush: ({ fromRevision, mustForward }) => ({
+      from: options.selfId,
+      update: store.getUpdate(fromRevision),
+      mustForward,
+    }),
+    getPull: () => ({ revision: store.getRevision() }),
+    receivePush,
+    receivePull: ({ revision }) => ({ update: store.getUpdate(revision) }),
+    endPull,
+  };
+
+  function receivePush(push: ConfigurationPush, nowMs: number) {
+    const { from, update, mustForward } = push;
+    store.tryAdopt(update);
+    const effects = propagation.handle({
+      kind: "pushReceived",
+      from,
+      revision: getRevisionOf(update),
+      isForwarded: mustForward,
+    }, nowMs);
+    const self = {
+      instanceId: options.selfId,
+      revision: options.getRevisionInForce(),
+    };
+    const members = mustForward ? propagation.listDomainRevisions() : [self];
+    return { reply: { members }, effects };
+  }
+
+  function endPull(
+    from: InstanceId,
+    reply: PullReply | undefined,
+    nowMs: number,
+  ): PropagationEffect[] {
+    if (reply) store.tryAdopt(reply.update);
+    const revision = reply && getRevisionOf(reply.update);
+    return propagation.handle({ kind: "pullEnded", from, revision }, nowMs);
+  }
+}
+
+function getRevisionOf(update: ConfigurationPush["update"]): number {
+  return update.kind === "full"
+    ? update.configuration.revision
+    : update.revision;
+}
--- /dev/null
+++ b/src/control/configuration_store.ts
@@ -0,0 +1,135 @@
+/**
+ * The newest configuration that one instance knows, with its latest changes, so
+ * that another instance gets only what it lacks.
+ *
+ * An update from `fromRevision` holds the newest state of every object changed
+ * since, so it also fits any later revision below its own.
+ */
+import { z } from "zod";
+import {
+  applyChanges,
+  type Configuration,
+  type ConfigurationChanges,
+  configurationChangesSchema,
+  configurationSchema,
+  objectKinds,
+} from "./configuration.ts";
+
+export const configurationUpdateSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("changes"),
+    fromRevision: z.int().min(0),
+    revision: z.int().min(0),
+    changes: configurationChangesSchema,
+  }),
+  z.object({ kind: z.literal("full"), configuration: configurationSchema }),
+]);
+
+export type ConfigurationUpdate = z.output<typeof configurationUpdateSchema>;
+
+export interface ConfigurationStore {
+  getConfiguration(): Configuration;
+  getRevision(): number;
+  /** Takes the update if it fits and is newer; a lower revision never wins. */
+  tryAdopt(update: ConfigurationUpdate): boolean;
+  /** Takes the state that the control log produced. */
+  tryRecord(
+    committed: Configuration,
+    changes: ConfigurationChanges | undefined,
+  ): boolean;
+  getUpdate(fromRevision: number): ConfigurationUpdate;
+}
+
+interface Segment {
+  readonly fromRevision: number;
+  readonly revision: number;
+  readonly changes: ConfigurationChanges;
+}
+
+/** An hour at the planned rate of changes; an older instance gets it all. */
+const maxSegments = 300;
+
+export function createConfigurationStore(
+  initial: Configuration,
+): ConfigurationStore {
+  let configuration = initial;
+  /** Each one starts where the one before it ends. */
+  let segments: Segment[] = [];
+  return {
+    getConfiguration: () => configuration,
+    getRevision: () => configuration.revision,
+    tryAdopt,
+    tryRecord,
+    getUpdate,
+  };
+
+  function tryAdopt(update: ConfigurationUpdate): boolean {
+    const current = configuration.revision;
+    if (update.kind === "full") {
+      if (update.configuration.revision <= current) return false;
+      configuration = update.configuration;
+      segments = [];
+      return true;
+    }
+    const { fromRevision, revision, changes } = update;
+    if (revision <= current || !canExtend(fromRevision)) return false;
+    configuration = applyChanges(configuration, changes, revision);
+    addSegment({ fromRevision, revision, changes });
+    return true;
+  }
+
+  /** Revision 0 comes from the local settings file, which can differ. */
+  function canExtend(fromRevision: number): boolean {
+    return fromRevision > 0 && fromRevision <= configuration.revision;
+  }
+
+  function tryRecord(
+    committed: Configuration,
+    changes: ConfigurationChanges | undefined,
+  ): boolean {
+    const { revision } = committed;
+    if (revision <= configuration.revision) return false;
+    const fromRevision = revision - 1;
+    if (changes && canExtend(fromRevision)) {
+      addSegment({ fromRevision, revision, changes });
+    } else segments = [];
+    configuration = committed;
+    return true;
+  }
+
+  function addSegment(segment: Segment): void {
+    segments.push(segment);
+    if (segments.length > maxSegments) segments.shift();
+  }
+
+  function getUpdate(fromRevision: number): ConfigurationUpdate {
+    const { revision } = configuration;
+    const needed = segments.filter((entry) => entry.revision > fromRevision);
+    const first = needed[0];
+    if (fromRevision >= revision) {
+      return { kind: "changes", fromRevision, revision, changes: {} };
+    }
+    if (!first || first.fromRevision > fromRevision) {
+      return { kind: "full", configuration };
+    }
+    return {
+      kind: "changes",
+      fromRevision: first.fromRevision,
+      revision,
+      changes: mergeChanges(needed.map((entry) => entry.changes)),
+    };
+  }
+}
+
+function mergeChanges(
+  all: readonly ConfigurationChanges[],
+): ConfigurationChanges {
+  const merged: Record<string, Record<string, unknown>> = {};
+  for (const changes of all) {
+    for (const kind of objectKinds) {
+      if (!changes[kind]) continue;
+      merged[kind] = { ...merged[kind], ...changes[kind] };
+    }
+  }
+  return merged as ConfigurationChanges;
+}
--- /dev/null
+++ b/src/control/propagation.ts
@@ -0,0 +1,258 @@
+/**
+ * Decides whom to send a new configuration and whom to ask for one.
+ *
+ * The control leader sends a revision to one relay in each failure domain and
+ * to the instances of its own; a relay forwards it inside its domain. Whoever
+ * sees a higher revision than its own and does not get it in time pulls it.
+ */
+import type { Random } from "../core/random.ts";
+import type { DomainId, InstanceId } from "../core/types.ts";
+
+export interface PropagationMember {
+  readonly instanceId: InstanceId;
+  readonly domainId: DomainId;
+  readonly isReachable: boolean;
+}
+
+export interface MemberRevision {
+  readonly instanceId: InstanceId;
+  readonly revision: number;
+}
+
+export type PropagationEvent =
+  | { readonly kind: "tick" }
+  /** A heartbeat or a reply carried the revision. */
+  | ({ readonly kind: "revisionSeen" } & MemberRevision)
+  /** The update of the push was offered to the store already. */
+  | {
+    readonly kind: "pushReceived";
+    readonly from: InstanceId;
+    readonly revision: number;
+    readonly isForwarded: boolean;
+  }
+  | {
+    readonly kind: "pushEnded";
+    readonly to: InstanceId;
+    /** Absent when no reply came in time. */
+    readonly reply?: readonly MemberRevision[] | undefined;
+  }
+  | {
+    readonly kind: "pullEnded";
+    readonly from: InstanceId;
+    readonly revision?: number | undefined;
+  };
+
+export type PropagationEffect =
+  | {
+    readonly kind: "push";
+    readonly to: InstanceId;
+    readonly fromRevision: number;
+    /** The receiver forwards the update inside its failure domain. */
+    readonly mustForward: boolean;
+  }
+  | { readonly kind: "pull"; readonly from: InstanceId };
+
+export interface Propagation {
+  handle(event: PropagationEvent, nowMs: number): PropagationEffect[];
+  /** Last known revisions of the instances in this failure domain. */
+  listDomainRevisions(): MemberRevision[];
+  /** Listed instances that are not known to have the revision. */
+  listBehind(revision: number): PropagationMember[];
+  getKnownRevision(instanceId: InstanceId): number;
+}
+
+export interface PropagationOptions {
+  readonly selfId: InstanceId;
+  readonly domainId: DomainId;
+  readonly random: Random;
+  isLeader(): boolean;
+  /** Newest revision that this instance can send. */
+  getRevision(): number;
+  /** Revision in force here, which may still be behind that. */
+  getRevisionInForce(): number;
+  /** All other listed instances. */
+  listMembers(): readonly PropagationMember[];
+}
+
+/** Above the usual delay of a push, so that few pulls duplicate one. */
+const pullGraceMs = 300;
+/** Bounds the sends of the leader while tickets arrive in a burst. */
+const minPushIntervalMs = 200;
+const failedPauseMs = 2_000;
+/** A relay is asked again while its domain is not complete. */
+const domainCheckMs = 1_000;
+
+export function createPropagation(options: PropagationOptions): Propagation {
+  const { selfId, domainId, random } = options;
+  const knownRevisions = new Map<InstanceId, number>();
+  const pending = new Set<InstanceId>();
+  const lastPushes = new Map<InstanceId, { revision: number; atMs: number }>();
+  const failedUntilMs = new Map<InstanceId, number>();
+  const relays = new Map<DomainId, InstanceId>();
+  let forwardRevision = 0;
+  let pullFrom: InstanceId | undefined;
+  let behindSinceMs: number | undefined;
+  return {
+    handle,
+    listDomainRevisions: () => [
+      { instanceId: selfId, revision: options.getRevisionInForce() },
+      ...options.listMembers().filter((member) => member.domainId === domainId)
+        .map(({ instanceId }) => ({
+          instanceId,
+          revision: getKnownRevision(instanceId),
+        })),
+    ],
+    listBehind: (revision) =>
+      options.listMembers().filter(({ instanceId }) =>
+        getKnownRevision(instanceId) < revision
+      ),
+    getKnownRevision,
+  };
+
+  function handle(event: PropagationEvent, nowMs: number): PropagationEffect[] {
+    switch (event.kind) {
+      case "tick":
+        forgetRemoved();
+        break;
+      case "revisionSeen":
+        knownRevisions.set(event.instanceId, event.revision);
+        // Most heartbeats bring nothing new, and cost no further decision.
+        if (event.revision <= options.getRevision()) return [];
+        break;
+      case "pushReceived":
+        return receivePush(event, nowMs);
+      case "pushEnded":
+        pending.delete(event.to);
+        if (!event.reply) failedUntilMs.set(event.to, nowMs + failedPauseMs);
+        for (const { instanceId, revision } of event.reply ?? []) {
+          if (instanceId !== selfId) knownRevisions.set(instanceId, revision);
+        }
+        break;
+      case "pullEnded":
+        if (pullFrom === event.from) pullFrom = undefined;
+        if (event.revision === undefined) {
+          failedUntilMs.set(event.from, nowMs + failedPauseMs);
+        } else knownRevisions.set(event.from, event.revision);
+        break;
+    }
+    return [...decidePushes(nowMs), ...decidePull(nowMs)];
+  }
+
+  function receivePush(
+    event: Extract<PropagationEvent, { kind: "pushReceived" }>,
+    nowMs: number,
+  ): PropagationEffect[] {
+    knownRevisions.set(event.from, event.revision);
+    if (event.isForwarded) {
+      forwardRevision = Math.max(forwardRevision, event.revision);
+    }
+    const isGap = options.getRevision() < event.revision;
+    if (!isGap || pullFrom !== undefined) return decidePushes(nowMs);
+    pullFrom = event.from;
+    return [{ kind: "pull", from: event.from }];
+  }
+
+  function decidePushes(nowMs: number): PropagationEffect[] {
+    const ownRevision = options.getRevision();
+    const isLeader = options.isLeader();
+    const isRelay = ownRevision >= forwardRevision;
+    const duty = isLeader ? ownRevision : isRelay ? forwardRevision : 0;
+    if (duty === 0) return [];
+    const behind = options.listMembers().filter((member) =>
+      member.isReachable && getKnownRevision(member.instanceId) < duty
+    );
+    const effects: PropagationEffect[] = [];
+    for (const member of behind) {
+      if (member.domainId !== domainId) continue;
+      if (mayPush(member.instanceId, duty, nowMs)) {
+        effects.push(push(member.instanceId, false, nowMs));
+      }
+    }
+    if (!isLeader) return effects;
+    const domains = new Set(behind.map((member) => member.domainId));
+    domains.delete(domainId);
+    for (const domain of domains) {
+      const relay = chooseRelay(domain, nowMs);
+      if (relay !== undefined && mayPush(relay, duty, nowMs)) {
+        effects.push(push(relay, true, nowMs));
+      }
+    }
+    return effects;
+  }
+
+  function mayPush(to: InstanceId, duty: number, nowMs: number): boolean {
+    if (pending.has(to)) return false;
+    if ((failedUntilMs.get(to) ?? 0) > nowMs) return false;
+    const last = lastPushes.get(to);
+    if (!last) return true;
+    const pauseMs = last.revision < duty ? minPushIntervalMs : domainCheckMs;
+    return nowMs - last.atMs >= pauseMs;
+  }
+
+  function push(
+    to: InstanceId,
+    mustForward: boolean,
+    nowMs: number,
+  ): PropagationEffect {
+    pending.add(to);
+    lastPushes.set(to, { revision: options.getRevision(), atMs: nowMs });
+    const fromRevision = getKnownRevision(to);
+    return { kind: "push", to, fromRevision, mustForward };
+  }
+
+  function chooseRelay(
+    domain: DomainId,
+    nowMs: number,
+  ): InstanceId | undefined {
+    const usable = options.listMembers().filter((member) =>
+      member.domainId === domain && member.isReachable &&
+      (failedUntilMs.get(member.instanceId) ?? 0) <= nowMs
+    );
+    const current = relays.get(domain);
+    if (usable.some((member) => member.instanceId === current)) return current;
+    if (usable.length === 0) return undefined;
+    const relay = usable[random.nextInt(usable.length)]!.instanceId;
+    relays.set(domain, relay);
+    return relay;
+  }
+
+  function decidePull(nowMs: number): PropagationEffect[] {
+    const ownRevision = options.getRevision();
+    const sources = options.listMembers().filter((member) =>
+      getKnownRevision(member.instanceId) > ownRevision
+    );
+    if (sources.length === 0) {
+      behindSinceMs = undefined;
+      return [];
+    }
+    behindSinceMs ??= nowMs;
+    if (pullFrom !== undefined) return [];
+    // Without any accepted revision there is nothing that a push would update.
+    const graceMs = ownRevision === 0 ? 0 : pullGraceMs;
+    if (nowMs - behindSinceMs < graceMs) return [];
+    const usable = sources.filter((member) =>
+      member.isReachable && (failedUntilMs.get(member.instanceId) ?? 0) <= nowMs
+    );
+    const near = usable.filter((member) => member.domainId === domainId);
+    const preferred = near.length > 0 ? near : usable;
+    if (preferred.length === 0) return [];
+    pullFrom = preferred[random.nextInt(preferred.length)]!.instanceId;
+    return [{ kind: "pull", from: pullFrom }];
+  }
+
+  function getKnownRevision(instanceId: InstanceId): number {
+    return knownRevisions.get(instanceId) ?? 0;
+  }
+
+  function forgetRemoved(): void {
+    const listed = new Set(
+      options.listMembers().map((member) => member.instanceId),
+    );
+    for (const instanceId of knownRevisions.keys()) {
+      if (listed.has(instanceId)) continue;
+      knownRevisions.delete(instanceId);
+      lastPushes.delete(instanceId);
+      failedUntilMs.delete(instanceId);
+    }
+  }
+}
