Put accepted tickets in force on all instances

Services, versions and leaving upstreams are read from the configuration in force, so a ticket takes effect without a restart. The settings file gives revision 0. Instances with a data folder sync the configuration to a cache file before it comes into force. Others compare their revision with those of their peers before they are ready; until then callers get 503 with a retry time.

maxOpenAnswers and maxBodyBytes stay in the settings file, since they depend on the size of one machine. A ticket that timed out is reported as unknown and not as not run, because it may have been committed.

--- a/measure/launcher.ts
+++ b/measure/launcher.ts
@@ -277,9 +277,11 @@
         if (Date.now() > giveUpAtMs) throw new Error(`${instanceId} not ready`);
         const isReady = await fetch(`${callerUrl}/admin/instances`, { headers })
           .then((response) => response.json())
-          .then((body) =>
+          .then(async (body) =>
+            (await fetch(`${callerUrl}/readyz`)).ok &&
             (body as { instances: { isReachable: boolean }[] }).instances
-              .filter((entry) => entry.isReachable).length === instances.length
+                .filter((entry) => entry.isReachable).length ===
+              instances.length
           )
           .catch(() => false);
         if (isReady) break;
--- /dev/null
+++ b/src/control/ticket_service.ts
@@ -0,0 +1,188 @@
+/**
+ * Submits and reads tickets from any instance, through the control log.
+ */
+import {
+  err,
+  errAsync,
+  ok,
+  okAsync,
+  type Result,
+  type ResultAsync,
+} from "neverthrow";
+import type { z } from "zod";
+import type { Clock } from "../core/clock.ts";
+import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
+import { logEvents } from "../core/log_events.ts";
+import type { Logger } from "../core/logger.ts";
+import type { FieldIssue } from "../core/strict_fields.ts";
+import type { InstanceId } from "../core/types.ts";
+import {
+  type Command,
+  CommandKind,
+  readTicketsResultSchema,
+} from "./commands.ts";
+import {
+  applyChanges,
+  type Configuration,
+  objectKinds,
+} from "./configuration.ts";
+import { checkTicket } from "./configuration_checks.ts";
+import type { ControlClient } from "./control_client.ts";
+import { parseTicket } from "./ticket.ts";
+import {
+  type TicketRecord,
+  type TicketResult,
+  ticketResultSchema,
+} from "./ticket_table.ts";
+
+export interface ObjectDifference {
+  readonly path: string;
+  /** Absent where the object does not exist. */
+  readonly before?: unknown;
+  readonly after?: unknown;
+}
+
+export interface TicketDifference {
+  readonly revision: number;
+  readonly issues: readonly FieldIssue[];
+  readonly differences: readonly ObjectDifference[];
+}
+
+export interface TicketService {
+  submit(ticket: unknown): ResultAsync<TicketResult, SystemError>;
+  find(number: number): ResultAsync<TicketRecord, SystemError>;
+  list(
+    query: { readonly beforeNumber: number; readonly limit: number },
+  ): ResultAsync<TicketRecord[], SystemError>;
+  /** What the ticket would change in the configuration in force here. */
+  compare(ticket: unknown): TicketDifference;
+  listBehind(revision: number): InstanceId[];
+  getConfiguration(): Configuration;
+}
+
+export interface TicketServiceOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly control: ControlClient;
+  getConfiguration(): Configuration;
+  listBehind(revision: number): InstanceId[];
+}
+
+const proposeTimeoutMs = 5_000;
+
+export function createTicketService(
+  options: TicketServiceOptions,
+): TicketService {
+  const { clock, logger } = options;
+  return {
+    submit,
+    find: (number) =>
+      read({ number }).andThen(([record]) =>
+        record ? ok(record) : err(createError(
+          ErrorKind.NotFound,
+          `ticket ${number} was not accepted, or its record was discarded`,
+        ))
+      ),
+    list: read,
+    compare,
+    listBehind: options.listBehind,
+    getConfiguration: options.getConfiguration,
+  };
+
+  function submit(ticket: unknown): ResultAsync<TicketResult, SystemError> {
+    const parsed = parseTicket(ticket);
+    if (parsed.isErr()) {
+      return okAsync<TicketResult, SystemError>({
+        status: "invalid",
+        issues: parsed.error,
+      }).map(logResult);
+    }
+    const atWallMs = clock.wallMs();
+    return propose({ kind: CommandKind.SubmitTicket, ticket, atWallMs })
+      .andThen((result) =>
+        result.status === "initialRequired"
+          ? propose({
+            kind: CommandKind.SubmitTicket,
+            ticket,
+            initial: options.getConfiguration(),
+            atWallMs,
+          })
+          : okAsync(result)
+      ).map(logResult);
+
+    function propose(command: Command): ResultAsync<TicketResult, SystemError> {
+      return proposeCommand(command, ticketResultSchema);
+    }
+
+    function logResult(result: TicketResult): TicketResult {
+      const event = result.status === "accepted"
+        ? logEvents.ticketAccepted
+        : logEvents.ticketRefused;
+      const number = parsed.map((value) => value.number).unwrapOr(0);
+      logger.log(event, { ticket: number, status: result.status });
+      return result;
+    }
+  }
+
+  function read(
+    query: { number?: number; beforeNumber?: number; limit?: number },
+  ): ResultAsync<TicketRecord[], SystemError> {
+    return proposeCommand({
+      kind: CommandKind.ReadTickets,
+      beforeNumber: Number.MAX_SAFE_INTEGER,
+      limit: 100,
+      ...query,
+    }, readTicketsResultSchema).map(({ records }) => records);
+  }
+
+  function proposeCommand<T extends z.ZodType>(
+    command: Command,
+    schema: T,
+  ): ResultAsync<z.output<T>, SystemError> {
+    return options.control.propose(command, proposeTimeoutMs)
+      .orElse((error) =>
+        // A proposal without a reply may have been committed.
+        errAsync<unknown, SystemError>(
+          error.kind === ErrorKind.NoQuorum
+            ? createError(
+              ErrorKind.PeerUnreachable,
+              "no reply from the control leader in time; " +
+                "sending the same ticket again is safe",
+              { retryAfterMs: 1_000 },
+            )
+            : error,
+        )
+      )
+      .andThen((value): Result<z.output<T>, SystemError> => {
+        const parsed = schema.safeParse(value);
+        if (parsed.success) return ok(parsed.data);
+        return err(createError(ErrorKind.ProtocolError, parsed.error.message));
+      });
+  }
+
+  function compare(value: unknown): TicketDifference {
+    const current = options.getConfiguration();
+    const { revision } = current;
+    const parsed = parseTicket(value);
+    if (parsed.isErr()) {
+      return { revision, issues: parsed.error, differences: [] };
+    }
+    const ticket = parsed.value;
+    const next = applyChanges(current, ticket, revision);
+    const atWallMs = clock.wallMs();
+    const issues = checkTicket({ ticket, current, next, atWallMs });
+    const differences = objectKinds.flatMap((kind) =>
+      Object.keys(ticket[kind] ?? {}).flatMap((name) => {
+        const before = getOwn(current[kind], name);
+        const after = getOwn(next[kind], name);
+        if (JSON.stringify(before) === JSON.stringify(after)) return [];
+        return [{ path: `${kind}.${name}`, before, after }];
+      })
+    );
+    return { revision, issues, differences };
+  }
+}
+
+function getOwn(objects: Record<string, unknown>, name: string): unknown {
+  return Object.hasOwn(objects, name) ? objects[name] : undefined;
+}
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -87,6 +87,13 @@
     Warn,
     "traffic lease expired, using the stable version",
   ),
+  configurationPulled: event(6201, Debug, "configuration pulled from a peer"),
+  configurationPushFailed: event(6202, Debug, "configuration push failed"),
+  configurationCacheFailed: event(
+    6203,
+    Warn,
+    "configuration cache could not be read",
+  ),
   // 7xxx: callers
   requestRefused: event(7001, Debug, "request refused"),
   requestFailed: event(7002, Warn, "request failed"),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -12,12 +12,19 @@
 } from "../answers/answer_service.ts";
 import { createCallService } from "../calls/call_service.ts";
 import { commandSchema } from "../control/commands.ts";
+import {
+  getInitialConfiguration,
+  markLeaving,
+} from "../control/configuration.ts";
+import { createConfigurationCache } from "../control/configuration_cache.ts";
+import { createConfigurationService } from "../control/configuration_service.ts";
 import { createControlClient } from "../control/control_client.ts";
 import {
   createSingleLog,
   type ReplicatedLog,
 } from "../control/replicated_log.ts";
 import { createStateMachine } from "../control/state_machine.ts";
+import { createTicketService } from "../control/ticket_service.ts";
 import { createSystemClock } from "../core/clock.ts";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
@@ -32,12 +39,17 @@
 import {
   type InstanceInfo,
   InstanceState,
+  type UpstreamInfo,
   UpstreamKind,
 } from "../core/types.ts";
 import { createAuthenticator } from "../entry/authenticator.ts";
 import { createCallerApp } from "../entry/caller_app.ts";
 import { createOperatorApp } from "../entry/operator_app.ts";
-import { createMembershipService } from "../membership/membership_service.ts";
+import { createTicketRoutes } from "../entry/ticket_routes.ts";
+import {
+  createMembershipService,
+  type MembershipService,
+} from "../membership/membership_service.ts";
 import { PeerCallKind } from "../peer/messages.ts";
 import { createPeerClient, type PeerClient } from "../peer/peer_client.ts";
 import {
@@ -85,11 +97,36 @@
   const router = createEngineRouter({ clock, random, registry });
   const engines = createEngineClient();
   const applications = createApplicationClient();
-  const stateMachine = createStateMachine();
+  const late: {
+    answers?: AnswerService;
+    peers?: PeerClient;
+    membership?: MembershipService;
+  } = {};
+  let listedUpstreams: readonly UpstreamInfo[] = [];
+  const updateRegistry = () =>
+    registry.update(
+      markLeaving(listedUpstreams, configuration.getConfiguration()),
+    );
+  const configuration = createConfigurationService({
+    clock,
+    logger,
+    random,
+    initial: getInitialConfiguration(settings),
+    cache: settings.control &&
+      createConfigurationCache(settings.control.dataFolder),
+    selfId: settings.instanceId,
+    domainId: settings.domainId,
+    getMembership: () => late.membership!,
+    getPeers: () => late.peers!,
+    isLeader: () => log?.isLeader() ?? false,
+    onApplied: updateRegistry,
+  });
+  const stateMachine = createStateMachine({
+    onConfiguration: configuration.record,
+  });
   const log: ReplicatedLog | undefined = settings.control
     ? createSingleLog(settings.instanceId, stateMachine)
     : undefined;
-  const late: { answers?: AnswerService; peers?: PeerClient } = {};
   const self: InstanceInfo = {
     instanceId: settings.instanceId,
     domainId: settings.domainId,
@@ -104,8 +141,13 @@
     clock,
     logger,
     getPeers: () => late.peers!,
-    getRevision: () => 0,
-    onListRead: (list) => registry.update(list.upstreams),
+    getRevision: configuration.getRevision,
+    onHeartbeat: configuration.handleHeartbeat,
+    onListRead: (list) => {
+      listedUpstreams = list.upstreams;
+      updateRegistry();
+      configuration.handleListRead();
+    },
     onInstanceLost: (id) => late.answers!.onInstanceLost(id),
     onInstanceLeaving: (id) => late.answers!.onInstanceLeaving(id),
   });
@@ -132,6 +174,7 @@
       stalls: createStallDetector(),
     }),
   });
+  late.membership = membership;
   late.peers = peers;
   late.answers = answers;
   const control = createControlClient({
@@ -159,19 +202,34 @@
   const app = new Hono();
   app.route(
     "/admin",
-    createOperatorApp({ authenticator, membership, registry, answers }),
+    createOperatorApp({
+      authenticator,
+      membership,
+      registry,
+      answers,
+      configuration,
+      ticketRoutes: createTicketRoutes(createTicketService({
+        clock,
+        logger,
+        control,
+        ...configuration,
+      })),
+    }),
   );
   app.route(
     "/",
     createCallerApp({
       settings,
+      configuration,
+      random,
       clock,
       logger,
       authenticator,
       answers,
       reader: createAnswerReader({ clock, membership, peers, answers }),
       calls,
-      isReady: drain.isReady,
+      isReady: () => drain.isReady() && configuration.isKnown(),
+      isConfigured: configuration.isKnown,
       isAccepting: drain.isAccepting,
       trackRequest: drain.trackRequest,
     }),
@@ -192,6 +250,8 @@
       [PeerCallKind.TakeOver]: ({ answerId, customerId }) =>
         answers.takeOver(answerId, customerId),
       [PeerCallKind.Propose]: ({ command }) => propose(command),
+      [PeerCallKind.PushConfiguration]: configuration.handlePush,
+      [PeerCallKind.PullConfiguration]: configuration.handlePull,
     };
   }
 
@@ -243,6 +303,12 @@
           logger,
           tasks: membership.tasks,
         }),
+        createSupervisor({
+          name: "configuration",
+          clock,
+          logger,
+          tasks: configuration.tasks,
+        }),
         createSupervisor({
           name: "answers",
           clock,
--- a/src/entry/caller_app.ts
+++ b/src/entry/caller_app.ts
@@ -21,11 +21,14 @@
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
 import type { AnswerId, CustomerId } from "../core/types.ts";
-import type {
-  ApplicationService,
-  ModelService,
-  Settings,
-} from "../settings/schema.ts";
+import type { Random } from "../core/random.ts";
+import {
+  chooseVersion,
+  type ConfigurationView,
+  findApplication,
+  findModel,
+} from "../control/configuration.ts";
+import type { Settings } from "../settings/schema.ts";
 import {
   type AnswerStreamOptions,
   collectAnswer,
@@ -40,6 +43,8 @@
 
 export interface CallerAppOptions {
   readonly settings: Settings;
+  readonly configuration: ConfigurationView;
+  readonly random: Random;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly authenticator: Authenticator;
@@ -47,6 +52,8 @@
   readonly reader: AnswerReader;
   readonly calls: CallService;
   isReady(): boolean;
+  /** False until a started instance knows a configuration it may use. */
+  isConfigured(): boolean;
   /** False once the drain no longer takes new requests. */
   isAccepting(): boolean;
   trackRequest(): () => void;
@@ -115,6 +122,16 @@
           createError(ErrorKind.ShuttingDown, "this instance is leaving"),
         );
       }
+      if (!options.isConfigured()) {
+        return refuse(
+          context,
+          createError(
+            ErrorKind.Overloaded,
+            "this instance is starting and asks its peers for the configuration",
+            { retryAfterMs: overloadRetryMs },
+          ),
+        );
+      }
       const customer = options.authenticator.authenticateCustomer(
         context.req.header("authorization"),
       );
@@ -161,8 +178,11 @@
     { answerId: AnswerId; model: string; isStreaming: boolean },
     SystemError
   > {
-    const service = findService("model", generation.model);
-    if (!service) {
+    const found = findModel(
+      options.configuration.getConfiguration(),
+      generation.model,
+    );
+    if (!found) {
       return err(createError(
         ErrorKind.NotFound,
         `no such model: ${generation.model}`,
@@ -180,7 +200,7 @@
     const answerId = answers.open({
       customerId,
       request: generation,
-      version: (service as ModelService).stableVersion,
+      version: chooseVersion(found.versions, options.random),
       createdAtWallMs,
       deadlineAtWallMs: createdAtWallMs + settings.answers.deadlineMs,
       isStreaming,
@@ -252,7 +272,10 @@
     customerId: CustomerId,
   ): Promise<Response> {
     const name = context.req.param("service") ?? "";
-    const service = findService("application", name);
+    const service = findApplication(
+      options.configuration.getConfiguration(),
+      name,
+    );
     if (!service) {
       const message = `no such service: ${name}`;
       return refuse(context, createError(ErrorKind.NotFound, message));
@@ -261,7 +284,7 @@
     const path = url.pathname.slice(`/v1/services/${name}`.length) + url.search;
     const result = await calls.execute({
       customerId,
-      service: service as ApplicationService,
+      service,
       method: context.req.method,
       path,
       contentType: context.req.header("content-type") ?? "",
@@ -279,12 +302,6 @@
     });
   }
 
-  function findService(kind: "model" | "application", name: string) {
-    return settings.services.find((service) =>
-      service.kind === kind && service.service === name
-    );
-  }
-
   function getStreamOptions(
     customerId: CustomerId,
     stream: Omit<AnswerStreamOptions, "reader" | "customerId">,
--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -6,6 +6,7 @@
 import { errorAnswers, getErrorBody } from "../core/errors.ts";
 import type { MembershipView } from "../membership/membership_view.ts";
 import type { UpstreamRegistry } from "../upstreams/upstream_registry.ts";
+import type { InstanceId } from "../core/types.ts";
 import type { Authenticator } from "./authenticator.ts";
 
 export interface OperatorAppOptions {
@@ -13,10 +14,19 @@
   readonly membership: MembershipView;
   readonly registry: UpstreamRegistry;
   readonly answers: AnswerService;
+  readonly configuration: {
+    getRevision(): number;
+    isKnown(): boolean;
+    getKnownRevision(instanceId: InstanceId): number;
+    listBehind(revision: number): InstanceId[];
+  };
+  /** Mounted behind the authentication of operators. */
+  readonly ticketRoutes: Hono;
 }
 
 export function createOperatorApp(options: OperatorAppOptions): Hono {
-  const { authenticator, membership, registry, answers } = options;
+  const { authenticator, membership, registry, answers, configuration } =
+    options;
   const app = new Hono();
   app.use("*", async (context, next) => {
     const operator = authenticator.authenticateOperator(
@@ -32,12 +42,18 @@
     context.json({
       instance: membership.getSelf(),
       answers: answers.getStats(),
+      configuration: {
+        revision: configuration.getRevision(),
+        isKnown: configuration.isKnown(),
+        behind: configuration.listBehind(configuration.getRevision()),
+      },
     }));
   app.get("/instances", (context) =>
     context.json({
       instances: membership.listInstances().map((instance) => ({
         ...instance,
         isReachable: membership.isReachable(instance.instanceId),
+        revision: configuration.getKnownRevision(instance.instanceId),
       })),
     }));
   app.get("/upstreams", (context) =>
@@ -48,5 +64,6 @@
         isLeavingReported: upstream.isLeavingReported,
       })),
     }));
+  app.route("/", options.ticketRoutes);
   return app;
 }
--- /dev/null
+++ b/src/entry/ticket_routes.ts
@@ -0,0 +1,156 @@
+/**
+ * Operator routes for tickets and the configuration. `docs/cli.md` lists them.
+ */
+import { type Context, Hono } from "hono";
+import { bodyLimit } from "hono/body-limit";
+import { Result } from "neverthrow";
+import type { TicketRecord, TicketResult } from "../control/ticket_table.ts";
+import type { TicketService } from "../control/ticket_service.ts";
+import { assertNever } from "../core/assert_never.ts";
+import {
+  createError,
+  errorAnswers,
+  ErrorKind,
+  getErrorBody,
+  getErrorMessage,
+  type SystemError,
+} from "../core/errors.ts";
+
+const maxTicketBytes = 1_048_576;
+const defaultListLimit = 50;
+const maxListLimit = 1_000;
+
+export function createTicketRoutes(tickets: TicketService): Hono {
+  const app = new Hono();
+  app.use(
+    "/tickets/*",
+    bodyLimit({
+      maxSize: maxTicketBytes,
+      onError: (context) =>
+        refuse(
+          context,
+          createError(
+            ErrorKind.PayloadTooLarge,
+            `a ticket has at most ${maxTicketBytes} bytes`,
+          ),
+        ),
+    }),
+  );
+  app.post("/tickets", async (context) => {
+    const ticket = parseJson(await context.req.text());
+    if (ticket.isErr()) return refuse(context, ticket.error);
+    return await tickets.submit(ticket.value).match(
+      (result) => sendResult(context, result),
+      (error) => refuse(context, error),
+    );
+  });
+  app.post("/tickets/diff", async (context) => {
+    const ticket = parseJson(await context.req.text());
+    if (ticket.isErr()) return refuse(context, ticket.error);
+    return context.json(tickets.compare(ticket.value));
+  });
+  app.get("/tickets", async (context) => {
+    const limit = parseCount(context.req.query("limit"), defaultListLimit);
+    const beforeNumber = parseCount(
+      context.req.query("before"),
+      Number.MAX_SAFE_INTEGER,
+    );
+    const query = { beforeNumber, limit: Math.min(limit, maxListLimit) };
+    return await tickets.list(query).match(
+      (records) => context.json({ tickets: records.map(describe) }),
+      (error) => refuse(context, error),
+    );
+  });
+  app.get("/tickets/:number", async (context) => {
+    const number = parseCount(context.req.param("number"), 0);
+    if (number === 0) {
+      return refuse(
+        context,
+        createError(
+          ErrorKind.InvalidRequest,
+          "a ticket number is a whole " +
+            "number above 0",
+          { fieldPath: "number" },
+        ),
+      );
+    }
+    return await tickets.find(number).match(
+      (record) => context.json(describe(record)),
+      (error) => refuse(context, error),
+    );
+  });
+  app.get("/configuration", (context) => {
+    const configuration = tickets.getConfiguration();
+    const behind = tickets.listBehind(configuration.revision);
+    return context.json({ configuration, behind });
+  });
+  return app;
+
+  function describe(record: TicketRecord) {
+    return { ...record, behind: tickets.listBehind(record.revision) };
+  }
+}
+
+function sendResult(context: Context, result: TicketResult): Response {
+  switch (result.status) {
+    case "accepted":
+      return context.json(result);
+    case "invalid": {
+      const { issues } = result;
+      const first = issues[0]!;
+      const message = issues.map(({ path, message: text }) =>
+        `${path || "(ticket)"}: ${text}`
+      ).join("\n");
+      const error = createError(ErrorKind.InvalidTicket, message, {
+        fieldPath: first.path,
+      });
+      return refuse(context, error, { issues });
+    }
+    case "conflict": {
+      const message = `number ${result.inForce.number} was accepted with ` +
+        "other content; use a higher number";
+      const error = createError(ErrorKind.TicketConflict, message);
+      return refuse(context, error, { inForce: result.inForce });
+    }
+    case "outdated": {
+      const message = `ticket ${result.lastNumber} came later for the same ` +
+        "objects; use a higher number";
+      const error = createError(ErrorKind.TicketOutdated, message);
+      return refuse(context, error, { inForce: result.inForce });
+    }
+    case "initialRequired":
+      return refuse(
+        context,
+        createError(ErrorKind.NoQuorum, "the control log has no state yet"),
+      );
+    default:
+      return assertNever(result);
+  }
+}
+
+function refuse(
+  context: Context,
+  error: SystemError,
+  details: Record<string, unknown> = {},
+): Response {
+  const { httpStatus } = errorAnswers[error.kind];
+  const body = { ...getErrorBody(error), ...details };
+  return context.json(body, httpStatus as 400);
+}
+
+function parseJson(text: string): Result<unknown, SystemError> {
+  return Result.fromThrowable(
+    () => JSON.parse(text) as unknown,
+    (cause) =>
+      createError(
+        ErrorKind.InvalidTicket,
+        `the ticket is not JSON: ${getErrorMessage(cause)}`,
+      ),
+  )();
+}
+
+/** A whole number above 0, or the default. */
+function parseCount(text: string | undefined, fallback: number): number {
+  const value = Number(text);
+  return Number.isSafeInteger(value) && value > 0 ? value : fallback;
+}
--- a/src/membership/membership_service.ts
+++ b/src/membership/membership_service.ts
@@ -35,6 +35,7 @@
   readonly lostAfterMs: number;
   getPeers(): PeerClient;
   getRevision(): number;
+  onHeartbeat(heartbeat: Heartbeat): void;
   onListRead(list: PlatformList): void;
   onInstanceLost(instanceId: InstanceId): void;
   onInstanceLeaving(instanceId: InstanceId): void;
@@ -173,6 +174,9 @@
     if (member && heartbeat.incarnation > member.info.incarnation) {
       receive(heartbeat);
     }
+    if (member && heartbeat.incarnation >= member.info.incarnation) {
+      options.onHeartbeat(heartbeat);
+    }
     return getHeartbeat();
   }
 
@@ -182,6 +186,8 @@
     const isRestarted = member.info.incarnation !== 0 &&
       heartbeat.incarnation > member.info.incarnation;
     if (isRestarted) setReachable(heartbeat.instanceId, false);
+    // Before the instance counts as reachable, so that its revision is known.
+    options.onHeartbeat(heartbeat);
     member.lastSeenAtMs = clock.nowMs();
     member.info = {
       ...member.info,
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -5,6 +5,12 @@
  * peer that holds the pre-shared key and are checked the same way.
  */
 import { z } from "zod";
+import {
+  configurationPullReplySchema,
+  configurationPullSchema,
+  configurationPushReplySchema,
+  configurationPushSchema,
+} from "../control/configuration_node.ts";
 import { InstanceState } from "../core/types.ts";
 import { FinishReason } from "../core/types.ts";
 
@@ -18,6 +24,8 @@
   ReadAnswer = "readAnswer",
   TakeOver = "takeOver",
   Propose = "propose",
+  PushConfiguration = "pushConfiguration",
+  PullConfiguration = "pullConfiguration",
 }
 
 export const attemptSchema = z.object({
@@ -166,6 +174,14 @@
     request: proposeSchema,
     reply: proposeReplySchema,
   },
+  [PeerCallKind.PushConfiguration]: {
+    request: configurationPushSchema,
+    reply: configurationPushReplySchema,
+  },
+  [PeerCallKind.PullConfiguration]: {
+    request: configurationPullSchema,
+    reply: configurationPullReplySchema,
+  },
 } as const;
 
 export type PeerCalls = typeof peerCalls;
