--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,57 @@
+#!/usr/bin/env node
+/**
+ * The operators' command-line tool `apricotyoke`. `docs/cli.md` describes it.
+ */
+import process from "node:process";
+import { Builtins, Cli } from "clipanion";
+import { ExitCode } from "./admin_client.ts";
+import {
+  ConfigShowCommand,
+  InstancesCommand,
+  StatusCommand,
+  TopCommand,
+  UpstreamsCommand,
+} from "./state_commands.ts";
+import {
+  TicketDiffCommand,
+  TicketListCommand,
+  TicketShowCommand,
+  TicketSubmitCommand,
+  TicketWaitCommand,
+} from "./ticket_commands.ts";
+
+const cli = new Cli({
+  binaryName: "apricotyoke",
+  binaryLabel: "apricotyoke operators' tool",
+  binaryVersion: "0.1.0",
+});
+for (
+  const command of [
+    TicketSubmitCommand,
+    TicketShowCommand,
+    TicketListCommand,
+    TicketDiffCommand,
+    TicketWaitCommand,
+    ConfigShowCommand,
+    InstancesCommand,
+    UpstreamsCommand,
+    StatusCommand,
+    TopCommand,
+    Builtins.HelpCommand,
+    Builtins.VersionCommand,
+  ]
+) cli.register(command);
+
+const args = process.argv.slice(2);
+// clipanion ends with 1 on a wrong command line, which is a failure here.
+process.exit(isCommandLine(args) ? await cli.run(args) : ExitCode.Usage);
+
+function isCommandLine(words: string[]): boolean {
+  try {
+    cli.process(words, { ...Cli.defaultContext });
+    return true;
+  } catch (cause) {
+    process.stderr.write(`${cli.error(cause)}`);
+    return false;
+  }
+}
