--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -8,6 +8,7 @@
 import type { MembershipView } from "../membership/membership_view.ts";
 import type { PeerTraffic } from "../peer/peer_client.ts";
 import type { UpstreamRegistry } from "../upstreams/upstream_registry.ts";
+import type { InstanceId } from "../core/types.ts";
 import type { Authenticator } from "./authenticator.ts";
 
 export interface OperatorAppOptions {
@@ -16,10 +17,19 @@
   readonly registry: UpstreamRegistry;
   readonly answers: AnswerService;
   getPeerTraffic(): PeerTraffic;
+  readonly configuration: {
+    getRevision(): number;
+    isKnown(): boolean;
+    getKnownRevision(instanceId: InstanceId): number;
+    listBehind(revision: number): InstanceId[];
+  };
+  /** Mounted behind the authentication of operators. */
+  readonly ticketRoutes: Hono;
 }
 
 export function createOperatorApp(options: OperatorAppOptions): Hono {
-  const { authenticator, membership, registry, answers } = options;
+  const { authenticator, membership, registry, answers, configuration } =
+    options;
   const app = new Hono();
   app.use("*", async (context, next) => {
     const operator = authenticator.authenticateOperator(
@@ -37,12 +47,18 @@
       answers: answers.getStats(),
       peerTraffic: options.getPeerTraffic(),
       process: getProcessStats(),
+      configuration: {
+        revision: configuration.getRevision(),
+        isKnown: configuration.isKnown(),
+        behind: configuration.listBehind(configuration.getRevision()),
+      },
     }));
   app.get("/instances", (context) =>
     context.json({
       instances: membership.listInstances().map((instance) => ({
         ...instance,
         isReachable: membership.isReachable(instance.instanceId),
+        revision: configuration.getKnownRevision(instance.instanceId),
       })),
     }));
   app.get("/upstreams", (context) =>
@@ -53,6 +69,7 @@
         isLeavingReported: upstream.isLeavingReported,
       })),
     }));
+  app.route("/", options.ticketRoutes);
   return app;
 }
 
