--- /dev/null
+++ b/measure/case_run.ts
@@ -0,0 +1,243 @@
+/**
+ * Runs one failure case on a new set of processes and collects its figures.
+ */
+import { createRandom, type Random } from "../src/core/random.ts";
+import { type Cluster, type InstanceHandle, startCluster } from "./launcher.ts";
+import {
+  type AnswerResult,
+  type CallResult,
+  createLoadClient,
+  type LoadClient,
+  type PlainVariant,
+} from "./load_client.ts";
+import { getPercentile, getTotals, readJson, sum } from "./statistics.ts";
+
+export interface CaseSpec {
+  readonly answers: number;
+  readonly maxTokens: number;
+  /** Answers that run at the same time. */
+  readonly concurrency: number;
+  /** Keys that are booked while the answers run. */
+  readonly bookings?: number;
+  readonly hasRelays?: boolean;
+  readonly plain: PlainVariant;
+  readonly maxResumeP99Ms: number;
+  readonly maxExtraTokensRatio?: number;
+  /** Answers that may start over with a reset event, as the design allows. */
+  readonly mayReset?: boolean;
+  /** Causes the failures and returns what it checked itself. */
+  run(context: CaseContext): Promise<Record<string, boolean>>;
+}
+
+export interface CaseContext {
+  readonly cluster: Cluster;
+  readonly client: LoadClient;
+  readonly random: Random;
+  /** Entry instances that may be lost: those without the control log. */
+  readonly entries: readonly InstanceHandle[];
+  readonly answerIds: readonly string[];
+  readonly calls: readonly CallResult[];
+  sleep(delayMs: number): Promise<void>;
+  /** Notes the time of a failure, from which resumes are measured. */
+  markFault(): void;
+  getOpenAnswers(): number;
+}
+
+const domainIds = ["andina-a", "andina-b", "andina-c"];
+const bookingIntervalMs = 60;
+const maxResumeMs = 5_000;
+
+export async function runCase(
+  spec: CaseSpec,
+  { seed, plain }: { seed: number; plain?: PlainVariant | undefined },
+) {
+  const cluster = await startCluster({
+    domainIds,
+    instancesPerDomain: 2,
+    enginesPerDomain: 2,
+    workersPerDomain: 1,
+    hasRelays: spec.hasRelays === true,
+    seed,
+  });
+  try {
+    await cluster.waitUntilReady();
+    return await measure(spec, { cluster, seed, plain });
+  } finally {
+    await cluster.stop();
+  }
+}
+
+async function measure(
+  spec: CaseSpec,
+  { cluster, seed, plain }: {
+    cluster: Cluster;
+    seed: number;
+    plain: PlainVariant | undefined;
+  },
+) {
+  const client = createLoadClient(cluster, plain);
+  const answerIds: string[] = [];
+  const calls: CallResult[] = [];
+  const faultsAtMs: number[] = [];
+  let open = 0;
+  const answersRun = runAnswers();
+  const bookingsRun = runBookings();
+  const checks = await spec.run({
+    cluster,
+    client,
+    random: createRandom(seed),
+    entries: cluster.instances.slice(1),
+    answerIds,
+    calls,
+    sleep,
+    markFault: () => faultsAtMs.push(performance.now()),
+    getOpenAnswers: () => open,
+  });
+  const answers = await answersRun;
+  await bookingsRun;
+  const figures = {
+    ...getAnswerFigures(answers, faultsAtMs),
+    ...await getCallFigures(cluster, calls),
+    ...await getTokenFigures(cluster, answers),
+  };
+  await client.close();
+  const promises = {
+    allWhole: figures.whole === figures.answers,
+    noMissingTokens: figures.missingTokens === 0,
+    noRepeatedTokens: figures.repeatedTokens === 0,
+    noMixedTokens: figures.mixedTokens === 0,
+    noDuplicateRuns: figures.duplicateRuns === 0,
+    noFalseRejections: figures.falseRejections === 0,
+    resumeP99: figures.resumeP99Ms < spec.maxResumeP99Ms,
+    resumeMax: figures.resumeMaxMs < maxResumeMs,
+    ...(spec.mayReset ? {} : { noResets: figures.resets === 0 }),
+    ...(spec.maxExtraTokensRatio === undefined ? {} : {
+      extraTokens: figures.extraTokensRatio < spec.maxExtraTokensRatio,
+    }),
+    ...checks,
+  };
+  return { promises, figures };
+
+  async function runAnswers(): Promise<AnswerResult[]> {
+    const results: AnswerResult[] = [];
+    let started = 0;
+    await Promise.all(Array.from({ length: spec.concurrency }, async () => {
+      while (started < spec.answers) {
+        const isReadElsewhere = started++ % 2 === 1;
+        open += 1;
+        results.push(
+          await client.generate({
+            maxTokens: spec.maxTokens,
+            isReadElsewhere,
+            onOpened: (answerId) => answerIds.push(answerId),
+          }),
+        );
+        open -= 1;
+      }
+    }));
+    return results;
+  }
+
+  /** Each key is booked twice at once, and once more afterwards. */
+  async function runBookings(): Promise<void> {
+    await Promise.all(
+      Array.from({ length: spec.bookings ?? 0 }, async (_, index) => {
+        await sleep(index * bookingIntervalMs);
+        const key = `key-${seed}-${index}`;
+        calls.push(
+          ...await Promise.all([client.book(key), client.book(key)]),
+        );
+        calls.push(await client.book(key));
+      }),
+    );
+  }
+}
+
+function getAnswerFigures(
+  answers: readonly AnswerResult[],
+  faultsAtMs: readonly number[],
+) {
+  const resumesMs = faultsAtMs.flatMap((atMs) =>
+    answers
+      .filter((answer) =>
+        answer.startedAtMs + answer.firstTokenMs < atMs &&
+        answer.finishedAtMs > atMs
+      )
+      .map((answer) =>
+        Math.max(
+          0,
+          ...answer.gaps.filter((gap) => gap.endedAtMs > atMs)
+            .map((gap) => gap.gapMs),
+        )
+      )
+  );
+  const failures = answers.filter((answer) => !answer.isWhole)
+    .map((answer) => answer.failure.slice(0, 200));
+  return {
+    answers: answers.length,
+    whole: answers.length - failures.length,
+    missingTokens: sum(answers.map((answer) => answer.missingTokens)),
+    repeatedTokens: sum(answers.map((answer) => answer.repeatedTokens)),
+    mixedTokens: sum(answers.map((answer) => answer.mixedTokens)),
+    resets: sum(answers.map((answer) => answer.resets)),
+    reconnects: sum(answers.map((answer) => answer.reconnects)),
+    resumes: resumesMs.length,
+    resumeP50Ms: Math.round(getPercentile(resumesMs, 0.5)),
+    resumeP99Ms: Math.round(getPercentile(resumesMs, 0.99)),
+    resumeMaxMs: Math.round(getPercentile(resumesMs, 1)),
+    ...(failures.length > 0 ? { failures: failures.slice(0, 3) } : {}),
+  };
+}
+
+async function getCallFigures(cluster: Cluster, calls: readonly CallResult[]) {
+  const executions = (await Promise.all(
+    cluster.workers.map((worker) =>
+      readJson<string[]>(`${worker.baseUrl}/executions`, [])
+    ),
+  )).flat();
+  const keys = new Set(calls.map((call) => call.idempotencyKey));
+  const falseRejections = [...keys].filter((key) =>
+    executions.includes(key) &&
+    calls.every((call) =>
+      call.idempotencyKey !== key || call.execution === "notRun"
+    )
+  );
+  return {
+    bookings: calls.length,
+    bookingsAnswered: calls.filter((call) => call.status === 200).length,
+    bookingsUnknown:
+      calls.filter((call) => call.errorType === "outcomeUnknown").length,
+    duplicateRuns: executions.length - new Set(executions).size,
+    falseRejections: falseRejections.length,
+  };
+}
+
+/** Extra tokens: all that engines generated or prefilled beyond the useful. */
+async function getTokenFigures(
+  cluster: Cluster,
+  answers: readonly AnswerResult[],
+) {
+  const usefulTokens = sum(answers.map((answer) => answer.tokens));
+  const engineTotals = await Promise.all(
+    cluster.engines.map((engine) =>
+      readJson(`${engine.baseUrl}/totals`, { generatedTokens: 0 })
+    ),
+  );
+  const generated = sum(engineTotals.map((entry) => entry.generatedTokens)) +
+    sum([...cluster.generatedByKilled.values()]);
+  const { droppedTokens, refilledTokens } = await getTotals(cluster);
+  const duplicatedTokens = Math.max(0, generated - usefulTokens);
+  const extraTokens = Math.max(duplicatedTokens, droppedTokens) +
+    refilledTokens;
+  return {
+    usefulTokens,
+    duplicatedTokens: Math.max(0, duplicatedTokens - droppedTokens),
+    discardedTokens: droppedTokens,
+    prefilledAgainTokens: refilledTokens,
+    extraTokensRatio: Number((extraTokens / usefulTokens).toFixed(4)),
+  };
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- a/measure/launcher.ts
+++ b/measure/launcher.ts
@@ -11,6 +11,7 @@
 import { join } from "node:path";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
+import { type Relay, startRelay } from "./relay.ts";
 import type { EngineOptions } from "./simulated_engine_options.ts";
 
 export interface InstanceHandle {
@@ -38,6 +39,8 @@
   readonly workersPerDomain: number;
   readonly seed: number;
   readonly engine?: Partial<EngineOptions>;
+  /** Puts relays before instances and engines, one per calling domain. */
+  readonly hasRelays?: boolean;
   /** Changes the settings of every instance before they are written. */
   readonly changeSettings?: (settings: Record<string, unknown>) => void;
 }
@@ -51,7 +54,11 @@
   readonly folder: string;
   /** State shown by the platform list, by instance or upstream id. */
   readonly listedStates: Map<string, "live" | "leaving">;
+  /** Tokens that engines had generated when they were killed, by id. */
+  readonly generatedByKilled: Map<string, number>;
   startInstance(instanceId: string): void;
+  /** Cuts the domain off the others, or heals it. Needs relays. */
+  setCut(domainId: string, isCut: boolean): void;
   waitUntilReady(): Promise<void>;
   stop(): Promise<void>;
 }
@@ -95,6 +102,8 @@
   const engines = await startUpstreams("engine", options.enginesPerDomain);
   const workers = await startUpstreams("worker", options.workersPerDomain);
   const instances = await planInstances();
+  const relays = new Map<string, Relay>();
+  if (options.hasRelays) await startRelays();
   const keyHex = randomBytes(32).toString("hex");
   const settingsPaths = new Map(instances.map((instance) => [
     instance.instanceId,
@@ -109,7 +118,9 @@
     operatorToken,
     folder,
     listedStates,
+    generatedByKilled: new Map(),
     startInstance,
+    setCut,
     waitUntilReady,
     stop,
   };
@@ -190,7 +201,7 @@
         port: instance.peerPort,
         keys: [{ keyId: "k1", keyHex }],
       },
-      membership: { listUrl: list.url },
+      membership: { listUrl: `${list.url}?from=${instance.domainId}` },
       controlInstanceIds,
       ...(controlInstanceIds.includes(instance.instanceId)
         ? { control: { dataFolder: instance.dataFolder } }
@@ -234,9 +245,12 @@
   }
 
   function startList(): Promise<{ server: Server; url: string }> {
-    const server = createServer((_, response) => {
+    const server = createServer((request, response) => {
+      const from = new URL(request.url!, "http://list").searchParams.get(
+        "from",
+      );
       response.writeHead(200, { "content-type": "application/json" });
-      response.end(JSON.stringify(getList()));
+      response.end(JSON.stringify(getList(from ?? "")));
     });
     return new Promise((resolve) => {
       server.listen(0, "127.0.0.1", () => {
@@ -247,14 +261,47 @@
     });
   }
 
-  function getList(): unknown {
+  async function startRelays(): Promise<void> {
+    const targets = [
+      ...instances.map((entry) => [entry.instanceId, entry.peerPort] as const),
+      ...engines.map((entry) =>
+        [entry.upstreamId, Number(new URL(entry.baseUrl).port)] as const
+      ),
+    ];
+    for (const [id, port] of targets) {
+      for (const from of options.domainIds) {
+        relays.set(`${from} ${id}`, await startRelay(port));
+      }
+    }
+  }
+
+  function setCut(domainId: string, isCut: boolean): void {
+    for (
+      const { instanceId, upstreamId, domainId: targetDomain } of [
+        ...instances.map((entry) => ({ ...entry, upstreamId: undefined })),
+        ...engines.map((entry) => ({ ...entry, instanceId: undefined })),
+      ]
+    ) {
+      for (const from of options.domainIds) {
+        if ((from === domainId) === (targetDomain === domainId)) continue;
+        relays.get(`${from} ${instanceId ?? upstreamId}`)!.setCut(isCut);
+      }
+    }
+  }
+
+  function getList(from: string): unknown {
     const getState = (id: string) => listedStates.get(id) ?? "live";
+    const getUrl = ({ upstreamId, baseUrl }: UpstreamHandle) => {
+      const relay = relays.get(`${from} ${upstreamId}`);
+      return relay ? `http://127.0.0.1:${relay.port}` : baseUrl;
+    };
     return {
       instances: instances.map((instance) => ({
         instanceId: instance.instanceId,
         domainId: instance.domainId,
         host: "127.0.0.1",
-        peerPort: instance.peerPort,
+        peerPort: relays.get(`${from} ${instance.instanceId}`)?.port ??
+          instance.peerPort,
         state: getState(instance.instanceId),
       })),
       upstreams: [...engines, ...workers].map((upstream) => ({
@@ -263,7 +310,7 @@
         service: engines.includes(upstream) ? modelService : applicationService,
         version: upstream.version,
         domainId: upstream.domainId,
-        baseUrl: upstream.baseUrl,
+        baseUrl: getUrl(upstream),
         state: getState(upstream.upstreamId),
       })),
     };
@@ -294,6 +341,7 @@
     );
     for (const child of children) child.kill("SIGKILL");
     await Promise.all(exits);
+    for (const relay of relays.values()) relay.close();
     list.server.close();
     list.server.closeAllConnections();
     rmSync(folder, { recursive: true, force: true });
--- a/measure/load_client.ts
+++ b/measure/load_client.ts
@@ -5,8 +5,13 @@
 import { randomUUID } from "node:crypto";
 import { createParser } from "eventsource-parser";
 import { Agent, request } from "undici";
-import { type Cluster, customerIds, modelService } from "./launcher.ts";
-import { applicationService } from "./launcher.ts";
+import {
+  applicationService,
+  type Cluster,
+  customerIds,
+  modelService,
+  stableVersion,
+} from "./launcher.ts";
 
 export interface AnswerResult {
   readonly isWhole: boolean;
@@ -17,6 +22,10 @@
   readonly reconnects: number;
   readonly firstTokenMs: number;
   readonly maxGapMs: number;
+  readonly startedAtMs: number;
+  readonly finishedAtMs: number;
+  /** Waits of the caller for the next new token. */
+  readonly gaps: readonly { readonly endedAtMs: number; gapMs: number }[];
   readonly tokens: number;
   readonly failure: string;
 }
@@ -24,14 +33,18 @@
 export interface CallResult {
   readonly status: number;
   readonly errorType: string;
+  /** What a rejection says about the work. */
+  readonly execution: string;
   readonly idempotencyKey: string;
   readonly durationMs: number;
 }
 
 export interface LoadClient {
   generate(options: GenerateOptions): Promise<AnswerResult>;
-  book(idempotencyKey?: string): Promise<CallResult>;
-  lookUp(): Promise<CallResult>;
+  book(idempotencyKey?: string, instanceId?: string): Promise<CallResult>;
+  lookUp(instanceId?: string): Promise<CallResult>;
+  /** Instances that the load balancer no longer sends to. */
+  readonly hiddenIds: Set<string>;
   close(): Promise<void>;
 }
 
@@ -42,20 +55,37 @@
   readonly route?: string;
   /** Entry instance for the first connection; any live one by default. */
   readonly instanceId?: string;
+  /** Opens the answer without a stream and reads it through other instances. */
+  readonly isReadElsewhere?: boolean;
+  onOpened?(answerId: string): void;
   onToken?(position: number): void;
 }
 
 const answerTimeoutMs = 40_000;
 const reconnectDelayMs = 50;
+/** A caller reconnects when nothing arrives for this long. */
+const maxSilenceMs = 1_500;
+const avoidMs = 5_000;
 
-export function createLoadClient(cluster: Cluster): LoadClient {
+/**
+ * The plain variant to compare with: a failed generation starts again from the
+ * beginning. With `engines` the caller uses a random engine or worker itself.
+ */
+export type PlainVariant = "engines" | "entry";
+
+export function createLoadClient(
+  cluster: Cluster,
+  plain?: PlainVariant,
+): LoadClient {
   const agent = new Agent({
     connect: { timeout: 500 },
     headersTimeout: 0,
     bodyTimeout: 0,
   });
   let nextInstance = 0;
-  return { generate, book, lookUp, close: () => agent.destroy() };
+  const hiddenIds = new Set<string>();
+  const avoidedUntilMs = new Map<string, number>();
+  return { generate, book, lookUp, hiddenIds, close: () => agent.destroy() };
 
   function pickUrl(instanceId?: string): string {
     const chosen = cluster.instances.find((instance) =>
@@ -64,7 +94,9 @@
     if (chosen) return chosen.callerUrl;
     const live = cluster.instances.filter((instance) =>
       instance.process.exitCode === null && !instance.process.killed &&
-      cluster.listedStates.get(instance.instanceId) !== "leaving"
+      cluster.listedStates.get(instance.instanceId) !== "leaving" &&
+      !hiddenIds.has(instance.instanceId) &&
+      (avoidedUntilMs.get(instance.callerUrl) ?? 0) < performance.now()
     );
     return live[nextInstance++ % live.length]!.callerUrl;
   }
@@ -83,6 +115,8 @@
     let firstTokenMs = 0;
     let lastTokenAtMs = 0;
     let maxGapMs = 0;
+    let seenTokens = 0;
+    const gaps: { endedAtMs: number; gapMs: number }[] = [];
     while (!isDone && performance.now() < giveUpAtMs) {
       reconnects += 1;
       try {
@@ -91,6 +125,10 @@
         failure = String(cause);
       }
       if (!isDone) {
+        if (plain) {
+          answerId = lastEventId = "";
+          received.length = 0;
+        }
         await new Promise((resolve) => setTimeout(resolve, reconnectDelayMs));
       }
     }
@@ -103,45 +141,75 @@
       reconnects,
       firstTokenMs,
       maxGapMs,
+      startedAtMs,
+      finishedAtMs: performance.now(),
+      gaps,
       tokens: received.length,
       failure: isDone ? "" : failure,
     };
 
     async function connect(): Promise<void> {
-      const url = pickUrl(reconnects === 0 ? options.instanceId : undefined);
-      const headers = {
+      const url = plain === "engines"
+        ? pickRandom(cluster.engines).baseUrl
+        : pickUrl(reconnects === 0 ? options.instanceId : undefined);
+      const abort = new AbortController();
+      const onSilent = () => {
+        avoidedUntilMs.set(url, performance.now() + avoidMs);
+        abort.abort();
+      };
+      let silence = setTimeout(onSilent, maxSilenceMs);
+      try {
+        const isOpening = answerId === "";
+        const response = await request(
+          `${url}/v1/${isOpening ? "completions" : `answers/${answerId}`}`,
+          {
+            dispatcher: agent,
+            signal: abort.signal,
+            headers: getHeaders(isOpening),
+            ...(isOpening ? { method: "POST", body: getBody() } : {}),
+          },
+        );
+        if (response.statusCode >= 300) {
+          failure = await response.body.text();
+          return;
+        }
+        answerId = String(response.headers["x-answer-id"] ?? "");
+        if (isOpening) options.onOpened?.(answerId);
+        if (response.statusCode === 202) return void await response.body.dump();
+        const parser = createParser({ onEvent: receive });
+        const decoder = new TextDecoder();
+        for await (const chunk of response.body) {
+          clearTimeout(silence);
+          silence = setTimeout(onSilent, maxSilenceMs);
+          parser.feed(decoder.decode(chunk as Uint8Array, { stream: true }));
+        }
+      } finally {
+        clearTimeout(silence);
+      }
+    }
+
+    function getHeaders(isOpening: boolean): Record<string, string> {
+      const isAsync = isOpening && options.isReadElsewhere && !plain;
+      return {
         authorization: `Bearer ${cluster.customerToken(customerId)}`,
         accept: "text/event-stream",
         "content-type": "application/json",
+        ...(isAsync ? { prefer: "respond-async" } : {}),
         ...(lastEventId === "" ? {} : { "last-event-id": lastEventId }),
       };
-      const response = answerId === ""
-        ? await request(`${url}/v1/completions`, {
-          dispatcher: agent,
-          method: "POST",
-          headers,
-          body: JSON.stringify({
-            model: modelService,
-            prompt: options.prompt ?? `manual ${randomUUID()}`,
-            max_tokens: options.maxTokens,
-            stream: true,
-            route: options.route ?? "default",
-          }),
-        })
-        : await request(`${url}/v1/answers/${answerId}`, {
-          dispatcher: agent,
-          headers,
-        });
-      if (response.statusCode !== 200) {
-        failure = await response.body.text();
-        return;
-      }
-      answerId = String(response.headers["x-answer-id"]);
-      const parser = createParser({ onEvent: receive });
-      const decoder = new TextDecoder();
-      for await (const chunk of response.body) {
-        parser.feed(decoder.decode(chunk as Uint8Array, { stream: true }));
-      }
+    }
+
+    function getBody(): string {
+      return JSON.stringify({
+        request_id: randomUUID(),
+        version: stableVersion,
+        model: modelService,
+        prompt: options.prompt ?? `manual ${randomUUID()}`,
+        max_tokens: options.maxTokens,
+        stream: true,
+        route: options.route ?? "default",
+        priority: 5,
+      });
     }
 
     function receive(
@@ -170,38 +238,59 @@
       }).choices[0]!;
       const tokens = text.split(" ").filter((token) => token !== "");
       if (tokens.length === 0) return;
-      const nowMs = performance.now();
-      if (received.length === 0) firstTokenMs = nowMs - startedAtMs;
-      else maxGapMs = Math.max(maxGapMs, nowMs - lastTokenAtMs);
-      lastTokenAtMs = nowMs;
       for (const token of tokens) {
         received.push(token);
         options.onToken?.(received.length);
       }
+      // Tokens of a restarted generation are new to the caller only beyond
+      // those that it has seen before.
+      if (received.length <= seenTokens) return;
+      const nowMs = performance.now();
+      const gapMs = seenTokens === 0 ? 0 : nowMs - lastTokenAtMs;
+      if (seenTokens === 0) firstTokenMs = nowMs - startedAtMs;
+      gaps.push({ endedAtMs: nowMs, gapMs });
+      maxGapMs = Math.max(maxGapMs, gapMs);
+      seenTokens = received.length;
+      lastTokenAtMs = nowMs;
     }
   }
 
-  function book(idempotencyKey: string = randomUUID()): Promise<CallResult> {
-    return callService("POST", "/bookings", idempotencyKey);
+  function book(
+    idempotencyKey: string = randomUUID(),
+    instanceId?: string,
+  ): Promise<CallResult> {
+    return callService("POST", "/bookings", { idempotencyKey, instanceId });
   }
 
-  function lookUp(): Promise<CallResult> {
-    return callService("GET", "/status/1", "");
+  function lookUp(instanceId?: string): Promise<CallResult> {
+    return callService("GET", "/status/1", { idempotencyKey: "", instanceId });
   }
 
   async function callService(
     method: "GET" | "POST",
     path: string,
-    idempotencyKey: string,
+    { idempotencyKey, instanceId }: {
+      idempotencyKey: string;
+      instanceId: string | undefined;
+    },
   ): Promise<CallResult> {
     const startedAtMs = performance.now();
-    const base = { idempotencyKey, status: 0, errorType: "connection" };
+    const base = {
+      idempotencyKey,
+      status: 0,
+      errorType: "connection",
+      execution: "",
+    };
+    const url = plain
+      ? pickRandom(cluster.workers).baseUrl
+      : `${pickUrl(instanceId)}/v1/services/${applicationService}`;
     try {
       const response = await request(
-        `${pickUrl()}/v1/services/${applicationService}${path}`,
+        `${url}${path}`,
         {
           dispatcher: agent,
           method,
+          signal: AbortSignal.timeout(15_000),
           headers: {
             authorization: `Bearer ${cluster.customerToken(customerIds[0]!)}`,
             ...(idempotencyKey ? { "idempotency-key": idempotencyKey } : {}),
@@ -209,11 +298,14 @@
           ...(method === "POST" ? { body: `{"key":"${idempotencyKey}"}` } : {}),
         },
       );
-      const body = await response.body.json() as { error?: { type: string } };
+      const body = await response.body.json() as {
+        error?: { type: string; execution: string };
+      };
       return {
         ...base,
         status: response.statusCode,
         errorType: body.error?.type ?? "",
+        execution: body.error?.execution ?? "",
         durationMs: performance.now() - startedAtMs,
       };
     } catch {
@@ -222,6 +314,10 @@
   }
 }
 
+function pickRandom<T>(items: readonly T[]): T {
+  return items[Math.floor(Math.random() * items.length)]!;
+}
+
 /** Compares the received tokens with positions 0, 1, 2, ... of one generation. */
 function checkTokens(received: readonly string[], expectedCount: number) {
   const positions = new Set<number>();
--- a/measure/statistics.ts
+++ b/measure/statistics.ts
@@ -25,17 +25,31 @@
   };
 }
 
+/** Reads JSON from a process that may be gone. */
+export async function readJson<T>(
+  url: string,
+  fallback: T,
+  headers: Record<string, string> = {},
+): Promise<T> {
+  try {
+    const signal = AbortSignal.timeout(1_000);
+    const response = await fetch(url, { headers, signal });
+    return await response.json() as T;
+  } catch {
+    return fallback;
+  }
+}
+
 /** Token accounts over all instances that still run. */
 export async function getTotals(cluster: Cluster) {
   const headers = { authorization: `Bearer ${cluster.operatorToken}` };
   const statuses = await Promise.all(
-    cluster.instances.map((instance) =>
-      fetch(`${instance.callerUrl}/admin/status`, {
+    cluster.instances.map(({ callerUrl }) =>
+      readJson<InstanceStatus | undefined>(
+        `${callerUrl}/admin/status`,
+        undefined,
         headers,
-        signal: AbortSignal.timeout(1_000),
-      })
-        .then((response) => response.json() as Promise<InstanceStatus>)
-        .catch(() => undefined)
+      )
     ),
   );
   const answers = statuses.flatMap((status) => status ? [status.answers] : []);
