--- a/measure/case_run.ts
+++ b/measure/case_run.ts
@@ -1,6 +1,8 @@
 /**
  * Runs one failure case on a new set of processes and collects its figures.
  */
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
 import { createRandom, type Random } from "../src/core/random.ts";
 import { type Cluster, type InstanceHandle, startCluster } from "./launcher.ts";
 import {
@@ -99,6 +101,7 @@
     ...getAnswerFigures(answers, faultsAtMs),
     ...await getCallFigures(cluster, calls),
     ...await getTokenFigures(cluster, answers),
+    logEvents: getLogEvents(cluster),
   };
   await client.close();
   const promises = {
@@ -238,6 +241,21 @@
   };
 }
 
+/** How often each numbered event was logged; levels from info upwards. */
+function getLogEvents(cluster: Cluster): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { instanceId } of cluster.instances) {
+    const text = readFileSync(
+      join(cluster.folder, `${instanceId}.log`),
+      "utf8",
+    );
+    for (const [, event] of text.matchAll(/"event":(\d{4})/g)) {
+      counts[event!] = (counts[event!] ?? 0) + 1;
+    }
+  }
+  return counts;
+}
+
 function sleep(delayMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, delayMs));
 }
--- a/src/answers/answer_machine.ts
+++ b/src/answers/answer_machine.ts
@@ -55,6 +55,7 @@
     failuresWithoutProgress: 0,
     replica: undefined,
     avoidedReplicas: new Map(),
+    formerReplicaIds: new Set(),
     unreplicatedRanges: [],
     isUnreplicated: false,
     nextReplicaChoiceAtMs: 0,
@@ -340,6 +341,7 @@
 ): void {
   const lost = state.replica!.instanceId;
   state.avoidedReplicas.set(lost, nowMs + avoidReplicaMs);
+  state.formerReplicaIds.add(lost);
   state.replica = undefined;
   chooseReplica(state, effects, nowMs);
 }
--- a/src/answers/answer_reader.ts
+++ b/src/answers/answer_reader.ts
@@ -3,6 +3,7 @@
  * replica that takes over. Follows the answer when its owner changes.
  */
 import { err, ok, type Result, type ResultAsync } from "neverthrow";
+import { assertNever } from "../core/assert_never.ts";
 import type { Clock } from "../core/clock.ts";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import type { AnswerId, AttemptId, InstanceId } from "../core/types.ts";
@@ -42,11 +43,13 @@
 const locateRetryMs = 100;
 const probeTimeoutMs = 400;
 /** Added to the wait of a remote read before the call counts as failed. */
-const remoteReadGraceMs = 1_000;
+const remoteReadGraceMs = 400;
 /** Instances asked beyond those that the id names. */
 const maxRankedCandidates = 8;
 /** Long waits on a remote owner would hide that it is frozen. */
-const maxRemoteWaitMs = 1_000;
+const maxRemoteWaitMs = 500;
+/** The oldest entry makes room; it is only a shortcut to the owner. */
+const maxKnownOwners = 10_000;
 
 export function createAnswerReader(options: AnswerReaderOptions): AnswerReader {
   const { clock, membership, peers, answers } = options;
@@ -77,15 +80,14 @@
   ): Promise<Result<ReadReply | undefined, SystemError>> {
     const { answerId } = readOptions;
     const local = (await answers.read(getRequest(readOptions)))._unsafeUnwrap();
-    const localResult = interpret(local);
-    if (localResult.isErr() || localResult.value) return localResult;
+    if (local.status === ReadStatus.Tokens) return ok(local);
+    if (local.status === ReadStatus.Forbidden) return err(notFound());
     const ownerId = knownOwners.get(answerId);
     if (ownerId !== undefined) {
       const reply = await readRemote(ownerId, readOptions);
-      const result = reply.andThen(interpret);
-      if (reply.isOk() && (result.isErr() || result.value)) {
-        if (result.isErr() || result.value?.end) knownOwners.delete(answerId);
-        return result;
+      if (reply.isOk() && reply.value.status === ReadStatus.Tokens) {
+        if (reply.value.end) knownOwners.delete(answerId);
+        return ok(reply.value);
       }
       knownOwners.delete(answerId);
     }
@@ -96,41 +98,52 @@
     readOptions: ReadOptions,
     local: ReadReply,
   ): Promise<Result<ReadReply | undefined, SystemError>> {
-    const { answerId } = readOptions;
     const selfId = membership.getSelf().instanceId;
-    const candidateIds = getCandidates(answerId);
-    const replies = await Promise.all(candidateIds.map(async (instanceId) => ({
-      instanceId,
-      reply: await probe(instanceId, readOptions),
-    })));
-    let copies = local.status === ReadStatus.HeldCopy
-      ? [{ instanceId: selfId, reply: local }]
-      : [];
+    const candidateIds = getCandidates(readOptions.answerId);
+    const reachableIds = candidateIds.filter(membership.isReachable);
+    const otherIds = candidateIds.filter((id) => !reachableIds.includes(id));
+    const found: Located[] = [{ instanceId: selfId, reply: local }];
     let isAnyUnreachable = false;
-    for (const { instanceId, reply } of replies) {
-      if (reply.isErr()) {
-        isAnyUnreachable = true;
-        continue;
-      }
-      const result = interpret(reply.value);
-      if (result.isErr()) return err(result.error);
-      if (result.value) {
-        if (!result.value.end) knownOwners.set(answerId, instanceId);
-        return ok(result.value);
-      }
-      if (reply.value.status === ReadStatus.HeldCopy) {
-        copies = [...copies, { instanceId, reply: reply.value }];
+    // Instances without heartbeats are asked too, but not waited for when a
+    // reachable one has the answer.
+    const others = probeAll(otherIds, readOptions);
+    for (const replies of [probeAll(reachableIds, readOptions), others]) {
+      for (const { instanceId, reply } of await replies) {
+        if (reply.isOk()) found.push({ instanceId, reply: reply.value });
+        else isAnyUnreachable = true;
       }
+      const best = getBest(found);
+      if (best?.reply.status !== ReadStatus.Tokens) continue;
+      if (!best.reply.end) remember(readOptions.answerId, best.instanceId);
+      return ok(best.reply);
     }
-    if (copies.length === 0) {
-      if (isAnyUnreachable) return ok(undefined);
-      return err(createError(ErrorKind.NotFound, "no such answer"));
+    const best = getBest(found);
+    if (best?.reply.status === ReadStatus.HeldCopy) {
+      await requestTakeOver(best.instanceId, readOptions);
+      return ok(undefined);
     }
-    const best = copies.reduce((left, right) =>
-      isAhead(right.reply, left.reply) ? right : left
+    if (best) return err(diverged());
+    const isForbidden = found.some(({ reply }) =>
+      reply.status === ReadStatus.Forbidden
     );
-    await requestTakeOver(best.instanceId, readOptions);
-    return ok(undefined);
+    return isAnyUnreachable && !isForbidden ? ok(undefined) : err(notFound());
+  }
+
+  async function probeAll(
+    instanceIds: readonly InstanceId[],
+    readOptions: ReadOptions,
+  ) {
+    return await Promise.all(instanceIds.map(async (instanceId) => ({
+      instanceId,
+      reply: await probe(instanceId, readOptions),
+    })));
+  }
+
+  function remember(answerId: AnswerId, ownerId: InstanceId): void {
+    knownOwners.delete(answerId);
+    knownOwners.set(answerId, ownerId);
+    if (knownOwners.size <= maxKnownOwners) return;
+    knownOwners.delete(knownOwners.keys().next().value!);
   }
 
   function getCandidates(answerId: AnswerId): InstanceId[] {
@@ -182,33 +195,67 @@
   }
 }
 
+interface Located {
+  readonly instanceId: InstanceId;
+  readonly reply: ReadReply;
+}
+
+/**
+ * The reply to go by: tokens before others, because a stale owner can report a
+ * divergence that the current one does not have; then the newest owner.
+ */
+function getBest(found: readonly Located[]): Located | undefined {
+  return found
+    .filter(({ reply }) => getRank(reply) > 0)
+    .reduce<Located | undefined>(
+      (best, candidate) =>
+        best && !isAhead(candidate.reply, best.reply) ? best : candidate,
+      undefined,
+    );
+}
+
 function isAhead(left: ReadReply, right: ReadReply): boolean {
-  return left.ownerNumber !== right.ownerNumber
-    ? left.ownerNumber > right.ownerNumber
-    : left.heldCount > right.heldCount;
+  if (left.status !== right.status) {
+    const isTokens = left.status === ReadStatus.Tokens;
+    if (isTokens || right.status === ReadStatus.Tokens) return isTokens;
+  }
+  if (left.ownerNumber !== right.ownerNumber) {
+    return left.ownerNumber > right.ownerNumber;
+  }
+  if (left.heldCount !== right.heldCount) {
+    return left.heldCount > right.heldCount;
+  }
+  return getRank(left) > getRank(right);
 }
 
-/** A usable reply, nothing when another instance has to be asked, or an error. */
-function interpret(
-  reply: ReadReply,
-): Result<ReadReply | undefined, SystemError> {
-  switch (reply.status) {
+function getRank({ status }: ReadReply): number {
+  switch (status) {
     case ReadStatus.Tokens:
-      return ok(reply);
+      return 3;
+    case ReadStatus.Diverged:
+      return 2;
     case ReadStatus.HeldCopy:
+      return 1;
     case ReadStatus.NotHeld:
-      return ok(undefined);
-    case ReadStatus.Diverged:
-      return err(createError(
-        ErrorKind.AnswerDiverged,
-        "the answer went on from an earlier position in another generation",
-      ));
     case ReadStatus.Forbidden:
-      // The same reply as for an unknown id, so that ids cannot be probed.
-      return err(createError(ErrorKind.NotFound, "no such answer"));
+      return 0;
+    default:
+      return assertNever(status);
   }
 }
 
+function diverged(): SystemError {
+  return createError(
+    ErrorKind.AnswerDiverged,
+    "the answer went on from an earlier position in another generation",
+  );
+}
+
+/** Also for another customer's answer, so that ids cannot be probed. */
+function notFound(): SystemError {
+  return createError(ErrorKind.NotFound, "no such answer");
+}
+
 function getRequest(readOptions: ReadOptions): ReadRequest {
   const { answerId, customerId, fromPosition, lastAttempt, waitMs } =
     readOptions;
--- a/src/answers/answer_service.ts
+++ b/src/answers/answer_service.ts
@@ -27,15 +27,20 @@
   type TakeOverReply,
 } from "../peer/messages.ts";
 import type { PeerClient } from "../peer/peer_client.ts";
-import { createAnswerId } from "./answer_id.ts";
+import { createAnswerId, parseAnswerId } from "./answer_id.ts";
 import { attemptsPerEpoch, createAnswerState } from "./answer_machine.ts";
+import {
+  getEmptyReply,
+  getHeldReply,
+  getOwnedReply,
+} from "./answer_replies.ts";
 import { AnswerEventKind, type AnswerState } from "./answer_state.ts";
 import type { AttemptRunner } from "./attempt_runner.ts";
 import { createCopySender } from "./copy_sender.ts";
-import { canContinue } from "./lineage.ts";
 import { createOwnedAnswer, type OwnedAnswer } from "./owned_answer.ts";
 import { chooseFirstReplica, chooseReplica } from "./replica_placement.ts";
 import { createReplicaStore, type HeldAnswer } from "./replica_store.ts";
+import { createTakeover } from "./takeover.ts";
 
 export interface AnswerService {
   open(meta: AnswerMeta): AnswerId;
@@ -54,6 +59,8 @@
     SystemError
   >;
   onInstanceLost(instanceId: InstanceId): void;
+  /** Ends one of two ownerships that a partition or a pause left behind. */
+  onInstanceBack(instanceId: InstanceId): void;
   /** Moves all copies away from an instance that is leaving. */
   onInstanceLeaving(instanceId: InstanceId): void;
   /** Copies finished answers elsewhere before this instance stops. */
@@ -85,9 +92,11 @@
   readonly copyTimeoutMs: number;
 }
 
-/** How long a replica asks others about an answer before it takes over. */
-const probeTimeoutMs = 300;
 const handOverTimeoutMs = 2_000;
+/** A tick that comes this late shows that this process was paused. */
+const pauseLimitMs = 250;
+/** Time to read what arrived from engines during a pause. */
+const pauseGraceMs = 200;
 
 export function createAnswerService(
   options: AnswerServiceOptions,
@@ -101,6 +110,16 @@
     maxBytes: options.maxCopyBytes,
     retentionMs: options.retentionMs,
   });
+  const takeover = createTakeover({
+    clock,
+    membership,
+    peers,
+    replicas,
+    isOwned: (answerId) => owned.has(answerId),
+    becomeOwner,
+  });
+  let tickedAtMs = clock.nowMs();
+  let hedgeFromMs = 0;
   const copySender = createCopySender({
     peers,
     timeoutMs: options.copyTimeoutMs,
@@ -128,6 +147,7 @@
     takeOver,
     applyCopies,
     onInstanceLost,
+    onInstanceBack,
     onInstanceLeaving,
     handOverFinished,
     tick,
@@ -190,10 +210,10 @@
 
   async function readLocal(request: ReadRequest): Promise<ReadReply> {
     const answer = owned.get(request.answerId);
-    if (!answer) return readHeld(request);
+    if (!answer) return getHeldReply(replicas.get(request.answerId), request);
     const { state } = answer;
     if (state.meta.customerId !== request.customerId) {
-      return emptyReply(ReadStatus.Forbidden);
+      return getEmptyReply(ReadStatus.Forbidden);
     }
     const generation = state.generation;
     const hasNews = () =>
@@ -205,64 +225,10 @@
       if (waitMs <= 0) break;
       await answer.waitForChange(waitMs);
     }
-    if (answer.isSuperseded()) return readHeld(request);
-    return getOwnedReply(state, request);
-  }
-
-  function getOwnedReply(state: AnswerState, request: ReadRequest): ReadReply {
-    const journal = {
-      lineage: state.lineage,
-      tokenCount: state.releasedCount,
-    };
-    const base = {
-      ownerId: state.owner.instanceId,
-      ownerNumber: state.owner.attemptNumber,
-      heldCount: state.tokens.length,
-      lineage: [...state.lineage],
-    };
-    if (!canContinue(journal, getReadPosition(request))) {
-      // A new owner releases tokens only after its own replica has them, so a
-      // caller may be ahead of it for a moment.
-      const isAhead = canContinue(
-        { lineage: state.lineage, tokenCount: state.tokens.length },
-        getReadPosition(request),
-      );
-      const status = isAhead ? ReadStatus.Tokens : ReadStatus.Diverged;
-      return { ...base, status, tokens: [] };
-    }
-    return {
-      ...base,
-      status: ReadStatus.Tokens,
-      tokens: state.tokens.slice(request.fromPosition, state.releasedCount),
-      ...(state.end && state.isEndReleased ? { end: state.end } : {}),
-    };
-  }
-
-  function readHeld(request: ReadRequest): ReadReply {
-    const copy = replicas.get(request.answerId);
-    if (!copy) return emptyReply(ReadStatus.NotHeld);
-    if (copy.meta.customerId !== request.customerId) {
-      return emptyReply(ReadStatus.Forbidden);
-    }
-    const base = {
-      ownerId: copy.owner.instanceId,
-      ownerNumber: copy.owner.attemptNumber,
-      heldCount: copy.tokens.length,
-      lineage: [...copy.lineage],
-    };
-    if (!copy.end) {
-      return { ...base, status: ReadStatus.HeldCopy, tokens: [] };
-    }
-    const journal = { lineage: copy.lineage, tokenCount: copy.tokens.length };
-    if (!canContinue(journal, getReadPosition(request))) {
-      return { ...base, status: ReadStatus.Diverged, tokens: [] };
+    if (answer.isSuperseded()) {
+      return getHeldReply(replicas.get(request.answerId), request);
     }
-    return {
-      ...base,
-      status: ReadStatus.Tokens,
-      tokens: copy.tokens.slice(request.fromPosition),
-      end: copy.end,
-    };
+    return getOwnedReply(state, request);
   }
 
   function takeOver(
@@ -282,59 +248,10 @@
       ));
     }
     if (copy.end) return okAsync({ isHeld: true, ownerId: selfId });
-    return ResultAsync.fromSafePromise(takeOverIfLost(copy))
+    return ResultAsync.fromSafePromise(takeover.takeOverIfLost(copy))
       .map((ownerId) => ({ isHeld: true, ownerId }));
   }
 
-  /** Returns the owner afterwards: this instance, or one that is ahead. */
-  async function takeOverIfLost(copy: HeldAnswer): Promise<InstanceId> {
-    const betterId = await findBetterCopy(copy);
-    const current = replicas.get(copy.answerId);
-    if (betterId !== undefined) return betterId;
-    if (owned.has(copy.answerId) || !current || current.end) {
-      return membership.getSelf().instanceId;
-    }
-    becomeOwner(current);
-    return membership.getSelf().instanceId;
-  }
-
-  /** Asks the other instances whether one owns the answer or has more of it. */
-  async function findBetterCopy(
-    copy: HeldAnswer,
-  ): Promise<InstanceId | undefined> {
-    const selfId = membership.getSelf().instanceId;
-    const others = membership.listInstances()
-      .map((instance) => instance.instanceId)
-      .filter((instanceId) => instanceId !== selfId);
-    const found = await Promise.all(others.map(async (instanceId) => {
-      const reply = await peers.call(instanceId, PeerCallKind.ReadAnswer, {
-        body: {
-          answerId: copy.answerId,
-          customerId: copy.meta.customerId,
-          fromPosition: 0,
-          waitMs: 0,
-        },
-        timeoutMs: probeTimeoutMs,
-      });
-      return reply.isOk() && isBetter(reply.value, instanceId)
-        ? [instanceId]
-        : [];
-    }));
-    return found.flat()[0];
-
-    function isBetter(reply: ReadReply, instanceId: InstanceId): boolean {
-      if (reply.status === ReadStatus.Tokens) return true;
-      if (reply.status !== ReadStatus.HeldCopy) return false;
-      if (reply.ownerNumber !== copy.owner.attemptNumber) {
-        return reply.ownerNumber > copy.owner.attemptNumber;
-      }
-      if (reply.heldCount !== copy.tokens.length) {
-        return reply.heldCount > copy.tokens.length;
-      }
-      return instanceId < selfId;
-    }
-  }
-
   function becomeOwner(copy: HeldAnswer): void {
     const selfId = membership.getSelf().instanceId;
     const epoch = Math.floor(copy.owner.attemptNumber / attemptsPerEpoch) + 1;
@@ -389,7 +306,32 @@
   function onInstanceLost(instanceId: InstanceId): void {
     onInstanceLeaving(instanceId);
     for (const copy of replicas.listOpenOf(instanceId)) {
-      void takeOverIfLost(copy);
+      void takeover.takeOverIfLost(copy);
+    }
+  }
+
+  /**
+   * Sends an empty update for each answer that the instance may also own: an
+   * older owner there stops, and a newer one replies that this one is stale.
+   */
+  function onInstanceBack(instanceId: InstanceId): void {
+    const concerned = [...owned.values()].filter(({ state }) =>
+      isConcerned(state, instanceId)
+    );
+    if (concerned.length === 0) return;
+    logger.log(logEvents.staleOwnersTold, {
+      peer: instanceId,
+      answers: concerned.length,
+    });
+    for (const { state } of concerned) {
+      const { answerId, owner, generation } = state;
+      copySender.probe(instanceId, {
+        answerId,
+        owner,
+        generation,
+        fromPosition: 0,
+        tokens: [],
+      });
     }
   }
 
@@ -417,9 +359,14 @@
 
   function tick(): void {
     const wallMs = clock.wallMs();
+    const nowMs = clock.nowMs();
+    // After a pause of this process the tokens of engines that look silent are
+    // still waiting in the sockets.
+    if (nowMs - tickedAtMs > pauseLimitMs) hedgeFromMs = nowMs + pauseGraceMs;
+    tickedAtMs = nowMs;
     for (const answer of owned.values()) {
       if (answer.state.isClosed) continue;
-      answer.tick();
+      answer.tick({ mayHedge: nowMs >= hedgeFromMs });
       if (wallMs > answer.state.meta.deadlineAtWallMs) {
         answer.send({
           kind: AnswerEventKind.Cancelled,
@@ -427,6 +374,7 @@
         });
       }
     }
+    takeover.retry();
     replicas.sweep();
     const oldestMs = clock.nowMs() - options.retentionMs;
     for (const [answerId, atMs] of closedAtMs) {
@@ -465,26 +413,18 @@
   return [{ ...journal, fromPosition: 0 }];
 }
 
+function isConcerned(state: AnswerState, instanceId: InstanceId): boolean {
+  return state.formerReplicaIds.has(instanceId) ||
+    state.lineage.some((span) => span.instanceId === instanceId) ||
+    parseAnswerId(state.answerId).mapOr(
+      false,
+      ({ openerId, firstReplicaId }) =>
+        openerId === instanceId || firstReplicaId.unwrapOr("") === instanceId,
+    );
+}
+
 function isNewerOwner(left: AttemptId, right: AttemptId): boolean {
   return left.attemptNumber > right.attemptNumber ||
     (left.attemptNumber === right.attemptNumber &&
       left.instanceId > right.instanceId);
 }
-
-function getReadPosition(request: ReadRequest) {
-  return {
-    fromPosition: request.fromPosition,
-    lastAttempt: request.lastAttempt,
-  };
-}
-
-function emptyReply(status: ReadStatus): ReadReply {
-  return {
-    status,
-    ownerId: "",
-    ownerNumber: 0,
-    heldCount: 0,
-    tokens: [],
-    lineage: [],
-  };
-}
--- a/src/answers/answer_state.ts
+++ b/src/answers/answer_state.ts
@@ -58,6 +58,8 @@
   replica: Replica | undefined;
   /** Replicas that failed are not chosen again before this time. */
   readonly avoidedReplicas: Map<InstanceId, number>;
+  /** A lost replica may have taken over; it is asked when it is back. */
+  readonly formerReplicaIds: Set<InstanceId>;
   unreplicatedRanges: UnreplicatedRange[];
   isUnreplicated: boolean;
   nextReplicaChoiceAtMs: number;
--- a/src/answers/copy_sender.ts
+++ b/src/answers/copy_sender.ts
@@ -5,6 +5,7 @@
 import type { AnswerId, InstanceId } from "../core/types.ts";
 import {
   type CopyResult,
+  CopyStatus,
   type CopyUpdate,
   PeerCallKind,
 } from "../peer/messages.ts";
@@ -12,6 +13,8 @@
 
 export interface CopySender {
   send(replicaId: InstanceId, update: CopyUpdate): void;
+  /** Like `send`, but a failure says nothing about a replica. */
+  probe(instanceId: InstanceId, update: CopyUpdate): void;
 }
 
 export interface CopySenderOptions {
@@ -21,32 +24,47 @@
   onFailed(replicaId: InstanceId, answerId: AnswerId): void;
 }
 
+interface QueuedUpdate {
+  readonly update: CopyUpdate;
+  readonly isProbe: boolean;
+}
+
 /** Keeps a message well below the largest frame. */
 const maxBatchChars = 1_000_000;
 
 export function createCopySender(options: CopySenderOptions): CopySender {
-  const queues = new Map<InstanceId, CopyUpdate[]>();
-  return { send };
+  const queues = new Map<InstanceId, QueuedUpdate[]>();
+  return {
+    send: (replicaId, update) => add(replicaId, { update, isProbe: false }),
+    probe: (instanceId, update) => add(instanceId, { update, isProbe: true }),
+  };
 
-  function send(replicaId: InstanceId, update: CopyUpdate): void {
+  function add(replicaId: InstanceId, queued: QueuedUpdate): void {
     const queue = queues.get(replicaId);
     if (queue) {
-      queue.push(update);
+      queue.push(queued);
       return;
     }
-    queues.set(replicaId, [update]);
+    queues.set(replicaId, [queued]);
     setImmediate(() => flush(replicaId));
   }
 
   function flush(replicaId: InstanceId): void {
-    const updates = queues.get(replicaId) ?? [];
+    const queue = queues.get(replicaId) ?? [];
     queues.delete(replicaId);
-    for (const batch of splitBatches(updates)) void sendBatch(replicaId, batch);
+    for (const isProbe of [false, true]) {
+      const updates = queue.filter((queued) => queued.isProbe === isProbe)
+        .map((queued) => queued.update);
+      for (const batch of splitBatches(updates)) {
+        void sendBatch(replicaId, batch, isProbe);
+      }
+    }
   }
 
   async function sendBatch(
     replicaId: InstanceId,
     updates: CopyUpdate[],
+    isProbe: boolean,
   ): Promise<void> {
     const reply = await options.peers.call(replicaId, PeerCallKind.CopyBatch, {
       body: { updates },
@@ -54,7 +72,11 @@
     });
     const results = reply.isOk() ? reply.value.results : [];
     const answeredIds = new Set(results.map((result) => result.answerId));
-    for (const result of results) options.onAnswered(replicaId, result);
+    for (const result of results) {
+      const isUseful = !isProbe || result.status === CopyStatus.Superseded;
+      if (isUseful) options.onAnswered(replicaId, result);
+    }
+    if (isProbe) return;
     for (const { answerId } of updates) {
       if (!answeredIds.has(answerId)) options.onFailed(replicaId, answerId);
     }
--- a/src/answers/owned_answer.ts
+++ b/src/answers/owned_answer.ts
@@ -22,7 +22,7 @@
   readonly state: AnswerState;
   isSuperseded(): boolean;
   send(event: AnswerEvent): void;
-  tick(): void;
+  tick(options: { readonly mayHedge: boolean }): void;
   /** Resolves at the next change that readers can see, or after the time. */
   waitForChange(waitMs: number): Promise<void>;
 }
@@ -67,10 +67,10 @@
     }
   }
 
-  function tick(): void {
+  function tick({ mayHedge }: { readonly mayHedge: boolean }): void {
     const silenceLimitMs = new Map<number, number>();
     for (const [attemptNumber, attempt] of running) {
-      if (!attempt.handle) continue;
+      if (!attempt.handle || !mayHedge) continue;
       silenceLimitMs.set(attemptNumber, attempt.handle.getSilenceLimitMs());
     }
     send({ kind: AnswerEventKind.Ticked, silenceLimitMs });
--- a/src/answers/replica_store.ts
+++ b/src/answers/replica_store.ts
@@ -34,6 +34,7 @@
   get(answerId: AnswerId): HeldAnswer | undefined;
   /** Unfinished answers of the owner. */
   listOpenOf(ownerId: InstanceId): HeldAnswer[];
+  listOpen(): HeldAnswer[];
   listFinished(): HeldAnswer[];
   remove(answerId: AnswerId): void;
   /** Drops copies that were not updated within the retention time. */
@@ -61,6 +62,7 @@
     get: (answerId) => held.get(answerId),
     listOpenOf: (ownerId) =>
       listOpen().filter((answer) => answer.owner.instanceId === ownerId),
+    listOpen,
     listFinished: () => [...held.values()].filter((answer) => answer.end),
     remove,
     sweep,
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -53,6 +53,7 @@
   answerTakenOver: event(2009, Warn, "answer taken over from its owner"),
   answerSuperseded: event(2010, Warn, "answer superseded by a newer owner"),
   answerReset: event(2011, Warn, "answer starts over on another version"),
+  staleOwnersTold: event(2101, Info, "returned instance told of newer owners"),
   // 3xxx: calls to plain services
   callOutcomeUnknown: event(3001, Warn, "call dispatched without an answer"),
   callRefused: event(3002, Info, "call refused before dispatch"),
@@ -72,6 +73,7 @@
   instanceBack: event(5005, Info, "instance reachable again"),
   platformListFailed: event(5006, Warn, "platform list could not be read"),
   peerConnectFailed: event(5007, Debug, "connection to peer failed"),
+  processPaused: event(5101, Warn, "this process was paused"),
   // 6xxx: control
   leaderElected: event(6001, Info, "became control leader"),
   leaderStepped: event(6002, Warn, "stepped down as control leader"),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -107,6 +107,7 @@
     getRevision: () => 0,
     onListRead: (list) => registry.update(list.upstreams),
     onInstanceLost: (id) => late.answers!.onInstanceLost(id),
+    onInstanceBack: (id) => late.answers!.onInstanceBack(id),
     onInstanceLeaving: (id) => late.answers!.onInstanceLeaving(id),
   });
   const peers = createPeerClient({
--- a/src/membership/membership_service.ts
+++ b/src/membership/membership_service.ts
@@ -37,6 +37,7 @@
   getRevision(): number;
   onListRead(list: PlatformList): void;
   onInstanceLost(instanceId: InstanceId): void;
+  onInstanceBack(instanceId: InstanceId): void;
   onInstanceLeaving(instanceId: InstanceId): void;
 }
 
@@ -53,6 +54,7 @@
   const { clock, logger, heartbeatIntervalMs, lostAfterMs } = options;
   let self = options.self;
   const members = new Map<InstanceId, Member>();
+  let heartbeatsAtMs = clock.nowMs();
   return {
     tasks: [
       createPeriodicTask({
@@ -108,6 +110,7 @@
       if (listedIds.has(instanceId)) continue;
       setReachable(instanceId, false);
       members.delete(instanceId);
+      options.getPeers().drop(instanceId);
     }
     for (const info of list.instances) {
       if (info.instanceId === self.instanceId) continue;
@@ -138,6 +141,13 @@
 
   function sendHeartbeats(): void {
     const nowMs = clock.nowMs();
+    const pausedMs = nowMs - heartbeatsAtMs - heartbeatIntervalMs;
+    heartbeatsAtMs = nowMs;
+    if (pausedMs > lostAfterMs / 2) {
+      // This process was paused: the silence says nothing about the others.
+      logger.log(logEvents.processPaused, { pausedMs: Math.round(pausedMs) });
+      for (const member of members.values()) member.lastSeenAtMs = nowMs;
+    }
     for (const [instanceId, member] of members) {
       if (member.isReachable && nowMs - member.lastSeenAtMs > lostAfterMs) {
         setReachable(instanceId, false);
@@ -204,9 +214,11 @@
     member.isReachable = isReachable;
     if (isReachable) {
       logger.log(logEvents.instanceBack, { peer: instanceId });
+      options.onInstanceBack(instanceId);
       return;
     }
     logger.log(logEvents.instanceLost, { peer: instanceId });
+    options.getPeers().drop(instanceId);
     options.onInstanceLost(instanceId);
   }
 
--- a/src/peer/peer_client.ts
+++ b/src/peer/peer_client.ts
@@ -37,6 +37,11 @@
     kind: K,
     options: { readonly body: PeerRequest<K>; readonly timeoutMs: number },
   ): ResultAsync<PeerReply<K>, SystemError>;
+  /**
+   * Closes the connection, so that the next call opens a new one. After a
+   * partition an old connection stays silent until its next retransmission.
+   */
+  drop(instanceId: InstanceId): void;
   close(): void;
 }
 
@@ -57,12 +62,16 @@
 /** Requests waiting in a slow connection; beyond this calls are refused. */
 const maxUnsentBytes = 64 * 1024 * 1024;
 const connectTimeoutMs = 1_000;
+/** A timer that fires this late shows that this process was paused. */
+const pauseLimitMs = 200;
+/** Time to read the replies that arrived during a pause. */
+const pauseGraceMs = 100;
 
 export function createPeerClient(options: PeerClientOptions): PeerClient {
   const connections = new Map<InstanceId, Connection>();
   let nextCallId = 1;
   let isClosed = false;
-  return { call, close };
+  return { call, drop, close };
 
   function call<K extends PeerCallKind>(
     instanceId: InstanceId,
@@ -100,18 +109,29 @@
     if (connection.socket.writableLength > maxUnsentBytes) {
       return Promise.resolve(unreachable(`${instanceId} does not read`));
     }
+    const { pending } = connection;
     return new Promise((resolve) => {
-      const timer = setTimeout(() => {
-        connection.pending.delete(callId);
-        resolve(unreachable(
-          `${instanceId} did not answer ${kind} in ${timeoutMs} ms`,
-        ));
-      }, timeoutMs);
-      connection.pending.set(callId, (reply) => {
+      let dueAtMs = performance.now() + timeoutMs;
+      let timer = setTimeout(expire, timeoutMs);
+      pending.set(callId, (reply) => {
         clearTimeout(timer);
         resolve(reply);
       });
       connection.socket.write(frame.value);
+
+      function expire(): void {
+        // Timers run before sockets are read, so after a pause of this process
+        // the reply may be waiting in the socket.
+        if (performance.now() - dueAtMs > pauseLimitMs) {
+          dueAtMs = performance.now() + pauseGraceMs;
+          timer = setTimeout(expire, pauseGraceMs);
+          return;
+        }
+        pending.delete(callId);
+        resolve(unreachable(
+          `${instanceId} did not answer ${kind} in ${timeoutMs} ms`,
+        ));
+      }
     });
   }
 
@@ -160,15 +180,17 @@
     });
     socket.on("close", () => {
       clearTimeout(connectTimer);
-      if (connections.get(instanceId) === connection) {
-        connections.delete(instanceId);
-      }
       const pending = [...connection.pending.values()];
       connection.pending.clear();
       for (const resolve of pending) {
         resolve(unreachable(`connection to ${instanceId} is closed`));
       }
-      if (isEstablished && !isClosed) {
+      // A connection that was dropped on purpose has already been reported.
+      const isDropped = connections.get(instanceId) !== connection;
+      if (connections.get(instanceId) === connection) {
+        connections.delete(instanceId);
+      }
+      if (isEstablished && !isClosed && !isDropped) {
         options.logger.log(logEvents.peerLost, { peer: instanceId });
         options.onConnectionLost(instanceId);
       }
@@ -192,6 +214,11 @@
     );
   }
 
+  function drop(instanceId: InstanceId): void {
+    connections.get(instanceId)?.socket.destroy();
+    connections.delete(instanceId);
+  }
+
   function close(): void {
     isClosed = true;
     for (const connection of connections.values()) connection.socket.destroy();
