Keep finished answers on two instances, retry takeovers, tell stale owners

Tests first: a finished answer was lost when its owner and its replica were lost in turn, because nothing copied it again; a takeover that yielded to an instance that was lost too was not tried again.

--- a/src/answers/answer_service.ts
+++ b/src/answers/answer_service.ts
@@ -20,14 +20,13 @@
   type CopyResult,
   CopyStatus,
   type CopyUpdate,
-  PeerCallKind,
   type ReadReply,
   type ReadRequest,
   ReadStatus,
   type TakeOverReply,
 } from "../peer/messages.ts";
 import type { PeerClient } from "../peer/peer_client.ts";
-import { createAnswerId, parseAnswerId } from "./answer_id.ts";
+import { createAnswerId } from "./answer_id.ts";
 import { attemptsPerEpoch, createAnswerState } from "./answer_machine.ts";
 import {
   getEmptyReply,
@@ -37,9 +36,11 @@
 import { AnswerEventKind, type AnswerState } from "./answer_state.ts";
 import type { AttemptRunner } from "./attempt_runner.ts";
 import { createCopySender } from "./copy_sender.ts";
+import { createFinishedCopies } from "./finished_copies.ts";
 import { createOwnedAnswer, type OwnedAnswer } from "./owned_answer.ts";
 import { chooseFirstReplica, chooseReplica } from "./replica_placement.ts";
 import { createReplicaStore, type HeldAnswer } from "./replica_store.ts";
+import { isNewerOwner, tellStaleOwners } from "./stale_owners.ts";
 import { createTakeover } from "./takeover.ts";
 
 export interface AnswerService {
@@ -92,7 +93,6 @@
   readonly copyTimeoutMs: number;
 }
 
-const handOverTimeoutMs = 2_000;
 /** A tick that comes this late shows that this process was paused. */
 const pauseLimitMs = 250;
 /** Time to read what arrived from engines during a pause. */
@@ -118,6 +118,14 @@
     isOwned: (answerId) => owned.has(answerId),
     becomeOwner,
   });
+  const finishedCopies = createFinishedCopies({
+    clock,
+    membership,
+    peers,
+    replicas,
+    owned,
+    closedAtMs,
+  });
   let tickedAtMs = clock.nowMs();
   let hedgeFromMs = 0;
   const copySender = createCopySender({
@@ -149,7 +157,7 @@
     onInstanceLost,
     onInstanceBack,
     onInstanceLeaving,
-    handOverFinished,
+    handOverFinished: finishedCopies.handOver,
     tick,
     getOpenCount,
     getStats,
@@ -305,34 +313,20 @@
 
   function onInstanceLost(instanceId: InstanceId): void {
     onInstanceLeaving(instanceId);
+    finishedCopies.onInstanceLost(instanceId);
     for (const copy of replicas.listOpenOf(instanceId)) {
       void takeover.takeOverIfLost(copy);
     }
   }
 
-  /**
-   * Sends an empty update for each answer that the instance may also own: an
-   * older owner there stops, and a newer one replies that this one is stale.
-   */
   function onInstanceBack(instanceId: InstanceId): void {
-    const concerned = [...owned.values()].filter(({ state }) =>
-      isConcerned(state, instanceId)
-    );
-    if (concerned.length === 0) return;
-    logger.log(logEvents.staleOwnersTold, {
-      peer: instanceId,
-      answers: concerned.length,
+    finishedCopies.onInstanceBack();
+    const count = tellStaleOwners(instanceId, {
+      owned: owned.values(),
+      copySender,
     });
-    for (const { state } of concerned) {
-      const { answerId, owner, generation } = state;
-      copySender.probe(instanceId, {
-        answerId,
-        owner,
-        generation,
-        fromPosition: 0,
-        tokens: [],
-      });
-    }
+    if (count === 0) return;
+    logger.log(logEvents.staleOwnersTold, { peer: instanceId, answers: count });
   }
 
   function onInstanceLeaving(instanceId: InstanceId): void {
@@ -342,21 +336,6 @@
     }
   }
 
-  async function handOverFinished(): Promise<void> {
-    const finished = [
-      ...[...owned.values()].map((answer) => getWholeUpdate(answer.state)),
-      ...replicas.listFinished().map(getWholeUpdate),
-    ].flat();
-    await Promise.all(finished.map(async (update) => {
-      const replicaId = chooseReplica(membership, update.answerId, []);
-      if (replicaId === undefined) return;
-      await peers.call(replicaId, PeerCallKind.CopyBatch, {
-        body: { updates: [update] },
-        timeoutMs: handOverTimeoutMs,
-      });
-    }));
-  }
-
   function tick(): void {
     const wallMs = clock.wallMs();
     const nowMs = clock.nowMs();
@@ -402,29 +381,3 @@
     };
   }
 }
-
-/** The whole journal of a finished answer. */
-function getWholeUpdate(
-  answer: Omit<HeldAnswer, "updatedAtMs" | "sizeBytes">,
-): CopyUpdate[] {
-  const { answerId, owner, generation, tokens, lineage, meta, end } = answer;
-  if (!end) return [];
-  const journal = { answerId, owner, generation, tokens, lineage, meta, end };
-  return [{ ...journal, fromPosition: 0 }];
-}
-
-function isConcerned(state: AnswerState, instanceId: InstanceId): boolean {
-  return state.formerReplicaIds.has(instanceId) ||
-    state.lineage.some((span) => span.instanceId === instanceId) ||
-    parseAnswerId(state.answerId).mapOr(
-      false,
-      ({ openerId, firstReplicaId }) =>
-        openerId === instanceId || firstReplicaId.unwrapOr("") === instanceId,
-    );
-}
-
-function isNewerOwner(left: AttemptId, right: AttemptId): boolean {
-  return left.attemptNumber > right.attemptNumber ||
-    (left.attemptNumber === right.attemptNumber &&
-      left.instanceId > right.instanceId);
-}
