--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -149,6 +149,7 @@
       configuration.handleListRead();
     },
     onInstanceLost: (id) => late.answers!.onInstanceLost(id),
+    onInstanceBack: (id) => late.answers!.onInstanceBack(id),
     onInstanceLeaving: (id) => late.answers!.onInstanceLeaving(id),
   });
   const peers = createPeerClient({
