Add the decision code of version rollouts and its trials

A rollout is planned backwards from its target date, ramps from 5% in steps, soaks at 90% and is completed or rolled back with a reason. Candidate and stable outcomes are compared per route and load bucket by an always-valid test.

--- /dev/null
+++ b/measure/rollout_model.ts
@@ -0,0 +1,175 @@
+/**
+ * Model of a service with a stable and a candidate version: traffic, engines,
+ * normal variation, crashes and the faults of bad versions.
+ */
+import type { Random } from "../src/core/random.ts";
+
+export enum FaultKind {
+  None = "none",
+  AtOnce = "atOnce",
+  Late = "late",
+  UnderLoad = "underLoad",
+  OneRoute = "oneRoute",
+  SlowOnly = "slowOnly",
+  FailingOnly = "failingOnly",
+}
+
+export interface Fault {
+  readonly fromMs: number;
+  readonly failRatio: number;
+  readonly slowFactor: number;
+  readonly minBatch: number;
+  readonly route: string;
+}
+
+export interface Route {
+  readonly name: string;
+  readonly share: number;
+}
+
+export interface ServiceModel {
+  readonly engineCount: number;
+  readonly instanceCount: number;
+  readonly windowMs: number;
+  readonly baseRequestsPerS: number;
+  readonly periodMs: number;
+  readonly phase: number;
+  readonly routes: readonly Route[];
+  readonly normalFailRatio: number;
+  readonly engineFactors: readonly number[];
+  readonly meanCrashIntervalMs: number;
+  readonly fault: Fault | undefined;
+}
+
+export interface Outcome {
+  readonly isFailure: boolean;
+  readonly firstTokenMs: number;
+  readonly tokenGapMs: number;
+  /** Time until the failure or the last token. */
+  readonly durationMs: number;
+}
+
+export function createModel(kind: FaultKind, random: Random): ServiceModel {
+  const windowMs = 40 * 60_000;
+  const baseRequestsPerS = 25 + 20 * random.next();
+  return {
+    engineCount: 17,
+    instanceCount: 6,
+    windowMs,
+    baseRequestsPerS,
+    periodMs: (8 + 8 * random.next()) * 60_000,
+    phase: random.next() * 2 * Math.PI,
+    routes: [
+      { name: "manuals", share: 0.55 },
+      { name: "reviews", share: 0.3 },
+      { name: "letters", share: 0.15 },
+    ],
+    normalFailRatio: 0.002 + 0.018 * random.next(),
+    engineFactors: Array.from(
+      { length: 17 },
+      () => Math.exp(0.04 * getNormal(random)),
+    ),
+    meanCrashIntervalMs: 15 * 60_000,
+    fault: createFault(kind, { windowMs, baseRequestsPerS }, random),
+  };
+}
+
+function createFault(
+  kind: FaultKind,
+  { windowMs, baseRequestsPerS }: {
+    windowMs: number;
+    baseRequestsPerS: number;
+  },
+  random: Random,
+): Fault | undefined {
+  const failRatio = 0.2 + 0.6 * random.next();
+  const slowFactor = 1.6 + 1.4 * random.next();
+  const isSlow = random.next() < 0.5;
+  const either = isSlow ? { failRatio: 0, slowFactor } : {
+    failRatio,
+    slowFactor: 1,
+  };
+  const base = { ...either, fromMs: 0, minBatch: 0, route: "" };
+  switch (kind) {
+    case FaultKind.None:
+      return undefined;
+    case FaultKind.AtOnce:
+      return base;
+    case FaultKind.Late:
+      return { ...base, fromMs: (0.2 + 0.85 * random.next()) * windowMs };
+    case FaultKind.UnderLoad:
+      return {
+        ...base,
+        minBatch: Math.round(baseRequestsPerS / 17 * 6.5 * 1.25),
+      };
+    case FaultKind.OneRoute:
+      return {
+        ...base,
+        route: ["manuals", "reviews", "letters"][random.nextInt(3)]!,
+      };
+    case FaultKind.SlowOnly:
+      return { ...base, failRatio: 0, slowFactor };
+    case FaultKind.FailingOnly:
+      return { ...base, failRatio, slowFactor: 1 };
+  }
+}
+
+export function getRequestsPerS(model: ServiceModel, nowMs: number): number {
+  const angle = 2 * Math.PI * nowMs / model.periodMs + model.phase;
+  return model.baseRequestsPerS * (1 + 0.5 * Math.sin(angle));
+}
+
+export function chooseRoute(model: ServiceModel, random: Random): string {
+  let rest = random.next();
+  for (const { name, share } of model.routes) {
+    rest -= share;
+    if (rest < 0) return name;
+  }
+  return model.routes[0]!.name;
+}
+
+export interface RunOptions {
+  readonly isCandidate: boolean;
+  readonly route: string;
+  readonly batchSize: number;
+  readonly engineFactor: number;
+  readonly nowMs: number;
+}
+
+export function isFaulty(fault: Fault | undefined, run: RunOptions): boolean {
+  return fault !== undefined && run.isCandidate && run.nowMs >= fault.fromMs &&
+    run.batchSize >= fault.minBatch &&
+    (fault.route === "" || fault.route === run.route);
+}
+
+export const firstTokenSigma = 0.35;
+const tokenGapSigma = 0.12;
+
+export function runRequest(
+  model: ServiceModel,
+  run: RunOptions,
+  random: Random,
+): Outcome {
+  const isBad = isFaulty(model.fault, run);
+  const slowFactor = isBad ? model.fault!.slowFactor : 1;
+  const extraFailRatio = isBad ? model.fault!.failRatio : 0;
+  const factor = run.engineFactor * slowFactor;
+  const firstTokenMs = 150 * (1 + run.batchSize / 16) * factor *
+    Math.exp(firstTokenSigma * getNormal(random));
+  const tokenGapMs = 20 * (1 + run.batchSize / 32) * factor *
+    Math.exp(tokenGapSigma * getNormal(random));
+  const tokenCount = 20 + Math.floor(-180 * Math.log(1 - random.next()));
+  const wholeMs = firstTokenMs + tokenCount * tokenGapMs;
+  const isFailure = random.next() < model.normalFailRatio + extraFailRatio;
+  return {
+    isFailure,
+    firstTokenMs,
+    tokenGapMs,
+    durationMs: isFailure ? random.next() ** 2 * wholeMs : wholeMs,
+  };
+}
+
+export function getNormal(random: Random): number {
+  return Math.sqrt(-2 * Math.log(1 - random.next())) *
+    Math.cos(2 * Math.PI * random.next());
+}
--- /dev/null
+++ b/src/control/rollouts/evidence.ts
@@ -0,0 +1,79 @@
+/**
+ * Evidence about versions: counts of outcomes per route and load bucket.
+ *
+ * Latencies are counted in logarithmic bins, so that batches of several
+ * instances add up and a batch stays small whatever the traffic.
+ */
+import { z } from "zod";
+
+/** Bin counts as pairs of bin and count; absent bins are zero. */
+const binsSchema = z.array(z.tuple([z.int().min(0).max(255), z.int().min(1)]));
+
+/** Callers name routes; beyond `maxRoutes` they are counted as one. */
+const routeSchema = z.string().regex(/^[a-z0-9-]{1,63}$/);
+export const maxRoutes = 16;
+export const otherRoute = "other";
+
+export const evidenceCellSchema = z.object({
+  route: routeSchema,
+  loadBucket: z.int().min(0).max(15),
+  isCandidate: z.boolean(),
+  /** Attempts that produced a first token, or failed before it. */
+  attemptCount: z.int().min(0),
+  /** Failures of attempts on an engine that is still alive. */
+  failureCount: z.int().min(0),
+  firstTokenBins: binsSchema,
+  tokenGapBins: binsSchema,
+});
+
+export const evidenceBatchSchema = z.object({
+  instanceId: z.string().min(1).max(200),
+  /** A restarted instance numbers its batches from 1 again. */
+  incarnation: z.number(),
+  batchNumber: z.int().min(1),
+  cells: z.array(evidenceCellSchema).max(2_000),
+  /** Engines that crashed; control counts each crash once. */
+  crashedEngines: z.array(z.object({
+    upstreamId: z.string().max(200),
+    isCandidate: z.boolean(),
+  })).max(1_000),
+});
+
+export type EvidenceCell = z.output<typeof evidenceCellSchema>;
+export type EvidenceBatch = z.output<typeof evidenceBatchSchema>;
+export type Bins = EvidenceCell["firstTokenBins"];
+
+/** Each bin is 5% wide, so 256 bins reach from 0.5 ms to about two minutes. */
+const binRatio = 1.05;
+const smallestLatencyMs = 0.5;
+export const latencyBinCount = 256;
+
+export function getLatencyBin(latencyMs: number): number {
+  const bin = Math.floor(
+    Math.log(latencyMs / smallestLatencyMs) / Math.log(binRatio),
+  );
+  return Math.min(latencyBinCount - 1, Math.max(0, bin));
+}
+
+/** Lower edge of a bin. */
+export function getBinLatencyMs(bin: number): number {
+  return smallestLatencyMs * binRatio ** bin;
+}
+
+const loadBucketStarts = [0, 2, 4, 6, 8, 11, 15, 20, 28, 40, 56, 80, 112, 160];
+
+/** Buckets of batch size or reported load that are compared with each other. */
+export function getLoadBucket(requestCount: number): number {
+  let bucket = 0;
+  while (
+    bucket + 1 < loadBucketStarts.length &&
+    requestCount >= loadBucketStarts[bucket + 1]!
+  ) bucket++;
+  return bucket;
+}
+
+export function describeLoadBucket(bucket: number): string {
+  const from = loadBucketStarts[bucket] ?? 0;
+  const next = loadBucketStarts[bucket + 1];
+  return next === undefined ? `${from} or more` : `${from} to ${next - 1}`;
+}
--- /dev/null
+++ b/src/control/rollouts/good_evidence.ts
@@ -0,0 +1,93 @@
+/**
+ * Evidence that the candidate is good enough for a larger share: on each route
+ * a sequential test against the least rates that would be bad, and outcomes at
+ * high load. A small sample is never enough.
+ */
+import { addTotals, type Comparison, Metric } from "./comparison_state.ts";
+import { describeLoadBucket } from "./evidence.ts";
+import { getGoodLog } from "./sequential_test.ts";
+
+/** Metrics that a verdict of good needs on each route. */
+const goodMetrics = [
+  Metric.Failure,
+  Metric.FirstToken90,
+  Metric.TokenGap90,
+] as const;
+
+/** Probability that a bad version gets a verdict of good on a route. */
+export const falseGoodRate = 0.01;
+/** Failure rate above normal that a verdict of good excludes. */
+const badFailureMargin = 0.05;
+/** Share of slow requests, normally 0.1, that a verdict of good excludes. */
+const badSlowRate = 0.45;
+/** Routes and load buckets below this share of traffic need no own verdict. */
+const minRouteShare = 0.01;
+const minLoadShare = 0.1;
+/** Outcomes needed at the highest usual load or one bucket below it. */
+const minHighLoadCount = 30;
+
+/** Evidence for a larger share must come from the step before it. */
+export function resetGoodEvidence(comparison: Comparison): void {
+  comparison.good = {};
+}
+
+export function addGood(
+  comparison: Comparison,
+  { route, metric, outcomes }: {
+    route: string;
+    metric: Metric;
+    outcomes: { normalRate: number; count: number; badCount: number };
+  },
+): void {
+  if (!(goodMetrics as readonly Metric[]).includes(metric)) return;
+  const { normalRate } = outcomes;
+  const badRate = metric === Metric.Failure
+    ? normalRate + badFailureMargin
+    : Math.max(badSlowRate, normalRate + 0.1);
+  if (badRate >= 1) return;
+  const metrics = comparison.good[route] ??= {};
+  const evidence = metrics[metric] ??= {
+    log: 0,
+    count: 0,
+    badCount: 0,
+    normalBadCount: 0,
+  };
+  evidence.log += getGoodLog({ ...outcomes, badRate });
+  addTotals(evidence, outcomes);
+}
+
+/** What is still missing for a verdict of good; empty when nothing is. */
+export function getMissingEvidence(comparison: Comparison): string[] {
+  const missing: string[] = [];
+  const needed = Math.log(1 / falseGoodRate);
+  const routes = getLarge(comparison.stableRouteCounts, minRouteShare);
+  if (routes.length === 0) missing.push("no outcomes on the stable version");
+  for (const route of routes) {
+    for (const metric of goodMetrics) {
+      const evidence = comparison.good[route]?.[metric];
+      if (evidence && evidence.log >= needed) continue;
+      missing.push(
+        `route ${route}, ${metric}: ${evidence?.count ?? 0} outcomes give ` +
+          `${(evidence?.log ?? 0).toFixed(2)} of ${needed.toFixed(2)}`,
+      );
+    }
+  }
+  const buckets = getLarge(comparison.stableLoadCounts, minLoadShare);
+  const highest = Math.max(0, ...buckets.map(Number));
+  const highCount = Object.entries(comparison.candidateLoadCounts)
+    .filter(([bucket]) => Number(bucket) >= highest - 1)
+    .reduce((sum, [, count]) => sum + count, 0);
+  if (highCount < minHighLoadCount) {
+    missing.push(
+      `high load: ${highCount} of ${minHighLoadCount} outcomes at ` +
+        `${describeLoadBucket(Math.max(0, highest - 1))} requests or more`,
+    );
+  }
+  return missing;
+}
+
+function getLarge(counts: Record<string, number>, minShare: number): string[] {
+  const total = Object.values(counts).reduce((sum, count) => sum + count, 0);
+  return Object.keys(counts).filter((key) => counts[key]! >= minShare * total)
+    .sort();
+}
--- /dev/null
+++ b/src/control/rollouts/rollout_plan.ts
@@ -0,0 +1,61 @@
+/**
+ * Plans a rollout backwards from its target date: the soak ends there, the
+ * steps of the ramp come before it, and each step's engines are loaded before
+ * it starts, one after the other at the rate of the weight store.
+ */
+import type { RolloutPlan, RolloutSpec, RolloutStep } from "./rollout_types.ts";
+
+/** Share of requests before there is evidence for the candidate. */
+export const canaryShare = 0.05;
+/** The last step keeps a tenth on stable, so that it can be compared. */
+const shares = [canaryShare, 0.15, 0.4, 0.9] as const;
+/** Parts of the time between the first request and the target date. */
+const stepParts = [0.5, 0.12, 0.13, 0.25] as const;
+/** A rollout with a distant target date takes this long after loading. */
+const maxRampMs = 8 * 60 * 60 * 1_000;
+/** Shorter ones could only end as insufficient evidence. */
+const minRampMs = 5 * 60 * 1_000;
+/** A late step may be shortened to this part of its planned time. */
+const minStepPart = 0.3;
+/** Covers the commit of the decision and the tick interval. */
+const decisionMarginMs = 5_000;
+const maxWatchMs = 60 * 60 * 1_000;
+
+export function planRollout(spec: RolloutSpec): RolloutPlan {
+  const loadMsPerEngine = spec.weightBytes / spec.weightStoreBytesPerS * 1_000;
+  const decideAtWallMs = spec.targetAtWallMs - decisionMarginMs;
+  const counts = shares.map((share) => getEngineCount(share, spec.engineCount));
+  const firstLoadMs = counts[0]! * loadMsPerEngine;
+  const availableMs = decideAtWallMs - spec.createdAtWallMs - firstLoadMs;
+  const rampMs = Math.min(maxRampMs, availableMs);
+  const steps: RolloutStep[] = [];
+  let endWallMs = decideAtWallMs;
+  for (let index = shares.length - 1; index >= 0; index--) {
+    const durationMs = stepParts[index]! * rampMs;
+    const fromWallMs = endWallMs - durationMs;
+    const newEngineCount = counts[index]! - (counts[index - 1] ?? 0);
+    steps.unshift({
+      share: shares[index]!,
+      engineCount: counts[index]!,
+      loadFromWallMs: fromWallMs - newEngineCount * loadMsPerEngine,
+      fromWallMs,
+      minDurationMs: durationMs * minStepPart,
+    });
+    endWallMs = fromWallMs;
+  }
+  return {
+    isFeasible: rampMs >= minRampMs && spec.engineCount >= 2 &&
+      steps.every((step, index) =>
+        index === 0 || step.loadFromWallMs >= steps[index - 1]!.fromWallMs
+      ),
+    loadMsPerEngine,
+    steps,
+    decideAtWallMs,
+    watchUntilWallMs: spec.targetAtWallMs + Math.min(maxWatchMs, rampMs),
+  };
+}
+
+/** At least one engine stays with the stable version. */
+function getEngineCount(share: number, engineCount: number): number {
+  return Math.max(1, Math.min(engineCount - 1, Math.ceil(share * engineCount)));
+}
--- /dev/null
+++ b/src/control/rollouts/sequential_test.ts
@@ -0,0 +1,142 @@
+/**
+ * Sequential tests on Bernoulli outcomes that stay valid however often they
+ * are looked at.
+ *
+ * The fault test is a mixture over effect sizes and over start times of
+ * likelihood ratios against the highest normal rate. Each term is a
+ * non-negative supermartingale and the weights sum to at most one, so the
+ * probability that the statistic ever reaches 1/alpha without a fault is at
+ * most alpha (Ville's inequality). The start times let it react to a late
+ * fault: a ratio that ran from the beginning would first have to make up for
+ * all good outcomes before the fault.
+ */
+
+/** Odds of the bad outcome relative to the highest normal odds. */
+export const oddsFactors = [2.5, 8, 40, 400] as const;
+/** Half of the start weight lies on the beginning of a rollout. */
+const firstStartWeight = 0.5;
+
+export interface FaultDetector {
+  /** One term per odds factor. */
+  readonly terms: number[];
+  lastStartAtMs: number | undefined;
+  highestLog: number;
+}
+
+export function createFaultDetector(): FaultDetector {
+  return {
+    terms: oddsFactors.map(() => 0),
+    lastStartAtMs: undefined,
+    highestLog: -Infinity,
+  };
+}
+
+/** Log likelihood ratios of one block, per odds factor. */
+export type BlockLogs = number[];
+
+export function createBlockLogs(): BlockLogs {
+  return oddsFactors.map(() => 0);
+}
+
+/** Adds outcomes whose normal rate is at most `normalRate` to each block. */
+export function addOutcomes(
+  blocks: readonly BlockLogs[],
+  { normalRate, count, badCount }: {
+    readonly normalRate: number;
+    readonly count: number;
+    readonly badCount: number;
+  },
+): void {
+  const odds = normalRate / (1 - normalRate);
+  for (let index = 0; index < oddsFactors.length; index++) {
+    const badOdds = odds * oddsFactors[index]!;
+    const badRate = badOdds / (1 + badOdds);
+    const log = badCount * Math.log(badRate / normalRate) +
+      (count - badCount) * Math.log((1 - badRate) / (1 - normalRate));
+    for (const block of blocks) block[index]! += log;
+  }
+}
+
+/** Adds events of a Poisson process with at most `normalCount` expected. */
+export function addEvents(
+  block: BlockLogs,
+  { normalCount, count }: {
+    readonly normalCount: number;
+    readonly count: number;
+  },
+): void {
+  for (let index = 0; index < oddsFactors.length; index++) {
+    const factor = oddsFactors[index]!;
+    block[index]! += count * Math.log(factor) - (factor - 1) * normalCount;
+  }
+}
+
+/** Applies one block and returns the logarithm of the statistic. */
+export function advanceDetector(
+  detector: FaultDetector,
+  block: BlockLogs,
+  { nowMs, horizonMs }: { readonly nowMs: number; readonly horizonMs: number },
+): number {
+  const { lastStartAtMs } = detector;
+  const weight = lastStartAtMs === undefined
+    ? firstStartWeight
+    : (1 - firstStartWeight) * Math.max(0, nowMs - lastStartAtMs) / horizonMs;
+  detector.lastStartAtMs = Math.max(nowMs, lastStartAtMs ?? nowMs);
+  let total = 0;
+  for (let index = 0; index < detector.terms.length; index++) {
+    const grown = (detector.terms[index]! + weight) * Math.exp(block[index]!);
+    // Infinity would survive neither the snapshot nor the next product.
+    detector.terms[index] = Math.min(grown, 1e200);
+    total += detector.terms[index]! / oddsFactors.length;
+  }
+  const log = Math.log(total);
+  detector.highestLog = Math.max(detector.highestLog, log);
+  return log;
+}
+
+/**
+ * Log likelihood ratio for a normal version against the least rate that would
+ * be bad. It reaches ln(1/beta) on a bad version with probability beta at most.
+ */
+export function getGoodLog(
+  { normalRate, badRate, count, badCount }: {
+    readonly normalRate: number;
+    readonly badRate: number;
+    readonly count: number;
+    readonly badCount: number;
+  },
+): number {
+  return badCount * Math.log(normalRate / badRate) +
+    (count - badCount) * Math.log((1 - normalRate) / (1 - badRate));
+}
+
+/** Upper end of the Wilson interval of a rate. */
+export function getUpperRate(
+  badCount: number,
+  count: number,
+  deviations: number,
+): number {
+  return getWilson(badCount, count, deviations).upper;
+}
+
+/** Lower end of the Wilson interval of a rate. */
+export function getLowerRate(
+  badCount: number,
+  count: number,
+  deviations: number,
+): number {
+  return getWilson(badCount, count, deviations).lower;
+}
+
+function getWilson(badCount: number, count: number, deviations: number) {
+  if (count <= 0) return { lower: 0, upper: 1 };
+  const square = deviations ** 2;
+  const rate = badCount / count;
+  const centre = (rate + square / (2 * count)) / (1 + square / count);
+  const half = deviations / (1 + square / count) *
+    Math.sqrt(rate * (1 - rate) / count + square / (4 * count ** 2));
+  return {
+    lower: Math.max(0, centre - half),
+    upper: Math.min(1, centre + half),
+  };
+}
--- /dev/null
+++ b/src/control/rollouts/stable_reference.ts
@@ -0,0 +1,211 @@
+/**
+ * What is normal for the stable version in one stratum (route and load
+ * bucket): its failure rate and its latency distribution, over a long history
+ * and over the latest outcomes.
+ */
+import { type Bins, type EvidenceCell, latencyBinCount } from "./evidence.ts";
+import { getLowerRate, getUpperRate } from "./sequential_test.ts";
+
+export interface OutcomeCounts {
+  attemptCount: number;
+  failureCount: number;
+  firstTokenBins: number[];
+  tokenGapBins: number[];
+}
+
+export interface StableReference {
+  readonly history: OutcomeCounts;
+  /** The latest outcomes show a disturbance that hits both versions. */
+  recent: OutcomeCounts;
+  recentAtMs: number;
+  /** Limits change slowly and are found again after `limitAgeMs`. */
+  readonly limits: Record<string, CachedLimit>;
+}
+
+interface CachedLimit extends LatencyLimit {
+  readonly atMs: number;
+}
+
+/** Older outcomes are halved beyond this, so that slow drift is followed. */
+const maxHistoryCount = 4_000;
+const maxRecentCount = 20;
+/** Without stable traffic the latest outcomes say nothing about now. */
+const maxRecentAgeMs = 10_000;
+const limitAgeMs = 5_000;
+/** Below this a stratum is not compared: its interval would be too wide. */
+const minReferenceCount = 40;
+/** One-sided error 0.0013 of the upper end of the normal rate. */
+const referenceDeviations = 3;
+const recentDeviations = 2;
+/** Failure rates closer together than this are not told apart. */
+const failureSlack = 0.002;
+/** 1.05 to the third: a version up to about 15% slower is not called bad. */
+const toleranceBins = 3;
+
+export function createStableReference(): StableReference {
+  return {
+    history: createCounts(),
+    recent: createCounts(),
+    recentAtMs: 0,
+    limits: {},
+  };
+}
+
+function createCounts(): OutcomeCounts {
+  return {
+    attemptCount: 0,
+    failureCount: 0,
+    firstTokenBins: [],
+    tokenGapBins: [],
+  };
+}
+
+export function addStableCell(
+  reference: StableReference,
+  cell: EvidenceCell,
+  nowMs: number,
+): void {
+  if (nowMs - reference.recentAtMs > maxRecentAgeMs) {
+    reference.recent = createCounts();
+  }
+  reference.recentAtMs = nowMs;
+  addCell(reference.history, cell, maxHistoryCount);
+  addCell(reference.recent, cell, maxRecentCount);
+}
+
+function addCell(
+  counts: OutcomeCounts,
+  cell: EvidenceCell,
+  maxCount: number,
+): void {
+  if (counts.attemptCount + cell.attemptCount > maxCount) {
+    halve(counts);
+  }
+  counts.attemptCount += cell.attemptCount;
+  counts.failureCount += cell.failureCount;
+  addBins(counts.firstTokenBins, cell.firstTokenBins);
+  addBins(counts.tokenGapBins, cell.tokenGapBins);
+}
+
+function halve(counts: OutcomeCounts): void {
+  counts.attemptCount /= 2;
+  counts.failureCount /= 2;
+  counts.firstTokenBins = counts.firstTokenBins.map((count) => count / 2);
+  counts.tokenGapBins = counts.tokenGapBins.map((count) => count / 2);
+}
+
+function addBins(total: number[], bins: Bins): void {
+  for (const [bin, count] of bins) {
+    while (total.length <= bin) total.push(0);
+    total[bin]! += count;
+  }
+}
+
+/** Highest normal failure rate; undefined without enough outcomes. */
+export function getNormalFailureRate(
+  reference: StableReference,
+  nowMs: number,
+): number | undefined {
+  const { history } = reference;
+  if (history.attemptCount < minReferenceCount) return undefined;
+  const upper = failureSlack + getUpperRate(
+    history.failureCount,
+    history.attemptCount,
+    referenceDeviations,
+  );
+  const recent = getRecent(reference, nowMs);
+  return getDisturbedRate(upper, {
+    count: recent?.attemptCount ?? 0,
+    badCount: recent?.failureCount ?? 0,
+  });
+}
+
+export interface LatencyLimit {
+  /** Latencies from this bin on count as slow. */
+  readonly slowBin: number;
+  /** Highest normal share of slow requests. */
+  readonly normalRate: number;
+}
+
+export type LatencyBins = "firstTokenBins" | "tokenGapBins";
+
+/** The limit that the given share of stable requests stays below. */
+export function getLatencyLimit(
+  reference: StableReference,
+  kind: LatencyBins,
+  { quantile, nowMs }: { readonly quantile: number; readonly nowMs: number },
+): LatencyLimit | undefined {
+  const cacheKey = `${kind}${quantile}`;
+  let limit = reference.limits[cacheKey];
+  if (!limit || nowMs - limit.atMs > limitAgeMs) {
+    limit = findLimit(reference.history[kind], { quantile, nowMs });
+    if (!limit) return undefined;
+    reference.limits[cacheKey] = limit;
+  }
+  const { slowBin } = limit;
+  const recent = getRecent(reference, nowMs)?.[kind] ?? [];
+  const normalRate = getDisturbedRate(limit.normalRate, {
+    count: sum(recent, 0),
+    badCount: sum(recent, slowBin),
+  });
+  return { slowBin, normalRate };
+}
+
+function findLimit(
+  bins: readonly number[],
+  { quantile, nowMs }: { quantile: number; nowMs: number },
+): CachedLimit | undefined {
+  const count = sum(bins, 0);
+  if (count < minReferenceCount) return undefined;
+  let bin = 0;
+  let below = 0;
+  while (bin < latencyBinCount && below < quantile * count) {
+    below += bins[bin] ?? 0;
+    bin++;
+  }
+  return {
+    slowBin: bin + toleranceBins,
+    normalRate: getUpperRate(count - below, count, referenceDeviations),
+    atMs: nowMs,
+  };
+}
+
+function getRecent(
+  { recent, recentAtMs }: StableReference,
+  nowMs: number,
+): OutcomeCounts | undefined {
+  return nowMs - recentAtMs > maxRecentAgeMs ? undefined : recent;
+}
+
+/**
+ * While the stable version itself is clearly worse than its history, the
+ * highest rate that its latest outcomes allow counts as normal.
+ */
+function getDisturbedRate(
+  upper: number,
+  { count, badCount }: { count: number; badCount: number },
+): number {
+  // A failure may be counted in a later batch than its attempt.
+  const bounded = Math.min(badCount, count);
+  const isDisturbed = getLowerRate(bounded, count, recentDeviations) > upper;
+  const rate = isDisturbed
+    ? getUpperRate(bounded, count, referenceDeviations)
+    : upper;
+  return Math.min(0.9, Math.max(0.001, rate));
+}
+
+export function countSlow(bins: Bins, slowBin: number) {
+  let count = 0;
+  let badCount = 0;
+  for (const [bin, binCount] of bins) {
+    count += binCount;
+    if (bin >= slowBin) badCount += binCount;
+  }
+  return { count, badCount };
+}
+
+function sum(bins: readonly number[], fromBin: number): number {
+  let total = 0;
+  for (let bin = fromBin; bin < bins.length; bin++) total += bins[bin]!;
+  return total;
+}
--- /dev/null
+++ b/src/control/rollouts/version_comparison.ts
@@ -0,0 +1,267 @@
+/**
+ * Compares the candidate with the stable version from batches of evidence.
+ *
+ * Outcomes are only compared within a stratum (route and load bucket). The log
+ * likelihood ratios of strata are added up per route and over all, so that a
+ * fault on every route is seen sooner than in any single stratum.
+ */
+import {
+  addTotals,
+  type Comparison,
+  type Finding,
+  Metric,
+  type MetricTotals,
+} from "./comparison_state.ts";
+import { type EvidenceCell, maxRoutes, otherRoute } from "./evidence.ts";
+import { addGood } from "./good_evidence.ts";
+import {
+  addEvents,
+  addOutcomes,
+  advanceDetector,
+  type BlockLogs,
+  createBlockLogs,
+  createFaultDetector,
+} from "./sequential_test.ts";
+import {
+  addStableCell,
+  countSlow,
+  createStableReference,
+  getLatencyLimit,
+  getNormalFailureRate,
+  type LatencyBins,
+} from "./stable_reference.ts";
+
+const latencyMetrics: readonly {
+  readonly metric: Metric;
+  readonly kind: LatencyBins;
+  readonly quantile: number;
+}[] = [
+  { metric: Metric.FirstToken90, kind: "firstTokenBins", quantile: 0.9 },
+  { metric: Metric.FirstToken98, kind: "firstTokenBins", quantile: 0.98 },
+  { metric: Metric.TokenGap90, kind: "tokenGapBins", quantile: 0.9 },
+  { metric: Metric.TokenGap98, kind: "tokenGapBins", quantile: 0.98 },
+];
+
+/** Probability that a good version is ever rolled back by the fault test. */
+export const falseRollbackRate = 0.005;
+const maxStrata = 64;
+const metricCount = 6;
+const scopeCount = 3;
+/** The candidate may crash this often as much before it is held against it. */
+const crashTolerance = 3;
+
+interface Block {
+  readonly logs: BlockLogs;
+  readonly totals: MetricTotals;
+}
+
+export interface EvidenceOptions {
+  readonly nowMs: number;
+  /** Tests that run side by side share the error rate. */
+  readonly testCount: number;
+}
+
+/** Returns the first finding of a fault, if there is one. */
+export function addEvidence(
+  comparison: Comparison,
+  received: readonly EvidenceCell[],
+  { nowMs, testCount }: EvidenceOptions,
+): Finding | undefined {
+  const cells = received.map((cell) => limitRoutes(comparison, cell));
+  const blocks = new Map<string, Block>();
+  // Stable outcomes first: they show a disturbance that hits both versions.
+  for (const cell of cells) {
+    if (!cell.isCandidate) addStable(comparison, cell, nowMs);
+  }
+  for (const cell of cells) {
+    if (cell.isCandidate) addCandidate(comparison, cell, { blocks, nowMs });
+  }
+  addCrashBlock(comparison, blocks);
+  let finding: Finding | undefined;
+  for (const [key, block] of blocks) {
+    const found = advance(comparison, key, { block, nowMs, testCount });
+    finding ??= found;
+  }
+  return finding;
+}
+
+function limitRoutes(
+  { stableRouteCounts }: Comparison,
+  cell: EvidenceCell,
+): EvidenceCell {
+  if (cell.route in stableRouteCounts) return cell;
+  if (Object.keys(stableRouteCounts).length < maxRoutes - 1) return cell;
+  return { ...cell, route: otherRoute };
+}
+
+function addStable(
+  comparison: Comparison,
+  cell: EvidenceCell,
+  nowMs: number,
+): void {
+  increase(comparison.stableRouteCounts, cell.route, cell.attemptCount);
+  const bucket = String(cell.loadBucket);
+  increase(comparison.stableLoadCounts, bucket, cell.attemptCount);
+  const key = getStratumKey(cell);
+  if (!(key in comparison.references)) {
+    if (Object.keys(comparison.references).length >= maxStrata) return;
+    comparison.references[key] = createStableReference();
+  }
+  addStableCell(comparison.references[key]!, cell, nowMs);
+}
+
+function addCandidate(
+  comparison: Comparison,
+  cell: EvidenceCell,
+  { blocks, nowMs }: { blocks: Map<string, Block>; nowMs: number },
+): void {
+  const bucket = String(cell.loadBucket);
+  increase(comparison.candidateLoadCounts, bucket, cell.attemptCount);
+  const reference = comparison.references[getStratumKey(cell)];
+  if (!reference) return;
+  const scopes = getScopes(cell);
+  const failureRate = getNormalFailureRate(reference, nowMs);
+  if (failureRate !== undefined) {
+    add(Metric.Failure, failureRate, {
+      count: cell.attemptCount,
+      badCount: cell.failureCount,
+    });
+  }
+  for (const { metric, kind, quantile } of latencyMetrics) {
+    if (cell[kind].length === 0) continue;
+    const limit = getLatencyLimit(reference, kind, { quantile, nowMs });
+    if (!limit) continue;
+    add(metric, limit.normalRate, countSlow(cell[kind], limit.slowBin));
+  }
+
+  function add(
+    metric: Metric,
+    normalRate: number,
+    { count, badCount }: { count: number; badCount: number },
+  ): void {
+    const outcomes = { normalRate, count, badCount };
+    const ofScopes = scopes.map((scope) =>
+      getBlock(blocks, `${scope}|${metric}`)
+    );
+    addOutcomes(ofScopes.map((block) => block.logs), outcomes);
+    for (const block of ofScopes) addTotals(block.totals, outcomes);
+    addGood(comparison, { route: cell.route, metric, outcomes });
+  }
+}
+
+function addCrashBlock(
+  { crashes }: Comparison,
+  blocks: Map<string, Block>,
+): void {
+  const { pendingCount, pendingEngineMs, stableEngineMs } = crashes;
+  if (pendingEngineMs === 0 || stableEngineMs === 0) return;
+  const normalRate = crashTolerance *
+    (crashes.stableCount + 1) / stableEngineMs;
+  const normalCount = normalRate * pendingEngineMs;
+  const block = getBlock(blocks, `all|${Metric.Crash}`);
+  addEvents(block.logs, { normalCount, count: pendingCount });
+  block.totals.count += pendingCount;
+  block.totals.badCount += pendingCount;
+  block.totals.normalBadCount += normalCount;
+  crashes.candidateCount += pendingCount;
+  crashes.pendingCount = 0;
+  crashes.pendingEngineMs = 0;
+}
+
+function advance(
+  comparison: Comparison,
+  key: string,
+  { block, nowMs, testCount }: { block: Block } & EvidenceOptions,
+): Finding | undefined {
+  const [scope, metric] = splitKey(key);
+  const detector = comparison.detectors[key] ??= createFaultDetector();
+  const totals = comparison.totals[key] ??= {
+    count: 0,
+    badCount: 0,
+    normalBadCount: 0,
+  };
+  totals.count += block.totals.count;
+  totals.badCount += block.totals.badCount;
+  totals.normalBadCount += block.totals.normalBadCount;
+  const statisticLog = advanceDetector(detector, block.logs, {
+    nowMs,
+    horizonMs: comparison.horizonMs,
+  });
+  const thresholdLog = getThresholdLog(scope) + Math.log(testCount);
+  if (statisticLog < thresholdLog) return undefined;
+  return {
+    scope,
+    metric,
+    candidateCount: totals.count,
+    candidateBadCount: totals.badCount,
+    normalBadCount: totals.normalBadCount,
+    statisticLog,
+    thresholdLog,
+  };
+}
+
+/** The error rate is split evenly over kinds of scope, then over scopes. */
+function getThresholdLog(scope: string): number {
+  const scopesOfKind = scope === "all"
+    ? 1
+    : scope.startsWith("route:")
+    ? maxRoutes
+    : maxStrata;
+  return Math.log(
+    scopeCount * scopesOfKind * metricCount / falseRollbackRate,
+  );
+}
+
+export function addCrashes(
+  { crashes }: Comparison,
+  { stableCrashCount, candidateCrashCount }: {
+    readonly stableCrashCount: number;
+    readonly candidateCrashCount: number;
+  },
+): void {
+  crashes.stableCount += stableCrashCount;
+  crashes.pendingCount += candidateCrashCount;
+}
+
+export function addEngineTime(
+  { crashes }: Comparison,
+  { stableEngineMs, candidateEngineMs }: {
+    readonly stableEngineMs: number;
+    readonly candidateEngineMs: number;
+  },
+): void {
+  crashes.stableEngineMs += stableEngineMs;
+  crashes.pendingEngineMs += candidateEngineMs;
+}
+
+function getStratumKey(cell: EvidenceCell): string {
+  return `${cell.route}@${cell.loadBucket}`;
+}
+
+function getScopes(cell: EvidenceCell): string[] {
+  return ["all", `route:${cell.route}`, `stratum:${getStratumKey(cell)}`];
+}
+
+function splitKey(key: string): [string, Metric] {
+  const index = key.lastIndexOf("|");
+  return [key.slice(0, index), key.slice(index + 1) as Metric];
+}
+
+function getBlock(blocks: Map<string, Block>, key: string): Block {
+  const existing = blocks.get(key);
+  if (existing) return existing;
+  const block: Block = {
+    logs: createBlockLogs(),
+    totals: { count: 0, badCount: 0, normalBadCount: 0 },
+  };
+  blocks.set(key, block);
+  return block;
+}
+
+function increase(
+  counts: Record<string, number>,
+  key: string,
+  change: number,
+): void {
+  counts[key] = (counts[key] ?? 0) + change;
+}
