Add rollout commands, leases, evidence collection and engine orders

The share no longer grows while a statistic is near its threshold, for faults that show under rare load only; not measured yet.

--- a/measure/rollout_oracle.ts
+++ b/measure/rollout_oracle.ts
@@ -4,7 +4,7 @@
  * likelihood ratio test at the error rate of the system's own test. No real
  * test can be faster; the trials report how far behind it the system is.
  */
-import { falseRollbackRate } from "../src/control/rollouts/version_comparison.ts";
+import { falseRollbackRate } from "../src/control/rollouts/fault_threshold.ts";
 import {
   firstTokenSigma,
   isFaulty,
--- a/measure/rollout_trial.ts
+++ b/measure/rollout_trial.ts
@@ -3,6 +3,7 @@
  * a service, its instances and the delays between them and control.
  */
 import {
+  type EvidenceCell,
   getLatencyBin,
   getLoadBucket,
 } from "../src/control/rollouts/evidence.ts";
@@ -115,7 +116,7 @@
   );
   const ideal = createComparison(state.comparison.horizonMs);
   const idealCounter = createCellCounter();
-  const atControl = createCellCounter();
+  let atControl: EvidenceCell[][] = [];
   const oracle = createOracle(model);
   const calendar = new Map<number, (() => void)[]>();
   // One instance loses contact to control for a while in some trials.
@@ -178,18 +179,23 @@
   }
 
   function runControl(): void {
-    const cells = atControl.takeCells();
+    const batches = atControl;
+    atControl = [];
     const crashes = fleet.takeCrashes();
     applyRolloutEvent(state, {
       kind: RolloutEventKind.EnginesReported,
       ...fleet.getCounts(),
       elapsedMs: controlIntervalMs,
     }, nowMs);
-    applyRolloutEvent(state, {
-      kind: RolloutEventKind.EvidenceReceived,
-      cells,
-      ...crashes,
-    }, nowMs);
+    for (const cells of [[], ...batches]) {
+      applyRolloutEvent(state, {
+        kind: RolloutEventKind.EvidenceReceived,
+        cells,
+        ...(cells.length === 0
+          ? crashes
+          : { stableCrashCount: 0, candidateCrashCount: 0 }),
+      }, nowMs);
+    }
     for (
       const effect of applyRolloutEvent(
         state,
@@ -205,7 +211,7 @@
       }
     }
     if (model.fault && observableAtMs === undefined) {
-      const finding = addEvidence(ideal, idealCounter.takeCells(), {
+      const { finding } = addEvidence(ideal, idealCounter.takeCells(), {
         nowMs,
         testCount: 1,
       });
@@ -218,7 +224,7 @@
     if (index === 0 && nowMs >= cutFromMs && nowMs < cutToMs) return;
     const cells = instance.counter.takeCells();
     schedule(nowMs + instance.transitMs, () => {
-      atControl.addCells(cells);
+      atControl.push(cells);
       const { share } = state;
       schedule(nowMs + instance.transitMs, () => {
         instance.share = share;
--- a/src/answers/answer_service.ts
+++ b/src/answers/answer_service.ts
@@ -58,6 +58,12 @@
   onInstanceLeaving(instanceId: InstanceId): void;
   /** Copies finished answers elsewhere before this instance stops. */
   handOverFinished(): Promise<void>;
+  /** Restarts the open answers on a version that was rolled back. */
+  withdrawVersion(withdrawal: {
+    readonly service: string;
+    readonly version: string;
+    readonly stableVersion: string;
+  }): void;
   tick(): void;
   getOpenCount(): number;
   getStats(): AnswerStats;
@@ -83,6 +89,8 @@
   readonly retentionMs: number;
   readonly maxCopyBytes: number;
   readonly copyTimeoutMs: number;
+  /** The version to restart on, when the given one was rolled back. */
+  getReplacementVersion?(service: string, version: string): string | undefined;
 }
 
 /** How long a replica asks others about an answer before it takes over. */
@@ -130,6 +138,7 @@
     onInstanceLost,
     onInstanceLeaving,
     handOverFinished,
+    withdrawVersion,
     tick,
     getOpenCount,
     getStats,
@@ -158,6 +167,25 @@
     owned.set(state.answerId, answer);
     logger.log(logEvents.answerOpened, { answer: state.answerId });
     answer.send({ kind: AnswerEventKind.Opened });
+    // The version may have been rolled back before this instance took over.
+    const stableVersion = options.getReplacementVersion?.(
+      state.meta.request.model,
+      state.meta.version,
+    );
+    if (stableVersion === undefined) return;
+    answer.send({ kind: AnswerEventKind.VersionWithdrawn, stableVersion });
+  }
+
+  function withdrawVersion({ service, version, stableVersion }: {
+    service: string;
+    version: string;
+    stableVersion: string;
+  }): void {
+    for (const answer of owned.values()) {
+      const { meta } = answer.state;
+      if (meta.request.model !== service || meta.version !== version) continue;
+      answer.send({ kind: AnswerEventKind.VersionWithdrawn, stableVersion });
+    }
   }
 
   function onClosed(answer: OwnedAnswer): void {
--- a/src/control/rollouts/evidence.ts
+++ b/src/control/rollouts/evidence.ts
@@ -26,21 +26,7 @@
   tokenGapBins: binsSchema,
 });
 
-export const evidenceBatchSchema = z.object({
-  instanceId: z.string().min(1).max(200),
-  /** A restarted instance numbers its batches from 1 again. */
-  incarnation: z.number(),
-  batchNumber: z.int().min(1),
-  cells: z.array(evidenceCellSchema).max(2_000),
-  /** Engines that crashed; control counts each crash once. */
-  crashedEngines: z.array(z.object({
-    upstreamId: z.string().max(200),
-    isCandidate: z.boolean(),
-  })).max(1_000),
-});
-
 export type EvidenceCell = z.output<typeof evidenceCellSchema>;
-export type EvidenceBatch = z.output<typeof evidenceBatchSchema>;
 export type Bins = EvidenceCell["firstTokenBins"];
 
 /** Each bin is 5% wide, so 256 bins reach from 0.5 ms to about two minutes. */
--- /dev/null
+++ b/src/control/rollouts/evidence_collector.ts
@@ -0,0 +1,225 @@
+/**
+ * Records the outcomes of an instance's attempts as evidence, tests them for a
+ * fault, and hands them to control in numbered batches.
+ *
+ * A batch keeps its number until control has counted it, so it is sent again
+ * after a lost reply and counted once.
+ */
+import type { Clock } from "../../core/clock.ts";
+import type { UpstreamId } from "../../core/types.ts";
+import { type CellCounter, createCellCounter } from "./cell_counter.ts";
+import {
+  type Comparison,
+  createComparison,
+  type Finding,
+} from "./comparison_state.ts";
+import { getLatencyBin, getLoadBucket } from "./evidence.ts";
+import type { RolloutBatch } from "./rollout_commands.ts";
+import type { TrafficGrant } from "./rollout_messages.ts";
+import { addEvidence } from "./version_comparison.ts";
+
+export interface ObservedAttempt {
+  readonly service: string;
+  readonly version: string;
+  readonly route: string;
+  readonly upstreamId: UpstreamId;
+  /** Requests at the engine when the attempt started. */
+  readonly loadCount: number;
+  readonly isResumed: boolean;
+}
+
+export interface AttemptRecorder {
+  onTokens(count: number): void;
+  onEnded(): void;
+  onFailed(): void;
+}
+
+export interface PendingBatch {
+  readonly rolloutId: string;
+  readonly batch: RolloutBatch;
+}
+
+export interface EvidenceCollector {
+  /** Undefined when no rollout watches the attempt's version. */
+  observe(attempt: ObservedAttempt): AttemptRecorder | undefined;
+  /** Tests what came in and returns the batches that control has to count. */
+  flush(): PendingBatch[];
+  confirm(batches: readonly PendingBatch[]): void;
+}
+
+export interface EvidenceCollectorOptions {
+  readonly clock: Clock;
+  readonly instanceId: string;
+  readonly incarnation: number;
+  getWatched(service: string): TrafficGrant | undefined;
+  /** When the engine last answered a load report. */
+  getLastReportMs(upstreamId: UpstreamId): number | undefined;
+  onFault(rolloutId: string, finding: Finding): void;
+}
+
+/** The gap between tokens is known after this many, before the end. */
+const earlyTokenCount = 32;
+/** An engine that reports no load for this long after a failure crashed. */
+const crashDecisionMs = 1_500;
+/** Sent as one batch at most; older evidence waits in the counter. */
+const maxPendingBatches = 4;
+
+interface Collection {
+  readonly counter: CellCounter;
+  readonly comparison: Comparison;
+  crashedEngines: { upstreamId: string; isCandidate: boolean }[];
+  readonly pending: PendingBatch[];
+  nextBatchNumber: number;
+  readonly testCount: number;
+}
+
+interface PendingFailure {
+  readonly grant: TrafficGrant;
+  readonly upstreamId: UpstreamId;
+  readonly failedAtMs: number;
+  readonly isCandidate: boolean;
+  count(): void;
+}
+
+export function createEvidenceCollector(
+  options: EvidenceCollectorOptions,
+): EvidenceCollector {
+  const { clock } = options;
+  const collections = new Map<string, Collection>();
+  let failures: PendingFailure[] = [];
+  return { observe, flush, confirm };
+
+  function getCollection(grant: TrafficGrant): Collection {
+    const existing = collections.get(grant.rolloutId);
+    if (existing) return existing;
+    const collection: Collection = {
+      counter: createCellCounter(),
+      comparison: createComparison(grant.horizonMs),
+      crashedEngines: [],
+      pending: [],
+      nextBatchNumber: 1,
+      testCount: grant.instanceCount,
+    };
+    collections.set(grant.rolloutId, collection);
+    return collection;
+  }
+
+  function observe(attempt: ObservedAttempt): AttemptRecorder | undefined {
+    const grant = options.getWatched(attempt.service);
+    if (!grant) return undefined;
+    const isCandidate = attempt.version === grant.candidateVersion;
+    if (!isCandidate && attempt.version !== grant.stableVersion) {
+      return undefined;
+    }
+    const { counter } = getCollection(grant);
+    const key = {
+      route: attempt.route,
+      loadBucket: getLoadBucket(attempt.loadCount),
+      isCandidate,
+    };
+    const startedAtMs = clock.nowMs();
+    let firstTokenAtMs: number | undefined;
+    let tokenCount = 0;
+    let isGapKnown = false;
+    return { onTokens, onEnded: () => recordGap(), onFailed };
+
+    function onTokens(count: number): void {
+      if (firstTokenAtMs === undefined) {
+        firstTokenAtMs = clock.nowMs();
+        counter.addAttempt(key);
+        // A resume prefills what an earlier attempt produced.
+        if (!attempt.isResumed) {
+          const latencyMs = firstTokenAtMs - startedAtMs;
+          counter.addFirstToken(key, getLatencyBin(latencyMs));
+        }
+      }
+      tokenCount += count;
+      if (tokenCount > earlyTokenCount) recordGap();
+    }
+
+    function recordGap(): void {
+      if (isGapKnown || firstTokenAtMs === undefined || tokenCount < 2) return;
+      isGapKnown = true;
+      const gapMs = (clock.nowMs() - firstTokenAtMs) / (tokenCount - 1);
+      counter.addTokenGap(key, getLatencyBin(gapMs));
+    }
+
+    function onFailed(): void {
+      failures.push({
+        grant: grant!,
+        upstreamId: attempt.upstreamId,
+        failedAtMs: clock.nowMs(),
+        isCandidate,
+        count: () => {
+          if (firstTokenAtMs === undefined) counter.addAttempt(key);
+          counter.addFailure(key);
+        },
+      });
+    }
+  }
+
+  /**
+   * A failure is held against the version only when its engine still answers:
+   * otherwise the engine crashed.
+   */
+  function settleFailures(): void {
+    const nowMs = clock.nowMs();
+    failures = failures.filter((failure) => {
+      const reportMs = options.getLastReportMs(failure.upstreamId);
+      if (reportMs !== undefined && reportMs > failure.failedAtMs) {
+        failure.count();
+        return false;
+      }
+      if (nowMs - failure.failedAtMs < crashDecisionMs) return true;
+      const { crashedEngines } = getCollection(failure.grant);
+      const { upstreamId, isCandidate } = failure;
+      if (!crashedEngines.some((crash) => crash.upstreamId === upstreamId)) {
+        crashedEngines.push({ upstreamId, isCandidate });
+      }
+      return false;
+    });
+  }
+
+  function flush(): PendingBatch[] {
+    settleFailures();
+    for (const [rolloutId, collection] of collections) {
+      flushOne(rolloutId, collection);
+    }
+    return [...collections.values()].flatMap(({ pending }) => pending);
+  }
+
+  function flushOne(rolloutId: string, collection: Collection): void {
+    const { pending, comparison } = collection;
+    if (pending.length >= maxPendingBatches) return;
+    const cells = collection.counter.takeCells();
+    const { crashedEngines } = collection;
+    if (cells.length === 0 && crashedEngines.length === 0) return;
+    collection.crashedEngines = [];
+    pending.push({
+      rolloutId,
+      batch: {
+        instanceId: options.instanceId,
+        incarnation: options.incarnation,
+        batchNumber: collection.nextBatchNumber++,
+        cells,
+        crashedEngines,
+      },
+    });
+    const { finding } = addEvidence(comparison, cells, {
+      nowMs: clock.wallMs(),
+      // Every instance runs this test.
+      testCount: collection.testCount,
+    });
+    if (finding) options.onFault(rolloutId, finding);
+  }
+
+  function confirm(batches: readonly PendingBatch[]): void {
+    for (const { rolloutId, batch } of batches) {
+      const pending = collections.get(rolloutId)?.pending ?? [];
+      const index = pending.findIndex((entry) =>
+        entry.batch.batchNumber === batch.batchNumber
+      );
+      if (index >= 0) pending.splice(index, 1);
+    }
+  }
+}
--- a/src/control/rollouts/good_evidence.ts
+++ b/src/control/rollouts/good_evidence.ts
@@ -5,6 +5,7 @@
  */
 import { addTotals, type Comparison, Metric } from "./comparison_state.ts";
 import { describeLoadBucket } from "./evidence.ts";
+import { getThresholdLog } from "./fault_threshold.ts";
 import { getGoodLog } from "./sequential_test.ts";
 
 /** Metrics that a verdict of good needs on each route. */
@@ -26,6 +27,12 @@
 /** Outcomes needed at the highest usual load or one bucket below it. */
 const minHighLoadCount = 30;
 
+/**
+ * The share does not grow while a statistic is this close to its threshold: a
+ * fault under rare load comes back with a larger share of requests.
+ */
+const suspicionLog = 4;
+
 /** Evidence for a larger share must come from the step before it. */
 export function resetGoodEvidence(comparison: Comparison): void {
   comparison.good = {};
@@ -83,6 +90,15 @@
         `${describeLoadBucket(Math.max(0, highest - 1))} requests or more`,
     );
   }
+  for (const [key, { currentLog }] of Object.entries(comparison.detectors)) {
+    const scope = key.slice(0, key.lastIndexOf("|"));
+    const thresholdLog = getThresholdLog(scope);
+    if (thresholdLog - currentLog > suspicionLog) continue;
+    missing.push(
+      `suspicion on ${key}: ${currentLog.toFixed(1)} near the threshold ` +
+        thresholdLog.toFixed(1),
+    );
+  }
   return missing;
 }
 
--- a/src/control/rollouts/rollout_machine.ts
+++ b/src/control/rollouts/rollout_machine.ts
@@ -26,6 +26,11 @@
   addEvidence,
 } from "./version_comparison.ts";
 
+const suspectDistanceLog = 2;
+const holdMs = 6_000;
+/** Traffic has to flow between holds, or no evidence would come. */
+const holdIntervalMs = 20_000;
+
 export function createRolloutState(spec: RolloutSpec): RolloutState {
   const plan = planRollout(spec);
   return {
@@ -35,6 +40,8 @@
     stepIndex: 0,
     share: 0,
     fullShareAtWallMs: undefined,
+    heldUntilWallMs: 0,
+    nextHoldAtWallMs: 0,
     loadedEngineCount: 0,
     reason: undefined,
     finding: undefined,
@@ -138,15 +145,35 @@
   turn: Turn,
 ): void {
   addCrashes(state.comparison, event);
-  const finding = addEvidence(state.comparison, event.cells, {
-    nowMs: turn.nowMs,
-    testCount: 1,
-  });
-  if (!finding) return;
+  const { finding, distanceLog } = addEvidence(
+    state.comparison,
+    event.cells,
+    { nowMs: turn.nowMs, testCount: 1 },
+  );
+  if (!finding) {
+    holdIfSuspect(state, distanceLog, turn);
+    return;
+  }
   state.finding = finding;
   rollBack(state, RollbackReason.Fault, turn);
 }
 
+/**
+ * Near the threshold the outcomes of requests in flight are awaited before more
+ * are sent: they decide most cases.
+ */
+function holdIfSuspect(
+  state: RolloutState,
+  distanceLog: number,
+  { nowMs }: Turn,
+): void {
+  if (distanceLog > suspectDistanceLog || nowMs < state.nextHoldAtWallMs) {
+    return;
+  }
+  state.heldUntilWallMs = nowMs + holdMs;
+  state.nextHoldAtWallMs = nowMs + holdIntervalMs;
+}
+
 /** Moves on as far as the time and the evidence allow. */
 function advance(state: RolloutState, turn: Turn): void {
   const { plan } = state;
@@ -211,7 +238,7 @@
 function updateShare(state: RolloutState, { effects, nowMs }: Turn): void {
   if (state.phase !== RolloutPhase.Ramping) return;
   const step = state.plan.steps[state.stepIndex]!;
-  const share = Math.min(
+  const share = nowMs < state.heldUntilWallMs ? 0 : Math.min(
     step.share,
     state.loadedEngineCount / state.spec.engineCount,
   );
--- a/src/control/rollouts/rollout_types.ts
+++ b/src/control/rollouts/rollout_types.ts
@@ -75,6 +75,9 @@
   share: number;
   /** Since when the share is that of the step. */
   fullShareAtWallMs: number | undefined;
+  /** No requests go to the candidate before this time. */
+  heldUntilWallMs: number;
+  nextHoldAtWallMs: number;
   loadedEngineCount: number;
   reason: RollbackReason | undefined;
   /** The findings and gaps in the evidence the decision rested on. */
--- a/src/control/rollouts/sequential_test.ts
+++ b/src/control/rollouts/sequential_test.ts
@@ -20,6 +20,7 @@
   /** One term per odds factor. */
   readonly terms: number[];
   lastStartAtMs: number | undefined;
+  currentLog: number;
   highestLog: number;
 }
 
@@ -27,7 +28,8 @@
   return {
     terms: oddsFactors.map(() => 0),
     lastStartAtMs: undefined,
-    highestLog: -Infinity,
+    currentLog: 0,
+    highestLog: 0,
   };
 }
 
@@ -90,6 +92,7 @@
     total += detector.terms[index]! / oddsFactors.length;
   }
   const log = Math.log(total);
+  detector.currentLog = log;
   detector.highestLog = Math.max(detector.highestLog, log);
   return log;
 }
--- /dev/null
+++ b/src/control/rollouts/traffic_leases.ts
@@ -0,0 +1,156 @@
+/**
+ * The instance's leases to send traffic to candidate versions.
+ *
+ * A lease counts from the time its request was sent, so it ends here before
+ * control may assume that it has ended. Without a valid lease, new answers use
+ * the stable version.
+ */
+import type { Clock } from "../../core/clock.ts";
+import { logEvents } from "../../core/log_events.ts";
+import type { Logger } from "../../core/logger.ts";
+import type { Random } from "../../core/random.ts";
+import type { UpstreamInfo } from "../../core/types.ts";
+import { createTrafficShare } from "../../routing/traffic_share.ts";
+import type { Finding } from "./comparison_state.ts";
+import type { TrafficGrant } from "./rollout_messages.ts";
+
+export interface TrafficLeases {
+  /** The version for a new answer of the service. */
+  chooseVersion(choice: {
+    readonly service: string;
+    readonly route: string;
+    readonly stableVersion: string;
+  }): string;
+  /** Whether new work on the version may go to the engine. */
+  servesVersion(info: UpstreamInfo, version: string): boolean;
+  /** The version to restart on, when the given one was rolled back. */
+  getReplacement(service: string, version: string): string | undefined;
+  getWatched(service: string): TrafficGrant | undefined;
+  listGrants(): TrafficGrant[];
+  update(grants: readonly TrafficGrant[], requestedAtMs: number): void;
+  /** Stops at once, whatever control grants from now on. */
+  stopLocally(rolloutId: string, finding: Finding): void;
+}
+
+export interface TrafficLeasesOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly random: Random;
+  onWithdrawn(grant: TrafficGrant): void;
+}
+
+interface Lease {
+  grant: TrafficGrant;
+  endsAtMs: number;
+  isExpiryLogged: boolean;
+}
+
+export function createTrafficLeases(
+  { clock, logger, random, onWithdrawn }: TrafficLeasesOptions,
+): TrafficLeases {
+  const share = createTrafficShare(random);
+  const leases = new Map<string, Lease>();
+  const stoppedIds = new Set<string>();
+  const withdrawnIds = new Set<string>();
+  return {
+    chooseVersion,
+    servesVersion,
+    getReplacement,
+    getWatched,
+    listGrants: () => [...leases.values()].map((lease) => lease.grant),
+    update,
+    stopLocally,
+  };
+
+  function chooseVersion({ service, route, stableVersion }: {
+    service: string;
+    route: string;
+    stableVersion: string;
+  }): string {
+    const lease = findLatest(service);
+    if (!lease) return stableVersion;
+    const { grant } = lease;
+    if (!grant.isStableNeeded) return grant.candidateVersion;
+    const isCandidate = share.take(`${service} ${route}`, getShare(lease));
+    return isCandidate ? grant.candidateVersion : grant.stableVersion;
+  }
+
+  function getShare(lease: Lease): number {
+    const { grant } = lease;
+    if (grant.isWithdrawn || stoppedIds.has(grant.rolloutId)) return 0;
+    if (clock.nowMs() < lease.endsAtMs) return grant.share;
+    if (!lease.isExpiryLogged && grant.share > 0) {
+      lease.isExpiryLogged = true;
+      logger.log(logEvents.leaseExpired, { rollout: grant.rolloutId });
+    }
+    return 0;
+  }
+
+  /** Candidate engines keep the stable version loaded and can go back to it. */
+  function servesVersion(info: UpstreamInfo, version: string): boolean {
+    const lease = findLatest(info.service);
+    const isCandidateEngine =
+      lease?.grant.candidateEngineIds.includes(info.upstreamId) === true;
+    if (!lease || !isCandidateEngine) return info.version === version;
+    const { grant } = lease;
+    if (version === grant.candidateVersion) return !grant.isWithdrawn;
+    return version === info.version && getShare(lease) === 0;
+  }
+
+  function getReplacement(
+    service: string,
+    version: string,
+  ): string | undefined {
+    for (const { grant } of leases.values()) {
+      if (
+        grant.service === service && grant.candidateVersion === version &&
+        (grant.isWithdrawn || stoppedIds.has(grant.rolloutId))
+      ) return grant.stableVersion;
+    }
+    return undefined;
+  }
+
+  function getWatched(service: string): TrafficGrant | undefined {
+    const grant = findLatest(service)?.grant;
+    return grant?.isWatched ? grant : undefined;
+  }
+
+  /** Grants come in the order in which their rollouts were started. */
+  function findLatest(service: string): Lease | undefined {
+    return [...leases.values()].findLast(({ grant }) =>
+      grant.service === service
+    );
+  }
+
+  function update(
+    grants: readonly TrafficGrant[],
+    requestedAtMs: number,
+  ): void {
+    // Rebuilt in the order of the grants; unlisted rollouts are forgotten.
+    leases.clear();
+    for (const grant of grants) {
+      leases.set(grant.rolloutId, {
+        grant,
+        endsAtMs: requestedAtMs + grant.validForMs,
+        isExpiryLogged: false,
+      });
+      if (grant.isWithdrawn) withdraw(grant);
+    }
+  }
+
+  function withdraw(grant: TrafficGrant): void {
+    if (withdrawnIds.has(grant.rolloutId)) return;
+    withdrawnIds.add(grant.rolloutId);
+    logger.log(logEvents.versionWithdrawn, {
+      rollout: grant.rolloutId,
+      version: grant.candidateVersion,
+    });
+    onWithdrawn(grant);
+  }
+
+  function stopLocally(rolloutId: string, finding: Finding): void {
+    if (stoppedIds.has(rolloutId)) return;
+    stoppedIds.add(rolloutId);
+    logger.log(logEvents.localFaultSeen, { rollout: rolloutId, ...finding });
+  }
+}
--- a/src/control/rollouts/version_comparison.ts
+++ b/src/control/rollouts/version_comparison.ts
@@ -14,6 +14,7 @@
 } from "./comparison_state.ts";
 import { type EvidenceCell, maxRoutes, otherRoute } from "./evidence.ts";
 import { addGood } from "./good_evidence.ts";
+import { getThresholdLog, maxStrata } from "./fault_threshold.ts";
 import {
   addEvents,
   addOutcomes,
@@ -42,11 +43,6 @@
   { metric: Metric.TokenGap98, kind: "tokenGapBins", quantile: 0.98 },
 ];
 
-/** Probability that a good version is ever rolled back by the fault test. */
-export const falseRollbackRate = 0.005;
-const maxStrata = 64;
-const metricCount = 6;
-const scopeCount = 3;
 /** The candidate may crash this often as much before it is held against it. */
 const crashTolerance = 3;
 
@@ -61,12 +57,18 @@
   readonly testCount: number;
 }
 
-/** Returns the first finding of a fault, if there is one. */
+export interface EvidenceResult {
+  /** The first finding of a fault. */
+  readonly finding: Finding | undefined;
+  /** How far the highest statistic is from its threshold. */
+  readonly distanceLog: number;
+}
+
 export function addEvidence(
   comparison: Comparison,
   received: readonly EvidenceCell[],
   { nowMs, testCount }: EvidenceOptions,
-): Finding | undefined {
+): EvidenceResult {
   const cells = received.map((cell) => limitRoutes(comparison, cell));
   const blocks = new Map<string, Block>();
   // Stable outcomes first: they show a disturbance that hits both versions.
@@ -78,11 +80,16 @@
   }
   addCrashBlock(comparison, blocks);
   let finding: Finding | undefined;
+  let distanceLog = Infinity;
   for (const [key, block] of blocks) {
     const found = advance(comparison, key, { block, nowMs, testCount });
-    finding ??= found;
+    distanceLog = Math.min(
+      distanceLog,
+      found.thresholdLog - found.statisticLog,
+    );
+    if (found.statisticLog >= found.thresholdLog) finding ??= found;
   }
-  return finding;
+  return { finding, distanceLog };
 }
 
 function limitRoutes(
@@ -172,7 +179,7 @@
   comparison: Comparison,
   key: string,
   { block, nowMs, testCount }: { block: Block } & EvidenceOptions,
-): Finding | undefined {
+): Finding {
   const [scope, metric] = splitKey(key);
   const detector = comparison.detectors[key] ??= createFaultDetector();
   const totals = comparison.totals[key] ??= {
@@ -188,7 +195,6 @@
     horizonMs: comparison.horizonMs,
   });
   const thresholdLog = getThresholdLog(scope) + Math.log(testCount);
-  if (statisticLog < thresholdLog) return undefined;
   return {
     scope,
     metric,
@@ -200,18 +206,6 @@
   };
 }
 
-/** The error rate is split evenly over kinds of scope, then over scopes. */
-function getThresholdLog(scope: string): number {
-  const scopesOfKind = scope === "all"
-    ? 1
-    : scope.startsWith("route:")
-    ? maxRoutes
-    : maxStrata;
-  return Math.log(
-    scopeCount * scopesOfKind * metricCount / falseRollbackRate,
-  );
-}
-
 export function addCrashes(
   { crashes }: Comparison,
   { stableCrashCount, candidateCrashCount }: {
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -87,6 +87,15 @@
     Warn,
     "traffic lease expired, using the stable version",
   ),
+  rolloutChanged: event(6301, Info, "rollout changed its phase or share"),
+  versionWithdrawn: event(6302, Warn, "version was rolled back"),
+  localFaultSeen: event(
+    6303,
+    Warn,
+    "fault of a candidate seen, sending it no more requests",
+  ),
+  orderReissued: event(6304, Info, "engine order reissued"),
+  orderRejected: event(6305, Warn, "engine order rejected as stale"),
   // 7xxx: callers
   requestRefused: event(7001, Debug, "request refused"),
   requestFailed: event(7002, Warn, "request failed"),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -53,6 +53,7 @@
 import { createEngineClient } from "../upstreams/engine_client.ts";
 import { createUpstreamRegistry } from "../upstreams/upstream_registry.ts";
 import { createDrain } from "./drain.ts";
+import { createRollouts } from "./rollouts.ts";
 
 export interface Daemon {
   readonly callerPort: number;
@@ -82,7 +83,23 @@
   );
   const random = createRandom(Date.now() ^ (Math.random() * 2 ** 31));
   const registry = createUpstreamRegistry({ clock, logger });
-  const router = createEngineRouter({ clock, random, registry });
+  const rollouts = createRollouts({
+    settings,
+    clock,
+    logger,
+    random,
+    registry,
+    getAnswers: () => late.answers!,
+    getPeers: () => late.peers!,
+    getLog: () => log,
+    getInstanceCount: () => membership.listInstances().length,
+  });
+  const router = createEngineRouter({
+    clock,
+    random,
+    registry,
+    servesVersion: rollouts.leases.servesVersion,
+  });
   const engines = createEngineClient();
   const applications = createApplicationClient();
   const stateMachine = createStateMachine();
@@ -130,7 +147,9 @@
       registry,
       router,
       stalls: createStallDetector(),
+      collector: rollouts.collector,
     }),
+    getReplacementVersion: rollouts.leases.getReplacement,
   });
   late.peers = peers;
   late.answers = answers;
@@ -171,6 +190,7 @@
       answers,
       reader: createAnswerReader({ clock, membership, peers, answers }),
       calls,
+      chooseVersion: rollouts.leases.chooseVersion,
       isReady: drain.isReady,
       isAccepting: drain.isAccepting,
       trackRequest: drain.trackRequest,
@@ -192,6 +212,7 @@
       [PeerCallKind.TakeOver]: ({ answerId, customerId }) =>
         answers.takeOver(answerId, customerId),
       [PeerCallKind.Propose]: ({ command }) => propose(command),
+      [PeerCallKind.SyncRollouts]: rollouts.handleSync,
     };
   }
 
@@ -254,6 +275,12 @@
             action: () => answers.tick(),
           })],
         }),
+        createSupervisor({
+          name: "rollouts",
+          clock,
+          logger,
+          tasks: rollouts.createTasks(),
+        }),
         createSupervisor({
           name: "upstreams",
           clock,
--- a/src/entry/caller_app.ts
+++ b/src/entry/caller_app.ts
@@ -46,6 +46,12 @@
   readonly answers: AnswerService;
   readonly reader: AnswerReader;
   readonly calls: CallService;
+  /** The version for a new answer of the service. */
+  chooseVersion(choice: {
+    readonly service: string;
+    readonly route: string;
+    readonly stableVersion: string;
+  }): string;
   isReady(): boolean;
   /** False once the drain no longer takes new requests. */
   isAccepting(): boolean;
@@ -180,7 +186,11 @@
     const answerId = answers.open({
       customerId,
       request: generation,
-      version: (service as ModelService).stableVersion,
+      version: options.chooseVersion({
+        service: generation.model,
+        route: generation.route,
+        stableVersion: (service as ModelService).stableVersion,
+      }),
       createdAtWallMs,
       deadlineAtWallMs: createdAtWallMs + settings.answers.deadlineMs,
       isStreaming,
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -5,6 +5,10 @@
  * peer that holds the pre-shared key and are checked the same way.
  */
 import { z } from "zod";
+import {
+  syncRolloutsReplySchema,
+  syncRolloutsSchema,
+} from "../control/rollouts/rollout_messages.ts";
 import { InstanceState } from "../core/types.ts";
 import { FinishReason } from "../core/types.ts";
 
@@ -18,6 +22,7 @@
   ReadAnswer = "readAnswer",
   TakeOver = "takeOver",
   Propose = "propose",
+  SyncRollouts = "syncRollouts",
 }
 
 export const attemptSchema = z.object({
@@ -166,6 +171,10 @@
     request: proposeSchema,
     reply: proposeReplySchema,
   },
+  [PeerCallKind.SyncRollouts]: {
+    request: syncRolloutsSchema,
+    reply: syncRolloutsReplySchema,
+  },
 } as const;
 
 export type PeerCalls = typeof peerCalls;
--- a/src/routing/engine_router.ts
+++ b/src/routing/engine_router.ts
@@ -4,7 +4,11 @@
 import { Maybe } from "true-myth";
 import type { Clock } from "../core/clock.ts";
 import type { Random } from "../core/random.ts";
-import { type UpstreamId, UpstreamKind } from "../core/types.ts";
+import {
+  type UpstreamId,
+  type UpstreamInfo,
+  UpstreamKind,
+} from "../core/types.ts";
 import type {
   UpstreamRegistry,
   UpstreamStatus,
@@ -29,6 +33,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly registry: UpstreamRegistry;
+  /** Whether new work on the version may go to the engine. */
+  servesVersion?(info: UpstreamInfo, version: string): boolean;
 }
 
 /** An engine that failed gets no new work for this long, doubled each time. */
@@ -46,7 +52,10 @@
 
   function chooseEngine(choice: EngineChoice): Maybe<UpstreamStatus> {
     const engines = registry.listUsable(UpstreamKind.Engine, choice.service)
-      .filter((engine) => engine.info.version === choice.version);
+      .filter(({ info }) =>
+        options.servesVersion?.(info, choice.version) ??
+          info.version === choice.version
+      );
     const notAvoided = engines.filter((engine) =>
       !choice.avoidedUpstreamIds.includes(engine.info.upstreamId)
     );
--- a/src/upstreams/engine_attempts.ts
+++ b/src/upstreams/engine_attempts.ts
@@ -7,6 +7,7 @@
   AttemptRunner,
   AttemptSink,
 } from "../answers/attempt_runner.ts";
+import type { EvidenceCollector } from "../control/rollouts/evidence_collector.ts";
 import type { Clock } from "../core/clock.ts";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
@@ -25,6 +26,8 @@
   readonly registry: UpstreamRegistry;
   readonly router: EngineRouter;
   readonly stalls: StallDetector;
+  /** Present while outcomes are collected as evidence about versions. */
+  readonly collector?: Pick<EvidenceCollector, "observe">;
 }
 
 /** Resumed work goes before new work, because its caller already waits. */
@@ -73,6 +76,17 @@
     const { upstreamId, baseUrl } = engine.info;
     const abort = new AbortController();
     const startedAtMs = clock.nowMs();
+    const recorder = options.collector?.observe({
+      service: meta.request.model,
+      version: meta.version,
+      route: meta.request.route,
+      upstreamId,
+      loadCount: Math.max(
+        engine.inFlightCount,
+        (engine.load?.runningCount ?? 0) + (engine.load?.waitingCount ?? 0),
+      ),
+      isResumed: tokens.length > 0,
+    });
     let lastTokenAtMs: number | undefined;
     let isDone = false;
     registry.addInFlight(upstreamId, 1);
@@ -90,11 +104,15 @@
       (end) => {
         if (!finish()) return;
         router.recordSuccess(upstreamId);
+        recorder?.onEnded();
         sink.onEnded(end.reason, end.tokenCount);
       },
       (error) => {
         if (!finish()) return;
-        if (isEngineFailure(error)) router.recordFailure(upstreamId);
+        if (isEngineFailure(error)) {
+          router.recordFailure(upstreamId);
+          recorder?.onFailed();
+        }
         sink.onFailed(error);
       },
     );
@@ -109,6 +127,7 @@
         stalls.recordGap(upstreamId, nowMs - lastTokenAtMs);
       }
       lastTokenAtMs = nowMs;
+      recorder?.onTokens(received.length);
       sink.onTokens(fromPosition, received);
     }
 
