--- a/src/control/rollouts/comparison_state.ts
+++ b/src/control/rollouts/comparison_state.ts
@@ -2,7 +2,7 @@
  * State of the comparison between a candidate and the stable version. It is
  * part of the replicated state, so it is plain data.
  */
-import type { FaultDetector } from "./sequential_test.ts";
+import type { FaultDetector } from "./fault_detector.ts";
 import type { StableReference } from "./stable_reference.ts";
 
 export enum Metric {
--- a/src/control/rollouts/good_evidence.ts
+++ b/src/control/rollouts/good_evidence.ts
@@ -6,7 +6,7 @@
 import { addTotals, type Comparison, Metric } from "./comparison_state.ts";
 import { describeLoadBucket } from "./evidence.ts";
 import { getThresholdLog } from "./fault_threshold.ts";
-import { getGoodLog } from "./sequential_test.ts";
+import { getGoodLog } from "./fault_detector.ts";
 
 /** Metrics that a verdict of good needs on each route. */
 const goodMetrics = [
--- a/src/control/rollouts/stable_reference.ts
+++ b/src/control/rollouts/stable_reference.ts
@@ -4,7 +4,7 @@
  * and over the latest outcomes.
  */
 import { type Bins, type EvidenceCell, latencyBinCount } from "./evidence.ts";
-import { getLowerRate, getUpperRate } from "./sequential_test.ts";
+import { getLowerRate, getUpperRate } from "./fault_detector.ts";
 
 export interface OutcomeCounts {
   attemptCount: number;
@@ -26,9 +26,10 @@
   readonly atMs: number;
 }
 
-/** Older outcomes are halved beyond this, so that slow drift is followed. */
+/** Older outcomes fade beyond this, so that slow drift is followed. */
 const maxHistoryCount = 4_000;
-const maxRecentCount = 20;
+/** Older outcomes next to the newest ones, which show a disturbance. */
+const maxRecentCount = 10;
 /** Without stable traffic the latest outcomes say nothing about now. */
 const maxRecentAgeMs = 10_000;
 const limitAgeMs = 5_000;
@@ -73,13 +74,14 @@
   addCell(reference.recent, cell, maxRecentCount);
 }
 
+/** Older outcomes are scaled down to at most `maxOlderCount`. */
 function addCell(
   counts: OutcomeCounts,
   cell: EvidenceCell,
-  maxCount: number,
+  maxOlderCount: number,
 ): void {
-  if (counts.attemptCount + cell.attemptCount > maxCount) {
-    halve(counts);
+  if (counts.attemptCount > maxOlderCount) {
+    scale(counts, maxOlderCount / counts.attemptCount);
   }
   counts.attemptCount += cell.attemptCount;
   counts.failureCount += cell.failureCount;
@@ -87,11 +89,15 @@
   addBins(counts.tokenGapBins, cell.tokenGapBins);
 }
 
-function halve(counts: OutcomeCounts): void {
-  counts.attemptCount /= 2;
-  counts.failureCount /= 2;
-  counts.firstTokenBins = counts.firstTokenBins.map((count) => count / 2);
-  counts.tokenGapBins = counts.tokenGapBins.map((count) => count / 2);
+function scale(counts: OutcomeCounts, factor: number): void {
+  counts.attemptCount *= factor;
+  counts.failureCount *= factor;
+  scaleBins(counts.firstTokenBins, factor);
+  scaleBins(counts.tokenGapBins, factor);
+}
+
+function scaleBins(bins: number[], factor: number): void {
+  for (let bin = 0; bin < bins.length; bin++) bins[bin]! *= factor;
 }
 
 function addBins(total: number[], bins: Bins): void {
--- a/src/control/rollouts/version_comparison.ts
+++ b/src/control/rollouts/version_comparison.ts
@@ -22,7 +22,7 @@
   type BlockLogs,
   createBlockLogs,
   createFaultDetector,
-} from "./sequential_test.ts";
+} from "./fault_detector.ts";
 import {
   addStableCell,
   countSlow,
