--- a/src/answers/answer_failover_test.ts
+++ b/src/answers/answer_failover_test.ts
@@ -114,7 +114,7 @@
         ((to: string, kind: PeerCallKind, { body, timeoutMs }: never) =>
           new ResultAsync(send(id, to, { kind, body, timeoutMs }))) as never,
       drop: () => {},
-    getTraffic: () => ({ sentBytes: 0, receivedBytes: 0 }),
+      getTraffic: () => ({ sentBytes: 0, receivedBytes: 0 }),
       close: () => {},
     };
     const service = createAnswerService({
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -65,6 +65,7 @@
 import { createEngineClient } from "../upstreams/engine_client.ts";
 import { createUpstreamRegistry } from "../upstreams/upstream_registry.ts";
 import { createDrain } from "./drain.ts";
+import { createRollouts } from "./rollouts.ts";
 
 export interface Daemon {
   readonly callerPort: number;
@@ -94,7 +95,23 @@
   );
   const random = createRandom(Date.now() ^ (Math.random() * 2 ** 31));
   const registry = createUpstreamRegistry({ clock, logger });
-  const router = createEngineRouter({ clock, random, registry });
+  const rollouts = createRollouts({
+    settings,
+    clock,
+    logger,
+    random,
+    registry,
+    getAnswers: () => late.answers!,
+    getPeers: () => late.peers!,
+    getLog: () => log,
+    getInstanceCount: () => membership.listInstances().length,
+  });
+  const router = createEngineRouter({
+    clock,
+    random,
+    registry,
+    servesVersion: rollouts.leases.servesVersion,
+  });
   const engines = createEngineClient();
   const applications = createApplicationClient();
   const late: {
@@ -173,7 +190,9 @@
       registry,
       router,
       stalls: createStallDetector(),
+      collector: rollouts.collector,
     }),
+    getReplacementVersion: rollouts.leases.getReplacement,
   });
   late.membership = membership;
   late.peers = peers;
@@ -230,6 +249,7 @@
       answers,
       reader: createAnswerReader({ clock, membership, peers, answers }),
       calls,
+      chooseVersion: rollouts.leases.chooseVersion,
       isReady: () => drain.isReady() && configuration.isKnown(),
       isConfigured: configuration.isKnown,
       isAccepting: drain.isAccepting,
@@ -254,6 +274,7 @@
       [PeerCallKind.Propose]: ({ command }) => propose(command),
       [PeerCallKind.PushConfiguration]: configuration.handlePush,
       [PeerCallKind.PullConfiguration]: configuration.handlePull,
+      [PeerCallKind.SyncRollouts]: rollouts.handleSync,
     };
   }
 
@@ -322,6 +343,12 @@
             action: () => answers.tick(),
           })],
         }),
+        createSupervisor({
+          name: "rollouts",
+          clock,
+          logger,
+          tasks: rollouts.createTasks(),
+        }),
         createSupervisor({
           name: "upstreams",
           clock,
--- a/src/entry/caller_app.ts
+++ b/src/entry/caller_app.ts
@@ -51,6 +51,12 @@
   readonly answers: AnswerService;
   readonly reader: AnswerReader;
   readonly calls: CallService;
+  /** The version for a new answer of the service. */
+  chooseVersion(choice: {
+    readonly service: string;
+    readonly route: string;
+    readonly stableVersion: string;
+  }): string;
   isReady(): boolean;
   /** False until a started instance knows a configuration it may use. */
   isConfigured(): boolean;
@@ -200,7 +206,11 @@
     const answerId = answers.open({
       customerId,
       request: generation,
-      version: chooseVersion(found.versions, options.random),
+      version: options.chooseVersion({
+        service: generation.model,
+        route: generation.route,
+        stableVersion: chooseVersion(found.versions, options.random),
+      }),
       createdAtWallMs,
       deadlineAtWallMs: createdAtWallMs + settings.answers.deadlineMs,
       isStreaming,
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -11,6 +11,10 @@
   configurationPushReplySchema,
   configurationPushSchema,
 } from "../control/configuration_node.ts";
+import {
+  syncRolloutsReplySchema,
+  syncRolloutsSchema,
+} from "../control/rollouts/rollout_messages.ts";
 import { InstanceState } from "../core/types.ts";
 import { FinishReason } from "../core/types.ts";
 
@@ -26,6 +30,7 @@
   Propose = "propose",
   PushConfiguration = "pushConfiguration",
   PullConfiguration = "pullConfiguration",
+  SyncRollouts = "syncRollouts",
 }
 
 export const attemptSchema = z.object({
@@ -182,6 +187,10 @@
     request: configurationPullSchema,
     reply: configurationPullReplySchema,
   },
+  [PeerCallKind.SyncRollouts]: {
+    request: syncRolloutsSchema,
+    reply: syncRolloutsReplySchema,
+  },
 } as const;
 
 export type PeerCalls = typeof peerCalls;
