Route by load, prefix affinity and circuit state, and admit by fair share

The router knew only load reports and one penalty for every failure, and an instance refused work only at a fixed count. This adds the decision modules of routing (cache index, circuit breaker, load estimate, engine choice, stall limits that depend on load) and limits (fair share, admission queue, concurrency window, retry budget), and wires them in.

--- a/src/answers/answer_service.ts
+++ b/src/answers/answer_service.ts
@@ -34,6 +34,7 @@
 import { createCopySender } from "./copy_sender.ts";
 import { canContinue } from "./lineage.ts";
 import { createOwnedAnswer, type OwnedAnswer } from "./owned_answer.ts";
+import { createReaderPresence } from "./reader_presence.ts";
 import { chooseFirstReplica, chooseReplica } from "./replica_placement.ts";
 import { createReplicaStore, type HeldAnswer } from "./replica_store.ts";
 
@@ -83,6 +84,11 @@
   readonly retentionMs: number;
   readonly maxCopyBytes: number;
   readonly copyTimeoutMs: number;
+  /** A streamed answer without a reader for this long is cancelled. */
+  readonly abandonedAfterMs: number;
+  /** An answer was taken over and counts as open here. */
+  onOpened(customerId: CustomerId): void;
+  onClosed(customerId: CustomerId): void;
 }
 
 /** How long a replica asks others about an answer before it takes over. */
@@ -95,6 +101,7 @@
   const { clock, logger, random, membership, peers, attempts } = options;
   const owned = new Map<AnswerId, OwnedAnswer>();
   const closedAtMs = new Map<AnswerId, number>();
+  const presence = createReaderPresence(clock);
   const totals = { finished: 0, useful: 0, dropped: 0, refilled: 0 };
   const replicas = createReplicaStore({
     clock,
@@ -156,6 +163,7 @@
       onClosed,
     });
     owned.set(state.answerId, answer);
+    presence.add(state.answerId);
     logger.log(logEvents.answerOpened, { answer: state.answerId });
     answer.send({ kind: AnswerEventKind.Opened });
   }
@@ -163,6 +171,8 @@
   function onClosed(answer: OwnedAnswer): void {
     const { answerId, tokens, waste } = answer.state;
     closedAtMs.set(answerId, clock.nowMs());
+    presence.remove(answerId);
+    options.onClosed(answer.state.meta.customerId);
     totals.dropped += waste.droppedTokens;
     totals.refilled += waste.refilledTokens;
     if (answer.isSuperseded()) {
@@ -185,7 +195,13 @@
   }
 
   function read(request: ReadRequest): ResultAsync<ReadReply, SystemError> {
-    return ResultAsync.fromSafePromise(readLocal(request));
+    const isOwnCustomer =
+      owned.get(request.answerId)?.state.meta.customerId === request.customerId;
+    return ResultAsync.fromSafePromise(
+      isOwnCustomer
+        ? presence.whileReading(request.answerId, () => readLocal(request))
+        : readLocal(request),
+    );
   }
 
   async function readLocal(request: ReadRequest): Promise<ReadReply> {
@@ -353,6 +369,7 @@
     state.lineage = copy.lineage;
     state.avoidedReplicas.set(copy.owner.instanceId, clock.nowMs() + 5_000);
     replicas.remove(copy.answerId);
+    options.onOpened(copy.meta.customerId);
     run(state);
   }
 
@@ -420,6 +437,7 @@
     for (const answer of owned.values()) {
       if (answer.state.isClosed) continue;
       answer.tick();
+      if (isAbandoned(answer)) cancelAbandoned(answer);
       if (wallMs > answer.state.meta.deadlineAtWallMs) {
         answer.send({
           kind: AnswerEventKind.Cancelled,
@@ -436,6 +454,19 @@
     }
   }
 
+  function isAbandoned({ state }: OwnedAnswer): boolean {
+    return state.meta.isStreaming && !state.end &&
+      presence.getAbsentMs(state.answerId) > options.abandonedAfterMs;
+  }
+
+  function cancelAbandoned(answer: OwnedAnswer): void {
+    logger.log(logEvents.answerAbandoned, { answer: answer.state.answerId });
+    answer.send({
+      kind: AnswerEventKind.Cancelled,
+      message: "the streaming caller has been gone for too long",
+    });
+  }
+
   function getOpenCount(): number {
     let count = 0;
     for (const answer of owned.values()) if (!answer.state.isClosed) count++;
--- a/src/answers/attempt_runner.ts
+++ b/src/answers/attempt_runner.ts
@@ -15,6 +15,8 @@
   readonly isHedge: boolean;
   /** Engines that failed or are in use for this answer. */
   readonly avoidedUpstreamIds: readonly UpstreamId[];
+  /** Engines that still run an attempt of this answer. */
+  readonly inUseUpstreamIds: readonly UpstreamId[];
 }
 
 export interface AttemptSink {
@@ -28,6 +30,8 @@
   getUpstreamId(): UpstreamId | undefined;
   /** Silence beyond this makes the attempt suspect. */
   getSilenceLimitMs(): number;
+  /** The attempt was silent beyond its limit and is hedged. */
+  suspect(): void;
   /** Stops the attempt; the sink hears nothing afterwards. */
   cancel(): void;
 }
--- a/src/answers/owned_answer.ts
+++ b/src/answers/owned_answer.ts
@@ -132,7 +132,10 @@
       startTimer: undefined,
     };
     running.set(attemptNumber, attempt);
-    if (isHedge) logger.log(logEvents.attemptSuspected, { attemptNumber });
+    if (isHedge) {
+      logger.log(logEvents.attemptSuspected, { attemptNumber });
+      for (const other of running.values()) other.handle?.suspect();
+    }
     attempt.startTimer = setTimeout(() => {
       attempt.startTimer = undefined;
       attempt.handle = run(attemptNumber, isHedge);
@@ -150,6 +153,7 @@
       tokens: state.tokens.slice(),
       isHedge,
       avoidedUpstreamIds: [...inUse, ...failedUpstreamIds],
+      inUseUpstreamIds: inUse,
     }, {
       onTokens: (fromPosition, tokens) =>
         send({
--- a/src/calls/call_service.ts
+++ b/src/calls/call_service.ts
@@ -22,6 +22,7 @@
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import { type UpstreamId, UpstreamKind } from "../core/types.ts";
+import type { RetryBudget } from "../limits/retry_budget.ts";
 import type { ApplicationService } from "../settings/schema.ts";
 import type {
   ApplicationCall,
@@ -35,6 +36,8 @@
 export interface ServiceCall extends ApplicationCall {
   readonly customerId: string;
   readonly service: ApplicationService;
+  /** Time the caller still waits; bounded by the service's own timeout. */
+  readonly remainingMs: number;
 }
 
 export interface CallService {
@@ -48,6 +51,7 @@
   readonly control: ControlClient;
   readonly registry: UpstreamRegistry;
   readonly client: ApplicationClient;
+  readonly budget: RetryBudget;
 }
 
 enum DispatchKind {
@@ -68,32 +72,69 @@
 const pendingWaitMs = 3_000;
 const pendingPollMs = 200;
 const maxTries = 4;
+const minRetryAfterMs = 100;
 
 export function createCallService(options: CallServiceOptions): CallService {
-  const { clock, logger, random, control, registry, client } = options;
+  const { clock, logger, random, control, registry, client, budget } = options;
   return { execute };
 
   function execute(
     call: ServiceCall,
   ): Promise<Result<StoredResponse, SystemError>> {
+    if (call.remainingMs <= 0) {
+      return Promise.resolve(err(createError(
+        ErrorKind.Overloaded,
+        "the deadline of the call passed before it was dispatched",
+        { retryAfterMs: minRetryAfterMs },
+      )));
+    }
     return isIdempotent(call) ? executeIdempotent(call) : executeOnce(call);
   }
 
+  /** Whether the budget allows another dispatch of the call. */
+  function mayRetry(call: ServiceCall): boolean {
+    const key = {
+      service: call.service.service,
+      customerId: call.customerId,
+    };
+    const isAllowed = budget.tryDraw(key, 1);
+    if (!isAllowed) {
+      logger.log(logEvents.retryRefused, {
+        service: key.service,
+        customer: key.customerId,
+      });
+    }
+    return isAllowed;
+  }
+
+  function recordUseful(call: ServiceCall): void {
+    const { service: { service }, customerId } = call;
+    budget.recordUseful({ service, customerId }, 1);
+  }
+
+  function getTimeoutMs(call: ServiceCall): number {
+    return Math.min(call.service.timeoutMs, call.remainingMs);
+  }
+
   async function executeIdempotent(
     call: ServiceCall,
   ): Promise<Result<StoredResponse, SystemError>> {
-    const deadlineMs = clock.nowMs() + call.service.timeoutMs;
+    const deadlineMs = clock.nowMs() + getTimeoutMs(call);
     let last: Dispatch = { kind: DispatchKind.NotRun, message: "no worker" };
     const triedIds: UpstreamId[] = [];
     for (let tries = 0; tries < maxTries; tries++) {
       const worker = chooseWorker(call.service.service, triedIds);
       const remainingMs = deadlineMs - clock.nowMs();
       if (!worker || remainingMs <= 0) break;
+      if (tries > 0 && !mayRetry(call)) break;
       triedIds.push(worker.info.upstreamId);
       // Leaves time for a second try when the first worker is frozen.
-      const timeoutMs = Math.min(remainingMs, call.service.timeoutMs / 2);
+      const timeoutMs = Math.min(remainingMs, getTimeoutMs(call) / 2);
       last = await dispatch(worker, call, timeoutMs);
-      if (last.kind === DispatchKind.Answered) return ok(last.response);
+      if (last.kind === DispatchKind.Answered) {
+        recordUseful(call);
+        return ok(last.response);
+      }
     }
     return last.kind === DispatchKind.NotRun
       ? err(getNoWorkerError(call, last.message))
@@ -174,6 +215,7 @@
     const dispatched = await dispatchUntilSent(call);
     switch (dispatched.kind) {
       case DispatchKind.Answered:
+        recordUseful(call);
         // Without the stored outcome a resend would be told "unknown".
         await settle(key, claimId, {
           kind: OutcomeKind.Answered,
@@ -200,12 +242,15 @@
   /** Tries workers until one may have received the call. */
   async function dispatchUntilSent(call: ServiceCall): Promise<Dispatch> {
     const triedIds: UpstreamId[] = [];
+    const deadlineMs = clock.nowMs() + getTimeoutMs(call);
     let last: Dispatch = { kind: DispatchKind.NotRun, message: "no worker" };
     for (let tries = 0; tries < maxTries; tries++) {
       const worker = chooseWorker(call.service.service, triedIds);
-      if (!worker) break;
+      const remainingMs = deadlineMs - clock.nowMs();
+      if (!worker || remainingMs <= 0) break;
+      if (tries > 0 && !mayRetry(call)) break;
       triedIds.push(worker.info.upstreamId);
-      last = await dispatch(worker, call, call.service.timeoutMs);
+      last = await dispatch(worker, call, remainingMs);
       if (last.kind !== DispatchKind.NotRun) break;
     }
     return last;
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -63,7 +63,11 @@
   upstreamRemoved: event(4003, Info, "upstream removed"),
   upstreamCircuitOpened: event(4004, Warn, "circuit opened for upstream"),
   upstreamCircuitClosed: event(4005, Info, "circuit closed for upstream"),
-  cacheEventsGap: event(4006, Info, "gap in cache events, resync"),
+  cacheEventsGap: event(4006, Debug, "gap in cache events, resync"),
+  upstreamSuspected: event(4101, Warn, "upstream is silent, circuit opened"),
+  upstreamProbed: event(4102, Info, "upstream is probed with one request"),
+  cacheEventsFailed: event(4103, Debug, "cache events could not be read"),
+  hedgeRefused: event(4104, Warn, "hedge refused by the retry budget"),
   // 5xxx: peers and membership
   peerConnected: event(5001, Debug, "peer connected"),
   peerLost: event(5002, Warn, "peer connection lost"),
@@ -90,4 +94,7 @@
   // 7xxx: callers
   requestRefused: event(7001, Debug, "request refused"),
   requestFailed: event(7002, Warn, "request failed"),
+  admissionRefused: event(7101, Info, "request refused by admission"),
+  answerAbandoned: event(7102, Info, "caller is gone, answer cancelled"),
+  retryRefused: event(7103, Info, "retry refused by the retry budget"),
 } as const satisfies Record<string, LogEvent>;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -24,16 +24,8 @@
 import { createLogger } from "../core/logger.ts";
 import { createMetrics } from "../core/metrics.ts";
 import { createRandom } from "../core/random.ts";
-import {
-  createPeriodicTask,
-  createSupervisor,
-  type Task,
-} from "../core/supervisor.ts";
-import {
-  type InstanceInfo,
-  InstanceState,
-  UpstreamKind,
-} from "../core/types.ts";
+import { createPeriodicTask, createSupervisor } from "../core/supervisor.ts";
+import { type InstanceInfo, InstanceState } from "../core/types.ts";
 import { createAuthenticator } from "../entry/authenticator.ts";
 import { createCallerApp } from "../entry/caller_app.ts";
 import { createOperatorApp } from "../entry/operator_app.ts";
@@ -45,14 +37,13 @@
   type PeerServer,
   startPeerServer,
 } from "../peer/peer_server.ts";
-import { createEngineRouter } from "../routing/engine_router.ts";
-import { createStallDetector } from "../routing/stall_detector.ts";
 import type { Settings } from "../settings/schema.ts";
 import { createApplicationClient } from "../upstreams/application_client.ts";
 import { createEngineAttempts } from "../upstreams/engine_attempts.ts";
 import { createEngineClient } from "../upstreams/engine_client.ts";
 import { createUpstreamRegistry } from "../upstreams/upstream_registry.ts";
 import { createDrain } from "./drain.ts";
+import { createTraffic } from "./traffic.ts";
 
 export interface Daemon {
   readonly callerPort: number;
@@ -64,7 +55,6 @@
 }
 
 const answerTickMs = 25;
-const loadPollMs = 500;
 
 export function startDaemon(
   settings: Settings,
@@ -82,7 +72,6 @@
   );
   const random = createRandom(Date.now() ^ (Math.random() * 2 ** 31));
   const registry = createUpstreamRegistry({ clock, logger });
-  const router = createEngineRouter({ clock, random, registry });
   const engines = createEngineClient();
   const applications = createApplicationClient();
   const stateMachine = createStateMachine();
@@ -115,6 +104,16 @@
     getAddress: membership.getAddress,
     onConnectionLost: membership.checkNow,
   });
+  const traffic = createTraffic({
+    settings,
+    clock,
+    logger,
+    random,
+    registry,
+    engines,
+    getInstanceCount: () => membership.listInstances().length,
+  });
+  const { admission } = traffic;
   const answers = createAnswerService({
     ...settings.answers,
     clock,
@@ -128,9 +127,13 @@
       logger,
       engines,
       registry,
-      router,
-      stalls: createStallDetector(),
+      router: traffic.router,
+      stalls: traffic.stalls,
+      budget: traffic.answerBudget,
+      onTokens: admission.recordTokens,
     }),
+    onOpened: admission.recordOpened,
+    onClosed: admission.recordClosed,
   });
   late.peers = peers;
   late.answers = answers;
@@ -148,6 +151,7 @@
     control,
     registry,
     client: applications,
+    budget: traffic.callBudget,
   });
   const drain = createDrain({
     clock,
@@ -171,6 +175,7 @@
       answers,
       reader: createAnswerReader({ clock, membership, peers, answers }),
       calls,
+      admission,
       isReady: drain.isReady,
       isAccepting: drain.isAccepting,
       trackRequest: drain.trackRequest,
@@ -258,7 +263,7 @@
           name: "upstreams",
           clock,
           logger,
-          tasks: [createLoadTask()],
+          tasks: traffic.tasks,
         }),
       ],
     });
@@ -282,25 +287,10 @@
         peerServer.close(),
         engines.close(),
         applications.close(),
+        traffic.close(),
       ]);
       metrics.close();
       logger.log(logEvents.daemonStopped);
     }
   }
-
-  function createLoadTask(): Task {
-    return createPeriodicTask({
-      name: "load-reports",
-      clock,
-      intervalMs: loadPollMs,
-      action: () => {
-        for (const { info } of registry.list()) {
-          if (info.kind !== UpstreamKind.Engine) continue;
-          void engines.readLoad(info.baseUrl).map((load) =>
-            registry.reportLoad(info.upstreamId, load)
-          );
-        }
-      },
-    });
-  }
 }
--- /dev/null
+++ b/src/daemon/traffic.ts
@@ -0,0 +1,190 @@
+/**
+ * Builds what decides where work goes and how much of it is accepted: router,
+ * circuit breakers, cache index, stall detector, budgets and admission.
+ */
+import type { Clock } from "../core/clock.ts";
+import { logEvents } from "../core/log_events.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Random } from "../core/random.ts";
+import { createPeriodicTask, type Task } from "../core/supervisor.ts";
+import { UpstreamKind } from "../core/types.ts";
+import { type Admission, createAdmission } from "../limits/admission.ts";
+import { createConcurrencyWindow } from "../limits/concurrency_window.ts";
+import { createSettingsCustomerLimits } from "../limits/customer_limits.ts";
+import { createFairShare } from "../limits/fair_share.ts";
+import { createRetryBudget, type RetryBudget } from "../limits/retry_budget.ts";
+import { createCacheIndex } from "../routing/cache_index.ts";
+import {
+  CircuitState,
+  createCircuitBreaker,
+} from "../routing/circuit_breaker.ts";
+import {
+  createEngineRouter,
+  type EngineRouter,
+} from "../routing/engine_router.ts";
+import {
+  createStallDetector,
+  type StallDetector,
+} from "../routing/stall_detector.ts";
+import type { Settings } from "../settings/schema.ts";
+import { createCacheEventsClient } from "../upstreams/cache_events.ts";
+import type { EngineClient } from "../upstreams/engine_client.ts";
+import type { UpstreamRegistry } from "../upstreams/upstream_registry.ts";
+
+export interface Traffic {
+  readonly router: EngineRouter;
+  readonly stalls: StallDetector;
+  /** Counts tokens. */
+  readonly answerBudget: RetryBudget;
+  /** Counts calls. */
+  readonly callBudget: RetryBudget;
+  readonly admission: Admission;
+  readonly tasks: readonly Task[];
+  close(): Promise<void>;
+}
+
+export interface TrafficOptions {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly random: Random;
+  readonly registry: UpstreamRegistry;
+  readonly engines: EngineClient;
+  getInstanceCount(): number;
+}
+
+const loadPollMs = 500;
+const cachePollMs = 500;
+const admissionTickMs = 50;
+const minWindow = 8;
+const initialWindow = 64;
+
+export function createTraffic(options: TrafficOptions): Traffic {
+  const { settings, clock, logger, random, registry, engines } = options;
+  const { limits } = settings;
+  const breaker = createCircuitBreaker({ clock, onChanged: logCircuit });
+  const cacheIndex = createCacheIndex({
+    clock,
+    maxBlocks: limits.maxCacheIndexBlocks,
+  });
+  const cacheEvents = createCacheEventsClient();
+  const readingIds = new Set<string>();
+  const window = createConcurrencyWindow({
+    minSize: Math.min(minWindow, limits.maxOpenAnswers),
+    maxSize: limits.maxOpenAnswers,
+    initialSize: initialWindow,
+  });
+  const admission = createAdmission({
+    clock,
+    logger,
+    window,
+    shares: createFairShare({
+      clock,
+      limits: createSettingsCustomerLimits(settings.customers),
+      maxTokensPerS: limits.maxTokensPerS,
+    }),
+    maxQueueLength: limits.maxQueueLength,
+    maxQueueWaitMs: limits.maxQueueWaitMs,
+  });
+  const ratio = limits.retryBudgetRatio;
+  return {
+    router: createEngineRouter({
+      clock,
+      random,
+      registry,
+      breaker,
+      cacheIndex,
+      getInstanceCount: options.getInstanceCount,
+    }),
+    stalls: createStallDetector({ clock }),
+    answerBudget: createRetryBudget({
+      ratio,
+      initialUnits: 2_000,
+      maxUnits: 50_000,
+    }),
+    callBudget: createRetryBudget({ ratio, initialUnits: 10, maxUnits: 100 }),
+    admission,
+    tasks: [
+      createPeriodicTask({
+        name: "load-reports",
+        clock,
+        intervalMs: loadPollMs,
+        action: readLoads,
+      }),
+      createPeriodicTask({
+        name: "cache-events",
+        clock,
+        intervalMs: cachePollMs,
+        action: readCacheEvents,
+      }),
+      createPeriodicTask({
+        name: "admission",
+        clock,
+        intervalMs: admissionTickMs,
+        action: () => admission.tick(),
+      }),
+    ],
+    close: cacheEvents.close,
+  };
+
+  function listEngines() {
+    return registry.list().filter(({ info }) =>
+      info.kind === UpstreamKind.Engine
+    );
+  }
+
+  function readLoads(): void {
+    updateWindow();
+    for (const { info } of listEngines()) {
+      void engines.readLoad(info.baseUrl).map((load) =>
+        registry.reportLoad(info.upstreamId, load)
+      );
+    }
+  }
+
+  function updateWindow(): void {
+    let runningCount = 0;
+    let waitingCount = 0;
+    for (const { load } of listEngines()) {
+      if (!load) continue;
+      runningCount += load.runningCount;
+      waitingCount += load.waitingCount;
+    }
+    const { openCount } = admission.getStats();
+    window.update({ runningCount, waitingCount, openCount });
+  }
+
+  function readCacheEvents(): void {
+    for (const { info } of listEngines()) {
+      const { upstreamId, baseUrl } = info;
+      // A slow engine has one read open at a time.
+      if (readingIds.has(upstreamId)) continue;
+      readingIds.add(upstreamId);
+      const after = cacheIndex.getReadAfter(upstreamId);
+      void cacheEvents.read(baseUrl, after).match(
+        (page) => {
+          readingIds.delete(upstreamId);
+          if (!cacheIndex.applyPage(upstreamId, page)) return;
+          logger.log(logEvents.cacheEventsGap, { upstream: upstreamId, after });
+        },
+        (error) => {
+          readingIds.delete(upstreamId);
+          logger.log(logEvents.cacheEventsFailed, {
+            upstream: upstreamId,
+            reason: error.message,
+          });
+        },
+      );
+    }
+  }
+
+  function logCircuit(upstream: string, state: CircuitState): void {
+    const event = {
+      [CircuitState.Closed]: logEvents.upstreamCircuitClosed,
+      [CircuitState.Crashed]: logEvents.upstreamCircuitOpened,
+      [CircuitState.Suspected]: logEvents.upstreamSuspected,
+      [CircuitState.Probing]: logEvents.upstreamProbed,
+    }[state];
+    logger.log(event, { upstream });
+  }
+}
--- a/src/entry/caller_app.ts
+++ b/src/entry/caller_app.ts
@@ -20,6 +20,7 @@
 } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
+import type { Admission } from "../limits/admission.ts";
 import type { AnswerId, CustomerId } from "../core/types.ts";
 import type {
   ApplicationService,
@@ -46,6 +47,7 @@
   readonly answers: AnswerService;
   readonly reader: AnswerReader;
   readonly calls: CallService;
+  readonly admission: Admission;
   isReady(): boolean;
   /** False once the drain no longer takes new requests. */
   isAccepting(): boolean;
@@ -59,14 +61,17 @@
 type CallerContext = Context<CallerEnv>;
 
 const answerIdHeader = "x-answer-id";
-const overloadRetryMs = 1_000;
+const deadlineHeader = "x-deadline-ms";
+/** Priority at the engines of work above the customer's share. */
+const overSharePriority = 0;
 const startPosition: EventPosition = {
   fromPosition: 0,
   lastAttempt: undefined,
 };
 
 export function createCallerApp(options: CallerAppOptions): Hono<CallerEnv> {
-  const { settings, clock, logger, answers, reader, calls } = options;
+  const { settings, clock, logger, answers, reader, calls, admission } =
+    options;
   const app = new Hono<CallerEnv>();
   app.onError((cause, context) => {
     logger.log(logEvents.unexpectedError, { reason: getErrorMessage(cause) });
@@ -136,11 +141,13 @@
       await context.req.text(),
       settings.answers.maxTokens,
     );
-    const opened = parsed.andThen((request) => open(request, customerId));
+    if (parsed.isErr()) return refuse(context, parsed.error);
+    const isAsync = context.req.header("prefer") === "respond-async";
+    const opened = await open(context, parsed.value, { customerId, isAsync });
     if (opened.isErr()) return refuse(context, opened.error);
     const { answerId, model, isStreaming } = opened.value;
     context.header(answerIdHeader, answerId);
-    if (context.req.header("prefer") === "respond-async") {
+    if (isAsync) {
       return context.json({ id: answerId, status: "running" }, 202);
     }
     const stream = getStreamOptions(customerId, {
@@ -154,12 +161,15 @@
       : await sendBuffered(context, stream);
   }
 
-  function open(
+  async function open(
+    context: CallerContext,
     { generation, isStreaming }: CompletionRequest,
-    customerId: CustomerId,
-  ): Result<
-    { answerId: AnswerId; model: string; isStreaming: boolean },
-    SystemError
+    { customerId, isAsync }: { customerId: CustomerId; isAsync: boolean },
+  ): Promise<
+    Result<
+      { answerId: AnswerId; model: string; isStreaming: boolean },
+      SystemError
+    >
   > {
     const service = findService("model", generation.model);
     if (!service) {
@@ -169,21 +179,26 @@
         { fieldPath: "model" },
       ));
     }
-    if (answers.getOpenCount() >= settings.limits.maxOpenAnswers) {
-      return err(createError(
-        ErrorKind.Overloaded,
-        "too many open answers on this instance",
-        { retryAfterMs: overloadRetryMs },
-      ));
-    }
     const createdAtWallMs = clock.wallMs();
+    const lifetimeMs = getRemainingMs(context, settings.answers.deadlineMs);
+    const admitted = await admission.admit({
+      customerId,
+      priority: generation.priority,
+      deadlineAtMs: clock.nowMs() + lifetimeMs,
+      signal: context.req.raw.signal,
+    });
+    if (admitted.isErr()) return err(admitted.error);
+    const priority = admitted.value.isOverShare
+      ? overSharePriority
+      : generation.priority;
     const answerId = answers.open({
       customerId,
-      request: generation,
+      request: { ...generation, priority },
       version: (service as ModelService).stableVersion,
       createdAtWallMs,
-      deadlineAtWallMs: createdAtWallMs + settings.answers.deadlineMs,
-      isStreaming,
+      deadlineAtWallMs: createdAtWallMs + lifetimeMs,
+      // A caller that fetches the answer later is not expected to read now.
+      isStreaming: isStreaming && !isAsync,
     });
     return ok({ answerId, model: generation.model, isStreaming });
   }
@@ -262,6 +277,10 @@
     const result = await calls.execute({
       customerId,
       service: service as ApplicationService,
+      remainingMs: getRemainingMs(
+        context,
+        (service as ApplicationService).timeoutMs,
+      ),
       method: context.req.method,
       path,
       contentType: context.req.header("content-type") ?? "",
@@ -349,6 +368,12 @@
   }
 }
 
+/** Time the caller still waits, from its header and at most `maxMs`. */
+function getRemainingMs(context: Context, maxMs: number): number {
+  const text = context.req.header(deadlineHeader) ?? "";
+  return /^\d{1,9}$/.test(text) ? Math.min(maxMs, Number(text)) : maxMs;
+}
+
 function writeText(outgoing: ServerResponse, text: string): Promise<boolean> {
   if (outgoing.destroyed || outgoing.writableEnded) {
     return Promise.resolve(false);
--- /dev/null
+++ b/src/routing/cache_index.ts
@@ -0,0 +1,157 @@
+/**
+ * Bounded index of the prompt prefixes that engines hold in their caches, built
+ * from their cache events.
+ *
+ * The index is a hint: a wrong entry costs a prefill and never correctness.
+ * Events after a gap are therefore still applied, and the whole set is read
+ * again when the shortest time between two resynchronisations has passed.
+ */
+import type { Clock } from "../core/clock.ts";
+import type { UpstreamId } from "../core/types.ts";
+
+export interface CacheEvent {
+  readonly seq: number;
+  readonly kind: "stored" | "evicted";
+  readonly block: string;
+}
+
+export interface CacheEventsPage {
+  readonly events: readonly CacheEvent[];
+  /** The whole set of blocks, in the reply to a resynchronisation. */
+  readonly blocks?: readonly string[] | undefined;
+  /** Sequence number up to which the page is complete. */
+  readonly seq: number;
+}
+
+export interface CacheIndex {
+  /** Sequence number to read after; 0 asks for the whole set. */
+  getReadAfter(upstreamId: UpstreamId): number;
+  /** Returns true when the page revealed a gap. */
+  applyPage(upstreamId: UpstreamId, page: CacheEventsPage): boolean;
+  /** Number of leading blocks of the prompt that the engine holds. */
+  getCachedBlockCount(
+    upstreamId: UpstreamId,
+    blocks: readonly string[],
+  ): number;
+  getBlockCount(): number;
+  /** The engine lost its cache, for example by a restart. */
+  forget(upstreamId: UpstreamId): void;
+}
+
+export interface CacheIndexOptions {
+  readonly clock: Clock;
+  /** Blocks over all engines; each engine gets an equal part. */
+  readonly maxBlocks: number;
+}
+
+interface EngineCache {
+  /** In order of storing, so that the oldest goes first at the bound. */
+  readonly blocks: Set<string>;
+  seq: number;
+  isResyncNeeded: boolean;
+  resyncedAtMs: number;
+}
+
+/**
+ * Shortest time between two reads of a whole set: 2,000 blocks are about 40 KB,
+ * and an engine that loses 2% of its events would cause one at every poll.
+ */
+const minResyncIntervalMs = 5_000;
+/** Repairs lost events at the end of the sequence and engines that restarted. */
+const maxResyncIntervalMs = 60_000;
+const minBlocksPerEngine = 64;
+
+export function createCacheIndex(
+  { clock, maxBlocks }: CacheIndexOptions,
+): CacheIndex {
+  const caches = new Map<UpstreamId, EngineCache>();
+  return {
+    getReadAfter,
+    applyPage,
+    getCachedBlockCount,
+    getBlockCount,
+    forget: (upstreamId) => {
+      caches.delete(upstreamId);
+    },
+  };
+
+  function getReadAfter(upstreamId: UpstreamId): number {
+    const cache = caches.get(upstreamId);
+    if (!cache) return 0;
+    const ageMs = clock.nowMs() - cache.resyncedAtMs;
+    if (cache.isResyncNeeded && ageMs >= minResyncIntervalMs) return 0;
+    return ageMs >= maxResyncIntervalMs ? 0 : cache.seq;
+  }
+
+  function applyPage(upstreamId: UpstreamId, page: CacheEventsPage): boolean {
+    if (page.blocks) {
+      resync(upstreamId, page.blocks, page.seq);
+      return false;
+    }
+    const cache = caches.get(upstreamId);
+    if (!cache) return false;
+    const events = page.events
+      .filter((event) => event.seq > cache.seq)
+      .sort((left, right) => left.seq - right.seq);
+    let hasGap = false;
+    for (const event of events) {
+      if (event.seq <= cache.seq) continue; // repeated within the page
+      if (event.seq !== cache.seq + 1) hasGap = true;
+      cache.seq = event.seq;
+      cache.blocks.delete(event.block);
+      if (event.kind === "stored") cache.blocks.add(event.block);
+    }
+    if (page.seq > cache.seq) {
+      hasGap = true;
+      cache.seq = page.seq;
+    }
+    cache.isResyncNeeded ||= hasGap;
+    trim(cache);
+    return hasGap;
+  }
+
+  function resync(
+    upstreamId: UpstreamId,
+    blocks: readonly string[],
+    seq: number,
+  ): void {
+    const cache: EngineCache = {
+      blocks: new Set(blocks),
+      seq,
+      isResyncNeeded: false,
+      resyncedAtMs: clock.nowMs(),
+    };
+    caches.set(upstreamId, cache);
+    trim(cache);
+  }
+
+  function trim(cache: EngineCache): void {
+    const limit = Math.max(
+      minBlocksPerEngine,
+      Math.floor(maxBlocks / Math.max(1, caches.size)),
+    );
+    for (const block of cache.blocks) {
+      if (cache.blocks.size <= limit) break;
+      cache.blocks.delete(block);
+    }
+  }
+
+  function getCachedBlockCount(
+    upstreamId: UpstreamId,
+    blocks: readonly string[],
+  ): number {
+    const cache = caches.get(upstreamId);
+    if (!cache) return 0;
+    let count = 0;
+    while (count < blocks.length && cache.blocks.has(blocks[count]!)) {
+      count += 1;
+    }
+    return count;
+  }
+
+  function getBlockCount(): number {
+    let count = 0;
+    for (const cache of caches.values()) count += cache.blocks.size;
+    return count;
+  }
+}
--- a/src/routing/engine_router.ts
+++ b/src/routing/engine_router.ts
@@ -1,5 +1,5 @@
 /**
- * Chooses the engine for an attempt.
+ * Chooses the engine for an attempt and records what happens to it there.
  */
 import { Maybe } from "true-myth";
 import type { Clock } from "../core/clock.ts";
@@ -9,86 +9,173 @@
   UpstreamRegistry,
   UpstreamStatus,
 } from "../upstreams/upstream_registry.ts";
+import type { CacheIndex } from "./cache_index.ts";
+import { type CircuitBreaker, CircuitState } from "./circuit_breaker.ts";
+import { chooseCandidate, type EngineCandidate } from "./engine_choice.ts";
+import {
+  estimateLoad,
+  getOtherCount,
+  type LoadInput,
+} from "./load_estimate.ts";
+import { getPrefixBlocks } from "./prefix_blocks.ts";
 
 export interface EngineChoice {
   readonly service: string;
   readonly version: string;
+  readonly prompt: string;
+  /** Tokens so far, which the engine prefills like the prompt. */
+  readonly resumeTokenCount: number;
   /** Used only when no other engine is left. */
   readonly avoidedUpstreamIds: readonly UpstreamId[];
   /** A hedge on an avoided engine would be of no use. */
   readonly mustAvoid: boolean;
 }
 
+/** An engine that was chosen for one attempt, with its circuit breaker. */
+export interface EngineLease {
+  readonly engine: UpstreamStatus;
+  recordProgress(): void;
+  recordCrash(): void;
+  recordOverload(retryAfterMs: number | undefined): void;
+  recordSuspected(): void;
+  /** The attempt ended without a verdict on the engine. */
+  release(): void;
+}
+
 export interface EngineRouter {
-  chooseEngine(choice: EngineChoice): Maybe<UpstreamStatus>;
-  recordFailure(upstreamId: UpstreamId): void;
-  recordSuccess(upstreamId: UpstreamId): void;
+  chooseEngine(choice: EngineChoice): Maybe<EngineLease>;
 }
 
 export interface EngineRouterOptions {
   readonly clock: Clock;
   readonly random: Random;
   readonly registry: UpstreamRegistry;
+  readonly breaker: CircuitBreaker;
+  readonly cacheIndex: CacheIndex;
+  getInstanceCount(): number;
 }
 
-/** An engine that failed gets no new work for this long, doubled each time. */
-const initialPenaltyMs = 1_000;
-const maxPenaltyMs = 30_000;
-const loadHalfLifeMs = 2_000;
+/**
+ * An engine that answered load polls before and has not for this long is used
+ * last: it is gone, frozen or cut off.
+ */
+const staleReportMs = 2_000;
+const charsPerToken = 4;
 
 export function createEngineRouter(options: EngineRouterOptions): EngineRouter {
-  const { clock, random, registry } = options;
-  const penalties = new Map<
-    UpstreamId,
-    { untilMs: number; lengthMs: number }
-  >();
-  return { chooseEngine, recordFailure, recordSuccess };
+  const { clock, random, registry, breaker, cacheIndex } = options;
+  return { chooseEngine };
 
-  function chooseEngine(choice: EngineChoice): Maybe<UpstreamStatus> {
+  function chooseEngine(choice: EngineChoice): Maybe<EngineLease> {
     const engines = registry.listUsable(UpstreamKind.Engine, choice.service)
       .filter((engine) => engine.info.version === choice.version);
     const notAvoided = engines.filter((engine) =>
       !choice.avoidedUpstreamIds.includes(engine.info.upstreamId)
     );
-    const healthy = notAvoided.filter((engine) => !isPenalized(engine));
-    if (healthy.length > 0) return pickOfTwo(healthy);
-    if (notAvoided.length > 0) return pickOfTwo(notAvoided);
-    return choice.mustAvoid ? Maybe.nothing() : pickOfTwo(engines);
+    // A caller that already waits for a resume does not test an engine.
+    const mayProbe = choice.resumeTokenCount === 0 && !choice.mustAvoid;
+    const available = notAvoided.filter((engine) =>
+      isAvailable(engine, mayProbe)
+    );
+    const fresh = available.filter((engine) => !isStale(engine));
+    const tiers = [
+      fresh,
+      available,
+      notAvoided.filter(isClosed),
+      notAvoided,
+      choice.mustAvoid ? [] : engines,
+    ];
+    const usable = tiers.find((tier) => tier.length > 0);
+    return usable ? lease(usable, engines, choice) : Maybe.nothing();
   }
 
-  function pickOfTwo(
+  function lease(
+    usable: readonly UpstreamStatus[],
     engines: readonly UpstreamStatus[],
-  ): Maybe<UpstreamStatus> {
-    if (engines.length === 0) return Maybe.nothing();
-    const first = engines[random.nextInt(engines.length)]!;
-    const second = engines[random.nextInt(engines.length)]!;
-    return Maybe.just(getLoad(second) < getLoad(first) ? second : first);
+    choice: EngineChoice,
+  ): Maybe<EngineLease> {
+    const blocks = getPrefixBlocks(choice.prompt);
+    const meanOtherCount = getMeanOtherCount(engines);
+    const candidates = usable.map((engine): EngineCandidate => {
+      const { upstreamId } = engine.info;
+      return {
+        upstreamId,
+        load: getEstimate(engine, meanOtherCount),
+        share: breaker.getShare(upstreamId),
+        cachedBlocks: cacheIndex.getCachedBlockCount(upstreamId, blocks),
+      };
+    });
+    const chosen = chooseCandidate({
+      candidates,
+      promptTokens: Math.ceil(choice.prompt.length / charsPerToken) +
+        choice.resumeTokenCount,
+      firstBlock: blocks[0] ?? "",
+    }, random);
+    const engine = chosen && registry.get(chosen.upstreamId);
+    if (!engine) return Maybe.nothing();
+    return Maybe.just(createLease(engine));
+  }
+
+  function createLease(engine: UpstreamStatus): EngineLease {
+    const { upstreamId } = engine.info;
+    const permit = breaker.acquire(upstreamId);
+    return {
+      engine,
+      recordProgress: () => breaker.recordProgress(upstreamId, permit),
+      recordCrash: () => {
+        breaker.recordCrash(upstreamId, permit);
+        cacheIndex.forget(upstreamId);
+      },
+      recordOverload: (retryAfterMs) =>
+        breaker.recordOverload(upstreamId, permit, retryAfterMs),
+      recordSuspected: () => breaker.recordSuspected(upstreamId),
+      release: () => breaker.release(upstreamId, permit),
+    };
+  }
+
+  function isAvailable(engine: UpstreamStatus, mayProbe: boolean): boolean {
+    const { upstreamId } = engine.info;
+    if (!breaker.isAvailable(upstreamId)) return false;
+    if (breaker.getState(upstreamId) === CircuitState.Closed) return true;
+    // A load report since the crash shows that the process answers again.
+    return mayProbe && (engine.load === undefined ||
+      engine.load.receivedAtMs > breaker.getOpenedAtMs(upstreamId));
   }
 
-  function getLoad(engine: UpstreamStatus): number {
-    if (!engine.load) return engine.inFlightCount;
-    const ageMs = clock.nowMs() - engine.load.receivedAtMs;
-    const weight = 0.5 ** (ageMs / loadHalfLifeMs);
-    const reported = engine.load.runningCount + engine.load.waitingCount;
-    return Math.max(engine.inFlightCount, reported * weight);
+  function isClosed(engine: UpstreamStatus): boolean {
+    return breaker.getState(engine.info.upstreamId) === CircuitState.Closed;
   }
 
-  function isPenalized(engine: UpstreamStatus): boolean {
-    const penalty = penalties.get(engine.info.upstreamId);
-    return penalty !== undefined && clock.nowMs() < penalty.untilMs;
+  function isStale({ load }: UpstreamStatus): boolean {
+    return load !== undefined &&
+      clock.nowMs() - load.receivedAtMs > staleReportMs;
   }
 
-  function recordFailure(upstreamId: UpstreamId): void {
-    const nowMs = clock.nowMs();
-    const previous = penalties.get(upstreamId);
-    if (previous && nowMs < previous.untilMs) return;
-    const lengthMs = previous
-      ? Math.min(maxPenaltyMs, previous.lengthMs * 2)
-      : initialPenaltyMs;
-    penalties.set(upstreamId, { untilMs: nowMs + lengthMs, lengthMs });
+  function getEstimate(engine: UpstreamStatus, meanOtherCount: number): number {
+    return estimateLoad(toLoadInput(engine), {
+      instanceCount: options.getInstanceCount(),
+      meanOtherCount,
+    });
+  }
+
+  function getMeanOtherCount(engines: readonly UpstreamStatus[]): number {
+    const reported = engines.filter((engine) => engine.load !== undefined);
+    if (reported.length === 0) return 0;
+    const total = reported.reduce(
+      (sum, engine) => sum + getOtherCount(toLoadInput(engine)),
+      0,
+    );
+    return total / reported.length;
   }
 
-  function recordSuccess(upstreamId: UpstreamId): void {
-    penalties.delete(upstreamId);
+  function toLoadInput({ inFlightCount, load }: UpstreamStatus): LoadInput {
+    return {
+      ownCount: inFlightCount,
+      report: load && {
+        totalCount: load.runningCount + load.waitingCount,
+        ownCount: load.ownCount,
+        ageMs: clock.nowMs() - load.receivedAtMs,
+      },
+    };
   }
 }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -74,13 +74,20 @@
   copyTimeoutMs: durationMsSchema.default(500),
   maxTokens: z.int().min(1).max(1_000_000).default(65_536),
   deadlineMs: durationMsSchema.default(1_800_000),
+  /** A streamed answer without a reader for this long is cancelled. */
+  abandonedAfterMs: durationMsSchema.default(120_000),
 }).prefault({});
 
 const limitsSchema = z.strictObject({
   maxOpenAnswers: z.int().min(1).default(2_000),
   maxBodyBytes: z.int().min(1024).max(16_777_216).default(1_048_576),
   /** Retries, hedges and resumes as a share of useful work. */
-  failureBudgetRatio: z.number().min(0).max(1).default(0.1),
+  retryBudgetRatio: z.number().min(0).max(1).default(0.1),
+  maxTokensPerS: z.number().positive().default(6_000),
+  maxQueueLength: z.int().min(1).default(500),
+  maxQueueWaitMs: durationMsSchema.default(5_000),
+  /** Blocks of the cache index over all engines, about 100 bytes each. */
+  maxCacheIndexBlocks: z.int().min(1_000).default(100_000),
 }).prefault({});
 
 const membershipSchema = z.strictObject({
--- a/src/upstreams/application_client.ts
+++ b/src/upstreams/application_client.ts
@@ -71,7 +71,8 @@
       const response = await request(`${baseUrl}${call.path}`, {
         dispatcher: agent,
         method: call.method as "GET",
-        signal: AbortSignal.timeout(timeoutMs),
+        // AbortSignal refuses a fraction of a millisecond.
+        signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
         headers: getHeaders(call),
         ...(call.body === "" ? {} : { body: call.body }),
       });
--- a/src/upstreams/engine_attempts.ts
+++ b/src/upstreams/engine_attempts.ts
@@ -11,11 +11,12 @@
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
-import type { InstanceId, UpstreamId } from "../core/types.ts";
-import type { EngineRouter } from "../routing/engine_router.ts";
+import type { CustomerId, InstanceId, UpstreamId } from "../core/types.ts";
+import type { RetryBudget } from "../limits/retry_budget.ts";
+import type { EngineLease, EngineRouter } from "../routing/engine_router.ts";
 import type { StallDetector } from "../routing/stall_detector.ts";
 import type { EngineClient } from "./engine_client.ts";
-import type { UpstreamRegistry, UpstreamStatus } from "./upstream_registry.ts";
+import type { UpstreamRegistry } from "./upstream_registry.ts";
 
 export interface EngineAttemptsOptions {
   readonly instanceId: InstanceId;
@@ -25,26 +26,45 @@
   readonly registry: UpstreamRegistry;
   readonly router: EngineRouter;
   readonly stalls: StallDetector;
+  readonly budget: RetryBudget;
+  /** Called with every token that an engine delivers. */
+  onTokens(customerId: CustomerId, count: number): void;
 }
 
 /** Resumed work goes before new work, because its caller already waits. */
 const resumePriorityBoost = 10;
+/** Prefilling a token takes about a tenth of the time of generating one. */
+const prefillUnits = 0.1;
+/** Tokens that the loser of a hedge generates before it is cancelled. */
+const hedgeUnits = 32;
+/** An engine silent for this long counts as lost, whatever the budget holds. */
+const lossAfterMs = 2_000;
+const charsPerToken = 4;
 
 export function createEngineAttempts(
   options: EngineAttemptsOptions,
 ): AttemptRunner {
-  const { clock, logger, engines, registry, router, stalls } = options;
+  const { clock, logger, engines, registry, router, stalls, budget } = options;
   return { start };
 
   function start(request: AttemptRequest, sink: AttemptSink): AttemptHandle {
     const { answerId, attemptNumber, meta } = request;
-    const engine = router.chooseEngine({
+    if (!drawBudget(request)) {
+      logger.log(logEvents.hedgeRefused, { answer: answerId, attemptNumber });
+      return failSoon(
+        createError(ErrorKind.CustomerLimit, "the retry budget is used up"),
+        sink,
+      );
+    }
+    const lease = router.chooseEngine({
       service: meta.request.model,
       version: meta.version,
+      prompt: meta.request.prompt,
+      resumeTokenCount: request.tokens.length,
       avoidedUpstreamIds: request.avoidedUpstreamIds,
       mustAvoid: request.isHedge,
     });
-    if (engine.isNothing) {
+    if (lease.isNothing) {
       return failSoon(
         createError(
           ErrorKind.NoUpstream,
@@ -53,7 +73,7 @@
         sink,
       );
     }
-    const { info } = engine.value;
+    const { info } = lease.value.engine;
     const requestId = `${answerId}:${options.instanceId}:${attemptNumber}`;
     logger.log(logEvents.attemptStarted, {
       answer: answerId,
@@ -61,16 +81,45 @@
       upstream: info.upstreamId,
       position: request.tokens.length,
     });
-    return run(engine.value, requestId, { request, sink });
+    return run(lease.value, requestId, { request, sink });
+  }
+
+  /** False for a hedge that the budget does not allow. */
+  function drawBudget(request: AttemptRequest): boolean {
+    const { meta, tokens, isHedge, avoidedUpstreamIds } = request;
+    const isFirst = tokens.length === 0 && avoidedUpstreamIds.length === 0;
+    if (isFirst) return true;
+    const key = { service: meta.request.model, customerId: meta.customerId };
+    const promptTokens = meta.request.prompt.length / charsPerToken;
+    const units = Math.ceil(prefillUnits * (tokens.length + promptTokens));
+    const isLost = !isHedge ||
+      request.inUseUpstreamIds.some((upstreamId) =>
+        stalls.getEngineSilenceMs(upstreamId) >= lossAfterMs
+      );
+    if (!isLost) return budget.tryDraw(key, units + hedgeUnits);
+    budget.drawForResume(key, units);
+    return true;
+  }
+
+  /** Open requests there, as far as known without an estimate. */
+  function getLoad(upstreamId: UpstreamId): number {
+    const status = registry.get(upstreamId);
+    if (!status) return 0;
+    const { runningCount = 0, waitingCount = 0 } = status.load ?? {};
+    return Math.max(status.inFlightCount, runningCount + waitingCount);
   }
 
   function run(
-    engine: UpstreamStatus,
+    lease: EngineLease,
     requestId: string,
     { request, sink }: { request: AttemptRequest; sink: AttemptSink },
   ): AttemptHandle {
     const { meta, tokens } = request;
-    const { upstreamId, baseUrl } = engine.info;
+    const { upstreamId, baseUrl } = lease.engine.info;
+    const budgetKey = {
+      service: meta.request.model,
+      customerId: meta.customerId,
+    };
     const abort = new AbortController();
     const startedAtMs = clock.nowMs();
     let lastTokenAtMs: number | undefined;
@@ -89,37 +138,57 @@
     }, { sink: { onTokens }, signal: abort.signal }).match(
       (end) => {
         if (!finish()) return;
-        router.recordSuccess(upstreamId);
+        lease.recordProgress();
         sink.onEnded(end.reason, end.tokenCount);
       },
       (error) => {
         if (!finish()) return;
-        if (isEngineFailure(error)) router.recordFailure(upstreamId);
+        recordFailure(lease, error);
         sink.onFailed(error);
       },
     );
-    return { getUpstreamId: () => upstreamId, getSilenceLimitMs, cancel };
+    return {
+      getUpstreamId: () => upstreamId,
+      getSilenceLimitMs,
+      suspect,
+      cancel,
+    };
 
     function onTokens(fromPosition: number, received: readonly string[]): void {
       if (isDone) return;
       const nowMs = clock.nowMs();
+      const load = getLoad(upstreamId);
       if (lastTokenAtMs === undefined) {
-        stalls.recordFirstToken(upstreamId, nowMs - startedAtMs);
+        const durationMs = nowMs - startedAtMs;
+        stalls.recordFirstToken(upstreamId, { durationMs, load });
       } else {
-        stalls.recordGap(upstreamId, nowMs - lastTokenAtMs);
+        stalls.recordGap(upstreamId, { gapMs: nowMs - lastTokenAtMs, load });
       }
       lastTokenAtMs = nowMs;
+      lease.recordProgress();
+      budget.recordUseful(budgetKey, received.length);
+      options.onTokens(meta.customerId, received.length);
       sink.onTokens(fromPosition, received);
     }
 
     function getSilenceLimitMs(): number {
+      const load = getLoad(upstreamId);
       return lastTokenAtMs === undefined
-        ? stalls.getFirstTokenLimitMs(upstreamId)
-        : stalls.getGapLimitMs(upstreamId);
+        ? stalls.getFirstTokenLimitMs(upstreamId, load)
+        : stalls.getGapLimitMs(upstreamId, load);
+    }
+
+    function suspect(): void {
+      // One silent stream on an engine that serves others is no frozen engine.
+      const limitMs = stalls.getGapLimitMs(upstreamId, getLoad(upstreamId));
+      if (stalls.getEngineSilenceMs(upstreamId) >= limitMs) {
+        lease.recordSuspected();
+      }
     }
 
     function cancel(): void {
       if (!finish()) return;
+      lease.release();
       abort.abort();
       engines.cancel(baseUrl, requestId);
     }
@@ -133,9 +202,19 @@
   }
 }
 
-function isEngineFailure(error: SystemError): boolean {
-  return error.kind !== ErrorKind.Overloaded &&
-    error.kind !== ErrorKind.InvalidRequest;
+function recordFailure(lease: EngineLease, error: SystemError): void {
+  switch (error.kind) {
+    case ErrorKind.InvalidRequest:
+      lease.release();
+      break;
+    case ErrorKind.Overloaded:
+    case ErrorKind.AnswerFailed:
+      // The engine answers: less work helps it, a full stop is not needed.
+      lease.recordOverload(error.retryAfterMs.unwrapOr(0));
+      break;
+    default:
+      lease.recordCrash();
+  }
 }
 
 function failSoon(error: SystemError, sink: AttemptSink): AttemptHandle {
@@ -146,6 +225,7 @@
   return {
     getUpstreamId: (): UpstreamId | undefined => undefined,
     getSilenceLimitMs: () => Infinity,
+    suspect: () => {},
     cancel: () => {
       isCancelled = true;
     },
--- a/src/upstreams/engine_client.ts
+++ b/src/upstreams/engine_client.ts
@@ -106,7 +106,7 @@
           readStream(response.body, { completion, sink }),
         );
       }
-      return new ResultAsync(readRejection(response.statusCode, response.body));
+      return new ResultAsync(readRejection(response));
     });
   }
 
@@ -262,18 +262,27 @@
 }
 
 async function readRejection(
-  statusCode: number,
-  body: { text(): Promise<string> },
+  { statusCode, headers, body }: {
+    readonly statusCode: number;
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+    readonly body: { text(): Promise<string> };
+  },
 ): Promise<Result<never, SystemError>> {
   const text = await body.text().catch(() => "");
   const message = `engine answered ${statusCode}: ${text.slice(0, 200)}`;
   if (statusCode === 429 || statusCode === 503) {
-    return err(createError(ErrorKind.Overloaded, message));
+    const retryAfterS = Number(headers["retry-after"]);
+    return err(createError(
+      ErrorKind.Overloaded,
+      message,
+      retryAfterS > 0 ? { retryAfterMs: retryAfterS * 1_000 } : {},
+    ));
   }
   if (statusCode === 400 || statusCode === 422) {
     return err(createError(ErrorKind.InvalidRequest, message));
   }
-  return err(createError(ErrorKind.UpstreamFailed, message));
+  // The process runs and answers, so this is no crash of the engine.
+  return err(createError(ErrorKind.AnswerFailed, message));
 }
 
 function upstreamFailed(cause: unknown): SystemError {
--- a/src/upstreams/upstream_registry.ts
+++ b/src/upstreams/upstream_registry.ts
@@ -16,6 +16,8 @@
   readonly runningCount: number;
   readonly waitingCount: number;
   readonly receivedAtMs: number;
+  /** Requests this instance had open there when the report arrived. */
+  readonly ownCount: number;
 }
 
 export interface UpstreamStatus {
@@ -23,7 +25,7 @@
   /** Requests this instance has open there. */
   inFlightCount: number;
   load: LoadReport | undefined;
-  /** The upstream reports that it is leaving, or a ticket says so. */
+  /** The upstream reports that it is leaving. */
   isLeavingReported: boolean;
 }
 
@@ -42,6 +44,8 @@
     },
   ): void;
   addInFlight(upstreamId: UpstreamId, change: 1 | -1): void;
+  /** Replaces the set of upstreams that operators marked as leaving. */
+  setMarkedLeaving(upstreamIds: ReadonlySet<UpstreamId>): void;
 }
 
 export interface UpstreamRegistryOptions {
@@ -53,6 +57,7 @@
   { clock, logger }: UpstreamRegistryOptions,
 ): UpstreamRegistry {
   const statuses = new Map<UpstreamId, UpstreamStatus>();
+  let markedLeaving: ReadonlySet<UpstreamId> = new Set();
   return {
     update,
     get: (upstreamId) => statuses.get(upstreamId),
@@ -60,6 +65,7 @@
     listUsable,
     reportLoad,
     addInFlight,
+    setMarkedLeaving,
   };
 
   function update(upstreams: readonly UpstreamInfo[]): void {
@@ -96,7 +102,8 @@
   function listUsable(kind: UpstreamKind, service: string): UpstreamStatus[] {
     return [...statuses.values()].filter(({ info, isLeavingReported }) =>
       info.kind === kind && info.service === service &&
-      info.state === UpstreamState.Live && !isLeavingReported
+      info.state === UpstreamState.Live && !isLeavingReported &&
+      !markedLeaving.has(info.upstreamId)
     );
   }
 
@@ -114,6 +121,7 @@
       runningCount: report.runningCount,
       waitingCount: report.waitingCount,
       receivedAtMs: clock.nowMs(),
+      ownCount: status.inFlightCount,
     };
     if (report.isLeaving && !status.isLeavingReported) {
       logger.log(logEvents.upstreamLeaving, { upstream: upstreamId });
@@ -123,6 +131,17 @@
 
   function addInFlight(upstreamId: UpstreamId, change: 1 | -1): void {
     const status = statuses.get(upstreamId);
-    if (status) status.inFlightCount += change;
+    if (!status) return;
+    // An upstream that was removed and listed again starts from 0, while
+    // requests from before still end.
+    status.inFlightCount = Math.max(0, status.inFlightCount + change);
+  }
+
+  function setMarkedLeaving(upstreamIds: ReadonlySet<UpstreamId>): void {
+    for (const upstreamId of upstreamIds) {
+      if (markedLeaving.has(upstreamId) || !statuses.has(upstreamId)) continue;
+      logger.log(logEvents.upstreamLeaving, { upstream: upstreamId });
+    }
+    markedLeaving = new Set(upstreamIds);
   }
 }
