End the burst tolerance of shares at the capacity

With the tolerance at any load, customers that always have work were admitted to 130% of the window, and the shares of weights 1, 2 and 4 were up to 18% off.

--- a/src/limits/fair_share.ts
+++ b/src/limits/fair_share.ts
@@ -121,18 +121,28 @@
   }
 
   function isOverShare(customerId: CustomerId, capacity: number): boolean {
+    return isAboveShare(customerId, capacity, burstDeviations);
+  }
+
+  function isAboveShare(
+    customerId: CustomerId,
+    capacity: number,
+    deviations: number,
+  ): boolean {
     const openCount = uses.get(customerId)?.openCount ?? 0;
     const share = getShareRatio(customerId) * capacity;
-    return openCount >= Math.max(1, share + burstDeviations * Math.sqrt(share));
+    return openCount >= Math.max(1, share + deviations * Math.sqrt(share));
   }
 
   function canOpen(customerId: CustomerId, capacity: number): boolean {
     touch(customerId);
     if (totalOpen >= options.maxOpenAnswers) return false;
+    if (totalOpen < capacity * (1 - reserveRatio)) return true;
     // The capacity shrinks while lent work still runs, so a customer below its
-    // share starts whatever is open; the shares add up to the capacity.
-    return totalOpen < capacity * (1 - reserveRatio) ||
-      !isOverShare(customerId, capacity);
+    // share starts whatever is open; the shares add up to the capacity. The
+    // tolerance for bursts does not, and ends at the capacity.
+    const deviations = totalOpen < capacity ? burstDeviations : 0;
+    return !isAboveShare(customerId, capacity, deviations);
   }
 
   function open(customerId: CustomerId): void {
