Merge routing, limits and the retry budget

Routing by load, prefix affinity and circuit state, admission by fair share, stall detection by load.

--- a/src/answers/answer_failover_test.ts
+++ b/src/answers/answer_failover_test.ts
@@ -130,6 +130,7 @@
           return {
             getUpstreamId: () => "engine",
             getSilenceLimitMs: () => silence.limitMs,
+            suspect: () => {},
             cancel: () => {
               attempt.isCancelled = true;
             },
@@ -139,6 +140,9 @@
       retentionMs: 600_000,
       maxCopyBytes: 1_000_000,
       copyTimeoutMs: 500,
+      abandonedAfterMs: 120_000,
+      onOpened: () => {},
+      onClosed: () => {},
     });
     const reader = createAnswerReader({
       clock,
--- a/src/answers/withdraw_version_test.ts
+++ b/src/answers/withdraw_version_test.ts
@@ -36,6 +36,7 @@
         return {
           getUpstreamId: () => "e1",
           getSilenceLimitMs: () => Infinity,
+          suspect: () => {},
           cancel: () => cancelledCount++,
         };
       },
@@ -43,6 +44,9 @@
     retentionMs: 1_000,
     maxCopyBytes: 1_000_000,
     copyTimeoutMs: 100,
+    abandonedAfterMs: 120_000,
+    onOpened: () => {},
+    onClosed: () => {},
     ...(getReplacementVersion ? { getReplacementVersion } : {}),
   });
   return { answers, started, getCancelledCount: () => cancelledCount };
--- a/src/control/configuration.ts
+++ b/src/control/configuration.ts
@@ -128,9 +128,11 @@
 
 /** The state that the settings file gives: revision 0. */
 export function getInitialConfiguration(
-  settings: Pick<Settings, "services" | "customers" | "limits">,
+  settings: Pick<Settings, "services" | "customers"> & {
+    readonly limits: Pick<Settings["limits"], "retryBudgetRatio">;
+  },
 ): Configuration {
-  const { failureBudgetRatio } = settings.limits;
+  const failureBudgetRatio = settings.limits.retryBudgetRatio;
   const configuration = getEmptyConfiguration();
   for (const { service, ...rest } of settings.services) {
     configuration.retryBudgets[service] = { failureBudgetRatio };
--- a/src/control/ticket_table_test.ts
+++ b/src/control/ticket_table_test.ts
@@ -31,9 +31,7 @@
   ],
   customers: [],
   limits: {
-    failureBudgetRatio: 0.1,
-    maxOpenAnswers: 1,
-    maxBodyBytes: 1_024,
+    retryBudgetRatio: 0.1,
   },
 });
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -31,16 +31,11 @@
 import { createLogger } from "../core/logger.ts";
 import { createMetrics } from "../core/metrics.ts";
 import { createRandom } from "../core/random.ts";
-import {
-  createPeriodicTask,
-  createSupervisor,
-  type Task,
-} from "../core/supervisor.ts";
+import { createPeriodicTask, createSupervisor } from "../core/supervisor.ts";
 import {
   type InstanceInfo,
   InstanceState,
   type UpstreamInfo,
-  UpstreamKind,
 } from "../core/types.ts";
 import { createAuthenticator } from "../entry/authenticator.ts";
 import { createCallerApp } from "../entry/caller_app.ts";
@@ -57,8 +52,6 @@
   type PeerServer,
   startPeerServer,
 } from "../peer/peer_server.ts";
-import { createEngineRouter } from "../routing/engine_router.ts";
-import { createStallDetector } from "../routing/stall_detector.ts";
 import type { Settings } from "../settings/schema.ts";
 import { createApplicationClient } from "../upstreams/application_client.ts";
 import { createEngineAttempts } from "../upstreams/engine_attempts.ts";
@@ -66,6 +59,7 @@
 import { createUpstreamRegistry } from "../upstreams/upstream_registry.ts";
 import { createDrain } from "./drain.ts";
 import { createRollouts } from "./rollouts.ts";
+import { createTraffic } from "./traffic.ts";
 
 export interface Daemon {
   readonly callerPort: number;
@@ -77,7 +71,6 @@
 }
 
 const answerTickMs = 25;
-const loadPollMs = 500;
 
 export function startDaemon(
   settings: Settings,
@@ -106,12 +99,6 @@
     getLog: () => log,
     getInstanceCount: () => membership.listInstances().length,
   });
-  const router = createEngineRouter({
-    clock,
-    random,
-    registry,
-    servesVersion: rollouts.leases.servesVersion,
-  });
   const engines = createEngineClient();
   const applications = createApplicationClient();
   const late: {
@@ -175,6 +162,17 @@
     getAddress: membership.getAddress,
     onConnectionLost: membership.checkNow,
   });
+  const traffic = createTraffic({
+    settings,
+    clock,
+    logger,
+    random,
+    registry,
+    engines,
+    getInstanceCount: () => membership.listInstances().length,
+    servesVersion: rollouts.leases.servesVersion,
+  });
+  const { admission } = traffic;
   const answers = createAnswerService({
     ...settings.answers,
     clock,
@@ -188,11 +186,15 @@
       logger,
       engines,
       registry,
-      router,
-      stalls: createStallDetector(),
+      router: traffic.router,
+      stalls: traffic.stalls,
+      budget: traffic.answerBudget,
+      onTokens: admission.recordTokens,
       collector: rollouts.collector,
     }),
     getReplacementVersion: rollouts.leases.getReplacement,
+    onOpened: admission.recordOpened,
+    onClosed: admission.recordClosed,
   });
   late.membership = membership;
   late.peers = peers;
@@ -211,6 +213,7 @@
     control,
     registry,
     client: applications,
+    budget: traffic.callBudget,
   });
   const drain = createDrain({
     clock,
@@ -249,6 +252,7 @@
       answers,
       reader: createAnswerReader({ clock, membership, peers, answers }),
       calls,
+      admission,
       chooseVersion: rollouts.leases.chooseVersion,
       isReady: () => drain.isReady() && configuration.isKnown(),
       isConfigured: configuration.isKnown,
@@ -353,7 +357,7 @@
           name: "upstreams",
           clock,
           logger,
-          tasks: [createLoadTask()],
+          tasks: traffic.tasks,
         }),
       ],
     });
@@ -377,25 +381,10 @@
         peerServer.close(),
         engines.close(),
         applications.close(),
+        traffic.close(),
       ]);
       metrics.close();
       logger.log(logEvents.daemonStopped);
     }
   }
-
-  function createLoadTask(): Task {
-    return createPeriodicTask({
-      name: "load-reports",
-      clock,
-      intervalMs: loadPollMs,
-      action: () => {
-        for (const { info } of registry.list()) {
-          if (info.kind !== UpstreamKind.Engine) continue;
-          void engines.readLoad(info.baseUrl).map((load) =>
-            registry.reportLoad(info.upstreamId, load)
-          );
-        }
-      },
-    });
-  }
 }
--- a/src/entry/caller_app.ts
+++ b/src/entry/caller_app.ts
@@ -20,6 +20,7 @@
 } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
+import type { Admission } from "../limits/admission.ts";
 import type { AnswerId, CustomerId } from "../core/types.ts";
 import type { Random } from "../core/random.ts";
 import {
@@ -57,6 +58,7 @@
     readonly route: string;
     readonly stableVersion: string;
   }): string;
+  readonly admission: Admission;
   isReady(): boolean;
   /** False until a started instance knows a configuration it may use. */
   isConfigured(): boolean;
@@ -71,15 +73,19 @@
 
 type CallerContext = Context<CallerEnv>;
 
+const startingRetryMs = 1_000;
 const answerIdHeader = "x-answer-id";
-const overloadRetryMs = 1_000;
+const deadlineHeader = "x-deadline-ms";
+/** Priority at the engines of work above the customer's share. */
+const overSharePriority = 0;
 const startPosition: EventPosition = {
   fromPosition: 0,
   lastAttempt: undefined,
 };
 
 export function createCallerApp(options: CallerAppOptions): Hono<CallerEnv> {
-  const { settings, clock, logger, answers, reader, calls } = options;
+  const { settings, clock, logger, answers, reader, calls, admission } =
+    options;
   const app = new Hono<CallerEnv>();
   app.onError((cause, context) => {
     logger.log(logEvents.unexpectedError, { reason: getErrorMessage(cause) });
@@ -134,7 +140,7 @@
           createError(
             ErrorKind.Overloaded,
             "this instance is starting and asks its peers for the configuration",
-            { retryAfterMs: overloadRetryMs },
+            { retryAfterMs: startingRetryMs },
           ),
         );
       }
@@ -159,11 +165,13 @@
       await context.req.text(),
       settings.answers.maxTokens,
     );
-    const opened = parsed.andThen((request) => open(request, customerId));
+    if (parsed.isErr()) return refuse(context, parsed.error);
+    const isAsync = context.req.header("prefer") === "respond-async";
+    const opened = await open(context, parsed.value, { customerId, isAsync });
     if (opened.isErr()) return refuse(context, opened.error);
     const { answerId, model, isStreaming } = opened.value;
     context.header(answerIdHeader, answerId);
-    if (context.req.header("prefer") === "respond-async") {
+    if (isAsync) {
       return context.json({ id: answerId, status: "running" }, 202);
     }
     const stream = getStreamOptions(customerId, {
@@ -177,12 +185,15 @@
       : await sendBuffered(context, stream);
   }
 
-  function open(
+  async function open(
+    context: CallerContext,
     { generation, isStreaming }: CompletionRequest,
-    customerId: CustomerId,
-  ): Result<
-    { answerId: AnswerId; model: string; isStreaming: boolean },
-    SystemError
+    { customerId, isAsync }: { customerId: CustomerId; isAsync: boolean },
+  ): Promise<
+    Result<
+      { answerId: AnswerId; model: string; isStreaming: boolean },
+      SystemError
+    >
   > {
     const found = findModel(
       options.configuration.getConfiguration(),
@@ -195,25 +206,30 @@
         { fieldPath: "model" },
       ));
     }
-    if (answers.getOpenCount() >= settings.limits.maxOpenAnswers) {
-      return err(createError(
-        ErrorKind.Overloaded,
-        "too many open answers on this instance",
-        { retryAfterMs: overloadRetryMs },
-      ));
-    }
     const createdAtWallMs = clock.wallMs();
+    const lifetimeMs = getRemainingMs(context, settings.answers.deadlineMs);
+    const admitted = await admission.admit({
+      customerId,
+      priority: generation.priority,
+      deadlineAtMs: clock.nowMs() + lifetimeMs,
+      signal: context.req.raw.signal,
+    });
+    if (admitted.isErr()) return err(admitted.error);
+    const priority = admitted.value.isOverShare
+      ? overSharePriority
+      : generation.priority;
     const answerId = answers.open({
       customerId,
-      request: generation,
+      request: { ...generation, priority },
       version: options.chooseVersion({
         service: generation.model,
         route: generation.route,
         stableVersion: chooseVersion(found.versions, options.random),
       }),
       createdAtWallMs,
-      deadlineAtWallMs: createdAtWallMs + settings.answers.deadlineMs,
-      isStreaming,
+      deadlineAtWallMs: createdAtWallMs + lifetimeMs,
+      // A caller that fetches the answer later is not expected to read now.
+      isStreaming: isStreaming && !isAsync,
     });
     return ok({ answerId, model: generation.model, isStreaming });
   }
@@ -295,6 +311,7 @@
     const result = await calls.execute({
       customerId,
       service,
+      remainingMs: getRemainingMs(context, service.timeoutMs),
       method: context.req.method,
       path,
       contentType: context.req.header("content-type") ?? "",
@@ -376,6 +393,12 @@
   }
 }
 
+/** Time the caller still waits, from its header and at most `maxMs`. */
+function getRemainingMs(context: Context, maxMs: number): number {
+  const text = context.req.header(deadlineHeader) ?? "";
+  return /^\d{1,9}$/.test(text) ? Math.min(maxMs, Number(text)) : maxMs;
+}
+
 function writeText(outgoing: ServerResponse, text: string): Promise<boolean> {
   if (outgoing.destroyed || outgoing.writableEnded) {
     return Promise.resolve(false);
