--- a/src/answers/answer_machine.ts
+++ b/src/answers/answer_machine.ts
@@ -63,7 +63,7 @@
     isEndReleased: false,
     isClosed: false,
     hedgeAllowedAtMs: 0,
-    waste: { droppedTokens: 0, refilledTokens: 0 },
+    waste: { droppedTokens: 0, discardedTokens: 0, refilledTokens: 0 },
   };
 }
 
@@ -445,7 +445,7 @@
   for (const attemptNumber of [...state.attempts.keys()]) {
     cancelAttempt(state, attemptNumber, effects);
   }
-  state.waste.droppedTokens += state.tokens.length;
+  state.waste.discardedTokens += state.tokens.length;
   state.meta = { ...state.meta, version: stableVersion };
   state.generation += 1;
   state.tokens = [];
--- a/src/answers/answer_service.ts
+++ b/src/answers/answer_service.ts
@@ -34,6 +34,7 @@
   getOwnedReply,
 } from "./answer_replies.ts";
 import { AnswerEventKind, type AnswerState } from "./answer_state.ts";
+import type { AnswerTimes } from "./answer_timing.ts";
 import type { AttemptRunner } from "./attempt_runner.ts";
 import { createCopySender } from "./copy_sender.ts";
 import { createFinishedCopies } from "./finished_copies.ts";
@@ -105,6 +106,9 @@
   /** An answer was taken over and counts as open here. */
   onOpened(customerId: CustomerId): void;
   onClosed(customerId: CustomerId): void;
+  readonly longGapMs?: number;
+  /** Called at the owner when an answer has ended. */
+  onFinished?(state: AnswerState, times: AnswerTimes): void;
 }
 
 /** A tick that comes this late shows that this process was paused. */
@@ -197,6 +201,7 @@
       chooseReplica: (avoided) =>
         chooseReplica(membership, state.answerId, avoided),
       sendCopy: copySender.send,
+      longGapMs: options.longGapMs ?? Infinity,
       onClosed,
     });
     owned.set(state.answerId, answer);
@@ -236,6 +241,7 @@
       closedAtMs.delete(answerId);
       return;
     }
+    options.onFinished?.(answer.state, answer.getTimes());
     totals.finished += 1;
     totals.useful += tokens.length;
   }
--- a/src/answers/answer_state.ts
+++ b/src/answers/answer_state.ts
@@ -39,6 +39,8 @@
 export interface TokenWaste {
   /** Generated again after the first copy was lost or dropped. */
   droppedTokens: number;
+  /** Thrown away when the answer started over on another version. */
+  discardedTokens: number;
   /** Journal tokens that engines prefilled again for a resume. */
   refilledTokens: number;
 }
--- a/src/answers/owned_answer.ts
+++ b/src/answers/owned_answer.ts
@@ -16,11 +16,13 @@
   AnswerEventKind,
   type AnswerState,
 } from "./answer_state.ts";
+import { type AnswerTimes, createAnswerTiming } from "./answer_timing.ts";
 import type { AttemptHandle, AttemptRunner } from "./attempt_runner.ts";
 
 export interface OwnedAnswer {
   readonly state: AnswerState;
   isSuperseded(): boolean;
+  getTimes(): AnswerTimes;
   send(event: AnswerEvent): void;
   tick(options: { readonly mayHedge: boolean }): void;
   /** Resolves at the next change that readers can see, or after the time. */
@@ -34,6 +36,8 @@
   readonly attempts: AttemptRunner;
   chooseReplica(avoided: readonly InstanceId[]): InstanceId | undefined;
   sendCopy(replicaId: InstanceId, update: CopyUpdate): void;
+  /** Gaps between tokens beyond this are counted as long. */
+  readonly longGapMs: number;
   onClosed(answer: OwnedAnswer): void;
 }
 
@@ -52,9 +56,14 @@
   const failedUpstreamIds: UpstreamId[] = [];
   const waiters = new Set<() => void>();
   let isSuperseded = false;
+  const timing = createAnswerTiming({
+    openedAtMs: clock.nowMs(),
+    longGapMs: options.longGapMs,
+  });
   const answer: OwnedAnswer = {
     state,
     isSuperseded: () => isSuperseded,
+    getTimes: timing.getTimes,
     send,
     tick,
     waitForChange,
@@ -91,6 +100,7 @@
         options.sendCopy(effect.instanceId, effect.update);
         break;
       case AnswerEffectKind.Released:
+        recordRelease();
         wakeReaders();
         break;
       case AnswerEffectKind.Reset:
@@ -98,6 +108,7 @@
         wakeReaders();
         break;
       case AnswerEffectKind.Closed:
+        recordRelease();
         logger.log(logEvents.answerFinished, { tokens: state.tokens.length });
         wakeReaders();
         options.onClosed(answer);
@@ -205,6 +216,14 @@
     attempt?.handle?.cancel();
   }
 
+  function recordRelease(): void {
+    timing.recordRelease({
+      nowMs: clock.nowMs(),
+      releasedCount: state.releasedCount,
+      attemptCount: state.lineage.length,
+    });
+  }
+
   function wakeReaders(): void {
     const current = [...waiters];
     waiters.clear();
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -12,6 +12,7 @@
   TopCommand,
   UpstreamsCommand,
 } from "./state_commands.ts";
+import { ReportBillCommand, ReportBurnCommand } from "./report_commands.ts";
 import {
   TicketDiffCommand,
   TicketListCommand,
@@ -37,6 +38,8 @@
     UpstreamsCommand,
     StatusCommand,
     TopCommand,
+    ReportBillCommand,
+    ReportBurnCommand,
     Builtins.HelpCommand,
     Builtins.VersionCommand,
   ]
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -4,6 +4,8 @@
  */
 import { z } from "zod";
 import { configurationSchema } from "./configuration.ts";
+import { rolloutCommandSchema } from "./rollouts/rollout_commands.ts";
+import { pricesSchema, usageBatchSchema } from "../reports/usage.ts";
 import { ticketNumberSchema } from "./ticket.ts";
 import { ticketRecordSchema } from "./ticket_table.ts";
 
@@ -13,6 +15,10 @@
   SubmitTicket = "submitTicket",
   /** Reads go through the log, so that a stale leader cannot answer them. */
   ReadTickets = "readTickets",
+  Rollout = "rollout",
+  RecordUsage = "recordUsage",
+  ReadBill = "readBill",
+  ReadBurn = "readBurn",
 }
 
 const claimKeySchema = z.object({
@@ -71,6 +77,23 @@
     beforeNumber: ticketNumberSchema.default(Number.MAX_SAFE_INTEGER),
     limit: z.int().min(1).max(1_000).default(100),
   }),
+  z.object({
+    kind: z.literal(CommandKind.Rollout),
+    rollout: rolloutCommandSchema,
+  }),
+  z.object({
+    kind: z.literal(CommandKind.RecordUsage),
+    batch: usageBatchSchema,
+  }),
+  z.object({
+    kind: z.literal(CommandKind.ReadBill),
+    prices: pricesSchema,
+    atWallMs: z.number(),
+  }),
+  z.object({
+    kind: z.literal(CommandKind.ReadBurn),
+    atWallMs: z.number(),
+  }),
 ]);
 
 export type ClaimKey = z.output<typeof claimKeySchema>;
--- a/src/control/state_machine.ts
+++ b/src/control/state_machine.ts
@@ -10,15 +10,31 @@
   type ReadTicketsCommand,
 } from "./commands.ts";
 import type { Configuration, ConfigurationChanges } from "./configuration.ts";
+import {
+  createRolloutTable,
+  type RolloutRecord,
+  type RolloutTable,
+} from "./rollouts/rollout_table.ts";
+import { getBillReport } from "../reports/bill_report.ts";
+import { getBurnReport } from "../reports/burn_report.ts";
+import {
+  createUsageLedger,
+  type LedgerSnapshot,
+} from "../reports/usage_ledger.ts";
+import { createRandom } from "../core/random.ts";
 import {
   createTicketTable,
   type TicketRecord,
   type TicketSnapshot,
 } from "./ticket_table.ts";
 
+const forecastSeed = 1;
+
 export interface StateSnapshot {
   readonly claims: readonly [string, ClaimRecord][];
   readonly tickets: TicketSnapshot;
+  readonly rollouts: readonly [string, RolloutRecord][];
+  readonly usage: LedgerSnapshot;
 }
 
 export interface StateMachineOptions {
@@ -35,12 +51,15 @@
   restore(snapshot: StateSnapshot): void;
   /** The configuration after all applied commands. */
   getConfiguration(): Configuration;
+  readonly rollouts: RolloutTable;
 }
 
 export function createStateMachine(
   options: StateMachineOptions = {},
 ): StateMachine {
   const claims = createClaimTable();
+  const rollouts = createRolloutTable();
+  const ledger = createUsageLedger();
   const tickets = createTicketTable({
     onChanged: (configuration, changes) =>
       options.onConfiguration?.(configuration, changes),
@@ -50,13 +69,18 @@
     getSnapshot: () => ({
       claims: claims.getSnapshot(),
       tickets: tickets.getSnapshot(),
+      rollouts: rollouts.getSnapshot(),
+      usage: ledger.getSnapshot(),
     }),
     restore: (snapshot) => {
       claims.restore(snapshot.claims);
       tickets.restore(snapshot.tickets);
+      rollouts.restore(snapshot.rollouts);
+      ledger.restore(snapshot.usage);
       options.onConfiguration?.(tickets.getConfiguration(), undefined);
     },
     getConfiguration: tickets.getConfiguration,
+    rollouts,
   };
 
   function apply(command: Command): unknown {
@@ -70,6 +94,19 @@
         return tickets.submit(command);
       case CommandKind.ReadTickets:
         return { records: readTickets(command) };
+      case CommandKind.Rollout:
+        return rollouts.apply(command.rollout);
+      case CommandKind.RecordUsage:
+        return { isCounted: ledger.record(command.batch) };
+      case CommandKind.ReadBill:
+        return getBillReport(ledger.getDays(), {
+          nowWallMs: command.atWallMs,
+          prices: command.prices,
+          // A fixed seed gives the same range on every replica.
+          random: createRandom(forecastSeed),
+        });
+      case CommandKind.ReadBurn:
+        return { rows: getBurnReport(ledger.getSlots(), command.atWallMs) };
       default:
         return assertNever(command);
     }
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -109,6 +109,7 @@
   ),
   orderReissued: event(6304, Info, "engine order reissued"),
   orderRejected: event(6305, Warn, "engine order rejected as stale"),
+  usageNotSent: event(6401, Warn, "usage could not be sent to control"),
   // 7xxx: callers
   requestRefused: event(7001, Debug, "request refused"),
   requestFailed: event(7002, Warn, "request failed"),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -40,6 +40,7 @@
 import { createAuthenticator } from "../entry/authenticator.ts";
 import { createCallerApp } from "../entry/caller_app.ts";
 import { createOperatorApp } from "../entry/operator_app.ts";
+import { createReportRoutes } from "../entry/report_routes.ts";
 import { createTicketRoutes } from "../entry/ticket_routes.ts";
 import {
   createMembershipService,
@@ -52,6 +53,11 @@
   type PeerServer,
   startPeerServer,
 } from "../peer/peer_server.ts";
+import {
+  createUsageReporter,
+  tokenGapLimitMs,
+  type UsageReporter,
+} from "../reports/usage_reporter.ts";
 import type { Settings } from "../settings/schema.ts";
 import { createApplicationClient } from "../upstreams/application_client.ts";
 import { createEngineAttempts } from "../upstreams/engine_attempts.ts";
@@ -105,6 +111,7 @@
     answers?: AnswerService;
     peers?: PeerClient;
     membership?: MembershipService;
+    usage?: UsageReporter;
   } = {};
   let listedUpstreams: readonly UpstreamInfo[] = [];
   const updateRegistry = () =>
@@ -195,6 +202,8 @@
     getReplacementVersion: rollouts.leases.getReplacement,
     onOpened: admission.recordOpened,
     onClosed: admission.recordClosed,
+    longGapMs: tokenGapLimitMs,
+    onFinished: (state, times) => late.usage!.recordAnswer(state, times),
   });
   late.membership = membership;
   late.peers = peers;
@@ -206,6 +215,14 @@
     controlInstanceIds: settings.controlInstanceIds,
     log,
   });
+  const usage = createUsageReporter({
+    instanceId: settings.instanceId,
+    incarnation: self.incarnation,
+    clock,
+    logger,
+    control,
+  });
+  late.usage = usage;
   const calls = createCallService({
     clock,
     logger,
@@ -232,6 +249,11 @@
       answers,
       getPeerTraffic: peers.getTraffic,
       configuration,
+      reportRoutes: createReportRoutes({
+        clock,
+        control,
+        prices: settings.prices,
+      }),
       ticketRoutes: createTicketRoutes(createTicketService({
         clock,
         logger,
@@ -251,7 +273,7 @@
       authenticator,
       answers,
       reader: createAnswerReader({ clock, membership, peers, answers }),
-      calls,
+      calls: usage.observeCalls(calls),
       admission,
       chooseVersion: rollouts.leases.chooseVersion,
       isReady: () => drain.isReady() && configuration.isKnown(),
@@ -359,6 +381,12 @@
           logger,
           tasks: traffic.tasks,
         }),
+        createSupervisor({
+          name: "reports",
+          clock,
+          logger,
+          tasks: [usage.task],
+        }),
       ],
     });
     const finished = root.run(stopping.signal);
@@ -373,6 +401,7 @@
     async function stop(): Promise<void> {
       logger.log(logEvents.daemonStopping);
       await drain.run();
+      await usage.flush();
       stopping.abort();
       http.close();
       http.closeAllConnections();
--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -25,6 +25,7 @@
   };
   /** Mounted behind the authentication of operators. */
   readonly ticketRoutes: Hono;
+  readonly reportRoutes: Hono;
 }
 
 export function createOperatorApp(options: OperatorAppOptions): Hono {
@@ -70,6 +71,7 @@
       })),
     }));
   app.route("/", options.ticketRoutes);
+  app.route("/", options.reportRoutes);
   return app;
 }
 
--- /dev/null
+++ b/src/entry/report_routes.ts
@@ -0,0 +1,60 @@
+/**
+ * Operator routes for the bill and for the burn of service-level objectives.
+ */
+import { type Context, Hono } from "hono";
+import type { ResultAsync } from "neverthrow";
+import { type Command, CommandKind } from "../control/commands.ts";
+import type { ControlClient } from "../control/control_client.ts";
+import type { Clock } from "../core/clock.ts";
+import {
+  errorAnswers,
+  getErrorBody,
+  type SystemError,
+} from "../core/errors.ts";
+import type { Prices } from "../reports/usage.ts";
+
+export interface ReportRoutesOptions {
+  readonly clock: Clock;
+  readonly control: ControlClient;
+  readonly prices: Prices;
+}
+
+const reportTimeoutMs = 5_000;
+
+export function createReportRoutes(options: ReportRoutesOptions): Hono {
+  const { clock, control, prices } = options;
+  const app = new Hono();
+  app.get("/reports/bill", (context) =>
+    send(
+      context,
+      read({
+        kind: CommandKind.ReadBill,
+        prices,
+        atWallMs: clock.wallMs(),
+      }),
+    ));
+  app.get("/reports/burn", (context) =>
+    send(
+      context,
+      read({ kind: CommandKind.ReadBurn, atWallMs: clock.wallMs() }),
+    ));
+  return app;
+
+  function read(command: Command): ResultAsync<unknown, SystemError> {
+    return control.propose(command, reportTimeoutMs);
+  }
+
+  async function send(
+    context: Context,
+    report: ResultAsync<unknown, SystemError>,
+  ): Promise<Response> {
+    return await report.match(
+      (value) => context.json(value as object),
+      (error) =>
+        context.json(
+          getErrorBody(error),
+          errorAnswers[error.kind].httpStatus as 500,
+        ),
+    );
+  }
+}
--- a/src/reports/bill_report.ts
+++ b/src/reports/bill_report.ts
@@ -8,17 +8,10 @@
   type DayCost,
   forecastNextMonth,
 } from "./bill_forecast.ts";
-import { TokenCause, type TokenUsage } from "./usage.ts";
+import { type Prices, TokenCause, type TokenUsage } from "./usage.ts";
 import { dayMs, type DayUsage } from "./usage_ledger.ts";
 import { getTokenKey } from "./usage_collector.ts";
 
-/** Prices in the currency of the settings. */
-export interface Prices {
-  readonly currency: string;
-  readonly perMillionGeneratedTokens: number;
-  readonly perMillionPrefilledTokens: number;
-}
-
 export interface BillRow extends TokenUsage {
   readonly cost: number;
 }
--- a/src/reports/usage.ts
+++ b/src/reports/usage.ts
@@ -55,6 +55,14 @@
   objectives: z.array(objectiveUsageSchema).max(10_000),
 });
 
+/** Prices of tokens in the currency of the bill. */
+export const pricesSchema = z.strictObject({
+  currency: z.string().regex(/^[A-Z]{3}$/).default("USD"),
+  perMillionGeneratedTokens: z.number().min(0).default(0),
+  perMillionPrefilledTokens: z.number().min(0).default(0),
+});
+
+export type Prices = z.output<typeof pricesSchema>;
 export type TokenUsage = z.output<typeof tokenUsageSchema>;
 export type ObjectiveUsage = z.output<typeof objectiveUsageSchema>;
 export type UsageBatch = z.output<typeof usageBatchSchema>;
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -5,6 +5,7 @@
  * found at start-up.
  */
 import { z } from "zod";
+import { pricesSchema } from "../reports/usage.ts";
 import { LogLevel } from "../core/log_events.ts";
 import { strictFields } from "../core/strict_fields.ts";
 
@@ -121,6 +122,7 @@
   answers: answersSchema,
   limits: limitsSchema,
   metrics: listenSchema.optional(),
+  prices: pricesSchema.prefault({}),
   log: strictFields({
     level: z.enum(LogLevel).default(LogLevel.Info),
     format: z.enum(["json", "text"]).default("json"),
