--- a/src/cli/report_commands.ts
+++ b/src/cli/report_commands.ts
@@ -62,7 +62,7 @@
 }
 
 function formatBill(bill: BillReport): string[] {
-  const { forecast, currency } = bill;
+  const { currency } = bill;
   const format = (cost: number) => `${cost.toFixed(2)} ${currency}`;
   const rows = bill.rows.map((row) => [
     row.customerId,
--- a/src/control/ticket_table_test.ts
+++ b/src/control/ticket_table_test.ts
@@ -88,7 +88,8 @@
           continue;
         }
         const ticket = { number: entry.number, ...entry.content };
-        const { content } = entry;
+        // Generated objects may lack a prototype, which JSON does not carry.
+        const content: unknown = JSON.parse(JSON.stringify(entry.content));
         const reply = table.submit({ ticket, initial, atWallMs });
         const previous = accepted.get(entry.number);
         const parsed = parseTicket(ticket)._unsafeUnwrap();
