Add apricotyoke explain: what happened to one answer

Each instance tells what it knows of an answer (role, tokens, attempts with their engines and failures, replicas).

--- a/src/answers/answer_service.ts
+++ b/src/answers/answer_service.ts
@@ -34,6 +34,8 @@
   getOwnedReply,
 } from "./answer_replies.ts";
 import { AnswerEventKind, type AnswerState } from "./answer_state.ts";
+import { describeHeld, describeOwned } from "./answer_explainer.ts";
+import type { AnswerRecord } from "./answer_history.ts";
 import type { AnswerTimes } from "./answer_timing.ts";
 import type { AttemptRunner } from "./attempt_runner.ts";
 import { createCopySender } from "./copy_sender.ts";
@@ -76,6 +78,8 @@
   }): void;
   tick(): void;
   getOpenCount(): number;
+  /** What this instance knows about the answer. */
+  describe(answerId: AnswerId): AnswerRecord[];
   getStats(): AnswerStats;
 }
 
@@ -180,6 +184,7 @@
     withdrawVersion,
     tick,
     getOpenCount,
+    describe,
     getStats,
   };
 
@@ -434,6 +439,16 @@
     return count;
   }
 
+  function describe(answerId: AnswerId): AnswerRecord[] {
+    const answer = owned.get(answerId);
+    const copy = replicas.get(answerId);
+    const selfId = membership.getSelf().instanceId;
+    return [
+      ...(answer ? [describeOwned(answer)] : []),
+      ...(copy ? [describeHeld(copy, selfId)] : []),
+    ];
+  }
+
   function getStats(): AnswerStats {
     return {
       openAnswers: getOpenCount(),
--- a/src/answers/owned_answer.ts
+++ b/src/answers/owned_answer.ts
@@ -16,6 +16,11 @@
   AnswerEventKind,
   type AnswerState,
 } from "./answer_state.ts";
+import {
+  createAnswerHistory,
+  type HistoryEntry,
+  HistoryKind,
+} from "./answer_history.ts";
 import { type AnswerTimes, createAnswerTiming } from "./answer_timing.ts";
 import type { AttemptHandle, AttemptRunner } from "./attempt_runner.ts";
 
@@ -23,6 +28,7 @@
   readonly state: AnswerState;
   isSuperseded(): boolean;
   getTimes(): AnswerTimes;
+  listHistory(): HistoryEntry[];
   send(event: AnswerEvent): void;
   tick(options: { readonly mayHedge: boolean }): void;
   /** Resolves at the next change that readers can see, or after the time. */
@@ -56,6 +62,7 @@
   const failedUpstreamIds: UpstreamId[] = [];
   const waiters = new Set<() => void>();
   let isSuperseded = false;
+  const history = createAnswerHistory(clock);
   const timing = createAnswerTiming({
     openedAtMs: clock.nowMs(),
     longGapMs: options.longGapMs,
@@ -64,6 +71,7 @@
     state,
     isSuperseded: () => isSuperseded,
     getTimes: timing.getTimes,
+    listHistory: history.list,
     send,
     tick,
     waitForChange,
@@ -105,17 +113,20 @@
         break;
       case AnswerEffectKind.Reset:
         logger.log(logEvents.answerReset, { version: state.meta.version });
+        note(HistoryKind.Reset, state.meta.version);
         wakeReaders();
         break;
       case AnswerEffectKind.Closed:
         recordRelease();
         logger.log(logEvents.answerFinished, { tokens: state.tokens.length });
+        note(HistoryKind.Ended, state.end!.errorMessage || state.end!.reason);
         wakeReaders();
         options.onClosed(answer);
         break;
       case AnswerEffectKind.Superseded:
         isSuperseded = true;
         logger.log(logEvents.answerSuperseded);
+        note(HistoryKind.Superseded, "");
         wakeReaders();
         options.onClosed(answer);
         break;
@@ -130,7 +141,8 @@
       logger.log(logEvents.answerUnreplicated, {
         fromPosition: state.releasedCount,
       });
-    }
+      note(HistoryKind.Unreplicated, "no other instance is reachable");
+    } else note(HistoryKind.ReplicaChosen, instanceId);
     send({ kind: AnswerEventKind.ReplicaChosen, instanceId });
   }
 
@@ -153,7 +165,23 @@
     }, delayMs);
   }
 
+  function note(kind: HistoryKind, detail: string): void {
+    history.add(kind, { position: state.tokens.length, detail });
+  }
+
   function run(attemptNumber: number, isHedge: boolean): AttemptHandle {
+    const handle = startOnEngine(attemptNumber, isHedge);
+    note(
+      isHedge ? HistoryKind.HedgeStarted : HistoryKind.AttemptStarted,
+      `attempt ${attemptNumber} on ${handle.getUpstreamId() ?? "no engine"}`,
+    );
+    return handle;
+  }
+
+  function startOnEngine(
+    attemptNumber: number,
+    isHedge: boolean,
+  ): AttemptHandle {
     const inUse = [...running.values()].flatMap((attempt) =>
       attempt.handle?.getUpstreamId() ?? []
     );
@@ -186,6 +214,11 @@
         const upstreamId = running.get(attemptNumber)?.handle?.getUpstreamId();
         running.delete(attemptNumber);
         if (upstreamId) rememberFailed(upstreamId);
+        note(
+          HistoryKind.AttemptFailed,
+          `attempt ${attemptNumber} on ${upstreamId ?? "no engine"}: ` +
+            error.message,
+        );
         logger.log(logEvents.attemptLost, {
           attemptNumber,
           upstream: upstreamId,
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -12,6 +12,7 @@
   TopCommand,
   UpstreamsCommand,
 } from "./state_commands.ts";
+import { ExplainCommand } from "./explain_command.ts";
 import { ReportBillCommand, ReportBurnCommand } from "./report_commands.ts";
 import {
   TicketDiffCommand,
@@ -38,6 +39,7 @@
     UpstreamsCommand,
     StatusCommand,
     TopCommand,
+    ExplainCommand,
     ReportBillCommand,
     ReportBurnCommand,
     Builtins.HelpCommand,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,6 +5,7 @@
 import { serve } from "@hono/node-server";
 import { Hono } from "hono";
 import { ok, ResultAsync } from "neverthrow";
+import { createAnswerExplainer } from "../answers/answer_explainer.ts";
 import { createAnswerReader } from "../answers/answer_reader.ts";
 import {
   type AnswerService,
@@ -249,6 +250,11 @@
       answers,
       getPeerTraffic: peers.getTraffic,
       configuration,
+      explainer: createAnswerExplainer({
+        membership,
+        peers,
+        describeLocal: answers.describe,
+      }),
       reportRoutes: createReportRoutes({
         clock,
         control,
@@ -300,6 +306,8 @@
       [PeerCallKind.Propose]: ({ command }) => propose(command),
       [PeerCallKind.PushConfiguration]: configuration.handlePush,
       [PeerCallKind.PullConfiguration]: configuration.handlePull,
+      [PeerCallKind.DescribeAnswer]: ({ answerId }) =>
+        ok({ records: answers.describe(answerId) }),
       [PeerCallKind.SyncRollouts]: rollouts.handleSync,
     };
   }
--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -3,6 +3,7 @@
  */
 import process from "node:process";
 import { Hono } from "hono";
+import type { AnswerExplainer } from "../answers/answer_explainer.ts";
 import type { AnswerService } from "../answers/answer_service.ts";
 import { errorAnswers, getErrorBody } from "../core/errors.ts";
 import type { MembershipView } from "../membership/membership_view.ts";
@@ -26,6 +27,7 @@
   /** Mounted behind the authentication of operators. */
   readonly ticketRoutes: Hono;
   readonly reportRoutes: Hono;
+  readonly explainer: AnswerExplainer;
 }
 
 export function createOperatorApp(options: OperatorAppOptions): Hono {
@@ -70,6 +72,16 @@
         isLeavingReported: upstream.isLeavingReported,
       })),
     }));
+  app.get("/answers/:answerId", async (context) => {
+    const answerId = context.req.param("answerId");
+    return await options.explainer.explain(answerId).match(
+      (explanation) => context.json(explanation),
+      (error) => {
+        const { httpStatus } = errorAnswers[error.kind];
+        return context.json(getErrorBody(error), httpStatus as 404);
+      },
+    );
+  });
   app.route("/", options.ticketRoutes);
   app.route("/", options.reportRoutes);
   return app;
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -15,6 +15,7 @@
   syncRolloutsReplySchema,
   syncRolloutsSchema,
 } from "../control/rollouts/rollout_messages.ts";
+import { answerRecordSchema } from "../answers/answer_history.ts";
 import { InstanceState } from "../core/types.ts";
 import { FinishReason } from "../core/types.ts";
 
@@ -31,6 +32,7 @@
   PushConfiguration = "pushConfiguration",
   PullConfiguration = "pullConfiguration",
   SyncRollouts = "syncRollouts",
+  DescribeAnswer = "describeAnswer",
 }
 
 export const attemptSchema = z.object({
@@ -191,6 +193,10 @@
     request: syncRolloutsSchema,
     reply: syncRolloutsReplySchema,
   },
+  [PeerCallKind.DescribeAnswer]: {
+    request: z.object({ answerId: idSchema }),
+    reply: z.object({ records: z.array(answerRecordSchema).max(10) }),
+  },
 } as const;
 
 export type PeerCalls = typeof peerCalls;
