Add the consensus state machine of the control log

Cause: the control log kept commands in the memory of one instance.

A simulated group drives one to five machines with disks, clocks that differ by 2%, late, lost, duplicated and reordered messages, freezes, one-way cuts and lost disks.

Ruled out: removing a lost voter before its spare is added. The spare is now added first. Swapping two voters in one entry was ruled out too, as the majorities before and after need not overlap.

Accepting messages for another identity of the same instance fails no test: the sender's identity in votes and acknowledgements catches it as well.

--- /dev/null
+++ b/src/control/log/bootstrap.ts
@@ -0,0 +1,152 @@
+/**
+ * Founding of the first group, and greetings of replicas without a leader.
+ *
+ * Only the first instance of `controlInstanceIds` founds a group, and only
+ * after every instance of the list reported in this process's lifetime that its
+ * data folder never belonged to one. `docs/control_log.md` explains why this
+ * cannot form two groups that commit.
+ */
+import { EntryKind, LogMessageKind } from "../../peer/log_messages.ts";
+import type { LogEnvelope, LogMessageOf } from "../../peer/log_messages.ts";
+import { appendEntries } from "./log_entries.ts";
+import {
+  type ConsensusState,
+  EffectKind,
+  getInstanceId,
+  isVoter,
+  Role,
+  setDurable,
+  type Step,
+} from "./log_types.ts";
+import { addLearner } from "./voter_changes.ts";
+
+/** Greets the other instances when no leader is heard. */
+export function greet(step: Step): void {
+  const { state, nowMs } = step;
+  if (nowMs < state.helloAtMs) return;
+  const { electionTimeoutMs, heartbeatMs } = state.options;
+  const isFresh = state.durable.groupId === "";
+  const isWithoutLeader = state.role.kind !== Role.Leader &&
+    nowMs >= state.leaderContactAtMs + electionTimeoutMs;
+  if (!isFresh && !isWithoutLeader) return;
+  state.helloAtMs = nowMs + 2 * heartbeatMs;
+  foundGroup(step);
+  for (const instanceId of state.options.controlInstanceIds) {
+    if (instanceId === getInstanceId(state.selfId)) continue;
+    step.effects.push({
+      kind: EffectKind.Send,
+      instanceId,
+      envelope: {
+        groupId: state.durable.groupId,
+        fromId: state.selfId,
+        toId: "",
+        message: {
+          kind: LogMessageKind.Hello,
+          controlInstanceIds: [...state.options.controlInstanceIds],
+        },
+      },
+    });
+  }
+}
+
+export function receiveHello(
+  step: Step,
+  { fromId, groupId, message }: LogEnvelope & {
+    message: LogMessageOf<LogMessageKind.Hello>;
+  },
+): void {
+  const { state, effects } = step;
+  const isSameList = JSON.stringify(message.controlInstanceIds) ===
+    JSON.stringify(state.options.controlInstanceIds);
+  effects.push({
+    kind: EffectKind.Send,
+    instanceId: getInstanceId(fromId),
+    envelope: {
+      groupId: state.durable.groupId,
+      fromId: state.selfId,
+      toId: fromId,
+      message: {
+        kind: LogMessageKind.HelloReply,
+        isFresh: state.durable.groupId === "" && isSameList,
+      },
+    },
+  });
+  const isListed = state.options.controlInstanceIds.includes(
+    getInstanceId(fromId),
+  );
+  const isOwnGroup = groupId === "" || groupId === state.durable.groupId;
+  if (isListed && isOwnGroup) addLearner(step, fromId);
+}
+
+export function receiveHelloReply(
+  step: Step,
+  { fromId, message }: LogEnvelope & {
+    message: LogMessageOf<LogMessageKind.HelloReply>;
+  },
+): void {
+  const { state } = step;
+  if (state.durable.groupId !== "") return;
+  const instanceId = getInstanceId(fromId);
+  if (message.isFresh) state.freshReplicas.set(instanceId, fromId);
+  else state.freshReplicas.delete(instanceId);
+  foundGroup(step);
+}
+
+function foundGroup(step: Step): void {
+  const { state, random, effects } = step;
+  const { controlInstanceIds, voterCount } = state.options;
+  const isFounder = controlInstanceIds[0] === getInstanceId(state.selfId);
+  if (!isFounder || state.durable.groupId !== "") return;
+  const replicaIds = controlInstanceIds.map((instanceId) =>
+    instanceId === controlInstanceIds[0]
+      ? state.selfId
+      : state.freshReplicas.get(instanceId)
+  ).filter((id) => id !== undefined);
+  if (replicaIds.length < controlInstanceIds.length) return;
+  const groupId = Array.from(
+    { length: 4 },
+    () => random.nextInt(2 ** 31).toString(16).padStart(8, "0"),
+  ).join("");
+  setDurable(step, { groupId, term: 1 });
+  // Every log of the group starts with this entry, so no replica can campaign
+  // before it knows the first voters.
+  appendEntries(step, [{
+    index: 1,
+    term: 1,
+    kind: EntryKind.Configuration,
+    data: new Uint8Array(),
+    configuration: {
+      voters: replicaIds.slice(0, voterCount),
+      learners: replicaIds.slice(voterCount),
+    },
+  }]);
+  state.freshReplicas.clear();
+  state.electionAtMs = step.nowMs;
+  effects.push({ kind: EffectKind.GroupFounded, groupId });
+}
+
+/**
+ * Whether a message may be handled: it is addressed to this identity, and comes
+ * from its group. A replica without a group joins that of the first leader or
+ * candidate which addresses it by its full identity.
+ */
+export function isForThisReplica(step: Step, envelope: LogEnvelope): boolean {
+  const { state, effects } = step;
+  const { kind } = envelope.message;
+  if (kind === LogMessageKind.Hello) return envelope.toId === "";
+  if (envelope.toId !== state.selfId) return false;
+  if (kind === LogMessageKind.HelloReply) return true;
+  if (envelope.groupId === state.durable.groupId) {
+    return envelope.groupId !== "";
+  }
+  if (state.durable.groupId === "" && envelope.groupId !== "") {
+    setDurable(step, { groupId: envelope.groupId });
+    return true;
+  }
+  effects.push({ kind: EffectKind.WrongGroup, fromId: envelope.fromId });
+  return false;
+}
+
+export function canCampaign(state: ConsensusState): boolean {
+  return state.durable.groupId !== "" && isVoter(state, state.selfId);
+}
--- /dev/null
+++ b/src/control/log/consensus.ts
@@ -0,0 +1,159 @@
+/**
+ * The consensus state machine of the control log: (state, event, now) to
+ * effects. It changes the state in place and does no input or output.
+ */
+import { assertNever } from "../../core/assert_never.ts";
+import type { Random } from "../../core/random.ts";
+import { type LogEnvelope, LogMessageKind } from "../../peer/log_messages.ts";
+import {
+  greet,
+  isForThisReplica,
+  receiveHello,
+  receiveHelloReply,
+} from "./bootstrap.ts";
+import {
+  receiveVoteReply,
+  receiveVoteRequest,
+  resetElectionTimer,
+  startElectionWhenDue,
+} from "./elections.ts";
+import { receiveAppend, receiveSnapshot } from "./follower.ts";
+import { compact, updateConfiguration } from "./log_entries.ts";
+import {
+  type ConsensusEffect,
+  type ConsensusEvent,
+  type ConsensusOptions,
+  type ConsensusState,
+  LogEventKind,
+  type LogSnapshot,
+  type ReplicaId,
+  Role,
+  type Step,
+  type StoredLog,
+} from "./log_types.ts";
+import {
+  checkQuorum,
+  flushLeader,
+  propose,
+  receiveAppendReply,
+  receiveSnapshotReply,
+  tickLeader,
+} from "./replication.ts";
+import { adjustVoters } from "./voter_changes.ts";
+
+export const emptySnapshot: LogSnapshot = {
+  index: 0,
+  term: 0,
+  configuration: { voters: [], learners: [] },
+  data: new Uint8Array(),
+};
+
+export interface ConsensusStart {
+  readonly options: ConsensusOptions;
+  readonly selfId: ReplicaId;
+  readonly stored: StoredLog;
+  readonly nowMs: number;
+  readonly random: Random;
+}
+
+export function createConsensusState(start: ConsensusStart): ConsensusState {
+  const { options, selfId, stored, nowMs, random } = start;
+  const { snapshot, entries } = stored;
+  const first = entries[0];
+  // The term before the first entry is unknown when the log overlaps the
+  // snapshot; the entry itself then becomes the base.
+  const isOverlapping = first !== undefined && first.index <= snapshot.index;
+  const state: ConsensusState = {
+    options,
+    selfId,
+    durable: stored.durable,
+    snapshot,
+    entries: isOverlapping ? entries.slice(1) : [...entries],
+    baseIndex: isOverlapping ? first.index : snapshot.index,
+    baseTerm: isOverlapping ? first.term : snapshot.term,
+    configuration: snapshot.configuration,
+    configurationIndex: snapshot.index,
+    commitIndex: snapshot.index,
+    role: { kind: Role.Follower },
+    leaderId: "",
+    leaderContactAtMs: nowMs,
+    electionAtMs: 0,
+    helloAtMs: nowMs,
+    incoming: undefined,
+    freshReplicas: new Map(),
+  };
+  updateConfiguration(state);
+  resetElectionTimer({ state, nowMs, random, effects: [] });
+  return state;
+}
+
+export function stepConsensus(
+  state: ConsensusState,
+  event: ConsensusEvent,
+  { nowMs, random }: { readonly nowMs: number; readonly random: Random },
+): ConsensusEffect[] {
+  const step: Step = { state, nowMs, random, effects: [] };
+  // A process that was frozen must not act as leader on its first event.
+  checkQuorum(step);
+  handle(step, event);
+  return step.effects;
+}
+
+function handle(step: Step, event: ConsensusEvent): void {
+  switch (event.kind) {
+    case LogEventKind.Tick:
+      greet(step);
+      startElectionWhenDue(step);
+      tickLeader(step);
+      adjustVoters(step);
+      return;
+    case LogEventKind.Receive:
+      if (isForThisReplica(step, event.envelope)) {
+        receive(step, event.envelope);
+      }
+      return;
+    case LogEventKind.Propose:
+      propose(step, event);
+      return;
+    case LogEventKind.Snapshotted:
+      compact(step, event);
+      return;
+    case LogEventKind.Flush:
+      flushLeader(step);
+      return;
+    default:
+      assertNever(event);
+  }
+}
+
+function receive(step: Step, envelope: LogEnvelope): void {
+  const { fromId, message } = envelope;
+  switch (message.kind) {
+    case LogMessageKind.Hello:
+      receiveHello(step, { ...envelope, message });
+      return;
+    case LogMessageKind.HelloReply:
+      receiveHelloReply(step, { ...envelope, message });
+      return;
+    case LogMessageKind.VoteRequest:
+      receiveVoteRequest(step, fromId, message);
+      return;
+    case LogMessageKind.VoteReply:
+      receiveVoteReply(step, fromId, message);
+      return;
+    case LogMessageKind.Append:
+      receiveAppend(step, fromId, message);
+      return;
+    case LogMessageKind.AppendReply:
+      receiveAppendReply(step, fromId, message);
+      return;
+    case LogMessageKind.Snapshot:
+      receiveSnapshot(step, fromId, message);
+      return;
+    case LogMessageKind.SnapshotReply:
+      receiveSnapshotReply(step, fromId, message);
+      return;
+    default:
+      assertNever(message);
+  }
+}
--- /dev/null
+++ b/src/control/log/elections.ts
@@ -0,0 +1,160 @@
+/**
+ * Leader election: a pre-vote round that changes no term, then the vote.
+ */
+import { LogMessageKind } from "../../peer/log_messages.ts";
+import type { LogMessageOf } from "../../peer/log_messages.ts";
+import { canCampaign } from "./bootstrap.ts";
+import { getLastIndex, getLastTerm } from "./log_entries.ts";
+import {
+  type ConsensusState,
+  EffectKind,
+  getQuorum,
+  type ReplicaId,
+  Role,
+  type RoleState,
+  send,
+  setDurable,
+  type Step,
+} from "./log_types.ts";
+import { becomeLeader } from "./replication.ts";
+
+export function setRole(step: Step, role: RoleState): void {
+  const { state, effects } = step;
+  const from = state.role.kind;
+  state.role = role;
+  if (from === role.kind) return;
+  effects.push({
+    kind: EffectKind.RoleChanged,
+    from,
+    to: role.kind,
+    term: state.durable.term,
+  });
+}
+
+export function becomeFollower(
+  step: Step,
+  { term, leaderId }: { term: number; leaderId: ReplicaId },
+): void {
+  const { state } = step;
+  if (term > state.durable.term) setDurable(step, { term, votedFor: "" });
+  if (state.role.kind !== Role.Follower) {
+    setRole(step, { kind: Role.Follower });
+    resetElectionTimer(step);
+  }
+  state.leaderId = leaderId;
+}
+
+export function resetElectionTimer({ state, nowMs, random }: Step): void {
+  const { electionTimeoutMs } = state.options;
+  state.electionAtMs = nowMs + electionTimeoutMs * (1 + random.next());
+}
+
+export function startElectionWhenDue(step: Step): void {
+  const { state, nowMs } = step;
+  if (state.role.kind === Role.Leader || nowMs < state.electionAtMs) return;
+  resetElectionTimer(step);
+  if (!canCampaign(state)) return;
+  campaign(step, Role.PreCandidate);
+}
+
+function campaign(step: Step, kind: Role.PreCandidate | Role.Candidate): void {
+  const { state } = step;
+  const isPreVote = kind === Role.PreCandidate;
+  const term = state.durable.term + 1;
+  if (!isPreVote) setDurable(step, { term, votedFor: state.selfId });
+  state.leaderId = "";
+  setRole(step, { kind, granted: new Set([state.selfId]) });
+  for (const id of state.configuration.voters) {
+    if (id === state.selfId) continue;
+    send(step, id, {
+      kind: LogMessageKind.VoteRequest,
+      isPreVote,
+      term,
+      lastIndex: getLastIndex(state),
+      lastTerm: getLastTerm(state),
+    });
+  }
+  finishCampaign(step);
+}
+
+function finishCampaign(step: Step): void {
+  const { state } = step;
+  const { role, configuration } = state;
+  if (role.kind !== Role.PreCandidate && role.kind !== Role.Candidate) return;
+  const granted = configuration.voters.filter((id) => role.granted.has(id));
+  if (granted.length < getQuorum(configuration)) return;
+  if (role.kind === Role.PreCandidate) campaign(step, Role.Candidate);
+  else becomeLeader(step);
+}
+
+export function receiveVoteRequest(
+  step: Step,
+  fromId: ReplicaId,
+  request: LogMessageOf<LogMessageKind.VoteRequest>,
+): void {
+  const { state } = step;
+  const { isPreVote, term } = request;
+  // Raising the term for a request that is refused here anyway would let one
+  // replica that hears no leader depose a leader that the others hear.
+  const isHeld = isLeaderPresent(step);
+  if (!isPreVote && !isHeld && term > state.durable.term) {
+    becomeFollower(step, { term, leaderId: "" });
+  }
+  const isCurrent = isPreVote
+    ? term > state.durable.term
+    : term === state.durable.term &&
+      (state.durable.votedFor === "" || state.durable.votedFor === fromId);
+  const isGranted = !isHeld && isCurrent && isUpToDate(state, request);
+  if (isGranted && !isPreVote) {
+    if (state.durable.votedFor !== fromId) {
+      setDurable(step, { votedFor: fromId });
+    }
+    resetElectionTimer(step);
+  }
+  send(step, fromId, {
+    kind: LogMessageKind.VoteReply,
+    isPreVote,
+    term: isPreVote && isGranted ? term : state.durable.term,
+    isGranted,
+  });
+}
+
+export function receiveVoteReply(
+  step: Step,
+  fromId: ReplicaId,
+  reply: LogMessageOf<LogMessageKind.VoteReply>,
+): void {
+  const { state } = step;
+  const { role, durable } = state;
+  if (!reply.isGranted) {
+    if (reply.term > durable.term) {
+      becomeFollower(step, { term: reply.term, leaderId: "" });
+    }
+    return;
+  }
+  const isPreCandidate = role.kind === Role.PreCandidate;
+  if (!isPreCandidate && role.kind !== Role.Candidate) return;
+  const expectedTerm = isPreCandidate ? durable.term + 1 : durable.term;
+  if (reply.isPreVote !== isPreCandidate || reply.term !== expectedTerm) return;
+  role.granted.add(fromId);
+  finishCampaign(step);
+}
+
+/**
+ * A leader's lease rests on this: voters that acknowledged it grant no vote
+ * until their election timeout has passed. A restarted replica does not know
+ * what it acknowledged, so the period also starts with the process.
+ */
+function isLeaderPresent({ state, nowMs }: Step): boolean {
+  if (state.role.kind === Role.Leader) return true;
+  return nowMs < state.leaderContactAtMs + state.options.electionTimeoutMs;
+}
+
+function isUpToDate(
+  state: ConsensusState,
+  { lastIndex, lastTerm }: { lastIndex: number; lastTerm: number },
+): boolean {
+  const ownTerm = getLastTerm(state);
+  return lastTerm > ownTerm ||
+    (lastTerm === ownTerm && lastIndex >= getLastIndex(state));
+}
--- /dev/null
+++ b/src/control/log/follower.ts
@@ -0,0 +1,120 @@
+/**
+ * The follower: entries and snapshots of the leader.
+ */
+import { LogMessageKind } from "../../peer/log_messages.ts";
+import type { LogMessageOf } from "../../peer/log_messages.ts";
+import { becomeFollower, resetElectionTimer } from "./elections.ts";
+import {
+  appendEntries,
+  commitUpTo,
+  getLastIndex,
+  getTermAt,
+  installSnapshot,
+} from "./log_entries.ts";
+import { type ReplicaId, send, type Step } from "./log_types.ts";
+
+export function receiveAppend(
+  step: Step,
+  fromId: ReplicaId,
+  message: LogMessageOf<LogMessageKind.Append>,
+): void {
+  const { state } = step;
+  const { sentAtMs } = message;
+  if (message.term < state.durable.term) {
+    reply(false, 0);
+    return;
+  }
+  followLeader(step, fromId, message.term);
+  const { prevIndex, prevTerm, entries } = message;
+  // Committed entries are the same everywhere, also when compacted here.
+  const isKnown = prevIndex <= state.commitIndex ||
+    getTermAt(state, prevIndex) === prevTerm;
+  if (!isKnown) {
+    const lastIndex = Math.min(getLastIndex(state), prevIndex - 1);
+    reply(false, Math.max(state.commitIndex, lastIndex));
+    return;
+  }
+  const firstNew = entries.findIndex((entry) =>
+    entry.index > state.commitIndex &&
+    getTermAt(state, entry.index) !== entry.term
+  );
+  if (firstNew >= 0) appendEntries(step, entries.slice(firstNew));
+  const matchIndex = prevIndex + entries.length;
+  commitUpTo(step, Math.min(message.commitIndex, matchIndex));
+  reply(true, matchIndex);
+
+  function reply(isMatch: boolean, index: number): void {
+    send(step, fromId, {
+      kind: LogMessageKind.AppendReply,
+      term: state.durable.term,
+      isMatch,
+      index,
+      sentAtMs,
+    });
+  }
+}
+
+export function receiveSnapshot(
+  step: Step,
+  fromId: ReplicaId,
+  message: LogMessageOf<LogMessageKind.Snapshot>,
+): void {
+  const { state } = step;
+  const { term, index, totalBytes, sentAtMs } = message;
+  if (term >= state.durable.term) followLeader(step, fromId, term);
+  const nextOffsetBytes = term < state.durable.term
+    ? 0
+    : takeChunk(step, fromId, message);
+  if (nextOffsetBytes === totalBytes && index > state.commitIndex) {
+    installSnapshot(step, {
+      index,
+      term: message.indexTerm,
+      configuration: message.configuration,
+      data: state.incoming!.data,
+    });
+  }
+  if (nextOffsetBytes === totalBytes) state.incoming = undefined;
+  send(step, fromId, {
+    kind: LogMessageKind.SnapshotReply,
+    term: state.durable.term,
+    index,
+    nextOffsetBytes,
+    sentAtMs,
+  });
+}
+
+/** Returns how many bytes of the snapshot are present now. */
+function takeChunk(
+  { state }: Step,
+  fromId: ReplicaId,
+  message: LogMessageOf<LogMessageKind.Snapshot>,
+): number {
+  const { index, offsetBytes, totalBytes, data } = message;
+  if (index <= state.commitIndex) return totalBytes;
+  let incoming = state.incoming;
+  // Another leader's encoding of the same state may differ in its bytes.
+  if (
+    !incoming || incoming.fromId !== fromId || incoming.index !== index ||
+    incoming.data.length !== totalBytes
+  ) {
+    incoming = {
+      fromId,
+      index,
+      data: new Uint8Array(totalBytes),
+      receivedBytes: 0,
+    };
+    state.incoming = incoming;
+  }
+  if (offsetBytes === incoming.receivedBytes) {
+    incoming.data.set(data, offsetBytes);
+    incoming.receivedBytes += data.length;
+  }
+  return incoming.receivedBytes;
+}
+
+function followLeader(step: Step, fromId: ReplicaId, term: number): void {
+  const { state, nowMs } = step;
+  becomeFollower(step, { term, leaderId: fromId });
+  state.leaderContactAtMs = nowMs;
+  resetElectionTimer(step);
+}
--- /dev/null
+++ b/src/control/log/log_entries.ts
@@ -0,0 +1,142 @@
+/**
+ * The entries in memory: lookup, append, truncation and compaction.
+ */
+import { type LogEntry } from "../../peer/log_messages.ts";
+import {
+  type ConsensusState,
+  EffectKind,
+  type LogSnapshot,
+  type Step,
+} from "./log_types.ts";
+
+export function getLastIndex(state: ConsensusState): number {
+  return state.baseIndex + state.entries.length;
+}
+
+export function getLastTerm(state: ConsensusState): number {
+  return state.entries.at(-1)?.term ?? state.baseTerm;
+}
+
+/** Undefined for an index that was compacted or is not in the log yet. */
+export function getTermAt(
+  state: ConsensusState,
+  index: number,
+): number | undefined {
+  if (index === state.baseIndex) return state.baseTerm;
+  if (index === state.snapshot.index) return state.snapshot.term;
+  return state.entries[index - state.baseIndex - 1]?.term;
+}
+
+/** The entries from `fromIndex` on, at least one and up to the byte limit. */
+export function sliceEntries(
+  state: ConsensusState,
+  fromIndex: number,
+  limits: { readonly maxBytes: number; readonly maxEntries: number },
+): LogEntry[] {
+  const start = fromIndex - state.baseIndex - 1;
+  let end = start;
+  let sizeBytes = 0;
+  const last = Math.min(state.entries.length, start + limits.maxEntries);
+  while (end < last) {
+    sizeBytes += state.entries[end]!.data.length + entryOverheadBytes;
+    if (sizeBytes > limits.maxBytes && end > start) break;
+    end += 1;
+  }
+  return state.entries.slice(start, end);
+}
+
+/** Upper bound of the encoded fields of an entry besides its data. */
+const entryOverheadBytes = 100;
+
+/** Appends the entries, replacing those with the same or a higher index. */
+export function appendEntries(step: Step, entries: readonly LogEntry[]): void {
+  if (entries.length === 0) return;
+  const { state, effects } = step;
+  const keptCount = entries[0]!.index - state.baseIndex - 1;
+  if (entries[0]!.index <= state.commitIndex || keptCount < 0) {
+    throw new Error(`entry ${entries[0]!.index} is committed already`);
+  }
+  const isTruncated = keptCount < state.entries.length;
+  if (isTruncated) state.entries.length = keptCount;
+  state.entries.push(...entries);
+  effects.push({ kind: EffectKind.SaveEntries, entries });
+  if (isTruncated || entries.some((entry) => entry.configuration)) {
+    updateConfiguration(state);
+  }
+}
+
+/** A configuration is in force as soon as it is in the log. */
+export function updateConfiguration(state: ConsensusState): void {
+  const entry = state.entries.findLast((candidate) =>
+    candidate.configuration !== null &&
+    candidate.index > state.snapshot.index
+  );
+  state.configuration = entry?.configuration ?? state.snapshot.configuration;
+  state.configurationIndex = entry?.index ?? state.snapshot.index;
+}
+
+/** Raises the commit index and hands the new committed entries out. */
+export function commitUpTo(step: Step, index: number): void {
+  const { state, effects } = step;
+  if (index <= state.commitIndex) return;
+  const entries = state.entries.slice(
+    state.commitIndex - state.baseIndex,
+    index - state.baseIndex,
+  );
+  state.commitIndex = index;
+  effects.push({ kind: EffectKind.Commit, entries });
+}
+
+/** Keeps a snapshot of the applied state and drops entries it covers. */
+export function compact(
+  step: Step,
+  { index, data }: { index: number; data: Uint8Array },
+): void {
+  const { state, effects } = step;
+  if (index <= state.snapshot.index || index > state.commitIndex) return;
+  const configurationEntry = state.entries.findLast((entry) =>
+    entry.configuration !== null && entry.index <= index &&
+    entry.index > state.snapshot.index
+  );
+  const snapshot: LogSnapshot = {
+    index,
+    term: getTermAt(state, index)!,
+    configuration: configurationEntry?.configuration ??
+      state.snapshot.configuration,
+    data,
+  };
+  const baseIndex = Math.max(
+    state.baseIndex,
+    index - state.options.trailingEntries,
+  );
+  state.baseTerm = getTermAt(state, baseIndex)!;
+  state.entries.splice(0, baseIndex - state.baseIndex);
+  state.baseIndex = baseIndex;
+  state.snapshot = snapshot;
+  effects.push({
+    kind: EffectKind.SaveSnapshot,
+    snapshot,
+    baseIndex,
+    isReset: false,
+  });
+}
+
+/** Takes over a snapshot of the leader. */
+export function installSnapshot(step: Step, snapshot: LogSnapshot): void {
+  const { state, effects } = step;
+  if (snapshot.index <= state.commitIndex) return;
+  const isReset = getTermAt(state, snapshot.index) !== snapshot.term;
+  if (isReset) state.entries = [];
+  else state.entries.splice(0, snapshot.index - state.baseIndex);
+  state.baseIndex = snapshot.index;
+  state.baseTerm = snapshot.term;
+  state.snapshot = snapshot;
+  state.commitIndex = snapshot.index;
+  updateConfiguration(state);
+  effects.push({
+    kind: EffectKind.SaveSnapshot,
+    snapshot,
+    baseIndex: snapshot.index,
+    isReset,
+  }, { kind: EffectKind.Restore, snapshot });
+}
--- /dev/null
+++ b/src/control/log/log_types.ts
@@ -0,0 +1,253 @@
+/**
+ * State, events and effects of the consensus state machine of the control log.
+ */
+import type { Random } from "../../core/random.ts";
+import type { InstanceId } from "../../core/types.ts";
+import type {
+  LogConfiguration,
+  LogEntry,
+  LogEnvelope,
+  LogMessage,
+} from "../../peer/log_messages.ts";
+
+/** `<instance id>/<random part>`; a data folder keeps it for its lifetime. */
+export type ReplicaId = string;
+
+export interface ConsensusOptions {
+  readonly controlInstanceIds: readonly InstanceId[];
+  /** Target number of voters. */
+  readonly voterCount: number;
+  /**
+   * A voter that heard from a leader grants no vote for this long. Elections
+   * start after one to two times this period.
+   */
+  readonly electionTimeoutMs: number;
+  /** Shorter than the election timeout by the assumed clock drift. */
+  readonly leaseMs: number;
+  readonly heartbeatMs: number;
+  /** A voter silent for this long is replaced when a spare has caught up. */
+  readonly replaceVoterAfterMs: number;
+  /** Entries kept behind a snapshot for followers that are a little late. */
+  readonly trailingEntries: number;
+  readonly maxMessageBytes: number;
+  /** Entries sent to one follower without an acknowledgement. */
+  readonly maxInFlightEntries: number;
+}
+
+export interface LogSnapshot {
+  readonly index: number;
+  readonly term: number;
+  readonly configuration: LogConfiguration;
+  readonly data: Uint8Array;
+}
+
+export interface DurableState {
+  /** Empty until the replica joins a group; never changes afterwards. */
+  readonly groupId: string;
+  readonly term: number;
+  readonly votedFor: ReplicaId;
+}
+
+/** What the data folder holds at start. */
+export interface StoredLog {
+  readonly durable: DurableState;
+  readonly snapshot: LogSnapshot;
+  readonly entries: readonly LogEntry[];
+}
+
+export enum Role {
+  Follower = "follower",
+  PreCandidate = "preCandidate",
+  Candidate = "candidate",
+  Leader = "leader",
+}
+
+/** The leader's view of one other replica. */
+export interface Progress {
+  nextIndex: number;
+  matchIndex: number;
+  /** One message at a time until the replica's log position is known. */
+  isProbing: boolean;
+  /** Send time of the latest message that the replica acknowledged. */
+  ackedSentAtMs: number;
+  sentAtMs: number;
+  snapshot: LogSnapshot | undefined;
+  snapshotOffsetBytes: number;
+}
+
+export interface LeaderRole {
+  readonly kind: Role.Leader;
+  readonly sinceMs: number;
+  readonly progress: Map<ReplicaId, Progress>;
+  /** Commit index one heartbeat ago: a spare that has it has caught up. */
+  caughtUpIndex: number;
+  heartbeatAtMs: number;
+}
+
+export type RoleState =
+  | { readonly kind: Role.Follower }
+  | {
+    readonly kind: Role.PreCandidate | Role.Candidate;
+    readonly granted: Set<ReplicaId>;
+  }
+  | LeaderRole;
+
+export interface IncomingSnapshot {
+  readonly fromId: ReplicaId;
+  readonly index: number;
+  readonly data: Uint8Array;
+  receivedBytes: number;
+}
+
+export interface ConsensusState {
+  readonly options: ConsensusOptions;
+  readonly selfId: ReplicaId;
+  durable: DurableState;
+  snapshot: LogSnapshot;
+  /** Contiguous; may overlap the snapshot by `trailingEntries`. */
+  entries: LogEntry[];
+  /** Index and term just before the first entry. */
+  baseIndex: number;
+  baseTerm: number;
+  /** The latest configuration in the log, committed or not. */
+  configuration: LogConfiguration;
+  configurationIndex: number;
+  commitIndex: number;
+  role: RoleState;
+  leaderId: ReplicaId;
+  /** Start of the period in which no vote is granted. */
+  leaderContactAtMs: number;
+  electionAtMs: number;
+  helloAtMs: number;
+  incoming: IncomingSnapshot | undefined;
+  /** Replicas that reported to have no group, by instance; for bootstrap. */
+  readonly freshReplicas: Map<InstanceId, ReplicaId>;
+}
+
+export enum LogEventKind {
+  Tick = "tick",
+  Receive = "receive",
+  Propose = "propose",
+  /** The applied state up to the index was encoded. */
+  Snapshotted = "snapshotted",
+  /** Ends a batch of events: entries appended by it are sent. */
+  Flush = "flush",
+}
+
+export type ConsensusEvent =
+  | { readonly kind: LogEventKind.Tick | LogEventKind.Flush }
+  | { readonly kind: LogEventKind.Receive; readonly envelope: LogEnvelope }
+  | {
+    readonly kind: LogEventKind.Propose;
+    readonly proposalId: number;
+    readonly data: Uint8Array;
+  }
+  | {
+    readonly kind: LogEventKind.Snapshotted;
+    readonly index: number;
+    readonly data: Uint8Array;
+  };
+
+export enum EffectKind {
+  SaveState = "saveState",
+  SaveEntries = "saveEntries",
+  SaveSnapshot = "saveSnapshot",
+  Send = "send",
+  Commit = "commit",
+  Restore = "restore",
+  Accepted = "accepted",
+  Refused = "refused",
+  RoleChanged = "roleChanged",
+  VoterReplaced = "voterReplaced",
+  GroupFounded = "groupFounded",
+  WrongGroup = "wrongGroup",
+}
+
+/**
+ * The save effects of a batch of events are synced, in order, before any other
+ * effect of the batch is carried out.
+ */
+export type ConsensusEffect =
+  | { readonly kind: EffectKind.SaveState; readonly durable: DurableState }
+  /** Replaces everything from the index of the first entry on. */
+  | {
+    readonly kind: EffectKind.SaveEntries;
+    readonly entries: readonly LogEntry[];
+  }
+  | {
+    readonly kind: EffectKind.SaveSnapshot;
+    readonly snapshot: LogSnapshot;
+    /** Entries up to here are not needed any more. */
+    readonly baseIndex: number;
+    /** The entries in storage are obsolete. */
+    readonly isReset: boolean;
+  }
+  | {
+    readonly kind: EffectKind.Send;
+    readonly instanceId: InstanceId;
+    readonly envelope: LogEnvelope;
+  }
+  | {
+    readonly kind: EffectKind.Commit;
+    readonly entries: readonly LogEntry[];
+  }
+  | { readonly kind: EffectKind.Restore; readonly snapshot: LogSnapshot }
+  | {
+    readonly kind: EffectKind.Accepted;
+    readonly proposalId: number;
+    readonly index: number;
+    readonly term: number;
+  }
+  | { readonly kind: EffectKind.Refused; readonly proposalId: number }
+  | {
+    readonly kind: EffectKind.RoleChanged;
+    readonly from: Role;
+    readonly to: Role;
+    readonly term: number;
+  }
+  | {
+    readonly kind: EffectKind.VoterReplaced;
+    readonly configuration: LogConfiguration;
+  }
+  | { readonly kind: EffectKind.GroupFounded; readonly groupId: string }
+  | { readonly kind: EffectKind.WrongGroup; readonly fromId: ReplicaId };
+
+/** One call of the state machine. */
+export interface Step {
+  readonly state: ConsensusState;
+  readonly nowMs: number;
+  readonly random: Random;
+  readonly effects: ConsensusEffect[];
+}
+
+export function getInstanceId(replicaId: ReplicaId): InstanceId {
+  return replicaId.slice(0, replicaId.lastIndexOf("/"));
+}
+
+export function getQuorum(configuration: LogConfiguration): number {
+  return Math.floor(configuration.voters.length / 2) + 1;
+}
+
+export function isVoter(state: ConsensusState, id: ReplicaId): boolean {
+  return state.configuration.voters.includes(id);
+}
+
+export function setDurable(step: Step, change: Partial<DurableState>): void {
+  const { state, effects } = step;
+  state.durable = { ...state.durable, ...change };
+  effects.push({ kind: EffectKind.SaveState, durable: state.durable });
+}
+
+export function send(step: Step, toId: ReplicaId, message: LogMessage): void {
+  const { state, effects } = step;
+  effects.push({
+    kind: EffectKind.Send,
+    instanceId: getInstanceId(toId),
+    envelope: {
+      groupId: state.durable.groupId,
+      fromId: state.selfId,
+      toId,
+      message,
+    },
+  });
+}
--- /dev/null
+++ b/src/peer/log_messages.ts
@@ -0,0 +1,125 @@
+/**
+ * Messages between the replicas of the control log.
+ *
+ * They are one-way: an answer is a message of its own, so a replica may answer
+ * after its next sync. `toId` is empty in a greeting, whose sender does not
+ * know the identity of the receiver's data folder yet.
+ */
+import { z } from "zod";
+
+const replicaIdSchema = z.string().min(1).max(200);
+const indexSchema = z.int().min(0);
+// Received bytes are views of a whole frame; a copy lets the frame be freed.
+const bytesSchema = z.instanceof(Uint8Array)
+  .transform((bytes): Uint8Array => new Uint8Array(bytes));
+
+export enum EntryKind {
+  /** Appended by a new leader, which may commit only entries of its term. */
+  Noop = "noop",
+  Command = "command",
+  Configuration = "configuration",
+}
+
+export const configurationSchema = z.object({
+  voters: z.array(replicaIdSchema).max(32),
+  learners: z.array(replicaIdSchema).max(32),
+});
+
+export const entrySchema = z.object({
+  index: indexSchema,
+  term: indexSchema,
+  kind: z.enum(EntryKind),
+  /** The encoded command; empty for other kinds. */
+  data: bytesSchema,
+  configuration: configurationSchema.nullable(),
+});
+
+export enum LogMessageKind {
+  Hello = "hello",
+  HelloReply = "helloReply",
+  VoteRequest = "voteRequest",
+  VoteReply = "voteReply",
+  Append = "append",
+  AppendReply = "appendReply",
+  Snapshot = "snapshot",
+  SnapshotReply = "snapshotReply",
+}
+
+const messageSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal(LogMessageKind.Hello),
+    controlInstanceIds: z.array(z.string().max(200)).max(16),
+  }),
+  z.object({
+    kind: z.literal(LogMessageKind.HelloReply),
+    /** Never part of a group, and has the same `controlInstanceIds`. */
+    isFresh: z.boolean(),
+  }),
+  z.object({
+    kind: z.literal(LogMessageKind.VoteRequest),
+    isPreVote: z.boolean(),
+    term: indexSchema,
+    lastIndex: indexSchema,
+    lastTerm: indexSchema,
+  }),
+  z.object({
+    kind: z.literal(LogMessageKind.VoteReply),
+    isPreVote: z.boolean(),
+    term: indexSchema,
+    isGranted: z.boolean(),
+  }),
+  z.object({
+    kind: z.literal(LogMessageKind.Append),
+    term: indexSchema,
+    prevIndex: indexSchema,
+    prevTerm: indexSchema,
+    entries: z.array(entrySchema).max(100_000),
+    commitIndex: indexSchema,
+    /** The leader's monotonic time, returned in the reply for its lease. */
+    sentAtMs: z.number(),
+  }),
+  z.object({
+    kind: z.literal(LogMessageKind.AppendReply),
+    term: indexSchema,
+    isMatch: z.boolean(),
+    /** Last matching index, or where the leader should look next. */
+    index: indexSchema,
+    sentAtMs: z.number(),
+  }),
+  z.object({
+    kind: z.literal(LogMessageKind.Snapshot),
+    term: indexSchema,
+    index: indexSchema,
+    indexTerm: indexSchema,
+    configuration: configurationSchema,
+    offsetBytes: indexSchema,
+    totalBytes: indexSchema,
+    data: bytesSchema,
+    sentAtMs: z.number(),
+  }),
+  z.object({
+    kind: z.literal(LogMessageKind.SnapshotReply),
+    term: indexSchema,
+    index: indexSchema,
+    /** Equal to the total when the snapshot is installed. */
+    nextOffsetBytes: indexSchema,
+    sentAtMs: z.number(),
+  }),
+]);
+
+export const logEnvelopeSchema = z.object({
+  /** Empty while the sender belongs to no group. */
+  groupId: z.string().max(200),
+  fromId: replicaIdSchema,
+  toId: z.string().max(200),
+  message: messageSchema,
+});
+
+export type LogConfiguration = z.output<typeof configurationSchema>;
+export type LogEntry = z.output<typeof entrySchema>;
+export type LogMessage = z.output<typeof messageSchema>;
+export type LogEnvelope = z.output<typeof logEnvelopeSchema>;
+export type LogMessageOf<K extends LogMessageKind> = Extract<
+  LogMessage,
+  { kind: K }
+>;
