Add the data folder of the control log

One record with a CRC-32 holds all that one sync makes durable, and is written only after the previous one was synced. A broken record at the end is thus a torn tail and dropped; one with a valid record behind it is damage and the folder is refused. Starting with what is valid was ruled out for damage: it would forget acknowledged entries or votes. The identity file is written last at creation, and a folder with an identity but no segment is refused.

Not covered: damage to the very last record cannot be told from a torn tail.

--- /dev/null
+++ b/src/control/log/log_storage.ts
@@ -0,0 +1,316 @@
+/**
+ * The data folder of a control instance: identity, log segments and snapshots.
+ *
+ * `identity.json` is written last when a folder is created, and a folder that
+ * has it but no segment is refused: a replica never starts with an empty vote
+ * under an identity that may have voted.
+ */
+import {
+  type FileHandle,
+  mkdir,
+  open,
+  readdir,
+  rename,
+} from "node:fs/promises";
+import { readFile, truncate, unlink } from "node:fs/promises";
+import { join } from "node:path";
+import { ResultAsync } from "neverthrow";
+import {
+  createError,
+  ErrorKind,
+  getErrorMessage,
+  type SystemError,
+} from "../../core/errors.ts";
+import type { Random } from "../../core/random.ts";
+import type { InstanceId } from "../../core/types.ts";
+import type { LogEntry } from "../../peer/log_messages.ts";
+import { emptySnapshot } from "./consensus.ts";
+import {
+  type DurableState,
+  getInstanceId,
+  type LogSnapshot,
+  type ReplicaId,
+  type StoredLog,
+} from "./log_types.ts";
+import { decodeRecords, encodeRecord, type LogRecord } from "./record_codec.ts";
+
+export interface LogStorage {
+  readonly replicaId: ReplicaId;
+  readonly stored: StoredLog;
+  /** Resolves when the record is synced. One call at a time. */
+  write(record: LogRecord): ResultAsync<void, SystemError>;
+  /** Replaces the snapshot and deletes segments that end at `baseIndex`. */
+  saveSnapshot(
+    snapshot: LogSnapshot,
+    options: { readonly baseIndex: number; readonly isReset: boolean },
+  ): ResultAsync<void, SystemError>;
+  close(): ResultAsync<void, SystemError>;
+}
+
+export interface LogStorageOptions {
+  readonly dataFolder: string;
+  readonly instanceId: InstanceId;
+  readonly random: Random;
+  readonly segmentBytes?: number;
+}
+
+interface Segment {
+  readonly name: string;
+  lastIndex: number;
+}
+
+const identityName = "identity.json";
+const defaultSegmentBytes = 8 * 1024 * 1024;
+
+export function openLogStorage(
+  options: LogStorageOptions,
+): ResultAsync<LogStorage, SystemError> {
+  return toResult(openFolder(options));
+}
+
+async function openFolder(options: LogStorageOptions): Promise<LogStorage> {
+  const { dataFolder, instanceId, random } = options;
+  const segmentBytes = options.segmentBytes ?? defaultSegmentBytes;
+  await mkdir(dataFolder, { recursive: true });
+  const names = (await readdir(dataFolder)).sort();
+  await removeTemporary(dataFolder, names);
+  const hasIdentity = names.includes(identityName);
+  const segments: Segment[] = [];
+  let durable: DurableState = { groupId: "", term: 0, votedFor: "" };
+  let segmentNumber = 0;
+  let segmentSizeBytes = 0;
+  let handle: FileHandle;
+  let replicaId: ReplicaId;
+  let stored: StoredLog;
+  if (hasIdentity) {
+    replicaId = await readIdentity(dataFolder, instanceId);
+    const snapshot = await readSnapshot(dataFolder, names);
+    const entries = await readSegments(names.filter(isSegmentName));
+    stored = { durable, snapshot, entries: dropObsolete(entries, snapshot) };
+  } else {
+    if (names.some((name) => isSnapshotName(name))) {
+      throw new Error(`${identityName} is missing, but a snapshot exists`);
+    }
+    // A start that was cut off before the identity existed left only these.
+    for (const name of names.filter(isSegmentName)) {
+      await unlink(join(dataFolder, name));
+    }
+    const part = Array.from({ length: 4 }, () => random.nextInt(2 ** 31));
+    replicaId = `${instanceId}/${
+      part.map((value) => value.toString(16).padStart(8, "0")).join("")
+    }`;
+    stored = { durable, snapshot: emptySnapshot, entries: [] };
+  }
+  handle = await startSegment();
+  if (!hasIdentity) {
+    const identity = JSON.stringify({ replicaId });
+    await replaceFile(
+      dataFolder,
+      identityName,
+      new TextEncoder().encode(identity),
+    );
+  }
+  return {
+    replicaId,
+    stored,
+    write: (record) => toResult(write(record)),
+    saveSnapshot: (snapshot, change) =>
+      toResult(saveSnapshot(snapshot, change)),
+    close: () => toResult(handle.close()),
+  };
+
+  async function readSegments(found: readonly string[]): Promise<LogEntry[]> {
+    if (found.length === 0) throw new Error("the data folder has no segment");
+    const entries: LogEntry[] = [];
+    for (const name of found) {
+      const path = join(dataFolder, name);
+      const bytes = await readFile(path);
+      const { values, validBytes, isDamaged } = decodeRecords(bytes);
+      const isLast = name === found.at(-1);
+      if (isDamaged || (!isLast && validBytes < bytes.length)) {
+        throw new Error(`${name} is damaged after byte ${validBytes}`);
+      }
+      const segment = { name, lastIndex: 0 };
+      for (const value of values) {
+        const record = value as LogRecord;
+        durable = record.durable ?? durable;
+        if (record.isReset) entries.length = 0;
+        addEntries(entries, record.entries ?? [], name);
+        segment.lastIndex = getMaxIndex(segment.lastIndex, record.entries);
+      }
+      if (validBytes < bytes.length) {
+        await truncate(path, validBytes);
+        await syncFile(path);
+      }
+      segments.push(segment);
+      segmentNumber = getSegmentNumber(name);
+    }
+    return entries;
+  }
+
+  /** Starts with the durable state, so that older segments can be deleted. */
+  async function startSegment(): Promise<FileHandle> {
+    segmentNumber += 1;
+    const name = `log-${String(segmentNumber).padStart(12, "0")}`;
+    const next = await open(join(dataFolder, name), "wx");
+    const bytes = encodeRecord({ durable });
+    await next.appendFile(bytes);
+    await next.datasync();
+    await syncFile(dataFolder);
+    segments.push({ name, lastIndex: 0 });
+    segmentSizeBytes = bytes.length;
+    return next;
+  }
+
+  async function write(record: LogRecord): Promise<void> {
+    durable = record.durable ?? durable;
+    if (segmentSizeBytes >= segmentBytes) {
+      await handle.close();
+      handle = await startSegment();
+    }
+    const bytes = encodeRecord(record);
+    await handle.appendFile(bytes);
+    await handle.datasync();
+    segmentSizeBytes += bytes.length;
+    const segment = segments.at(-1)!;
+    segment.lastIndex = getMaxIndex(segment.lastIndex, record.entries);
+  }
+
+  async function saveSnapshot(
+    snapshot: LogSnapshot,
+    { baseIndex, isReset }: { baseIndex: number; isReset: boolean },
+  ): Promise<void> {
+    const name = `snapshot-${String(snapshot.index).padStart(15, "0")}`;
+    await replaceFile(dataFolder, name, encodeRecord(snapshot));
+    if (isReset) await write({ isReset });
+    for (const other of (await readdir(dataFolder)).filter(isSnapshotName)) {
+      if (other < name) await unlink(join(dataFolder, other));
+    }
+    while (segments.length > 1 && segments[0]!.lastIndex <= baseIndex) {
+      await unlink(join(dataFolder, segments.shift()!.name));
+    }
+  }
+}
+
+function addEntries(
+  entries: LogEntry[],
+  added: readonly LogEntry[],
+  name: string,
+): void {
+  const first = added[0];
+  if (!first) return;
+  const baseIndex = entries[0]?.index ?? first.index;
+  const keptCount = first.index - baseIndex;
+  if (keptCount > entries.length) {
+    throw new Error(`${name} lacks entries before ${first.index}`);
+  }
+  entries.length = Math.max(0, keptCount);
+  // Decoded bytes are views of the whole segment.
+  for (const entry of added) {
+    entries.push({ ...entry, data: new Uint8Array(entry.data) });
+  }
+}
+
+/**
+ * A stop between saving a leader's snapshot and resetting the log leaves
+ * entries that end before the snapshot or contradict it.
+ */
+function dropObsolete(
+  entries: LogEntry[],
+  snapshot: LogSnapshot,
+): readonly LogEntry[] {
+  const first = entries[0];
+  if (!first) return [];
+  if (first.index > snapshot.index + 1) {
+    throw new Error(`entries after ${snapshot.index} are missing`);
+  }
+  if (first.index === snapshot.index + 1) return entries;
+  const last = entries[snapshot.index - first.index];
+  return last?.term === snapshot.term ? entries : [];
+}
+
+async function readIdentity(
+  dataFolder: string,
+  instanceId: InstanceId,
+): Promise<ReplicaId> {
+  const text = await readFile(join(dataFolder, identityName), "utf8");
+  const { replicaId } = JSON.parse(text) as { replicaId: ReplicaId };
+  if (getInstanceId(replicaId) !== instanceId) {
+    throw new Error(`the data folder belongs to ${replicaId}`);
+  }
+  return replicaId;
+}
+
+async function readSnapshot(
+  dataFolder: string,
+  names: readonly string[],
+): Promise<LogSnapshot> {
+  const name = names.filter(isSnapshotName).at(-1);
+  if (!name) return emptySnapshot;
+  const { values } = decodeRecords(await readFile(join(dataFolder, name)));
+  if (values.length !== 1) throw new Error(`${name} is damaged`);
+  const snapshot = values[0] as LogSnapshot;
+  return { ...snapshot, data: new Uint8Array(snapshot.data) };
+}
+
+/** The file has either its old or its new content after a crash. */
+async function replaceFile(
+  dataFolder: string,
+  name: string,
+  bytes: Uint8Array,
+): Promise<void> {
+  const temporary = join(dataFolder, `${name}.tmp`);
+  const handle = await open(temporary, "w");
+  try {
+    await handle.writeFile(bytes);
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+  await rename(temporary, join(dataFolder, name));
+  await syncFile(dataFolder);
+}
+
+async function removeTemporary(
+  dataFolder: string,
+  names: readonly string[],
+): Promise<void> {
+  for (const name of names.filter((entry) => entry.endsWith(".tmp"))) {
+    await unlink(join(dataFolder, name));
+  }
+}
+
+async function syncFile(path: string): Promise<void> {
+  const handle = await open(path, "r");
+  try {
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+}
+
+function getMaxIndex(
+  index: number,
+  entries: readonly LogEntry[] | undefined,
+): number {
+  return Math.max(index, entries?.at(-1)?.index ?? 0);
+}
+
+function isSegmentName(name: string): boolean {
+  return /^log-\d{12}$/.test(name);
+}
+
+function isSnapshotName(name: string): boolean {
+  return /^snapshot-\d{15}$/.test(name);
+}
+
+function getSegmentNumber(name: string): number {
+  return Number(name.slice("log-".length));
+}
+
+function toResult<T>(promise: Promise<T>): ResultAsync<T, SystemError> {
+  return ResultAsync.fromPromise(
+    promise,
+    (cause) => createError(ErrorKind.Storage, getErrorMessage(cause)),
+  );
+}
