Run the replicated control log in the daemon

Cause: the daemon used createSingleLog, which survived no restart.

Events that arrive during a sync are handled as one batch and share the next sync. Control instances exchange `logMessage` calls. A proposal at a leader that loses leadership ends with NotLeader, and the control client follows the leader that the reply names. A write that fails stops the log until the process restarts, because what reached the disk is unknown; answers go on.

New settings: control.voterCount, electionTimeoutMs, replaceVoterAfterMs.

--- a/src/control/control_client.ts
+++ b/src/control/control_client.ts
@@ -65,7 +65,7 @@
     remainingMs: number,
   ): Promise<Result<unknown, SystemError>> {
     if (leaderId === selfId && log) {
-      const result = await log.propose(command);
+      const result = await proposeHere(log, command, remainingMs);
       if (result.isErr()) chooseNext(log.getLeaderId());
       return result;
     }
@@ -82,8 +82,27 @@
     return err(createError(ErrorKind.NotLeader, "the leader has changed"));
   }
 
+  /** A leader whose disk hangs ends no proposal by itself. */
+  async function proposeHere(
+    log: ReplicatedLog,
+    command: Command,
+    remainingMs: number,
+  ): Promise<Result<unknown, SystemError>> {
+    const settled = new AbortController();
+    const result = await Promise.race([
+      log.propose(command),
+      clock.sleep(Math.min(tryTimeoutMs, remainingMs), settled.signal),
+    ]);
+    settled.abort();
+    return result ?? err(createError(
+      ErrorKind.NoQuorum,
+      "the command was not committed in time",
+    ));
+  }
+
+  /** A new leader names itself before it may answer; it is asked again. */
   function chooseNext(hintId: InstanceId | undefined): void {
-    if (hintId && hintId !== leaderId && controlInstanceIds.includes(hintId)) {
+    if (hintId && controlInstanceIds.includes(hintId)) {
       leaderId = hintId;
       return;
     }
--- a/src/control/replicated_log.ts
+++ b/src/control/replicated_log.ts
@@ -1,28 +1,381 @@
 /**
- * Interface of the control log at a control instance.
+ * The control log at a control instance: runs the consensus state machine on
+ * the data folder, the peer connections and the replicated state.
+ *
+ * Events that arrive during a sync are handled together and share the next one.
+ * A failed write ends the log's part in the group until the process restarts:
+ * what reached the disk is unknown then. Answers and idempotent calls go on.
  */
-import type { ResultAsync } from "neverthrow";
-import type { SystemError } from "../core/errors.ts";
+import { Encoder } from "cbor-x";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
+import type { Clock } from "../core/clock.ts";
+import {
+  createError,
+  ErrorKind,
+  getErrorMessage,
+  type SystemError,
+} from "../core/errors.ts";
+import { logEvents } from "../core/log_events.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Random } from "../core/random.ts";
+import { createPeriodicTask, type Task } from "../core/supervisor.ts";
 import type { InstanceId } from "../core/types.ts";
+import {
+  EntryKind,
+  type LogEntry,
+  type LogEnvelope,
+} from "../peer/log_messages.ts";
+import { PeerCallKind } from "../peer/messages.ts";
+import type { PeerClient } from "../peer/peer_client.ts";
 import type { Command } from "./commands.ts";
-import type { StateMachine } from "./state_machine.ts";
-import { okAsync } from "neverthrow";
+import { createConsensusState, stepConsensus } from "./log/consensus.ts";
+import { getLastIndex } from "./log/log_entries.ts";
+import { type LogStorage, openLogStorage } from "./log/log_storage.ts";
+import {
+  type ConsensusEffect,
+  type ConsensusEvent,
+  type ConsensusOptions,
+  type ConsensusState,
+  type DurableState,
+  EffectKind,
+  getInstanceId,
+  LogEventKind,
+  type LogSnapshot,
+  Role,
+} from "./log/log_types.ts";
+import { hasLease } from "./log/replication.ts";
+import type { StateMachine, StateSnapshot } from "./state_machine.ts";
 
 export interface ReplicatedLog {
+  /** Whether this instance leads and no other instance can lead yet. */
   isLeader(): boolean;
   getLeaderId(): InstanceId | undefined;
-  /** Resolves with the result once a majority has synced the command. */
+  /**
+   * Resolves with the result once a majority has synced the command. A command
+   * that ended with an error may still be committed later.
+   */
   propose(command: Command): ResultAsync<unknown, SystemError>;
 }
 
-/** A log of one control instance in memory. It survives no restart. */
-export function createSingleLog(
-  selfId: InstanceId,
-  stateMachine: StateMachine,
-): ReplicatedLog {
+export interface ReplicatedLogService extends ReplicatedLog {
+  readonly tasks: readonly Task[];
+  receive(envelope: LogEnvelope): void;
+}
+
+export interface ReplicatedLogOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly random: Random;
+  readonly peers: PeerClient;
+  readonly instanceId: InstanceId;
+  readonly dataFolder: string;
+  readonly consensus: ConsensusOptions;
+  readonly stateMachine: StateMachine;
+}
+
+type Resolve = (result: Result<unknown, SystemError>) => void;
+
+interface Proposal {
+  readonly term: number;
+  readonly resolve: Resolve;
+}
+
+const tickMs = 20;
+/** A snapshot is taken when this much was applied since the last one. */
+const snapshotEntries = 10_000;
+const snapshotBytes = 64 * 1024 * 1024;
+/** Messages are repeated by heartbeats, so a lost reply costs nothing. */
+const sendTimeoutMs = 1_000;
+const maxQueuedProposals = 20_000;
+
+const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
+
+export function createConsensusOptions(
+  options: Pick<
+    ConsensusOptions,
+    | "controlInstanceIds"
+    | "voterCount"
+    | "electionTimeoutMs"
+    | "replaceVoterAfterMs"
+  >,
+): ConsensusOptions {
+  return {
+    ...options,
+    // Monotonic clocks of two instances drift by far less than a tenth.
+    leaseMs: options.electionTimeoutMs * 0.9,
+    heartbeatMs: options.electionTimeoutMs / 6,
+    trailingEntries: 2_000,
+    // A frame is at most 4 MiB, and one command at most some 300 KiB.
+    maxMessageBytes: 1024 * 1024,
+    maxInFlightEntries: 4_096,
+  };
+}
+
+export function createReplicatedLog(
+  options: ReplicatedLogOptions,
+): ReplicatedLogService {
+  const { clock, logger, random, peers, stateMachine } = options;
+  let queue: ConsensusEvent[] = [];
+  /** Proposals that the state machine has not seen yet. */
+  const queuedProposals = new Map<number, Resolve>();
+  /** Proposals in the log, by index. */
+  const proposals = new Map<number, Proposal>();
+  let nextProposalId = 1;
+  let wake: () => void = () => {};
+  let state: ConsensusState | undefined;
+  let appliedIndex = 0;
+  let appliedTerm = 0;
+  let appliedBytes = 0;
+  let isHalted = false;
   return {
-    isLeader: () => true,
-    getLeaderId: () => selfId,
-    propose: (command) => okAsync(stateMachine.apply(command)),
+    tasks: [
+      { name: "control-log", run },
+      createPeriodicTask({
+        name: "control-log-tick",
+        clock,
+        intervalMs: tickMs,
+        action: () => enqueue({ kind: LogEventKind.Tick }),
+      }),
+    ],
+    isLeader: () =>
+      state !== undefined && !isHalted && hasLease(state, clock.nowMs()) &&
+      appliedTerm === state.durable.term,
+    getLeaderId: () =>
+      state && state.leaderId !== ""
+        ? getInstanceId(state.leaderId)
+        : undefined,
+    propose: (command) => new ResultAsync(propose(command)),
+    receive: (envelope) => enqueue({ kind: LogEventKind.Receive, envelope }),
   };
+
+  function enqueue(event: ConsensusEvent): void {
+    if (!state || isHalted) return;
+    queue.push(event);
+    wake();
+  }
+
+  function propose(command: Command): Promise<Result<unknown, SystemError>> {
+    if (!state || isHalted) return Promise.resolve(notLeader());
+    if (queuedProposals.size + proposals.size >= maxQueuedProposals) {
+      return Promise.resolve(err(createError(
+        ErrorKind.Overloaded,
+        "too many commands wait for the control log",
+        { retryAfterMs: 1_000 },
+      )));
+    }
+    const data = encoder.encode(command);
+    return new Promise((resolve) => {
+      const proposalId = nextProposalId++;
+      queuedProposals.set(proposalId, resolve);
+      enqueue({ kind: LogEventKind.Propose, proposalId, data });
+    });
+  }
+
+  async function run(signal: AbortSignal): Promise<void> {
+    signal.addEventListener("abort", () => wake());
+    let storage: LogStorage | undefined;
+    try {
+      if (!isHalted) storage = await open();
+      while (storage && !signal.aborted) {
+        if (queue.length === 0) {
+          await new Promise<void>((resolve) => wake = resolve);
+        }
+        const events = queue;
+        queue = [];
+        if (events.length > 0) await handleBatch(storage, events);
+      }
+    } catch (cause) {
+      halt(getErrorMessage(cause));
+    }
+    await storage?.close();
+    failProposals(createError(ErrorKind.NotLeader, "the control log ended"));
+    while (!signal.aborted) await clock.sleep(60_000, signal);
+  }
+
+  function halt(reason: string): void {
+    isHalted = true;
+    queue = [];
+    logger.log(logEvents.controlLogStopped, { reason });
+  }
+
+  async function open(): Promise<LogStorage> {
+    const { dataFolder, instanceId, consensus } = options;
+    const storage = unwrap(
+      await openLogStorage({ dataFolder, instanceId, random }),
+    );
+    const { stored, replicaId } = storage;
+    state = createConsensusState({
+      options: consensus,
+      selfId: replicaId,
+      stored,
+      nowMs: clock.nowMs(),
+      random,
+    });
+    if (stored.snapshot.index > 0) restore(stored.snapshot);
+    logger.log(logEvents.controlLogOpened, {
+      replica: replicaId,
+      group: stored.durable.groupId,
+      term: stored.durable.term,
+      snapshotIndex: stored.snapshot.index,
+      lastIndex: getLastIndex(state),
+    });
+    return storage;
+  }
+
+  async function handleBatch(
+    storage: LogStorage,
+    events: readonly ConsensusEvent[],
+  ): Promise<void> {
+    const effects: ConsensusEffect[] = [];
+    const flush: ConsensusEvent = { kind: LogEventKind.Flush };
+    for (const event of [...events, flush]) {
+      const nowMs = clock.nowMs();
+      for (const effect of stepConsensus(state!, event, { nowMs, random })) {
+        effects.push(effect);
+      }
+    }
+    await save(storage, effects);
+    for (const effect of effects) carryOut(effect);
+    takeSnapshotWhenDue();
+  }
+
+  async function save(
+    storage: LogStorage,
+    effects: readonly ConsensusEffect[],
+  ): Promise<void> {
+    let durable: DurableState | undefined;
+    let entries: LogEntry[] = [];
+    for (const effect of effects) {
+      if (effect.kind === EffectKind.SaveState) durable = effect.durable;
+      if (effect.kind === EffectKind.SaveEntries) {
+        const firstIndex = effect.entries[0]!.index;
+        while (entries.length > 0 && entries.at(-1)!.index >= firstIndex) {
+          entries.pop();
+        }
+        for (const entry of effect.entries) entries.push(entry);
+      }
+      if (effect.kind === EffectKind.SaveSnapshot) {
+        await write();
+        unwrap(await storage.saveSnapshot(effect.snapshot, effect));
+      }
+    }
+    await write();
+
+    async function write(): Promise<void> {
+      if (!durable && entries.length === 0) return;
+      unwrap(await storage.write({ ...(durable ? { durable } : {}), entries }));
+      durable = undefined;
+      entries = [];
+    }
+  }
+
+  function carryOut(effect: ConsensusEffect): void {
+    switch (effect.kind) {
+      case EffectKind.Send:
+        void peers.call(effect.instanceId, PeerCallKind.LogMessage, {
+          body: effect.envelope,
+          timeoutMs: sendTimeoutMs,
+        });
+        return;
+      case EffectKind.Commit:
+        for (const entry of effect.entries) apply(entry);
+        return;
+      case EffectKind.Restore:
+        restore(effect.snapshot);
+        return;
+      case EffectKind.Accepted: {
+        const { proposalId, index, term } = effect;
+        proposals.set(index, { term, resolve: takeQueued(proposalId) });
+        return;
+      }
+      case EffectKind.Refused:
+        takeQueued(effect.proposalId)(notLeader());
+        return;
+      case EffectKind.RoleChanged:
+        reportRole(effect.from, effect.to, effect.term);
+        return;
+      case EffectKind.VoterReplaced:
+        logger.log(logEvents.votersChanging, effect.configuration);
+        return;
+      case EffectKind.GroupFounded:
+        logger.log(logEvents.controlGroupFounded, { group: effect.groupId });
+        return;
+      case EffectKind.WrongGroup:
+        logger.log(logEvents.controlGroupMismatch, { from: effect.fromId });
+        return;
+      default:
+        return; // saved before
+    }
+  }
+
+  function apply(entry: LogEntry): void {
+    let result: unknown;
+    if (entry.kind === EntryKind.Command) {
+      result = stateMachine.apply(encoder.decode(entry.data) as Command);
+    }
+    appliedIndex = entry.index;
+    appliedTerm = entry.term;
+    appliedBytes += entry.data.length;
+    const proposal = proposals.get(entry.index);
+    if (!proposal) return;
+    proposals.delete(entry.index);
+    proposal.resolve(proposal.term === entry.term ? ok(result) : notLeader());
+  }
+
+  function restore(snapshot: LogSnapshot): void {
+    stateMachine.restore(encoder.decode(snapshot.data) as StateSnapshot);
+    appliedIndex = snapshot.index;
+    appliedTerm = snapshot.term;
+    appliedBytes = 0;
+  }
+
+  function takeSnapshotWhenDue(): void {
+    const isDue = appliedIndex - state!.snapshot.index >= snapshotEntries ||
+      appliedBytes >= snapshotBytes;
+    const isQueued = queue.some(({ kind }) =>
+      kind === LogEventKind.Snapshotted
+    );
+    if (!isDue || isQueued) return;
+    appliedBytes = 0;
+    enqueue({
+      kind: LogEventKind.Snapshotted,
+      index: appliedIndex,
+      data: encoder.encode(stateMachine.getSnapshot()),
+    });
+  }
+
+  function reportRole(from: Role, to: Role, term: number): void {
+    if (to === Role.Leader) logger.log(logEvents.leaderElected, { term });
+    if (from !== Role.Leader) return;
+    logger.log(logEvents.leaderStepped, { term });
+    // Their entries may still be committed by the next leader. The proposer
+    // repeats them there, and applying a command twice is harmless.
+    for (const { resolve } of proposals.values()) resolve(notLeader());
+    proposals.clear();
+  }
+
+  function takeQueued(proposalId: number): Resolve {
+    const resolve = queuedProposals.get(proposalId)!;
+    queuedProposals.delete(proposalId);
+    return resolve;
+  }
+
+  function failProposals(error: SystemError): void {
+    const resolves = [
+      ...queuedProposals.values(),
+      ...[...proposals.values()].map(({ resolve }) => resolve),
+    ];
+    queuedProposals.clear();
+    proposals.clear();
+    for (const resolve of resolves) resolve(err(error));
+  }
+}
+
+function notLeader(): Result<never, SystemError> {
+  return err(createError(ErrorKind.NotLeader, "not the control leader"));
+}
+
+function unwrap<T>(result: Result<T, SystemError>): T {
+  if (result.isErr()) throw new Error(result.error.message);
+  return result.value;
 }
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -87,6 +87,19 @@
     Warn,
     "traffic lease expired, using the stable version",
   ),
+  controlLogOpened: event(6101, Info, "control log opened"),
+  controlGroupFounded: event(6102, Warn, "control group founded"),
+  votersChanging: event(6103, Warn, "voters of the control log change"),
+  controlGroupMismatch: event(
+    6104,
+    Warn,
+    "message from another control group refused",
+  ),
+  controlLogStopped: event(
+    6105,
+    Failure,
+    "control log stopped until the process restarts",
+  ),
   // 7xxx: callers
   requestRefused: event(7001, Debug, "request refused"),
   requestFailed: event(7002, Warn, "request failed"),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,7 +4,7 @@
 import type { Server } from "node:http";
 import { serve } from "@hono/node-server";
 import { Hono } from "hono";
-import { ok, ResultAsync } from "neverthrow";
+import { errAsync, ok, okAsync, ResultAsync } from "neverthrow";
 import { createAnswerReader } from "../answers/answer_reader.ts";
 import {
   type AnswerService,
@@ -14,8 +14,8 @@
 import { commandSchema } from "../control/commands.ts";
 import { createControlClient } from "../control/control_client.ts";
 import {
-  createSingleLog,
-  type ReplicatedLog,
+  createConsensusOptions,
+  createReplicatedLog,
 } from "../control/replicated_log.ts";
 import { createStateMachine } from "../control/state_machine.ts";
 import { createSystemClock } from "../core/clock.ts";
@@ -86,9 +86,6 @@
   const engines = createEngineClient();
   const applications = createApplicationClient();
   const stateMachine = createStateMachine();
-  const log: ReplicatedLog | undefined = settings.control
-    ? createSingleLog(settings.instanceId, stateMachine)
-    : undefined;
   const late: { answers?: AnswerService; peers?: PeerClient } = {};
   const self: InstanceInfo = {
     instanceId: settings.instanceId,
@@ -134,6 +131,21 @@
   });
   late.peers = peers;
   late.answers = answers;
+  const log = settings.control && createReplicatedLog({
+    clock,
+    logger,
+    random,
+    peers,
+    instanceId: settings.instanceId,
+    dataFolder: settings.control.dataFolder,
+    consensus: createConsensusOptions({
+      ...settings.control,
+      controlInstanceIds: settings.controlInstanceIds,
+      voterCount: settings.control.voterCount ??
+        Math.min(3, settings.controlInstanceIds.length),
+    }),
+    stateMachine,
+  });
   const control = createControlClient({
     clock,
     peers,
@@ -192,6 +204,10 @@
       [PeerCallKind.TakeOver]: ({ answerId, customerId }) =>
         answers.takeOver(answerId, customerId),
       [PeerCallKind.Propose]: ({ command }) => propose(command),
+      [PeerCallKind.LogMessage]: (envelope) => {
+        log?.receive(envelope);
+        return ok({});
+      },
     };
   }
 
@@ -213,7 +229,11 @@
       isLeader: true,
       leaderId: settings.instanceId,
       result,
-    }));
+    })).orElse((error) => {
+      if (error.kind !== ErrorKind.NotLeader) return errAsync(error);
+      const leaderId = log.getLeaderId() ?? "";
+      return okAsync({ isLeader: false, leaderId, result: undefined });
+    });
   }
 
   function startHttp(): ResultAsync<Server, SystemError> {
@@ -260,6 +280,14 @@
           logger,
           tasks: [createLoadTask()],
         }),
+        ...(log
+          ? [createSupervisor({
+            name: "control",
+            clock,
+            logger,
+            tasks: log.tasks,
+          })]
+          : []),
       ],
     });
     const finished = root.run(stopping.signal);
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -7,6 +7,7 @@
 import { z } from "zod";
 import { InstanceState } from "../core/types.ts";
 import { FinishReason } from "../core/types.ts";
+import { logEnvelopeSchema } from "./log_messages.ts";
 
 const idSchema = z.string().min(1).max(200);
 const positionSchema = z.int().min(0).max(10_000_000);
@@ -18,6 +19,7 @@
   ReadAnswer = "readAnswer",
   TakeOver = "takeOver",
   Propose = "propose",
+  LogMessage = "logMessage",
 }
 
 export const attemptSchema = z.object({
@@ -166,6 +168,10 @@
     request: proposeSchema,
     reply: proposeReplySchema,
   },
+  [PeerCallKind.LogMessage]: {
+    request: logEnvelopeSchema,
+    reply: z.object({}),
+  },
 } as const;
 
 export type PeerCalls = typeof peerCalls;
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -92,6 +92,11 @@
 
 const controlSchema = z.strictObject({
   dataFolder: z.string().min(1),
+  /** Target number of voters; by default 3, or all if there are fewer. */
+  voterCount: z.int().min(1).max(7).optional(),
+  electionTimeoutMs: durationMsSchema.min(100).default(600),
+  /** A silent voter is replaced by a spare after this time. */
+  replaceVoterAfterMs: durationMsSchema.default(10_000),
 });
 
 export const settingsSchema = z.strictObject({
@@ -133,6 +138,7 @@
       message: "must be absent: controlInstanceIds does not name this instance",
     });
   }
+  addControlIssues();
   const { heartbeatIntervalMs, lostAfterMs } = settings.membership;
   if (lostAfterMs < 3 * heartbeatIntervalMs) {
     context.addIssue({
@@ -144,6 +150,26 @@
   addDuplicateIssues(settings.customers.map((c) => c.customerId), "customers");
   addDuplicateIssues(settings.services.map((s) => s.service), "services");
 
+  function addControlIssues(): void {
+    const { control, controlInstanceIds } = settings;
+    addDuplicateIssues(controlInstanceIds, "controlInstanceIds");
+    if (!control) return;
+    if ((control.voterCount ?? 1) > controlInstanceIds.length) {
+      context.addIssue({
+        code: "custom",
+        path: ["control", "voterCount"],
+        message: "must not exceed the number of controlInstanceIds",
+      });
+    }
+    if (control.replaceVoterAfterMs < 3 * control.electionTimeoutMs) {
+      context.addIssue({
+        code: "custom",
+        path: ["control", "replaceVoterAfterMs"],
+        message: "must be at least three times electionTimeoutMs",
+      });
+    }
+  }
+
   function addDuplicateIssues(names: readonly string[], path: string): void {
     names.forEach((name, index) => {
       if (names.indexOf(name) === index) return;
