Test the control log on real data folders

Cause: only the state machine and the storage had tests of their own.

Three logs in one process lose their leader, a disk and all processes; an isolated leader ends its proposals; an unusable folder is refused.

--- a/src/control/replicated_log.ts
+++ b/src/control/replicated_log.ts
@@ -71,6 +71,8 @@
   readonly dataFolder: string;
   readonly consensus: ConsensusOptions;
   readonly stateMachine: StateMachine;
+  /** Entries applied after a snapshot before the next one is taken. */
+  readonly snapshotEntries?: number;
 }
 
 type Resolve = (result: Result<unknown, SystemError>) => void;
@@ -82,7 +84,7 @@
 
 const tickMs = 20;
 /** A snapshot is taken when this much was applied since the last one. */
-const snapshotEntries = 10_000;
+const defaultSnapshotEntries = 10_000;
 const snapshotBytes = 64 * 1024 * 1024;
 /** Messages are repeated by heartbeats, so a lost reply costs nothing. */
 const sendTimeoutMs = 1_000;
@@ -115,6 +117,7 @@
   options: ReplicatedLogOptions,
 ): ReplicatedLogService {
   const { clock, logger, random, peers, stateMachine } = options;
+  const snapshotEntries = options.snapshotEntries ?? defaultSnapshotEntries;
   let queue: ConsensusEvent[] = [];
   /** Proposals that the state machine has not seen yet. */
   const queuedProposals = new Map<number, Resolve>();
--- /dev/null
+++ b/src/control/replicated_log_test.ts
@@ -0,0 +1,165 @@
+/**
+ * Control logs on real data folders, connected within one process.
+ */
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { okAsync } from "neverthrow";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { createSystemClock } from "../core/clock.ts";
+import { createError, ErrorKind } from "../core/errors.ts";
+import { createSilentLogger } from "../core/logger.ts";
+import { createRandom } from "../core/random.ts";
+import type { LogEnvelope } from "../peer/log_messages.ts";
+import type { PeerClient } from "../peer/peer_client.ts";
+import { ClaimStatus, type Command, CommandKind } from "./commands.ts";
+import {
+  createConsensusOptions,
+  createReplicatedLog,
+  type ReplicatedLogService,
+} from "./replicated_log.ts";
+import { createStateMachine } from "./state_machine.ts";
+
+interface Instance {
+  readonly log: ReplicatedLogService;
+  readonly stop: AbortController;
+  readonly finished: Promise<unknown>;
+}
+
+const clock = createSystemClock();
+const ids = ["c0", "c1", "c2"];
+const running = new Map<string, Instance>();
+const cutIds = new Set<string>();
+let folder: string;
+let seed = 1;
+
+beforeEach(async () => {
+  folder = await mkdtemp(join(tmpdir(), "replicated-log-"));
+});
+afterEach(async () => {
+  await Promise.all(ids.map(stop));
+  cutIds.clear();
+  await rm(folder, { recursive: true });
+});
+
+function start(id: string): void {
+  const call = (toId: string, _: unknown, { body }: { body: LogEnvelope }) => {
+    const isCut = cutIds.has(id) || cutIds.has(toId);
+    if (!isCut) running.get(toId)?.log.receive(body);
+    return okAsync({});
+  };
+  const log = createReplicatedLog({
+    clock,
+    logger: createSilentLogger(),
+    random: createRandom(seed++),
+    peers: { call, close: () => {} } as unknown as PeerClient,
+    instanceId: id,
+    dataFolder: join(folder, id),
+    consensus: createConsensusOptions({
+      controlInstanceIds: ids,
+      voterCount: 3,
+      electionTimeoutMs: 200,
+      replaceVoterAfterMs: 600,
+    }),
+    stateMachine: createStateMachine(),
+    snapshotEntries: 20,
+  });
+  const controller = new AbortController();
+  const finished = Promise.all(
+    log.tasks.map((task) => task.run(controller.signal)),
+  );
+  running.set(id, { log, stop: controller, finished });
+}
+
+async function stop(id: string): Promise<void> {
+  const instance = running.get(id);
+  running.delete(id);
+  instance?.stop.abort();
+  await instance?.finished;
+}
+
+async function getLeaderId(): Promise<string> {
+  while (true) {
+    for (const [id, { log }] of running) {
+      if (!cutIds.has(id) && log.isLeader()) return id;
+    }
+    await clock.sleep(10);
+  }
+}
+
+function createClaim(key: number, claimId: string): Command {
+  return {
+    kind: CommandKind.Claim,
+    key: { customerId: "a", service: "s", idempotencyKey: `${key}` },
+    bodySha256: "0".repeat(64),
+    claimId,
+    atWallMs: 1_000,
+  };
+}
+
+async function propose(command: Command): Promise<unknown> {
+  const { log } = running.get(await getLeaderId())!;
+  return (await log.propose(command))._unsafeUnwrap();
+}
+
+// Guards against losing applied commands over restarts and snapshots, and
+// against granting a key again to a retry that reaches another leader.
+test("claims survive the loss of the leader, a disk and all processes", async () => {
+  ids.forEach(start);
+  for (let key = 0; key < 50; key++) {
+    expect(await propose(createClaim(key, "first")))
+      .toEqual({ status: ClaimStatus.Granted });
+  }
+  const leaderId = await getLeaderId();
+  await stop(leaderId);
+  expect(await propose(createClaim(49, "first")))
+    .toEqual({ status: ClaimStatus.Granted });
+  expect(await propose(createClaim(3, "other")))
+    .toEqual({ status: ClaimStatus.Pending });
+  await rm(join(folder, leaderId), { recursive: true });
+  start(leaderId);
+  expect(await propose(createClaim(50, "first")))
+    .toEqual({ status: ClaimStatus.Granted });
+  // The new identity has to become a voter before another disk may be lost.
+  await clock.sleep(1_500);
+  await Promise.all(ids.map(stop));
+  await rm(join(folder, ids.find((id) => id !== leaderId)!), {
+    recursive: true,
+  });
+  ids.forEach(start);
+  for (const key of [0, 25, 50]) {
+    expect(await propose(createClaim(key, "other")))
+      .toEqual({ status: ClaimStatus.Pending });
+  }
+});
+
+// Guards against a proposal that never ends, and against a leader that goes on
+// without a majority.
+test("a proposal at an isolated leader ends with an error", async () => {
+  ids.forEach(start);
+  const leaderId = await getLeaderId();
+  const { log } = running.get(leaderId)!;
+  cutIds.add(leaderId);
+  const startedAtMs = clock.nowMs();
+  const result = await log.propose(createClaim(1, "first"));
+  expect(result._unsafeUnwrapErr().kind).toBe(ErrorKind.NotLeader);
+  expect(clock.nowMs() - startedAtMs).toBeLessThan(1_000);
+  expect(log.isLeader()).toBe(false);
+  expect(await propose(createClaim(1, "second")))
+    .toEqual({ status: ClaimStatus.Granted });
+  cutIds.clear();
+});
+
+// Guards against acknowledging commands after a write has failed.
+test("a log whose data folder is unusable refuses proposals", async () => {
+  start("c0");
+  await clock.sleep(300);
+  await stop("c0");
+  await rm(join(folder, "c0", "log-000000000001"));
+  start("c0");
+  await clock.sleep(300);
+  const { log } = running.get("c0")!;
+  const result = await log.propose(createClaim(1, "first"));
+  expect(result._unsafeUnwrapErr())
+    .toEqual(createError(ErrorKind.NotLeader, "not the control leader"));
+});
