--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,7 +4,7 @@
 import type { Server } from "node:http";
 import { serve } from "@hono/node-server";
 import { Hono } from "hono";
-import { ok, ResultAsync } from "neverthrow";
+import { errAsync, ok, okAsync, ResultAsync } from "neverthrow";
 import { createAnswerExplainer } from "../answers/answer_explainer.ts";
 import { createAnswerReader } from "../answers/answer_reader.ts";
 import {
@@ -21,8 +21,8 @@
 import { createConfigurationService } from "../control/configuration_service.ts";
 import { createControlClient } from "../control/control_client.ts";
 import {
-  createSingleLog,
-  type ReplicatedLog,
+  createConsensusOptions,
+  createReplicatedLog,
 } from "../control/replicated_log.ts";
 import { createStateMachine } from "../control/state_machine.ts";
 import { createTicketService } from "../control/ticket_service.ts";
@@ -136,9 +136,6 @@
   const stateMachine = createStateMachine({
     onConfiguration: configuration.record,
   });
-  const log: ReplicatedLog | undefined = settings.control
-    ? createSingleLog(settings.instanceId, stateMachine)
-    : undefined;
   const self: InstanceInfo = {
     instanceId: settings.instanceId,
     domainId: settings.domainId,
@@ -209,6 +206,21 @@
   late.membership = membership;
   late.peers = peers;
   late.answers = answers;
+  const log = settings.control && createReplicatedLog({
+    clock,
+    logger,
+    random,
+    peers,
+    instanceId: settings.instanceId,
+    dataFolder: settings.control.dataFolder,
+    consensus: createConsensusOptions({
+      ...settings.control,
+      controlInstanceIds: settings.controlInstanceIds,
+      voterCount: settings.control.voterCount ??
+        Math.min(3, settings.controlInstanceIds.length),
+    }),
+    stateMachine,
+  });
   const control = createControlClient({
     clock,
     peers,
@@ -309,6 +321,10 @@
       [PeerCallKind.DescribeAnswer]: ({ answerId }) =>
         ok({ records: answers.describe(answerId) }),
       [PeerCallKind.SyncRollouts]: rollouts.handleSync,
+      [PeerCallKind.LogMessage]: (envelope) => {
+        log?.receive(envelope);
+        return ok({});
+      },
     };
   }
 
@@ -330,7 +346,11 @@
       isLeader: true,
       leaderId: settings.instanceId,
       result,
-    }));
+    })).orElse((error) => {
+      if (error.kind !== ErrorKind.NotLeader) return errAsync(error);
+      const leaderId = log.getLeaderId() ?? "";
+      return okAsync({ isLeader: false, leaderId, result: undefined });
+    });
   }
 
   function startHttp(): ResultAsync<Server, SystemError> {
@@ -395,6 +415,14 @@
           logger,
           tasks: [usage.task],
         }),
+        ...(log
+          ? [createSupervisor({
+            name: "control",
+            clock,
+            logger,
+            tasks: log.tasks,
+          })]
+          : []),
       ],
     });
     const finished = root.run(stopping.signal);
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -18,6 +18,7 @@
 import { answerRecordSchema } from "../answers/answer_history.ts";
 import { InstanceState } from "../core/types.ts";
 import { FinishReason } from "../core/types.ts";
+import { logEnvelopeSchema } from "./log_messages.ts";
 
 const idSchema = z.string().min(1).max(200);
 const positionSchema = z.int().min(0).max(10_000_000);
@@ -33,6 +34,7 @@
   PullConfiguration = "pullConfiguration",
   SyncRollouts = "syncRollouts",
   DescribeAnswer = "describeAnswer",
+  LogMessage = "logMessage",
 }
 
 export const attemptSchema = z.object({
@@ -197,6 +199,10 @@
     request: z.object({ answerId: idSchema }),
     reply: z.object({ records: z.array(answerRecordSchema).max(10) }),
   },
+  [PeerCallKind.LogMessage]: {
+    request: logEnvelopeSchema,
+    reply: z.object({}),
+  },
 } as const;
 
 export type PeerCalls = typeof peerCalls;
