--- /dev/null
+++ b/measure/recovery_trials.ts
@@ -0,0 +1,89 @@
+/**
+ * Engines as processes are killed or frozen under load: time until output
+ * resumes and the tokens generated twice, at one lost engine per 100 answers.
+ */
+import { startCluster } from "./launcher.ts";
+import { createLoadClient } from "./load_client.ts";
+import { getPercentile, getTotals, sum } from "./statistics.ts";
+
+export type EngineLoss = "none" | "killed" | "frozen";
+
+export interface RecoveryFigures {
+  readonly answers: number;
+  readonly whole: number;
+  readonly lostEngines: number;
+  /** Answers whose largest gap shows that they had to resume. */
+  readonly affectedAnswers: number;
+  readonly resumeP50Ms: number;
+  readonly resumeP99Ms: number;
+  readonly maxGapMs: number;
+  readonly extraTokensRatio: number;
+  readonly refilledTokens: number;
+}
+
+const answerCount = 200;
+const concurrency = 40;
+const maxTokens = 250;
+const frozenMs = 4_000;
+/** Longer than any gap of a run without losses on an idle machine. */
+const affectedGapMs = 150;
+
+export async function measureRecovery(
+  seed: number,
+  loss: EngineLoss,
+): Promise<RecoveryFigures> {
+  const cluster = await startCluster({
+    domainIds: ["andina-a", "andina-b", "andina-c"],
+    instancesPerDomain: 2,
+    enginesPerDomain: 3,
+    workersPerDomain: 0,
+    seed,
+  });
+  try {
+    await cluster.waitUntilReady();
+    const client = createLoadClient(cluster);
+    const lossAtAnswers = loss === "none"
+      ? []
+      : [answerCount / 4, (answerCount * 5) / 8];
+    let started = 0;
+    let lostEngines = 0;
+    const results = (await Promise.all(
+      Array.from({ length: concurrency }, async () => {
+        const own = [];
+        while (started < answerCount) {
+          started += 1;
+          if (lossAtAnswers.includes(started)) loseEngine();
+          own.push(await client.generate({ maxTokens }));
+        }
+        return own;
+      }),
+    )).flat();
+    const totals = await getTotals(cluster);
+    await client.close();
+    const gaps = results.map((result) => result.maxGapMs);
+    const affected = gaps.filter((gapMs) => gapMs > affectedGapMs);
+    return {
+      answers: results.length,
+      whole: results.filter((result) => result.isWhole).length,
+      lostEngines,
+      affectedAnswers: affected.length,
+      resumeP50Ms: Math.round(getPercentile(affected, 0.5)),
+      resumeP99Ms: Math.round(getPercentile(affected, 0.99)),
+      maxGapMs: Math.round(getPercentile(gaps, 1)),
+      extraTokensRatio: Math.round(totals.extraTokensRatio * 100_000) / 100_000,
+      refilledTokens: sum([totals.refilledTokens]),
+    };
+
+    function loseEngine(): void {
+      const victim = cluster.engines[lostEngines++]!;
+      if (loss === "killed") {
+        victim.process.kill("SIGKILL");
+        return;
+      }
+      victim.process.kill("SIGSTOP");
+      setTimeout(() => victim.process.kill("SIGCONT"), frozenMs);
+    }
+  } finally {
+    await cluster.stop();
+  }
+}
--- a/measure/routing_trials.ts
+++ b/measure/routing_trials.ts
@@ -5,7 +5,9 @@
 import process from "node:process";
 import { parseArgs } from "node:util";
 import { measureFairness, measureShareError } from "./fairness_trials.ts";
+import { measureRecovery } from "./recovery_trials.ts";
 import { measureRouter, type RouterFigures } from "./router_comparison.ts";
+import { measureStalls } from "./stall_trials.ts";
 import type { RouterKind } from "./traffic_model.ts";
 
 const { values } = parseArgs({
@@ -24,7 +26,12 @@
   allInstances: await measureShareError(seed, 6),
   oneReachesHalf: await measureShareError(seed, 3),
 }));
+await runPart("stalls", () => Promise.resolve(measureStalls(seed)));
+await runPart("recoveryNone", () => measureRecovery(seed, "none"));
+await runPart("recoveryKilled", () => measureRecovery(seed, "killed"));
+await runPart("recoveryFrozen", () => measureRecovery(seed, "frozen"));
 print(JSON.stringify(figures));
+process.exit(0);
 
 async function runPart(
   name: string,
--- a/src/routing/stall_detector.ts
+++ b/src/routing/stall_detector.ts
@@ -26,33 +26,43 @@
   forget(upstreamId: UpstreamId): void;
 }
 
-/** Exponentially weighted sums of a linear regression of the value on load. */
-interface Regression {
-  weight: number;
-  loadSum: number;
-  valueSum: number;
-  loadSquareSum: number;
-  productSum: number;
+/** Mean and mean deviation of a value at loads that are close together. */
+interface Bucket {
+  count: number;
+  meanMs: number;
   deviationMs: number;
 }
 
+/** By load; a load without samples uses the nearest lower one that has some. */
+interface LoadCurve {
+  readonly buckets: (Bucket | undefined)[];
+  readonly initial: Bucket;
+}
+
 interface EngineEstimate {
-  readonly gap: Regression;
-  readonly firstToken: Regression;
+  readonly gap: LoadCurve;
+  readonly firstToken: LoadCurve;
   lastOutputAtMs: number;
+  /** Largest recent gap; load reports lag behind a sudden overload. */
+  recentPeakMs: number;
 }
 
-const forgetting = 0.995;
-const deviationSmoothing = 0.02;
+const bucketWidth = 4;
+const maxBuckets = 64;
+const smoothing = 0.02;
+const peakDecay = 0.98;
+/** Multiples of the recent peak that count as normal. */
+const peakFactor = 2;
 /** Multiples of the mean deviation above the expectation that are normal. */
 const deviationFactor = 8;
-const minGapLimitMs = 300;
+/** A collection pause of an engine takes up to about 300 ms. */
+const minGapLimitMs = 350;
 /** A freeze has to be found early enough to resume within 2 s. */
 const maxGapLimitMs = 1_200;
 const minFirstTokenLimitMs = 800;
 const maxFirstTokenLimitMs = 1_500;
-/** A silence below twice the expectation is never suspect. */
-const expectationFactor = 2;
+/** A silence below this multiple of the expectation is never suspect. */
+const expectationFactor = 3;
 /** Limit of one silent stream while its engine serves others. */
 const activeEngineFactor = 4;
 
@@ -75,9 +85,10 @@
     let estimate = estimates.get(upstreamId);
     if (!estimate) {
       estimate = {
-        gap: createRegression({ meanMs: 40, deviationMs: 40 }),
-        firstToken: createRegression({ meanMs: 500, deviationMs: 250 }),
+        gap: createCurve({ meanMs: 40, deviationMs: 40 }),
+        firstToken: createCurve({ meanMs: 500, deviationMs: 250 }),
         lastOutputAtMs: -Infinity,
+        recentPeakMs: 0,
       };
       estimates.set(upstreamId, estimate);
     }
@@ -99,29 +110,35 @@
   ): void {
     const estimate = getEstimate(upstreamId);
     addSample(estimate.gap, load, gapMs);
+    estimate.recentPeakMs = Math.max(gapMs, estimate.recentPeakMs * peakDecay);
     estimate.lastOutputAtMs = clock.nowMs();
   }
 
   function getGapLimitMs(upstreamId: UpstreamId, load: number): number {
     const estimate = getEstimate(upstreamId);
-    const limitMs = getLimitMs(estimate.gap, load, {
-      minMs: minGapLimitMs,
-      maxMs: maxGapLimitMs,
-    });
+    const limitMs = getEngineLimitMs(estimate, load);
     return isActive(estimate, limitMs) ? limitMs * activeEngineFactor : limitMs;
   }
 
+  /** Silence of the whole engine that is normal at the load. */
+  function getEngineLimitMs(estimate: EngineEstimate, load: number): number {
+    const peakMs = Math.min(maxGapLimitMs, peakFactor * estimate.recentPeakMs);
+    return Math.max(
+      peakMs,
+      getLimitMs(estimate.gap, load, {
+        minMs: minGapLimitMs,
+        maxMs: maxGapLimitMs,
+      }),
+    );
+  }
+
   function getFirstTokenLimitMs(upstreamId: UpstreamId, load: number): number {
     const estimate = getEstimate(upstreamId);
     const limitMs = getLimitMs(estimate.firstToken, load, {
       minMs: minFirstTokenLimitMs,
       maxMs: maxFirstTokenLimitMs,
     });
-    const gapLimitMs = getLimitMs(estimate.gap, load, {
-      minMs: minGapLimitMs,
-      maxMs: maxGapLimitMs,
-    });
-    return isActive(estimate, gapLimitMs)
+    return isActive(estimate, getEngineLimitMs(estimate, load))
       ? limitMs * activeEngineFactor
       : limitMs;
   }
@@ -136,56 +153,46 @@
   }
 }
 
-function createRegression(
-  { meanMs, deviationMs }: { meanMs: number; deviationMs: number },
-): Regression {
-  return {
-    weight: 1,
-    loadSum: 0,
-    valueSum: meanMs,
-    loadSquareSum: 0,
-    productSum: 0,
-    deviationMs,
-  };
+function createCurve(
+  initial: { meanMs: number; deviationMs: number },
+): LoadCurve {
+  return { buckets: [], initial: { count: 0, ...initial } };
 }
 
-function addSample(
-  regression: Regression,
-  load: number,
-  valueMs: number,
-): void {
-  const errorMs = Math.abs(valueMs - getExpectedMs(regression, load));
-  regression.deviationMs += deviationSmoothing *
-    (errorMs - regression.deviationMs);
-  regression.weight = regression.weight * forgetting + 1;
-  regression.loadSum = regression.loadSum * forgetting + load;
-  regression.valueSum = regression.valueSum * forgetting + valueMs;
-  regression.loadSquareSum = regression.loadSquareSum * forgetting +
-    load * load;
-  regression.productSum = regression.productSum * forgetting + load * valueMs;
+function getIndex(load: number): number {
+  return Math.min(maxBuckets - 1, Math.floor(Math.max(0, load) / bucketWidth));
 }
 
-function getExpectedMs(regression: Regression, load: number): number {
-  const { weight, loadSum, valueSum, loadSquareSum, productSum } = regression;
-  const meanLoad = loadSum / weight;
-  const meanMs = valueSum / weight;
-  const variance = loadSquareSum / weight - meanLoad * meanLoad;
-  const covariance = productSum / weight - meanLoad * meanMs;
-  // Below a variance of 1 the slope is mostly noise.
-  const slope = variance < 1 ? 0 : Math.max(0, covariance / variance);
-  return Math.max(0, meanMs + slope * (load - meanLoad));
+function addSample(curve: LoadCurve, load: number, valueMs: number): void {
+  const index = getIndex(load);
+  const bucket = curve.buckets[index] ??= { ...findBucket(curve, load) };
+  bucket.count += 1;
+  // The first samples weigh more, so that a new bucket leaves its start value.
+  const weight = Math.max(smoothing, 1 / (bucket.count + 1));
+  const errorMs = valueMs - bucket.meanMs;
+  bucket.meanMs += weight * errorMs;
+  bucket.deviationMs += weight * (Math.abs(errorMs) - bucket.deviationMs);
+}
+
+function findBucket(curve: LoadCurve, load: number): Bucket {
+  for (let index = getIndex(load); index >= 0; index--) {
+    const bucket = curve.buckets[index];
+    if (bucket) return { ...bucket, count: 0 };
+  }
+  return curve.initial;
 }
 
 function getLimitMs(
-  regression: Regression,
+  curve: LoadCurve,
   load: number,
   { minMs, maxMs }: { minMs: number; maxMs: number },
 ): number {
-  const expectedMs = getExpectedMs(regression, load);
-  const normalMs = expectedMs + deviationFactor * regression.deviationMs;
+  const { meanMs, deviationMs } = curve.buckets[getIndex(load)] ??
+    findBucket(curve, load);
+  const normalMs = meanMs + deviationFactor * deviationMs;
   return Math.max(
     minMs,
     Math.min(maxMs, normalMs),
-    expectationFactor * expectedMs,
+    expectationFactor * meanMs,
   );
 }
