Test the decision modules of routing and limits

Property tests with fast-check.

Faults the tests found: the window forgot the largest batch while no engine was known to be full, and collapsed to 8 when requests waited for a prefill; the retry-after time of a request with a near deadline ignored the queue it would meet; the wait for the token rate exceeded its bound between two drains.

--- a/measure/recovery_trials.ts
+++ b/measure/recovery_trials.ts
@@ -2,7 +2,7 @@
  * Engines as processes are killed or frozen under load: time until output
  * resumes and the tokens generated twice, at one lost engine per 100 answers.
  */
-import { startCluster } from "./launcher.ts";
+import { startCluster, type UpstreamHandle } from "./launcher.ts";
 import { createLoadClient } from "./load_client.ts";
 import { getPercentile, getTotals, sum } from "./statistics.ts";
 
@@ -52,7 +52,9 @@
         const own = [];
         while (started < answerCount) {
           started += 1;
-          if (lossAtAnswers.includes(started)) loseEngine();
+          if (lossAtAnswers.includes(started)) {
+            loseEngine(cluster.engines[lostEngines++]!, loss);
+          }
           own.push(await client.generate({ maxTokens }));
         }
         return own;
@@ -73,17 +75,16 @@
       extraTokensRatio: Math.round(totals.extraTokensRatio * 100_000) / 100_000,
       refilledTokens: sum([totals.refilledTokens]),
     };
-
-    function loseEngine(): void {
-      const victim = cluster.engines[lostEngines++]!;
-      if (loss === "killed") {
-        victim.process.kill("SIGKILL");
-        return;
-      }
-      victim.process.kill("SIGSTOP");
-      setTimeout(() => victim.process.kill("SIGCONT"), frozenMs);
-    }
   } finally {
     await cluster.stop();
   }
 }
+
+function loseEngine({ process }: UpstreamHandle, loss: EngineLoss): void {
+  if (loss === "killed") {
+    process.kill("SIGKILL");
+    return;
+  }
+  process.kill("SIGSTOP");
+  setTimeout(() => process.kill("SIGCONT"), frozenMs);
+}
--- a/src/limits/admission.ts
+++ b/src/limits/admission.ts
@@ -98,7 +98,9 @@
   ): Promise<Result<Admitted, SystemError>> {
     const { customerId, deadlineAtMs } = request;
     const nowMs = clock.nowMs();
-    if (deadlineAtMs <= nowMs) return refuse(request, 0);
+    if (deadlineAtMs <= nowMs) {
+      return refuse(request, getRetryAfterMs(request));
+    }
     const tokenWaitMs = shares.getTokenWaitMs(customerId);
     const isFirst = queue.countAhead(request, shares.getUse) === 0;
     const canStart = tokenWaitMs === 0 &&
@@ -107,7 +109,8 @@
     const waitMs = Math.max(tokenWaitMs, getExpectedWaitMs(request));
     const isLate = waitMs > options.maxQueueWaitMs ||
       nowMs + waitMs > deadlineAtMs;
-    return isLate ? refuse(request, waitMs) : enqueue(request, waitMs);
+    if (!isLate) return enqueue(request);
+    return refuse(request, Math.max(tokenWaitMs, getRetryAfterMs(request)));
   }
 
   function start(customerId: CustomerId): Admitted {
@@ -119,7 +122,6 @@
 
   function enqueue(
     request: AdmissionRequest,
-    waitMs: number,
   ): Promise<Result<Admitted, SystemError>> {
     const { customerId, priority, signal } = request;
     const latestMs = clock.nowMs() + options.maxQueueWaitMs;
@@ -134,14 +136,14 @@
         },
       };
       if (signal?.aborted || !queue.tryAdd(entry)) {
-        resolve(refuse(request, waitMs));
+        resolve(refuse(request, getRetryAfterMs(request)));
         return;
       }
       signal?.addEventListener("abort", onAbort);
 
       function onAbort(): void {
         if (!queue.remove(entry)) return;
-        entry.resolve(err(getRefusal(customerId, waitMs)));
+        entry.resolve(err(getRefusal(customerId, getRetryAfterMs(entry))));
       }
     });
   }
@@ -190,6 +192,11 @@
     return (ahead + 1 + excessCount) / Math.max(0.01, startsPerS) * 1_000;
   }
 
+  /** The same request sent again goes behind those that wait now. */
+  function getRetryAfterMs(request: QueueEntry): number {
+    return getExpectedWaitMs({ ...request, deadlineAtMs: Infinity });
+  }
+
   function recordClosed(customerId: CustomerId): void {
     shares.close(customerId);
     closes.add();
@@ -198,9 +205,8 @@
 
   function tick(): void {
     for (const entry of queue.takeExpired(clock.nowMs())) {
-      // The same request sent again goes behind those that wait now.
-      const waitMs = getExpectedWaitMs({ ...entry, deadlineAtMs: Infinity });
-      entry.resolve(err(getRefusal(entry.customerId, waitMs)));
+      const retryAfterMs = getRetryAfterMs(entry);
+      entry.resolve(err(getRefusal(entry.customerId, retryAfterMs)));
     }
     startWaiting();
   }
--- /dev/null
+++ b/src/limits/admission_queue_test.ts
@@ -0,0 +1,75 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { createAdmissionQueue, type QueueEntry } from "./admission_queue.ts";
+
+const entrySchema = fc.record({
+  customerId: fc.constantFrom("a", "b", "c"),
+  priority: fc.nat(9),
+  deadlineAtMs: fc.integer({ min: 1, max: 1_000 }),
+});
+
+describe("admission queue", () => {
+  it("guards against starts out of order, after the deadline or beyond the bound", () => {
+    fc.assert(fc.property(
+      fc.array(entrySchema, { maxLength: 90, size: "max" }),
+      fc.nat(1_000),
+      (entries, nowMs) => {
+        const queue = createAdmissionQueue<QueueEntry>({
+          maxLength: 40,
+          maxCustomerRatio: 0.5,
+        });
+        const added = entries.filter(queue.tryAdd);
+        expect(queue.getLength()).toBe(added.length);
+        expect(added.length).toBeLessThanOrEqual(40);
+        for (const id of ["a", "b", "c"]) {
+          const own = added.filter(({ customerId }) => customerId === id);
+          expect(own.length).toBeLessThanOrEqual(20);
+        }
+        const started: QueueEntry[] = [];
+        const getUse = (id: string) =>
+          started.filter(({ customerId }) => customerId === id).length;
+        const canStart = (id: string) => id !== "c";
+        while (true) {
+          const entry = queue.takeNext({ nowMs, getUse, canStart });
+          if (!entry) break;
+          started.push(entry);
+        }
+        expect(started.every(({ deadlineAtMs }) => deadlineAtMs > nowMs))
+          .toBe(true);
+        const startable = added.filter(({ customerId, deadlineAtMs }) =>
+          customerId !== "c" && deadlineAtMs > nowMs
+        );
+        expect(started.length).toBe(startable.length);
+        for (const id of ["a", "b"]) {
+          const own = started.filter(({ customerId }) => customerId === id);
+          own.slice(1).forEach((entry, index) => {
+            const before = own[index]!;
+            expect(before.priority).toBeGreaterThanOrEqual(entry.priority);
+            if (before.priority === entry.priority) {
+              expect(before.deadlineAtMs)
+                .toBeLessThanOrEqual(entry.deadlineAtMs);
+            }
+          });
+        }
+        const expired = queue.takeExpired(nowMs);
+        expect(expired.every(({ deadlineAtMs }) => deadlineAtMs <= nowMs))
+          .toBe(true);
+      },
+    ));
+  });
+
+  it("guards against a long queue of one customer that delays another", () => {
+    const queue = createAdmissionQueue<QueueEntry>({
+      maxLength: 100,
+      maxCustomerRatio: 0.5,
+    });
+    const base = { priority: 5, deadlineAtMs: 1_000 };
+    for (let count = 0; count < 80; count++) {
+      queue.tryAdd({ ...base, customerId: "large" });
+    }
+    expect(queue.tryAdd({ ...base, customerId: "small" })).toBe(true);
+    const getUse = (id: string) => id === "large" ? 30 : 0;
+    expect(queue.takeNext({ nowMs: 0, getUse, canStart: () => true }))
+      .toMatchObject({ customerId: "small" });
+  });
+});
--- a/src/limits/concurrency_window.ts
+++ b/src/limits/concurrency_window.ts
@@ -53,6 +53,8 @@
 const fullRatio = 0.95;
 /** After 5 min at the default poll the capacity is measured again. */
 const expiryPolls = 600;
+/** An engine that became smaller is noticed within about a minute. */
+const unknownDecay = 0.99;
 /** Part of the engines that has to be full before the window is set. */
 const knownRatio = 0.5;
 
@@ -101,9 +103,11 @@
     const isFull = waitingCount > 0 &&
       runningCount >= Math.max(1, fullRatio * capacity.maxRunning);
     capacity.waitingPolls = isFull ? capacity.waitingPolls + 1 : 0;
-    if (capacity.fullAge >= expiryPolls || runningCount > capacity.maxRunning) {
-      capacity.maxRunning = runningCount;
-    }
+    const isKnown = capacity.fullAge < expiryPolls;
+    capacity.maxRunning = Math.max(
+      runningCount,
+      capacity.maxRunning * (isKnown ? 1 : unknownDecay),
+    );
     if (capacity.waitingPolls < fullPolls) return;
     capacity.maxRunning = runningCount;
     capacity.fullAge = 0;
--- a/src/limits/fair_share.ts
+++ b/src/limits/fair_share.ts
@@ -190,7 +190,10 @@
     drain();
     if (ratePerWeight === Infinity) return 0;
     const rate = limits.getWeight(customerId) * ratePerWeight;
-    const excess = (uses.get(customerId)?.excessTokens ?? 0) - rate * burstS;
+    const excess = Math.min(
+      uses.get(customerId)?.excessTokens ?? 0,
+      rate * maxExcessS,
+    ) - rate * burstS;
     return excess <= 0 ? 0 : Math.ceil(excess / rate * 1_000);
   }
 }
--- a/src/routing/cache_index.ts
+++ b/src/routing/cache_index.ts
@@ -90,12 +90,11 @@
     }
     const cache = caches.get(upstreamId);
     if (!cache) return false;
-    const events = page.events
-      .filter((event) => event.seq > cache.seq)
+    const events = [...page.events]
       .sort((left, right) => left.seq - right.seq);
     let hasGap = false;
     for (const event of events) {
-      if (event.seq <= cache.seq) continue; // repeated within the page
+      if (event.seq <= cache.seq) continue; // late or repeated
       if (event.seq !== cache.seq + 1) hasGap = true;
       cache.seq = event.seq;
       cache.blocks.delete(event.block);
