--- a/measure/rollout_trial.ts
+++ b/measure/rollout_trial.ts
@@ -3,7 +3,6 @@
  * a service, its instances and the delays between them and control.
  */
 import {
-  type EvidenceCell,
   getLatencyBin,
   getLoadBucket,
 } from "../src/control/rollouts/evidence.ts";
@@ -116,7 +115,7 @@
   );
   const ideal = createComparison(state.comparison.horizonMs);
   const idealCounter = createCellCounter();
-  let atControl: EvidenceCell[][] = [];
+  const atControl = createCellCounter();
   const oracle = createOracle(model);
   const calendar = new Map<number, (() => void)[]>();
   // One instance loses contact to control for a while in some trials.
@@ -179,23 +178,18 @@
   }
 
   function runControl(): void {
-    const batches = atControl;
-    atControl = [];
+    const cells = atControl.takeCells();
     const crashes = fleet.takeCrashes();
     applyRolloutEvent(state, {
       kind: RolloutEventKind.EnginesReported,
       ...fleet.getCounts(),
       elapsedMs: controlIntervalMs,
     }, nowMs);
-    for (const cells of [[], ...batches]) {
-      applyRolloutEvent(state, {
-        kind: RolloutEventKind.EvidenceReceived,
-        cells,
-        ...(cells.length === 0
-          ? crashes
-          : { stableCrashCount: 0, candidateCrashCount: 0 }),
-      }, nowMs);
-    }
+    applyRolloutEvent(state, {
+      kind: RolloutEventKind.EvidenceReceived,
+      cells,
+      ...crashes,
+    }, nowMs);
     for (
       const effect of applyRolloutEvent(
         state,
@@ -224,7 +218,7 @@
     if (index === 0 && nowMs >= cutFromMs && nowMs < cutToMs) return;
     const cells = instance.counter.takeCells();
     schedule(nowMs + instance.transitMs, () => {
-      atControl.push(cells);
+      atControl.addCells(cells);
       const { share } = state;
       schedule(nowMs + instance.transitMs, () => {
         instance.share = share;
--- a/src/control/rollouts/comparison_state.ts
+++ b/src/control/rollouts/comparison_state.ts
@@ -43,10 +43,11 @@
   readonly totals: Record<string, MetricTotals>;
   /** Evidence for the candidate since the last step, per route and metric. */
   good: Record<string, Record<string, GoodEvidence>>;
+  /** The same since the start, per load bucket: high load may be rare. */
+  readonly goodByLoad: Record<string, Record<string, GoodEvidence>>;
   /** Requests on stable per route and per load bucket. */
   readonly stableRouteCounts: Record<string, number>;
   readonly stableLoadCounts: Record<string, number>;
-  readonly candidateLoadCounts: Record<string, number>;
   readonly crashes: {
     stableCount: number;
     candidateCount: number;
@@ -63,9 +64,9 @@
     detectors: {},
     totals: {},
     good: {},
+    goodByLoad: {},
     stableRouteCounts: {},
     stableLoadCounts: {},
-    candidateLoadCounts: {},
     crashes: {
       stableCount: 0,
       candidateCount: 0,
--- a/src/control/rollouts/evidence.ts
+++ b/src/control/rollouts/evidence.ts
@@ -48,6 +48,8 @@
 
 const loadBucketStarts = [0, 2, 4, 6, 8, 11, 15, 20, 28, 40, 56, 80, 112, 160];
 
+export const loadBucketCount = loadBucketStarts.length;
+
 /** Buckets of batch size or reported load that are compared with each other. */
 export function getLoadBucket(requestCount: number): number {
   let bucket = 0;
--- a/src/control/rollouts/good_evidence.ts
+++ b/src/control/rollouts/good_evidence.ts
@@ -4,7 +4,7 @@
  * high load. A small sample is never enough.
  */
 import { addTotals, type Comparison, Metric } from "./comparison_state.ts";
-import { describeLoadBucket } from "./evidence.ts";
+import { describeLoadBucket, type EvidenceCell } from "./evidence.ts";
 import { getThresholdLog } from "./fault_threshold.ts";
 import { getGoodLog } from "./fault_detector.ts";
 
@@ -24,8 +24,6 @@
 /** Routes and load buckets below this share of traffic need no own verdict. */
 const minRouteShare = 0.01;
 const minLoadShare = 0.1;
-/** Outcomes needed at the highest usual load or one bucket below it. */
-const minHighLoadCount = 30;
 
 /**
  * The share does not grow while a statistic is this close to its threshold: a
@@ -40,8 +38,8 @@
 
 export function addGood(
   comparison: Comparison,
-  { route, metric, outcomes }: {
-    route: string;
+  { cell, metric, outcomes }: {
+    cell: Pick<EvidenceCell, "route" | "loadBucket">;
     metric: Metric;
     outcomes: { normalRate: number; count: number; badCount: number };
   },
@@ -52,15 +50,22 @@
     ? normalRate + badFailureMargin
     : Math.max(badSlowRate, normalRate + 0.1);
   if (badRate >= 1) return;
-  const metrics = comparison.good[route] ??= {};
-  const evidence = metrics[metric] ??= {
-    log: 0,
-    count: 0,
-    badCount: 0,
-    normalBadCount: 0,
-  };
-  evidence.log += getGoodLog({ ...outcomes, badRate });
-  addTotals(evidence, outcomes);
+  const log = getGoodLog({ ...outcomes, badRate });
+  for (
+    const metrics of [
+      comparison.good[cell.route] ??= {},
+      comparison.goodByLoad[cell.loadBucket] ??= {},
+    ]
+  ) {
+    const evidence = metrics[metric] ??= {
+      log: 0,
+      count: 0,
+      badCount: 0,
+      normalBadCount: 0,
+    };
+    evidence.log += log;
+    addTotals(evidence, outcomes);
+  }
 }
 
 /** What is still missing for a verdict of good; empty when nothing is. */
@@ -81,13 +86,17 @@
   }
   const buckets = getLarge(comparison.stableLoadCounts, minLoadShare);
   const highest = Math.max(0, ...buckets.map(Number));
-  const highCount = Object.entries(comparison.candidateLoadCounts)
-    .filter(([bucket]) => Number(bucket) >= highest - 1)
-    .reduce((sum, [, count]) => sum + count, 0);
-  if (highCount < minHighLoadCount) {
+  const lowest = Math.max(0, highest - 1);
+  for (const metric of goodMetrics) {
+    const high = Object.entries(comparison.goodByLoad)
+      .filter(([bucket]) => Number(bucket) >= lowest)
+      .flatMap(([, metrics]) => metrics[metric] ?? []);
+    const log = high.reduce((sum, evidence) => sum + evidence.log, 0);
+    if (log >= needed) continue;
+    const count = high.reduce((sum, evidence) => sum + evidence.count, 0);
     missing.push(
-      `high load: ${highCount} of ${minHighLoadCount} outcomes at ` +
-        `${describeLoadBucket(Math.max(0, highest - 1))} requests or more`,
+      `load of ${describeLoadBucket(lowest)} requests and above, ${metric}: ` +
+        `${count} outcomes give ${log.toFixed(2)} of ${needed.toFixed(2)}`,
     );
   }
   for (const [key, { currentLog }] of Object.entries(comparison.detectors)) {
--- a/src/control/rollouts/version_comparison.ts
+++ b/src/control/rollouts/version_comparison.ts
@@ -43,6 +43,8 @@
   { metric: Metric.TokenGap98, kind: "tokenGapBins", quantile: 0.98 },
 ];
 
+/** The scope of a load bucket reaches over this many buckets from it. */
+const loadScopeWidth = 3;
 /** The candidate may crash this often as much before it is held against it. */
 const crashTolerance = 3;
 
@@ -122,8 +124,6 @@
   cell: EvidenceCell,
   { blocks, nowMs }: { blocks: Map<string, Block>; nowMs: number },
 ): void {
-  const bucket = String(cell.loadBucket);
-  increase(comparison.candidateLoadCounts, bucket, cell.attemptCount);
   const reference = comparison.references[getStratumKey(cell)];
   if (!reference) return;
   const scopes = getScopes(cell);
@@ -152,7 +152,7 @@
     );
     addOutcomes(ofScopes.map((block) => block.logs), outcomes);
     for (const block of ofScopes) addTotals(block.totals, outcomes);
-    addGood(comparison, { route: cell.route, metric, outcomes });
+    addGood(comparison, { cell, metric, outcomes });
   }
 }
 
@@ -233,7 +233,17 @@
 }
 
 function getScopes(cell: EvidenceCell): string[] {
-  return ["all", `route:${cell.route}`, `stratum:${getStratumKey(cell)}`];
+  const scopes = [
+    "all",
+    `route:${cell.route}`,
+    `stratum:${getStratumKey(cell)}`,
+  ];
+  // A fault under load shows from some bucket on, on every route.
+  const lowest = Math.max(0, cell.loadBucket - loadScopeWidth + 1);
+  for (let bucket = lowest; bucket <= cell.loadBucket; bucket++) {
+    scopes.push(`load:${bucket}`);
+  }
+  return scopes;
 }
 
 function splitKey(key: string): [string, Metric] {
