Run rollouts in the daemon: orders to engines, engine reports, operator paths

Engine orders follow the rollouts of the control leader, the read-back content of engines is reported to the rollouts, and operators read the explanation under /admin/rollouts.

--- /dev/null
+++ b/measure/rollout_process_run.ts
@@ -0,0 +1,155 @@
+/**
+ * A rollout on running processes: `npm run measure:rollout-processes`.
+ *
+ * The candidate is loaded on an engine, gets its first share of requests, then
+ * fails on that engine. The run ends with the rollback and reports what callers
+ * saw and how many requests reached the candidate afterwards.
+ */
+import process from "node:process";
+import { startCluster, type UpstreamHandle } from "./launcher.ts";
+import { type AnswerResult, createLoadClient } from "./load_client.ts";
+import { sum } from "./statistics.ts";
+
+const concurrency = 40;
+const maxTokens = 80;
+const goodMs = 45_000;
+const giveUpMs = 150_000;
+const afterRollbackMs = 3_000;
+
+const cluster = await startCluster({
+  domainIds: ["andina-a", "andina-b", "andina-c"],
+  instancesPerDomain: 1,
+  enginesPerDomain: 5,
+  workersPerDomain: 1,
+  seed: 1,
+});
+await cluster.waitUntilReady();
+const client = createLoadClient(cluster);
+const leader = cluster.instances[0]!;
+const headers = {
+  authorization: `Bearer ${cluster.operatorToken}`,
+  "content-type": "application/json",
+};
+let isRunning = true;
+const results: AnswerResult[] = [];
+const load = Promise.all(Array.from({ length: concurrency }, async () => {
+  while (isRunning) results.push(await client.generate({ maxTokens }));
+}));
+
+const startedAtMs = Date.now();
+const started = await fetch(`${leader.callerUrl}/admin/rollouts`, {
+  method: "POST",
+  headers,
+  body: JSON.stringify({
+    rolloutId: "r1",
+    service: "taller-lm",
+    stableVersion: "v1",
+    candidateVersion: "v2",
+    createdAtWallMs: startedAtMs,
+    targetAtWallMs: startedAtMs + 10 * 60_000,
+    weightBytes: 1e9,
+    weightStoreBytesPerS: 1e9,
+    engineCount: cluster.engines.length,
+  }),
+});
+print(`started: ${await started.text()}`);
+
+await waitFor(async () => (await read()).share > 0);
+const canaryAtMs = Date.now();
+print(`canary after ${canaryAtMs - startedAtMs} ms`);
+await delay(goodMs);
+const beforeFault = await read();
+const candidates = await listCandidateEngines();
+for (const engine of candidates) {
+  await fetch(`${engine.baseUrl}/faults`, {
+    method: "POST",
+    body: JSON.stringify({ failRatio: 0.7 }),
+  });
+}
+const faultAtMs = Date.now();
+await waitFor(async () => (await read()).phase === "rolledBack");
+const rolledBackAtMs = Date.now();
+await delay(afterRollbackMs);
+const requestsAtStop = await countRequests(candidates);
+for (const engine of candidates) {
+  await fetch(`${engine.baseUrl}/faults`, {
+    method: "POST",
+    body: JSON.stringify({ failRatio: 0 }),
+  });
+}
+isRunning = false;
+await load;
+const final = await read();
+print(final.summary);
+process.stdout.write(`${
+  JSON.stringify({
+    beforeFault: beforeFault.phase,
+    shareBeforeFault: beforeFault.share,
+    detectionMs: rolledBackAtMs - faultAtMs,
+    phase: final.phase,
+    reason: final.reason,
+    answers: results.length,
+    whole: results.filter((result) => result.isWhole).length,
+    resets: sum(results.map((result) => result.resets)),
+    mixedTokens: sum(results.map((result) => result.mixedTokens)),
+    repeatedTokens: sum(results.map((result) => result.repeatedTokens)),
+    candidateEngines: candidates.length,
+    requestsOnCandidateEngines: requestsAtStop,
+  })
+}\n`);
+await client.close();
+await cluster.stop();
+process.exit(final.phase === "rolledBack" ? 0 : 1);
+
+interface Explanation {
+  readonly phase: string;
+  readonly share: number;
+  readonly reason: string;
+  readonly summary: string;
+}
+
+async function read(): Promise<Explanation> {
+  const response = await fetch(`${leader.callerUrl}/admin/rollouts`, {
+    headers,
+  });
+  const body = await response.json() as { rollouts: Explanation[] };
+  return body.rollouts[0]!;
+}
+
+async function listCandidateEngines(): Promise<UpstreamHandle[]> {
+  const loaded = await Promise.all(cluster.engines.map(async (engine) => {
+    const response = await fetch(`${engine.baseUrl}/orders`);
+    const { versions } = await response.json() as { versions: string[] };
+    return versions.includes("v2") ? [engine] : [];
+  }));
+  return loaded.flat();
+}
+
+async function countRequests(
+  engines: readonly UpstreamHandle[],
+): Promise<number> {
+  const totals = await Promise.all(engines.map(async (engine) => {
+    const response = await fetch(`${engine.baseUrl}/totals`);
+    return (await response.json() as { requests: number }).requests;
+  }));
+  return sum(totals);
+}
+
+async function waitFor(isDone: () => Promise<boolean>): Promise<void> {
+  const giveUpAtMs = Date.now() + giveUpMs;
+  while (!(await isDone())) {
+    if (Date.now() > giveUpAtMs) {
+      print(`gave up: ${JSON.stringify(await read())}`);
+      process.exit(1);
+    }
+    await delay(100);
+  }
+}
+
+function delay(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -178,7 +178,13 @@
   const app = new Hono();
   app.route(
     "/admin",
-    createOperatorApp({ authenticator, membership, registry, answers }),
+    createOperatorApp({
+      authenticator,
+      membership,
+      registry,
+      answers,
+      rollouts,
+    }),
   );
   app.route(
     "/",
@@ -309,6 +315,7 @@
         peerServer.close(),
         engines.close(),
         applications.close(),
+        rollouts.close(),
       ]);
       metrics.close();
       logger.log(logEvents.daemonStopped);
--- a/src/daemon/rollouts.ts
+++ b/src/daemon/rollouts.ts
@@ -3,9 +3,25 @@
  * rollouts yet: this adapter applies their commands to its own table on the
  * leader, and is the only place to change when they join the control log.
  */
-import { errAsync, okAsync, type ResultAsync } from "neverthrow";
+import {
+  err,
+  errAsync,
+  ok,
+  okAsync,
+  type Result,
+  type ResultAsync,
+} from "neverthrow";
 import type { AnswerService } from "../answers/answer_service.ts";
 import type { ReplicatedLog } from "../control/replicated_log.ts";
+import type { EngineContent } from "../control/orders/engine_orders.ts";
+import { createOrderClient } from "../control/orders/order_client.ts";
+import { createOrderTask } from "../control/orders/order_task.ts";
+import {
+  type EngineInput,
+  getDesiredEngines,
+  getRolloutEngines,
+} from "../control/orders/rollout_engines.ts";
+import { RolloutCommandKind } from "../control/rollouts/rollout_commands.ts";
 import {
   createEvidenceCollector,
   type EvidenceCollector,
@@ -22,10 +38,7 @@
   createRolloutSync,
   type RolloutSync,
 } from "../control/rollouts/rollout_sync.ts";
-import {
-  createRolloutTable,
-  type RolloutTable,
-} from "../control/rollouts/rollout_table.ts";
+import { createRolloutTable } from "../control/rollouts/rollout_table.ts";
 import {
   createTrafficLeases,
   type TrafficLeases,
@@ -34,19 +47,20 @@
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
-import type { Task } from "../core/supervisor.ts";
+import { createPeriodicTask, type Task } from "../core/supervisor.ts";
+import type { RolloutAdmin } from "../entry/rollout_routes.ts";
 import type { PeerClient } from "../peer/peer_client.ts";
 import type { Settings } from "../settings/schema.ts";
 import type { UpstreamRegistry } from "../upstreams/upstream_registry.ts";
 
-export interface Rollouts {
+export interface Rollouts extends RolloutAdmin {
   readonly leases: TrafficLeases;
   readonly collector: EvidenceCollector;
-  readonly table: RolloutTable;
   handleSync(
     request: SyncRollouts,
   ): ResultAsync<SyncRolloutsReply, SystemError>;
   createTasks(): Task[];
+  close(): Promise<void>;
 }
 
 export interface RolloutsOptions {
@@ -61,9 +75,12 @@
   getInstanceCount(): number;
 }
 
+const engineReportMs = 1_000;
+
 export function createRollouts(options: RolloutsOptions): Rollouts {
   const { settings, clock, logger, random, registry } = options;
   const table = createRolloutTable();
+  const startedAtWallMs = clock.wallMs();
   const late: { sync?: RolloutSync } = {};
   const leases = createTrafficLeases({
     clock,
@@ -79,7 +96,7 @@
   const collector = createEvidenceCollector({
     clock,
     instanceId: settings.instanceId,
-    incarnation: clock.wallMs(),
+    incarnation: startedAtWallMs,
     getWatched: leases.getWatched,
     getLastReportMs: (upstreamId) =>
       registry.get(upstreamId)?.load?.receivedAtMs,
@@ -95,7 +112,32 @@
       propose: (command) => okAsync(table.apply(command)),
       getInstanceCount: options.getInstanceCount,
     });
-  return { leases, collector, table, handleSync, createTasks };
+  const reported = new Map<string, EngineContent>();
+  const orders = createOrderClient();
+  return {
+    leases,
+    collector,
+    start: (spec) =>
+      onLeader(() => table.apply({ kind: RolloutCommandKind.Start, spec })),
+    explainAll: () =>
+      onLeader(() =>
+        table.listAll().flatMap(({ spec }) =>
+          table.explain(spec.rolloutId) ?? []
+        )
+      ),
+    handleSync,
+    createTasks,
+    close: () => orders.close(),
+  };
+
+  function onLeader<T>(action: () => T): Result<T, SystemError> {
+    const log = options.getLog();
+    if (log?.isLeader()) return ok(action());
+    return err(createError(
+      ErrorKind.NotLeader,
+      `rollouts are kept by the control leader ${log?.getLeaderId() ?? ""}`,
+    ));
+  }
 
   function handleSync(
     request: SyncRollouts,
@@ -118,6 +160,55 @@
       service,
     });
     late.sync = sync;
-    return service ? [service.task, sync.task] : [sync.task];
+    return service
+      ? [service.task, sync.task, createOrders(), createReports()]
+      : [sync.task];
+  }
+
+  function getEngineInput(): EngineInput {
+    return {
+      rollouts: table.listAll(),
+      engines: registry.list().map((status) => status.info),
+      reported,
+      isFenced: (name) =>
+        settings.services.some((entry) =>
+          entry.kind === "model" && entry.service === name &&
+          entry.checksFencing
+        ),
+    };
+  }
+
+  function createOrders(): Task {
+    const isLeader = () => options.getLog()?.isLeader() === true;
+    return createOrderTask({
+      clock,
+      logger,
+      client: orders,
+      // The log has no term yet: the start time stands in for it.
+      getFencingToken: () => isLeader() ? startedAtWallMs : undefined,
+      hasLease: isLeader,
+      listDesired: () => getDesiredEngines(getEngineInput()),
+      onReported: (upstreamId, content) => reported.set(upstreamId, content),
+    });
+  }
+
+  function createReports(): Task {
+    return createPeriodicTask({
+      name: "rollout-engines",
+      clock,
+      intervalMs: engineReportMs,
+      action: () => {
+        if (options.getLog()?.isLeader() !== true) return;
+        for (const engines of getRolloutEngines(getEngineInput())) {
+          table.apply({
+            kind: RolloutCommandKind.ReportEngines,
+            rolloutId: engines.rolloutId,
+            stableEngineIds: [...engines.stableEngineIds],
+            candidateEngineIds: [...engines.candidateEngineIds],
+            atWallMs: clock.wallMs(),
+          });
+        }
+      },
+    });
   }
 }
--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -7,16 +7,18 @@
 import type { MembershipView } from "../membership/membership_view.ts";
 import type { UpstreamRegistry } from "../upstreams/upstream_registry.ts";
 import type { Authenticator } from "./authenticator.ts";
+import { createRolloutRoutes, type RolloutAdmin } from "./rollout_routes.ts";
 
 export interface OperatorAppOptions {
   readonly authenticator: Authenticator;
   readonly membership: MembershipView;
   readonly registry: UpstreamRegistry;
   readonly answers: AnswerService;
+  readonly rollouts: RolloutAdmin;
 }
 
 export function createOperatorApp(options: OperatorAppOptions): Hono {
-  const { authenticator, membership, registry, answers } = options;
+  const { authenticator, membership, registry, answers, rollouts } = options;
   const app = new Hono();
   app.use("*", async (context, next) => {
     const operator = authenticator.authenticateOperator(
@@ -48,5 +50,6 @@
         isLeavingReported: upstream.isLeavingReported,
       })),
     }));
+  app.route("/rollouts", createRolloutRoutes(rollouts));
   return app;
 }
