Collect stable outcomes for two minutes before the first candidate request

In (failing only) the test of control called the fault 50 s after the same test without delay: with 40 outcomes in a stratum a failure rate of 0.18 counts as normal, so 5 failures in 9 requests decided or not by the first block. Ruled out as causes: merging of batches in a round, the hold near the threshold.

--- a/measure/rollout_baseline.ts
+++ b/measure/rollout_baseline.ts
@@ -52,6 +52,7 @@
     badShare: bad / total,
     shareSinceStart: candidate / total,
     lateRequestCount: Math.round(bad),
+    lateWhenCertainCount: Math.round(bad),
     lateForOracleCount: Math.round(bad),
   };
 }
--- a/measure/rollout_trials.ts
+++ b/measure/rollout_trials.ts
@@ -130,6 +130,11 @@
     ),
     lateRequests: sum(late),
     trialsWithLateRequests: late.filter((count) => count > 0).length,
+    lateRequestsWhenCertain: sum(
+      faulty.map((result) => result.lateWhenCertainCount),
+    ),
+    trialsWithLateRequestsWhenCertain:
+      faulty.filter((result) => result.lateWhenCertainCount > 0).length,
     requestsLaterThanOracle: sum(
       faulty.map((result) => result.lateForOracleCount),
     ),
--- a/src/control/rollouts/rollout_plan.ts
+++ b/src/control/rollouts/rollout_plan.ts
@@ -19,13 +19,19 @@
 const minStepPart = 0.3;
 /** Covers the commit of the decision and the tick interval. */
 const decisionMarginMs = 5_000;
+/**
+ * Stable outcomes are collected for this long before the first request goes to
+ * the candidate. With 40 outcomes in a stratum a failure rate of 0.18 still
+ * counts as normal, with 350 one of 0.03.
+ */
+const referenceMs = 2 * 60 * 1_000;
 const maxWatchMs = 60 * 60 * 1_000;
 
 export function planRollout(spec: RolloutSpec): RolloutPlan {
   const loadMsPerEngine = spec.weightBytes / spec.weightStoreBytesPerS * 1_000;
   const decideAtWallMs = spec.targetAtWallMs - decisionMarginMs;
   const counts = shares.map((share) => getEngineCount(share, spec.engineCount));
-  const firstLoadMs = counts[0]! * loadMsPerEngine;
+  const firstLoadMs = Math.max(counts[0]! * loadMsPerEngine, referenceMs);
   const availableMs = decideAtWallMs - spec.createdAtWallMs - firstLoadMs;
   const rampMs = Math.min(maxRampMs, availableMs);
   const steps: RolloutStep[] = [];
@@ -37,7 +43,8 @@
     steps.unshift({
       share: shares[index]!,
       engineCount: counts[index]!,
-      loadFromWallMs: fromWallMs - newEngineCount * loadMsPerEngine,
+      loadFromWallMs: fromWallMs -
+        (index === 0 ? firstLoadMs : newEngineCount * loadMsPerEngine),
       fromWallMs,
       minDurationMs: durationMs * minStepPart,
     });
