--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -278,6 +278,7 @@
         control,
         ...configuration,
       })),
+      rollouts,
     }),
   );
   app.route(
@@ -447,6 +448,7 @@
         engines.close(),
         applications.close(),
         traffic.close(),
+        rollouts.close(),
       ]);
       metrics.close();
       logger.log(logEvents.daemonStopped);
--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -11,6 +11,7 @@
 import type { UpstreamRegistry } from "../upstreams/upstream_registry.ts";
 import type { InstanceId } from "../core/types.ts";
 import type { Authenticator } from "./authenticator.ts";
+import { createRolloutRoutes, type RolloutAdmin } from "./rollout_routes.ts";
 
 export interface OperatorAppOptions {
   readonly authenticator: Authenticator;
@@ -28,6 +29,7 @@
   readonly ticketRoutes: Hono;
   readonly reportRoutes: Hono;
   readonly explainer: AnswerExplainer;
+  readonly rollouts: RolloutAdmin;
 }
 
 export function createOperatorApp(options: OperatorAppOptions): Hono {
@@ -84,6 +86,7 @@
   });
   app.route("/", options.ticketRoutes);
   app.route("/", options.reportRoutes);
+  app.route("/rollouts", createRolloutRoutes(options.rollouts));
   return app;
 }
 
