--- a/src/answers/answer_failover_test.ts
+++ b/src/answers/answer_failover_test.ts
@@ -37,6 +37,7 @@
   readonly request: AttemptRequest;
   readonly sink: AttemptSink;
   isCancelled: boolean;
+  nextPosition: number;
 }
 
 function createWorld() {
@@ -83,13 +84,14 @@
 
   /** The newest attempt of the instance generates tokens. */
   async function generate(id: string, count: number): Promise<void> {
-    const { request, sink } = get(id).attempts.at(-1)!;
-    const from = request.tokens.length;
+    const attempt = get(id).attempts.at(-1)!;
+    const from = attempt.nextPosition;
+    attempt.nextPosition += count;
     const tokens = Array.from(
       { length: count },
       (_, index) => ` ${id}${from + index}`,
     );
-    sink.onTokens(from, tokens);
+    attempt.sink.onTokens(from, tokens);
     await settle(100);
   }
 
@@ -124,7 +126,8 @@
       peers,
       attempts: {
         start: (request, sink) => {
-          const attempt = { request, sink, isCancelled: false };
+          const nextPosition = request.tokens.length;
+          const attempt = { request, sink, isCancelled: false, nextPosition };
           attempts.push(attempt);
           return {
             getUpstreamId: () => "engine",
--- a/src/answers/answer_reader.ts
+++ b/src/answers/answer_reader.ts
@@ -40,7 +40,7 @@
 
 /** Reading goes on through a failover for this long. */
 const locateTimeoutMs = 8_000;
-const locateRetryMs = 100;
+const locateRetryMs = 50;
 const probeTimeoutMs = 400;
 /** Added to the wait of a remote read before the call counts as failed. */
 const remoteReadGraceMs = 400;
@@ -113,6 +113,7 @@
         else isAnyUnreachable = true;
       }
       const best = getBest(found);
+      if (best && isHeldForLostOwner(best.reply)) break;
       if (best?.reply.status !== ReadStatus.Tokens) continue;
       if (!best.reply.end) remember(readOptions.answerId, best.instanceId);
       return ok(best.reply);
@@ -129,6 +130,10 @@
     return isAnyUnreachable && !isForbidden ? ok(undefined) : err(notFound());
   }
 
+  function isHeldForLostOwner({ status, ownerId }: ReadReply): boolean {
+    return status === ReadStatus.HeldCopy && !membership.isReachable(ownerId);
+  }
+
   async function probeAll(
     instanceIds: readonly InstanceId[],
     readOptions: ReadOptions,
