Make rejections of calls accurate and bound what malformed input can do

Faults found by reading and shown by the new tests: - a percent-encoded service name shifted the path, which could extend the port or the host of the worker's address - a long Idempotency-Key was cut, so two keys could stand for one call - a booking over a kept connection to a dead worker had an unknown outcome; each booking now has a connection of its own - a call that could not be written at all was reported as unknown - a claim that timed out in a partition longer than 10 s was never freed, so a resend had an unknown outcome - an event id beyond the largest position, and a malformed answer id, were searched for on all instances for 8 s - a frame of 9 bytes could make the decoder allocate for millions of elements

--- a/src/calls/call_service.ts
+++ b/src/calls/call_service.ts
@@ -26,6 +26,7 @@
 import type {
   ApplicationCall,
   ApplicationClient,
+  SendOptions,
 } from "../upstreams/application_client.ts";
 import type {
   UpstreamRegistry,
@@ -64,13 +65,24 @@
 
 const claimTimeoutMs = 4_000;
 const settleTimeoutMs = 10_000;
+/**
+ * A claim that timed out may still be committed after a partition; until it is
+ * freed, a resend would be told that its outcome is unknown.
+ */
+const freeRetryMs = 1_000;
+const maxUnfreedClaims = 10_000;
 /** A resend waits this long for the first dispatch to be answered. */
 const pendingWaitMs = 3_000;
 const pendingPollMs = 200;
 const maxTries = 4;
+/** A worker that failed is chosen last for this long. */
+const avoidWorkerMs = 3_000;
 
 export function createCallService(options: CallServiceOptions): CallService {
   const { clock, logger, random, control, registry, client } = options;
+  const unfreed: { key: ClaimKey; claimId: string }[] = [];
+  let isFreeing = false;
+  const avoidedUntilMs = new Map<UpstreamId, number>();
   return { execute };
 
   function execute(
@@ -92,7 +104,10 @@
       triedIds.push(worker.info.upstreamId);
       // Leaves time for a second try when the first worker is frozen.
       const timeoutMs = Math.min(remainingMs, call.service.timeoutMs / 2);
-      last = await dispatch(worker, call, timeoutMs);
+      last = await dispatch(worker, call, {
+        timeoutMs,
+        isNewConnection: false,
+      });
       if (last.kind === DispatchKind.Answered) return ok(last.response);
     }
     return last.kind === DispatchKind.NotRun
@@ -120,7 +135,7 @@
     if (claim.isErr()) {
       // The claim may still be committed; freeing it is safe because this
       // claim id is never dispatched.
-      void settle(key, claimId, { kind: OutcomeKind.NotRun });
+      free(key, claimId);
       logger.log(logEvents.claimFailed, { reason: claim.error.message });
       return err(claim.error);
     }
@@ -205,7 +220,10 @@
       const worker = chooseWorker(call.service.service, triedIds);
       if (!worker) break;
       triedIds.push(worker.info.upstreamId);
-      last = await dispatch(worker, call, call.service.timeoutMs);
+      last = await dispatch(worker, call, {
+        timeoutMs: call.service.timeoutMs,
+        isNewConnection: true,
+      });
       if (last.kind !== DispatchKind.NotRun) break;
     }
     return last;
@@ -214,12 +232,14 @@
   async function dispatch(
     worker: UpstreamStatus,
     call: ServiceCall,
-    timeoutMs: number,
+    sendOptions: SendOptions,
   ): Promise<Dispatch> {
     const { upstreamId, baseUrl } = worker.info;
     registry.addInFlight(upstreamId, 1);
-    const result = await client.send(baseUrl, call, timeoutMs);
+    const result = await client.send(baseUrl, call, sendOptions);
     registry.addInFlight(upstreamId, -1);
+    if (result.isOk()) avoidedUntilMs.delete(upstreamId);
+    else avoidedUntilMs.set(upstreamId, clock.nowMs() + avoidWorkerMs);
     return result.match<Dispatch>(
       (response) => {
         if (response.isNotRun) {
@@ -242,7 +262,7 @@
     key: ClaimKey,
     claimId: string,
     outcome: Outcome,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const result = await control.propose({
       kind: CommandKind.SettleClaim,
       key,
@@ -250,16 +270,40 @@
       outcome,
       atWallMs: clock.wallMs(),
     }, settleTimeoutMs);
-    if (result.isOk()) return;
-    logger.log(logEvents.claimFailed, { reason: result.error.message });
+    if (result.isErr()) {
+      logger.log(logEvents.claimFailed, { reason: result.error.message });
+    }
+    return result.isOk() || result.error.kind !== ErrorKind.NoQuorum;
+  }
+
+  function free(key: ClaimKey, claimId: string): void {
+    if (unfreed.length < maxUnfreedClaims) unfreed.push({ key, claimId });
+    if (!isFreeing) void freeAll();
+  }
+
+  /** One at a time, so that a long partition does not pile up proposals. */
+  async function freeAll(): Promise<void> {
+    isFreeing = true;
+    while (unfreed.length > 0) {
+      const { key, claimId } = unfreed[0]!;
+      const isDone = await settle(key, claimId, { kind: OutcomeKind.NotRun });
+      if (isDone) unfreed.shift();
+      else await clock.sleep(freeRetryMs);
+    }
+    isFreeing = false;
   }
 
   function chooseWorker(
     service: string,
     triedIds: readonly UpstreamId[],
   ): UpstreamStatus | undefined {
-    const workers = registry.listUsable(UpstreamKind.Application, service)
+    const untried = registry.listUsable(UpstreamKind.Application, service)
       .filter((worker) => !triedIds.includes(worker.info.upstreamId));
+    const nowMs = clock.nowMs();
+    const preferred = untried.filter(({ info }) =>
+      (avoidedUntilMs.get(info.upstreamId) ?? 0) < nowMs
+    );
+    const workers = preferred.length > 0 ? preferred : untried;
     if (workers.length === 0) return undefined;
     const first = workers[random.nextInt(workers.length)]!;
     const second = workers[random.nextInt(workers.length)]!;
--- a/src/entry/caller_app.ts
+++ b/src/entry/caller_app.ts
@@ -6,6 +6,7 @@
 import { type Context, Hono } from "hono";
 import { bodyLimit } from "hono/body-limit";
 import { err, ok, type Result } from "neverthrow";
+import { parseAnswerId } from "../answers/answer_id.ts";
 import type { AnswerReader } from "../answers/answer_reader.ts";
 import type { AnswerService } from "../answers/answer_service.ts";
 import type { CallService } from "../calls/call_service.ts";
@@ -59,6 +60,7 @@
 type CallerContext = Context<CallerEnv>;
 
 const answerIdHeader = "x-answer-id";
+const maxKeyChars = 200;
 const overloadRetryMs = 1_000;
 const startPosition: EventPosition = {
   fromPosition: 0,
@@ -193,6 +195,10 @@
     customerId: CustomerId,
   ): Promise<Response> {
     const answerId = context.req.param("answerId") ?? "";
+    if (parseAnswerId(answerId).isNothing) {
+      const message = "no such answer";
+      return refuse(context, createError(ErrorKind.NotFound, message));
+    }
     const isStreaming =
       context.req.header("accept")?.includes("text/event-stream") === true;
     const lastEventId = context.req.header("last-event-id");
@@ -257,19 +263,26 @@
       const message = `no such service: ${name}`;
       return refuse(context, createError(ErrorKind.NotFound, message));
     }
-    const url = new URL(context.req.url);
-    const path = url.pathname.slice(`/v1/services/${name}`.length) + url.search;
+    const idempotencyKey = context.req.header("idempotency-key") ?? "";
+    if (idempotencyKey.length > maxKeyChars) {
+      // A shortened key could stand for two different requests.
+      return refuse(
+        context,
+        createError(
+          ErrorKind.InvalidRequest,
+          `the Idempotency-Key exceeds ${maxKeyChars} characters`,
+          { fieldPath: "headers.Idempotency-Key" },
+        ),
+      );
+    }
     const result = await calls.execute({
       customerId,
       service: service as ApplicationService,
       method: context.req.method,
-      path,
+      path: getServicePath(context.req.url),
       contentType: context.req.header("content-type") ?? "",
       body: await context.req.text(),
-      idempotencyKey: (context.req.header("idempotency-key") ?? "").slice(
-        0,
-        200,
-      ),
+      idempotencyKey,
     });
     if (result.isErr()) return refuse(context, result.error);
     const { status, contentType, body } = result.value;
@@ -349,6 +362,15 @@
   }
 }
 
+/**
+ * What follows the service name, as sent. The name may be percent-encoded, so
+ * its length says nothing about where the rest starts.
+ */
+function getServicePath(requestUrl: string): string {
+  const { pathname, search } = new URL(requestUrl);
+  return `/${pathname.split("/").slice(4).join("/")}${search}`;
+}
+
 function writeText(outgoing: ServerResponse, text: string): Promise<boolean> {
   if (outgoing.destroyed || outgoing.writableEnded) {
     return Promise.resolve(false);
--- a/src/entry/event_id.ts
+++ b/src/entry/event_id.ts
@@ -10,6 +10,9 @@
   readonly lastAttempt: AttemptId | undefined;
 }
 
+/** The highest position that instances accept from each other. */
+export const maxPosition = 10_000_000;
+
 const eventIdPattern = /^(\d{1,15})\.([a-z0-9-]{1,63})\.(\d{1,9})$/;
 
 export function formatEventId(
@@ -21,7 +24,7 @@
 
 export function parseEventId(eventId: string): Maybe<EventPosition> {
   const match = eventIdPattern.exec(eventId);
-  if (!match) return Maybe.nothing();
+  if (!match || Number(match[3]) > maxPosition) return Maybe.nothing();
   return Maybe.just({
     fromPosition: Number(match[3]),
     lastAttempt: { attemptNumber: Number(match[1]), instanceId: match[2]! },
--- /dev/null
+++ b/src/peer/frame_codec_test.ts
@@ -0,0 +1,67 @@
+import { Buffer } from "node:buffer";
+import process from "node:process";
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import {
+  createFrameDecoder,
+  encodeFrame,
+  maxFrameBytes,
+} from "./frame_codec.ts";
+
+describe("frame decoder", () => {
+  it("never throws on bytes that are not a frame", () => {
+    fc.assert(fc.property(
+      fc.array(fc.uint8Array({ maxLength: 64 }), { maxLength: 8 }),
+      fc.boolean(),
+      (chunks, hasLength) => {
+        const decoder = createFrameDecoder();
+        for (const chunk of chunks) {
+          const frame = Buffer.alloc(4 + chunk.length);
+          frame.writeUInt32BE(chunk.length);
+          frame.set(chunk, 4);
+          if (decoder.push(hasLength ? frame : Buffer.from(chunk)).isErr()) {
+            return;
+          }
+        }
+      },
+    ));
+  });
+
+  it("returns the same values however the bytes are cut", () => {
+    fc.assert(fc.property(
+      fc.array(fc.jsonValue(), { maxLength: 5 }),
+      fc.infiniteStream(fc.integer({ min: 1, max: 40 })),
+      (values, sizes) => {
+        const bytes = Buffer.concat(
+          values.map((value) => encodeFrame(value)._unsafeUnwrap()),
+        );
+        const decoder = createFrameDecoder();
+        const decoded: unknown[] = [];
+        let offset = 0;
+        while (offset < bytes.length) {
+          const size = sizes.next().value!;
+          const part = bytes.subarray(offset, offset + size);
+          decoded.push(...decoder.push(part)._unsafeUnwrap());
+          offset += size;
+        }
+        const whole = createFrameDecoder().push(bytes)._unsafeUnwrap();
+        expect(whole).toHaveLength(values.length);
+        expect(decoded).toEqual(whole);
+      },
+    ));
+  });
+
+  it("refuses a length beyond the limit before the body arrives", () => {
+    const header = Buffer.alloc(4);
+    header.writeUInt32BE(maxFrameBytes + 1);
+    expect(createFrameDecoder().push(header).isErr()).toBe(true);
+  });
+
+  it("refuses a few bytes that announce millions of elements", () => {
+    const body = Buffer.from([0x9a, 0x02, 0x00, 0x00, 0x00]);
+    const frame = Buffer.concat([Buffer.from([0, 0, 0, 5]), body]);
+    const usedBefore = process.memoryUsage().rss;
+    expect(createFrameDecoder().push(frame).isErr()).toBe(true);
+    expect(process.memoryUsage().rss - usedBefore).toBeLessThan(64 << 20);
+  });
+});
--- a/src/upstreams/application_client.ts
+++ b/src/upstreams/application_client.ts
@@ -28,11 +28,20 @@
   readonly message: string;
 }
 
+export interface SendOptions {
+  readonly timeoutMs: number;
+  /**
+   * Opens a connection of its own for the call. A kept connection may already
+   * be dead, and then it is unknown whether the call ran.
+   */
+  readonly isNewConnection: boolean;
+}
+
 export interface ApplicationClient {
   send(
     baseUrl: string,
     call: ApplicationCall,
-    timeoutMs: number,
+    options: SendOptions,
   ): ResultAsync<ApplicationResponse, ApplicationFailure>;
   close(): Promise<void>;
 }
@@ -47,6 +56,8 @@
   "EHOSTUNREACH",
   "ENETUNREACH",
   "UND_ERR_CONNECT_TIMEOUT",
+  "UND_ERR_INVALID_ARG",
+  "ERR_INVALID_URL",
 ]);
 
 export function createApplicationClient(): ApplicationClient {
@@ -55,12 +66,22 @@
     keepAliveTimeout: 4_000,
     maxResponseSize: maxResponseChars,
   });
-  return { send, close: () => agent.destroy() };
+  const singleUseAgent = new Agent({
+    connect: { timeout: connectTimeoutMs },
+    pipelining: 0,
+    maxResponseSize: maxResponseChars,
+  });
+  return {
+    send,
+    close: async () => {
+      await Promise.all([agent.destroy(), singleUseAgent.destroy()]);
+    },
+  };
 
   function send(
     baseUrl: string,
     call: ApplicationCall,
-    timeoutMs: number,
+    { timeoutMs, isNewConnection }: SendOptions,
   ): ResultAsync<ApplicationResponse, ApplicationFailure> {
     return ResultAsync.fromPromise(sendCall(), (cause) => ({
       mayHaveRun: !connectErrorCodes.has(getErrorCode(cause)),
@@ -69,7 +90,7 @@
 
     async function sendCall(): Promise<ApplicationResponse> {
       const response = await request(`${baseUrl}${call.path}`, {
-        dispatcher: agent,
+        dispatcher: isNewConnection ? singleUseAgent : agent,
         method: call.method as "GET",
         signal: AbortSignal.timeout(timeoutMs),
         headers: getHeaders(call),
