--- a/src/peer/frame_codec.ts
+++ b/src/peer/frame_codec.ts
@@ -2,7 +2,7 @@
  * Frames between instances: a 4-byte big-endian length and a CBOR value.
  */
 import { Buffer } from "node:buffer";
-import { Encoder, setSizeLimits } from "cbor-x";
+import { Encoder } from "cbor-x";
 import { err, ok, type Result } from "neverthrow";
 import { createError, ErrorKind, getErrorMessage } from "../core/errors.ts";
 import type { SystemError } from "../core/errors.ts";
@@ -11,17 +11,6 @@
 export const maxFrameBytes = 4 * 1024 * 1024;
 const headerBytes = 4;
 
-/**
- * A few bytes can announce an array of millions of elements, for which the
- * decoder would allocate before it reads them.
- */
-const maxElements = 1_000_000;
-setSizeLimits({
-  maxArraySize: maxElements,
-  maxMapSize: maxElements,
-  maxObjectSize: maxElements,
-});
-
 const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
 
 export function encodeFrame(value: unknown): Result<Buffer, SystemError> {
