Tell callers quickly when no holder of an answer can be reached

The first read now ends after 500 ms with peerUnreachable, which is retryable; answerLost is left for holders that the platform no longer lists.

--- a/src/answers/answer_failover_test.ts
+++ b/src/answers/answer_failover_test.ts
@@ -46,15 +46,20 @@
     wallMs: () => Date.now(),
     sleep: (delayMs) => new Promise((resolve) => setTimeout(resolve, delayMs)),
   };
+  const unlistedIds = new Set<string>();
   const silence = { limitMs: Infinity };
   const cutLinks = new Set<string>();
   const nodes = new Map(ids.map((id) => [id, createNode(id)]));
-  return { get, cut, heal, settle, generate, silence };
+  return { get, cut, heal, settle, generate, silence, unlist };
 
   function get(id: string) {
     return nodes.get(id)!;
   }
 
+  function unlist(...instanceIds: string[]): void {
+    for (const id of instanceIds) unlistedIds.add(id);
+  }
+
   function isCut(from: string, to: string): boolean {
     return cutLinks.has(`${from} ${to}`) || cutLinks.has(`${to} ${from}`);
   }
@@ -107,8 +112,9 @@
     });
     const membership = {
       getSelf: () => info(id),
-      getInstance: info,
-      listInstances: () => ids.map(info),
+      getInstance: (other: string) =>
+        unlistedIds.has(other) ? undefined : info(other),
+      listInstances: () => ids.filter((id) => !unlistedIds.has(id)).map(info),
       isReachable: (other: string) => !isCut(id, other),
     };
     const peers: PeerClient = {
@@ -337,6 +343,19 @@
     expect(world.get("a").attempts).toHaveLength(count + 1);
   });
 
+  it("tells a caller to try elsewhere when no holder can be reached", async () => {
+    const { world, answerId, replicaId, otherId } = await openReplicated();
+    world.cut(otherId, "a");
+    world.cut(otherId, replicaId);
+    const read1 = { ...read, answerId, fromPosition: 0 };
+    const reply = await finish(world, world.get(otherId).reader.read(read1));
+    expect(reply._unsafeUnwrapErr().kind).toBe(ErrorKind.PeerUnreachable);
+    // Instances that the platform no longer lists do not come back.
+    world.unlist("a", replicaId);
+    const gone = await finish(world, world.get(otherId).reader.read(read1));
+    expect(gone._unsafeUnwrapErr().kind).toBe(ErrorKind.AnswerLost);
+  });
+
   it("hides an answer from other customers on every instance", async () => {
     const { world, answerId } = await openReplicated();
     for (const id of ids) {
--- a/src/answers/answer_reader.ts
+++ b/src/answers/answer_reader.ts
@@ -24,6 +24,8 @@
   readonly fromPosition: number;
   readonly lastAttempt: AttemptId | undefined;
   readonly waitMs: number;
+  /** How long to look for an answer that is not found at once. */
+  readonly locateTimeoutMs?: number;
 }
 
 export interface AnswerReader {
@@ -39,8 +41,9 @@
 }
 
 /** Reading goes on through a failover for this long. */
-const locateTimeoutMs = 8_000;
+const defaultLocateTimeoutMs = 4_000;
 const locateRetryMs = 50;
+const unreachableRetryMs = 1_000;
 const probeTimeoutMs = 400;
 /** Added to the wait of a remote read before the call counts as failed. */
 const remoteReadGraceMs = 400;
@@ -59,15 +62,17 @@
   async function read(
     readOptions: ReadOptions,
   ): Promise<Result<ReadReply, SystemError>> {
-    const giveUpAtMs = clock.nowMs() + locateTimeoutMs;
+    const giveUpAtMs = clock.nowMs() +
+      (readOptions.locateTimeoutMs ?? defaultLocateTimeoutMs);
     while (true) {
       const reply = await tryRead(readOptions);
       if (reply.isErr()) return err(reply.error);
       if (reply.value) return ok(reply.value);
       if (clock.nowMs() > giveUpAtMs) {
         return err(createError(
-          ErrorKind.AnswerLost,
-          "no reachable instance holds the answer",
+          ErrorKind.PeerUnreachable,
+          "the instances that may hold the answer cannot be reached from here",
+          { retryAfterMs: unreachableRetryMs },
         ));
       }
       await clock.sleep(locateRetryMs);
@@ -103,14 +108,14 @@
     const reachableIds = candidateIds.filter(membership.isReachable);
     const otherIds = candidateIds.filter((id) => !reachableIds.includes(id));
     const found: Located[] = [{ instanceId: selfId, reply: local }];
-    let isAnyUnreachable = false;
+    const failedIds: InstanceId[] = [];
     // Instances without heartbeats are asked too, but not waited for when a
     // reachable one has the answer.
     const others = probeAll(otherIds, readOptions);
     for (const replies of [probeAll(reachableIds, readOptions), others]) {
       for (const { instanceId, reply } of await replies) {
         if (reply.isOk()) found.push({ instanceId, reply: reply.value });
-        else isAnyUnreachable = true;
+        else failedIds.push(instanceId);
       }
       const best = getBest(found);
       if (best && isHeldForLostOwner(best.reply)) break;
@@ -127,7 +132,17 @@
     const isForbidden = found.some(({ reply }) =>
       reply.status === ReadStatus.Forbidden
     );
-    return isAnyUnreachable && !isForbidden ? ok(undefined) : err(notFound());
+    if (failedIds.length === 0 || isForbidden) return err(notFound());
+    // The platform list says which instances still exist. One that is not
+    // listed does not come back with its memory.
+    const isAnyListed = failedIds.some((id) =>
+      membership.getInstance(id) !== undefined
+    );
+    if (isAnyListed) return ok(undefined);
+    return err(createError(
+      ErrorKind.AnswerLost,
+      "the instances that held the answer are gone",
+    ));
   }
 
   function isHeldForLostOwner({ status, ownerId }: ReadReply): boolean {
--- a/src/entry/caller_app.ts
+++ b/src/entry/caller_app.ts
@@ -60,6 +60,8 @@
 type CallerContext = Context<CallerEnv>;
 
 const answerIdHeader = "x-answer-id";
+/** A caller can then try an instance on the other side of a partition. */
+const firstLocateTimeoutMs = 500;
 const maxKeyChars = 200;
 const overloadRetryMs = 1_000;
 const startPosition: EventPosition = {
@@ -227,6 +229,7 @@
       customerId,
       ...position,
       waitMs: 0,
+      locateTimeoutMs: firstLocateTimeoutMs,
     });
     const mayStream = first.isOk() ||
       (first.error.kind === ErrorKind.AnswerDiverged && stream.canReset);
