Try the next engine soon after a hedge was refused

The wait now starts at 25 ms and doubles.

The load client asks for a reset when an answer has diverged, as the design allows after a partition.

--- a/measure/load_client.ts
+++ b/measure/load_client.ts
@@ -161,7 +161,7 @@
       try {
         const isOpening = answerId === "";
         const response = await request(
-          `${url}/v1/${isOpening ? "completions" : `answers/${answerId}`}`,
+          `${url}/v1/${getPath(isOpening)}`,
           {
             dispatcher: agent,
             signal: abort.signal,
@@ -188,6 +188,13 @@
       }
     }
 
+    function getPath(isOpening: boolean): string {
+      if (isOpening) return "completions";
+      // After a partition only one of two generations goes on.
+      const mayReset = failure.includes("answerDiverged");
+      return `answers/${answerId}${mayReset ? "?reset=true" : ""}`;
+    }
+
     function getHeaders(isOpening: boolean): Record<string, string> {
       const isAsync = isOpening && options.isReadElsewhere && !plain;
       return {
--- a/src/answers/answer_machine.ts
+++ b/src/answers/answer_machine.ts
@@ -34,8 +34,12 @@
 const avoidReplicaMs = 5_000;
 /** While unreplicated, a replica is looked for again this often. */
 const replicaRetryMs = 1_000;
-/** After a hedge failed, the next one waits at least this long. */
-const hedgeRetryMs = 1_000;
+/**
+ * After a hedge failed, the next one waits this long, doubled each time. In a
+ * partition several engines in turn refuse the connection.
+ */
+const initialHedgeRetryMs = 25;
+const maxHedgeRetryMs = 1_000;
 
 export interface NewAnswer {
   readonly answerId: AnswerId;
@@ -63,6 +67,7 @@
     isEndReleased: false,
     isClosed: false,
     hedgeAllowedAtMs: 0,
+    failedHedges: 0,
     waste: { droppedTokens: 0, refilledTokens: 0 },
   };
 }
@@ -173,6 +178,7 @@
   }
   for (const token of tokens) state.tokens.push(token);
   attempt.isHedge = false;
+  state.failedHedges = 0;
   attempt.lastProgressAtMs = nowMs;
   attempt.tokenCount += tokens.length;
   state.failuresWithoutProgress = 0;
@@ -211,7 +217,9 @@
   if (!attempt || state.end) return;
   state.attempts.delete(event.attemptNumber);
   if (attempt.isHedge) {
-    state.hedgeAllowedAtMs = nowMs + hedgeRetryMs;
+    const delayMs = initialHedgeRetryMs * 2 ** state.failedHedges;
+    state.hedgeAllowedAtMs = nowMs + Math.min(maxHedgeRetryMs, delayMs);
+    state.failedHedges += 1;
   }
   if (state.attempts.size > 0) return;
   if (event.errorKind === ErrorKind.InvalidRequest) {
--- /dev/null
+++ b/src/answers/answer_machine_test.ts
@@ -0,0 +1,61 @@
+import { describe, expect, it } from "vitest";
+import { ErrorKind } from "../core/errors.ts";
+import { applyAnswerEvent, createAnswerState } from "./answer_machine.ts";
+import { AnswerEffectKind, AnswerEventKind } from "./answer_state.ts";
+
+const silenceLimitMs = 300;
+
+function createAnswer() {
+  return createAnswerState({
+    answerId: "x",
+    owner: { attemptNumber: 0, instanceId: "a" },
+    meta: {
+      customerId: "bench",
+      request: {
+        model: "m",
+        adapter: "",
+        prompt: "p",
+        maxTokens: 10,
+        route: "default",
+        priority: 5,
+      },
+      version: "v1",
+      createdAtWallMs: 0,
+      deadlineAtWallMs: 1,
+      isStreaming: true,
+    },
+  });
+}
+
+describe("hedging", () => {
+  it("reaches a live engine soon when several refuse in turn", () => {
+    // Two domains out of three are cut off: the stream is silent and four
+    // engines refuse at once. Within 2 s a fifth has to be tried.
+    const state = createAnswer();
+    applyAnswerEvent(state, { kind: AnswerEventKind.Opened }, 0);
+    let hedges = 0;
+    for (let nowMs = 25; nowMs < 2_000; nowMs += 25) {
+      const limits = new Map(
+        [...state.attempts.keys()].map((number) => [number, silenceLimitMs]),
+      );
+      const effects = applyAnswerEvent(
+        state,
+        { kind: AnswerEventKind.Ticked, silenceLimitMs: limits },
+        nowMs,
+      );
+      for (const effect of effects) {
+        if (effect.kind !== AnswerEffectKind.StartAttempt) continue;
+        hedges += 1;
+        applyAnswerEvent(state, {
+          kind: AnswerEventKind.AttemptFailed,
+          attemptNumber: effect.attemptNumber,
+          errorKind: ErrorKind.UpstreamFailed,
+          message: "connection reset",
+        }, nowMs + 5);
+      }
+    }
+    expect(hedges).toBeGreaterThanOrEqual(5);
+    // An engine pool that refuses all hedges is not flooded.
+    expect(hedges).toBeLessThan(10);
+  });
+});
--- a/src/answers/answer_state.ts
+++ b/src/answers/answer_state.ts
@@ -68,6 +68,8 @@
   isEndReleased: boolean;
   isClosed: boolean;
   hedgeAllowedAtMs: number;
+  /** Failed hedges in a row without a new token. */
+  failedHedges: number;
   readonly waste: TokenWaste;
 }
 
