--- a/src/entry/caller_app.ts
+++ b/src/entry/caller_app.ts
@@ -6,6 +6,7 @@
 import { type Context, Hono } from "hono";
 import { bodyLimit } from "hono/body-limit";
 import { err, ok, type Result } from "neverthrow";
+import { parseAnswerId } from "../answers/answer_id.ts";
 import type { AnswerReader } from "../answers/answer_reader.ts";
 import type { AnswerService } from "../answers/answer_service.ts";
 import type { CallService } from "../calls/call_service.ts";
@@ -78,6 +79,9 @@
 const deadlineHeader = "x-deadline-ms";
 /** Priority at the engines of work above the customer's share. */
 const overSharePriority = 0;
+/** A caller can then try an instance on the other side of a partition. */
+const firstLocateTimeoutMs = 500;
+const maxKeyChars = 200;
 const startPosition: EventPosition = {
   fromPosition: 0,
   lastAttempt: undefined,
@@ -239,6 +243,10 @@
     customerId: CustomerId,
   ): Promise<Response> {
     const answerId = context.req.param("answerId") ?? "";
+    if (parseAnswerId(answerId).isNothing) {
+      const message = "no such answer";
+      return refuse(context, createError(ErrorKind.NotFound, message));
+    }
     const isStreaming =
       context.req.header("accept")?.includes("text/event-stream") === true;
     const lastEventId = context.req.header("last-event-id");
@@ -267,6 +275,7 @@
       customerId,
       ...position,
       waitMs: 0,
+      locateTimeoutMs: firstLocateTimeoutMs,
     });
     const mayStream = first.isOk() ||
       (first.error.kind === ErrorKind.AnswerDiverged && stream.canReset);
@@ -306,20 +315,27 @@
       const message = `no such service: ${name}`;
       return refuse(context, createError(ErrorKind.NotFound, message));
     }
-    const url = new URL(context.req.url);
-    const path = url.pathname.slice(`/v1/services/${name}`.length) + url.search;
+    const idempotencyKey = context.req.header("idempotency-key") ?? "";
+    if (idempotencyKey.length > maxKeyChars) {
+      // A shortened key could stand for two different requests.
+      return refuse(
+        context,
+        createError(
+          ErrorKind.InvalidRequest,
+          `the Idempotency-Key exceeds ${maxKeyChars} characters`,
+          { fieldPath: "headers.Idempotency-Key" },
+        ),
+      );
+    }
     const result = await calls.execute({
       customerId,
       service,
       remainingMs: getRemainingMs(context, service.timeoutMs),
       method: context.req.method,
-      path,
+      path: getServicePath(context.req.url),
       contentType: context.req.header("content-type") ?? "",
       body: await context.req.text(),
-      idempotencyKey: (context.req.header("idempotency-key") ?? "").slice(
-        0,
-        200,
-      ),
+      idempotencyKey,
     });
     if (result.isErr()) return refuse(context, result.error);
     const { status, contentType, body } = result.value;
@@ -399,6 +415,15 @@
   return /^\d{1,9}$/.test(text) ? Math.min(maxMs, Number(text)) : maxMs;
 }
 
+/**
+ * What follows the service name, as sent. The name may be percent-encoded, so
+ * its length says nothing about where the rest starts.
+ */
+function getServicePath(requestUrl: string): string {
+  const { pathname, search } = new URL(requestUrl);
+  return `/${pathname.split("/").slice(4).join("/")}${search}`;
+}
+
 function writeText(outgoing: ServerResponse, text: string): Promise<boolean> {
   if (outgoing.destroyed || outgoing.writableEnded) {
     return Promise.resolve(false);
