--- /dev/null
+++ b/src/control/rollouts/rollout_requests.ts
@@ -0,0 +1,87 @@
+/**
+ * Compares the rollouts that the configuration asks for with those of the
+ * replicated state, and says which to start and which to cancel.
+ */
+import type { Configuration, ServiceVersions } from "../configuration.ts";
+import { getTargetWallMs, lookUp } from "../configuration.ts";
+import { type RolloutCommand, RolloutCommandKind } from "./rollout_commands.ts";
+import type { RolloutTable } from "./rollout_table.ts";
+import { RolloutPhase } from "./rollout_types.ts";
+
+export interface WeightStore {
+  /** Rate at which one engine may load at a time. */
+  readonly rateBytesPerS: number;
+  /** Size of the weights of one version. */
+  readonly weightBytes: number;
+}
+
+export interface RolloutRequestsInput {
+  readonly configuration: Configuration;
+  readonly table: Pick<RolloutTable, "listAll" | "explain">;
+  readonly weightStore: WeightStore;
+  readonly nowWallMs: number;
+  getEngineCount(service: string): number;
+}
+
+/** Separates the parts of a rollout id; names of services hold no slash. */
+const separator = "/";
+
+export function getRolloutRequests(
+  input: RolloutRequestsInput,
+): RolloutCommand[] {
+  const { configuration, table, nowWallMs } = input;
+  const wanted = new Map(
+    Object.entries(configuration.rollouts).map(([service, rollout]) => {
+      const { candidateVersion, targetDate } = rollout;
+      const rolloutId = [service, candidateVersion, targetDate].join(separator);
+      return [rolloutId, { service, rollout }];
+    }),
+  );
+  const cancelled = table.listAll()
+    .filter(({ spec, phase }) =>
+      spec.rolloutId.includes(separator) && !wanted.has(spec.rolloutId) &&
+      isRunning(phase)
+    )
+    .map(({ spec }): RolloutCommand => ({
+      kind: RolloutCommandKind.Cancel,
+      rolloutId: spec.rolloutId,
+      atWallMs: nowWallMs,
+    }));
+  const started = [...wanted].flatMap(([rolloutId, { service, rollout }]) => {
+    const stableVersion = getStableVersion(
+      lookUp(configuration.versions, service),
+    );
+    const engineCount = input.getEngineCount(service);
+    const isKnown = table.explain(rolloutId) !== undefined;
+    if (isKnown || stableVersion === undefined || engineCount === 0) return [];
+    return [
+      {
+        kind: RolloutCommandKind.Start,
+        spec: {
+          rolloutId,
+          service,
+          stableVersion,
+          candidateVersion: rollout.candidateVersion,
+          createdAtWallMs: nowWallMs,
+          targetAtWallMs: getTargetWallMs(rollout),
+          weightBytes: input.weightStore.weightBytes,
+          weightStoreBytesPerS: input.weightStore.rateBytesPerS,
+          engineCount,
+        },
+      } satisfies RolloutCommand,
+    ];
+  });
+  return [...cancelled, ...started];
+}
+
+/** A rollout that is done may still be rolled back, until it is closed. */
+function isRunning(phase: RolloutPhase): boolean {
+  return phase === RolloutPhase.Planned || phase === RolloutPhase.Loading ||
+    phase === RolloutPhase.Ramping;
+}
+
+function getStableVersion(
+  versions: ServiceVersions | undefined,
+): string | undefined {
+  return versions?.kind === "stable" ? versions.stableVersion : undefined;
+}
--- a/src/control/rollouts/rollout_service.ts
+++ b/src/control/rollouts/rollout_service.ts
@@ -117,7 +117,10 @@
     }
     const before = getPhases();
     let isCommitted = true;
-    for (const command of getCommands(current, clock.wallMs())) {
+    // Without rollouts there is nothing to decide or to grant.
+    const isIdle = table.listAll().length === 0;
+    const commands = isIdle ? [] : getCommands(current, clock.wallMs());
+    for (const command of commands) {
       const result = await options.propose(command);
       isCommitted &&= result.isOk();
     }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -95,17 +95,6 @@
   );
   const random = createRandom(Date.now() ^ (Math.random() * 2 ** 31));
   const registry = createUpstreamRegistry({ clock, logger });
-  const rollouts = createRollouts({
-    settings,
-    clock,
-    logger,
-    random,
-    registry,
-    getAnswers: () => late.answers!,
-    getPeers: () => late.peers!,
-    getLog: () => log,
-    getInstanceCount: () => membership.listInstances().length,
-  });
   const engines = createEngineClient();
   const applications = createApplicationClient();
   const late: {
@@ -136,6 +125,19 @@
   const stateMachine = createStateMachine({
     onConfiguration: configuration.record,
   });
+  const rollouts = createRollouts({
+    settings,
+    clock,
+    logger,
+    random,
+    registry,
+    getAnswers: () => late.answers!,
+    getPeers: () => late.peers!,
+    getLog: () => log,
+    getConfiguration: configuration.getConfiguration,
+    table: stateMachine.rollouts,
+    getInstanceCount: () => membership.listInstances().length,
+  });
   const self: InstanceInfo = {
     instanceId: settings.instanceId,
     domainId: settings.domainId,
--- a/src/daemon/rollouts.ts
+++ b/src/daemon/rollouts.ts
@@ -1,16 +1,8 @@
 /**
- * Wires version rollouts into an instance. The control state does not carry
- * rollouts yet: this adapter applies their commands to its own table on the
- * leader, and is the only place to change when they join the control log.
+ * Wires version rollouts into an instance. Rollouts are part of the replicated
+ * control state; the leader starts the ones that tickets ask for.
  */
-import {
-  err,
-  errAsync,
-  ok,
-  okAsync,
-  type Result,
-  type ResultAsync,
-} from "neverthrow";
+import { err, errAsync, ok, type Result, type ResultAsync } from "neverthrow";
 import type { AnswerService } from "../answers/answer_service.ts";
 import type { ReplicatedLog } from "../control/replicated_log.ts";
 import type { EngineContent } from "../control/orders/engine_orders.ts";
@@ -21,7 +13,11 @@
   getDesiredEngines,
   getRolloutEngines,
 } from "../control/orders/rollout_engines.ts";
-import { RolloutCommandKind } from "../control/rollouts/rollout_commands.ts";
+import {
+  type RolloutCommand,
+  RolloutCommandKind,
+  type RolloutCommandResult,
+} from "../control/rollouts/rollout_commands.ts";
 import {
   createEvidenceCollector,
   type EvidenceCollector,
@@ -38,7 +34,11 @@
   createRolloutSync,
   type RolloutSync,
 } from "../control/rollouts/rollout_sync.ts";
-import { createRolloutTable } from "../control/rollouts/rollout_table.ts";
+import { getRolloutRequests } from "../control/rollouts/rollout_requests.ts";
+import { UpstreamKind } from "../core/types.ts";
+import type { RolloutTable } from "../control/rollouts/rollout_table.ts";
+import { CommandKind } from "../control/commands.ts";
+import type { Configuration } from "../control/configuration.ts";
 import {
   createTrafficLeases,
   type TrafficLeases,
@@ -72,14 +72,18 @@
   getAnswers(): AnswerService;
   getPeers(): PeerClient;
   getLog(): ReplicatedLog | undefined;
+  getConfiguration(): Configuration;
+  /** Rollouts of the replicated state, where this instance keeps it. */
+  readonly table: RolloutTable;
   getInstanceCount(): number;
 }
 
 const engineReportMs = 1_000;
+const requestIntervalMs = 500;
 
 export function createRollouts(options: RolloutsOptions): Rollouts {
   const { settings, clock, logger, random, registry } = options;
-  const table = createRolloutTable();
+  const { table } = options;
   const startedAtWallMs = clock.wallMs();
   const late: { sync?: RolloutSync } = {};
   const leases = createTrafficLeases({
@@ -109,7 +113,7 @@
       table,
       isLeader: () => options.getLog()?.isLeader() === true,
       getLeaderId: () => options.getLog()?.getLeaderId(),
-      propose: (command) => okAsync(table.apply(command)),
+      propose,
       getInstanceCount: options.getInstanceCount,
     });
   const reported = new Map<string, EngineContent>();
@@ -118,7 +122,9 @@
     leases,
     collector,
     start: (spec) =>
-      onLeader(() => table.apply({ kind: RolloutCommandKind.Start, spec })),
+      propose({ kind: RolloutCommandKind.Start, spec }).map((result) =>
+        result as RolloutCommandResult
+      ),
     explainAll: () =>
       onLeader(() =>
         table.listAll().flatMap(({ spec }) =>
@@ -130,6 +136,17 @@
     close: () => orders.close(),
   };
 
+  function propose(
+    rollout: RolloutCommand,
+  ): ResultAsync<unknown, SystemError> {
+    const log = options.getLog();
+    if (log) return log.propose({ kind: CommandKind.Rollout, rollout });
+    return errAsync(createError(
+      ErrorKind.NotLeader,
+      "this instance is not a control instance",
+    ));
+  }
+
   function onLeader<T>(action: () => T): Result<T, SystemError> {
     const log = options.getLog();
     if (log?.isLeader()) return ok(action());
@@ -161,7 +178,13 @@
     });
     late.sync = sync;
     return service
-      ? [service.task, sync.task, createOrders(), createReports()]
+      ? [
+        service.task,
+        sync.task,
+        createOrders(),
+        createReports(),
+        createRequests(),
+      ]
       : [sync.task];
   }
 
@@ -192,6 +215,27 @@
     });
   }
 
+  /** Starts and cancels rollouts as the configuration asks for. */
+  function createRequests(): Task {
+    return createPeriodicTask({
+      name: "rollout-requests",
+      clock,
+      intervalMs: requestIntervalMs,
+      action: async () => {
+        if (options.getLog()?.isLeader() !== true) return;
+        const requests = getRolloutRequests({
+          configuration: options.getConfiguration(),
+          table,
+          weightStore: settings.weightStore,
+          nowWallMs: clock.wallMs(),
+          getEngineCount: (name) =>
+            registry.listUsable(UpstreamKind.Engine, name).length,
+        });
+        for (const request of requests) await propose(request);
+      },
+    });
+  }
+
   function createReports(): Task {
     return createPeriodicTask({
       name: "rollout-engines",
@@ -200,7 +244,7 @@
       action: () => {
         if (options.getLog()?.isLeader() !== true) return;
         for (const engines of getRolloutEngines(getEngineInput())) {
-          table.apply({
+          void propose({
             kind: RolloutCommandKind.ReportEngines,
             rolloutId: engines.rolloutId,
             stableEngineIds: [...engines.stableEngineIds],
--- a/src/entry/rollout_routes.ts
+++ b/src/entry/rollout_routes.ts
@@ -4,7 +4,7 @@
  */
 import { Hono } from "hono";
 import { bodyLimit } from "hono/body-limit";
-import type { Result } from "neverthrow";
+import type { Result, ResultAsync } from "neverthrow";
 import type { RolloutExplanation } from "../control/rollouts/explain_rollout.ts";
 import {
   type RolloutCommandResult,
@@ -20,7 +20,7 @@
 } from "../core/errors.ts";
 
 export interface RolloutAdmin {
-  start(spec: RolloutSpec): Result<RolloutCommandResult, SystemError>;
+  start(spec: RolloutSpec): ResultAsync<RolloutCommandResult, SystemError>;
   explainAll(): Result<readonly RolloutExplanation[], SystemError>;
 }
 
@@ -42,7 +42,7 @@
         fieldPath: spec.error.issues[0]!.path.join("."),
       }));
     }
-    return rollouts.start(spec.data).match(
+    return await rollouts.start(spec.data).match(
       (result) => context.json(result),
       (error) => refuse(error),
     );
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -128,6 +128,12 @@
   limits: limitsSchema,
   metrics: listenSchema.optional(),
   prices: pricesSchema.prefault({}),
+  weightStore: strictFields({
+    /** Rate at which engines may load together. */
+    rateBytesPerS: z.number().positive().default(1_000_000_000),
+    /** Size of the weights of one version. */
+    weightBytes: z.number().positive().default(16_000_000_000),
+  }).prefault({}),
   log: strictFields({
     level: z.enum(LogLevel).default(LogLevel.Info),
     format: z.enum(["json", "text"]).default("json"),
