--- a/src/control/replicated_log.ts
+++ b/src/control/replicated_log.ts
@@ -90,7 +90,8 @@
 const defaultSnapshotBytes = 4 * 1024 * 1024;
 /** Messages are repeated by heartbeats, so a lost reply costs nothing. */
 const sendTimeoutMs = 1_000;
-const maxQueuedProposals = 20_000;
+/** Bounds the memory while the disk hangs; a command has up to 300 KiB. */
+const maxQueuedProposals = 4_096;
 
 const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
 
