Confirm contact with the new voters before a membership change

One voter was down; a spare and a second voter lost their disks; then the leader added the spare, whose last acknowledgement was younger than an election timeout. The group had four voters, two of them gone for good.

Tried first: counting contact of two heartbeats only.

Now the leader plans a change and waits until a majority of the new voters, the added one among them, acknowledges a message that was sent after the plan. The new focused test fails without the confirmation.

Not covered: both disks are lost while the acknowledgements are on the way to the leader.

--- a/src/control/log/consensus.ts
+++ b/src/control/log/consensus.ts
@@ -105,7 +105,6 @@
       greet(step);
       startElectionWhenDue(step);
       tickLeader(step);
-      adjustVoters(step);
       return;
     case LogEventKind.Receive:
       if (isForThisReplica(step, event.envelope)) {
@@ -119,6 +118,7 @@
       compact(step, event);
       return;
     case LogEventKind.Flush:
+      adjustVoters(step);
       flushLeader(step);
       return;
     default:
--- a/src/control/log/consensus_test.ts
+++ b/src/control/log/consensus_test.ts
@@ -188,6 +188,24 @@
   expectProgress(group, 2_000);
 });
 
+// Guards against a group that is blocked for good because it counts on a spare
+// that was lost, together with another voter's disk, before the change began.
+test("a spare that was just lost does not become a voter", () => {
+  // The first voter counts as lost after 400 ms.
+  for (let waitMs = 200; waitMs < 400; waitMs += 5) {
+    const group = start(4, 3);
+    const [first, second] = getFollowers(group);
+    const spare = group.nodes[3]!;
+    group.kill(first!);
+    group.run(waitMs);
+    group.loseDisk(spare);
+    group.loseDisk(second!);
+    group.run(200);
+    group.start(first!);
+    expectProgress(group, 2_000);
+  }
+});
+
 // Guards against a spare that becomes a voter while it lacks entries.
 test("a lost voter stays until a spare has caught up", () => {
   const group = start(4, 3);
--- a/src/control/log/log_types.ts
+++ b/src/control/log/log_types.ts
@@ -82,6 +82,8 @@
   /** Commit index one heartbeat ago: a spare that has it has caught up. */
   caughtUpIndex: number;
   heartbeatAtMs: number;
+  /** Voters of the next membership change, and when it was planned. */
+  plannedChange: { readonly key: string; readonly sinceMs: number };
 }
 
 export type RoleState =
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -51,6 +51,7 @@
     ),
     caughtUpIndex: lastIndex + 1,
     heartbeatAtMs: nowMs,
+    plannedChange: { key: "", sinceMs: nowMs },
   });
   state.leaderId = state.selfId;
   appendEntries(step, [{
--- a/src/control/log/voter_changes.ts
+++ b/src/control/log/voter_changes.ts
@@ -13,6 +13,7 @@
   EffectKind,
   getInstanceId,
   getQuorum,
+  isVoter,
   type LeaderRole,
   type ReplicaId,
   Role,
@@ -36,13 +37,25 @@
   });
 }
 
-/** Starts the next change that brings the voters to their target, if any. */
+/**
+ * Starts the next change that brings the voters to their target, if any.
+ *
+ * The voters that the change counts on must acknowledge a message sent after it
+ * was planned. Adding a spare that has just been lost raises the majority, and
+ * blocks the group for good if another voter loses its disk at the same time.
+ */
 export function adjustVoters(step: Step): void {
-  const { state, effects } = step;
-  if (state.role.kind !== Role.Leader || !canChange(state)) return;
-  const next = getNextConfiguration(step, state.role);
-  if (!next || !isCommittable(step, state.role, next)) return;
-  changeConfiguration(step, state.role, next);
+  const { state, nowMs, effects } = step;
+  const { role } = state;
+  if (role.kind !== Role.Leader || !canChange(state)) return;
+  const next = getNextConfiguration(step, role);
+  const key = next?.voters.join() ?? "";
+  if (!next || role.plannedChange.key !== key) {
+    role.plannedChange = { key, sinceMs: nowMs };
+    return;
+  }
+  if (!isConfirmed(state, role, next)) return;
+  changeConfiguration(step, role, next);
   effects.push({ kind: EffectKind.VoterReplaced, configuration: next });
 }
 
@@ -132,13 +145,16 @@
     nowMs >= silentSinceMs + state.options.replaceVoterAfterMs;
 }
 
-function isCommittable(
-  step: Step,
+function isConfirmed(
+  state: ConsensusState,
   role: LeaderRole,
-  configuration: LogConfiguration,
+  next: LogConfiguration,
 ): boolean {
-  const reachable = configuration.voters.filter((id) =>
-    isReachable(step, role, id)
-  );
-  return reachable.length >= getQuorum(configuration);
+  const confirmed = next.voters.filter((id) => {
+    const ackedSentAtMs = role.progress.get(id)?.ackedSentAtMs ?? -Infinity;
+    return id === state.selfId || ackedSentAtMs > role.plannedChange.sinceMs;
+  });
+  const added = next.voters.filter((id) => !isVoter(state, id));
+  return confirmed.length >= getQuorum(next) &&
+    added.every((id) => confirmed.includes(id));
 }
