--- a/measure/propagation_fakes.ts
+++ b/measure/propagation_fakes.ts
@@ -56,6 +56,8 @@
 /** TLS record and TCP/IP headers of one small message. */
 const overheadBytes = 69;
 
+export type Fakes = ReturnType<typeof createFakes>;
+
 export function createFakes(options: FakesOptions) {
   const { random } = options;
   const queue = createQueue();
@@ -77,7 +79,8 @@
     nowMs: queue.nowMs,
     runUntil: queue.runUntil,
     send,
-    schedule: queue.schedule,
+    execute,
+    isReachable: looksReachable,
   };
 
   function addNode(domain: number, place: number): void {
@@ -190,9 +193,17 @@
       );
     });
     send(node, target, getBytes(body), () => {
-      const { reply, effects } = target.core.receivePush(body, queue.nowMs());
-      send(target, node, getBytes(reply), () => finish(reply));
+      const { hasNews, effects } = target.core.receivePush(
+        body,
+        queue.nowMs(),
+      );
       execute(target, effects);
+      const { run } = target;
+      queue.schedule(target.hasDisk ? diskWriteMs : 0, () => {
+        if (!target.isUp || target.run !== run) return;
+        const reply = target.core.getPushReply(body, hasNews);
+        send(target, node, getBytes(reply), () => finish(reply));
+      });
     });
   }
 
--- a/src/control/configuration_node.ts
+++ b/src/control/configuration_node.ts
@@ -28,7 +28,10 @@
 });
 
 export const configurationPushReplySchema = z.object({
-  /** Revisions in force at the receiver and, from a relay, in its domain. */
+  /**
+   * Revision in force at the receiver. A relay that had the revision already
+   * adds those of its domain.
+   */
   members: z.array(z.object({
     instanceId: instanceIdSchema,
     revision: z.int().min(0),
@@ -65,7 +68,9 @@
   receivePush(
     push: ConfigurationPush,
     nowMs: number,
-  ): { readonly reply: PushReply; readonly effects: PropagationEffect[] };
+  ): { readonly hasNews: boolean; readonly effects: PropagationEffect[] };
+  /** Made once the received revision is in force, so that it is reported. */
+  getPushReply(push: ConfigurationPush, hasNews: boolean): PushReply;
   receivePull(pull: ConfigurationPull): PullReply;
   endPull(
     from: InstanceId,
@@ -102,25 +107,33 @@
     }),
     getPull: () => ({ revision: store.getRevision() }),
     receivePush,
+    getPushReply,
     receivePull: ({ revision }) => ({ update: store.getUpdate(revision) }),
     endPull,
   };
 
   function receivePush(push: ConfigurationPush, nowMs: number) {
     const { from, update, mustForward } = push;
-    store.tryAdopt(update);
+    const hasNews = store.tryAdopt(update);
     const effects = propagation.handle({
       kind: "pushReceived",
       from,
       revision: getRevisionOf(update),
       isForwarded: mustForward,
     }, nowMs);
-    const self = {
-      instanceId: options.selfId,
-      revision: options.getRevisionInForce(),
-    };
-    const members = mustForward ? propagation.listDomainRevisions() : [self];
-    return { reply: { members }, effects };
+    return { hasNews, effects };
+  }
+
+  /** The list of the domain is long, so it comes only with a repeated push. */
+  function getPushReply(
+    { mustForward }: ConfigurationPush,
+    hasNews: boolean,
+  ): PushReply {
+    if (mustForward && !hasNews) {
+      return { members: propagation.listDomainRevisions() };
+    }
+    const revision = options.getRevisionInForce();
+    return { members: [{ instanceId: options.selfId, revision }] };
   }
 
   function endPull(
--- a/src/control/configuration_service.ts
+++ b/src/control/configuration_service.ts
@@ -2,7 +2,7 @@
  * Keeps the configuration in force at this instance: carries out the decisions
  * of the propagation and writes the cache before a revision comes into force.
  */
-import { ok, type Result } from "neverthrow";
+import { ok, type Result, ResultAsync } from "neverthrow";
 import type { Clock } from "../core/clock.ts";
 import type { SystemError } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
@@ -41,7 +41,7 @@
   ): void;
   handleHeartbeat(heartbeat: Heartbeat): void;
   handleListRead(): void;
-  handlePush(push: ConfigurationPush): Result<PushReply, SystemError>;
+  handlePush(push: ConfigurationPush): ResultAsync<PushReply, SystemError>;
   handlePull(pull: ConfigurationPull): Result<PullReply, SystemError>;
   /** Listed instances that are not known to have applied the revision. */
   listBehind(revision: number): InstanceId[];
@@ -75,6 +75,7 @@
   const cached = loadCache();
   let inForce = cached ?? options.initial;
   let isWriting = false;
+  let writing = Promise.resolve();
   let isListRead = false;
   let isComplete = false;
   const node = createConfigurationNode({
@@ -111,9 +112,11 @@
       isListRead = true;
     },
     handlePush: (push) => {
-      const { reply, effects } = node.receivePush(push, clock.nowMs());
+      const { hasNews, effects } = node.receivePush(push, clock.nowMs());
       execute(effects);
-      return ok(reply);
+      return ResultAsync.fromSafePromise(
+        writing.then(() => node.getPushReply(push, hasNews)),
+      );
     },
     handlePull: (pull) => ok(node.receivePull(pull)),
     listBehind: (revision) => [
@@ -165,7 +168,7 @@
   }
 
   function execute(effects: readonly PropagationEffect[]): void {
-    void publish();
+    if (!isWriting) writing = publish();
     for (const effect of effects) {
       if (effect.kind === "push") void push(effect);
       else void pull(effect.from);
@@ -202,7 +205,6 @@
 
   /** Writes one revision at a time; those that arrive meanwhile are merged. */
   async function publish(): Promise<void> {
-    if (isWriting) return;
     isWriting = true;
     while (node.store.getRevision() > inForce.revision) {
       const next = node.store.getConfiguration();
--- a/src/control/propagation.ts
+++ b/src/control/propagation.ts
@@ -1,8 +1,8 @@
 /**
  * Decides whom to send a new configuration and whom to ask for one.
  *
- * The control leader sends a revision to one relay in each failure domain and
- * to the instances of its own; a relay forwards it inside its domain. Whoever
+ * The control leader sends a revision to one relay in each failure domain, its
+ * own included; a relay forwards it inside its domain. Whoever
  * sees a higher revision than its own and does not get it in time pulls it.
  */
 import type { Random } from "../core/random.ts";
@@ -77,7 +77,7 @@
 /** Above the usual delay of a push, so that few pulls duplicate one. */
 const pullGraceMs = 300;
 /** Bounds the sends of the leader while tickets arrive in a burst. */
-const minPushIntervalMs = 200;
+const minPushIntervalMs = 500;
 const failedPauseMs = 2_000;
 /** A relay is asked again while its domain is not complete. */
 const domainCheckMs = 1_000;
@@ -154,30 +154,30 @@
 
   function decidePushes(nowMs: number): PropagationEffect[] {
     const ownRevision = options.getRevision();
-    const isLeader = options.isLeader();
-    const isRelay = ownRevision >= forwardRevision;
-    const duty = isLeader ? ownRevision : isRelay ? forwardRevision : 0;
-    if (duty === 0) return [];
-    const behind = options.listMembers().filter((member) =>
-      member.isReachable && getKnownRevision(member.instanceId) < duty
-    );
-    const effects: PropagationEffect[] = [];
-    for (const member of behind) {
-      if (member.domainId !== domainId) continue;
-      if (mayPush(member.instanceId, duty, nowMs)) {
-        effects.push(push(member.instanceId, false, nowMs));
-      }
-    }
-    if (!isLeader) return effects;
+    const forwards = ownRevision >= forwardRevision
+      ? listReachableBehind(forwardRevision)
+        .filter((member) => member.domainId === domainId)
+        .filter(({ instanceId }) => mayPush(instanceId, forwardRevision, nowMs))
+        .map(({ instanceId }) => push(instanceId, false, nowMs))
+      : [];
+    if (!options.isLeader()) return forwards;
+    const behind = listReachableBehind(ownRevision);
     const domains = new Set(behind.map((member) => member.domainId));
-    domains.delete(domainId);
+    const relayed: PropagationEffect[] = [];
     for (const domain of domains) {
       const relay = chooseRelay(domain, nowMs);
-      if (relay !== undefined && mayPush(relay, duty, nowMs)) {
-        effects.push(push(relay, true, nowMs));
+      if (relay !== undefined && mayPush(relay, ownRevision, nowMs)) {
+        relayed.push(push(relay, true, nowMs));
       }
     }
-    return effects;
+    return [...forwards, ...relayed];
+  }
+
+  function listReachableBehind(revision: number): PropagationMember[] {
+    if (revision === 0) return [];
+    return options.listMembers().filter((member) =>
+      member.isReachable && getKnownRevision(member.instanceId) < revision
+    );
   }
 
   function mayPush(to: InstanceId, duty: number, nowMs: number): boolean {
