--- a/src/control/ticket_table_test.ts
+++ b/src/control/ticket_table_test.ts
@@ -2,6 +2,7 @@
  * Guards the ticket rules: no accepted ticket is lost, no number is in force
  * with two contents, and resends get the same reply after snapshots.
  */
+import { isDeepStrictEqual } from "node:util";
 import fc from "fast-check";
 import { expect, test } from "vitest";
 import {
@@ -78,7 +79,7 @@
       let expected: Configuration = initial;
       const accepted = new Map<
         number,
-        { content: string; reply: TicketResult }
+        { content: unknown; reply: TicketResult }
       >();
       const lastNumbers = new Map<string, number>();
       for (const entry of steps) {
@@ -89,12 +90,12 @@
           continue;
         }
         const ticket = { number: entry.number, ...entry.content };
-        const content = JSON.stringify(entry.content);
+        const { content } = entry;
         const reply = table.submit({ ticket, initial, atWallMs });
         const previous = accepted.get(entry.number);
         const parsed = parseTicket(ticket)._unsafeUnwrap();
         const touched = listTouched(parsed);
-        if (previous && previous.content === content) {
+        if (previous && isDeepStrictEqual(previous.content, content)) {
           expect(reply).toEqual(previous.reply);
         } else if (previous) {
           expect(reply).toMatchObject({
