--- a/src/control/rollouts/rollout_service.ts
+++ b/src/control/rollouts/rollout_service.ts
@@ -10,7 +10,7 @@
 import { createError, ErrorKind, type SystemError } from "../../core/errors.ts";
 import { logEvents } from "../../core/log_events.ts";
 import type { Logger } from "../../core/logger.ts";
-import { createPeriodicTask, type Task } from "../../core/supervisor.ts";
+import type { Task } from "../../core/supervisor.ts";
 import type { InstanceId } from "../../core/types.ts";
 import {
   type RolloutBatch,
@@ -24,6 +24,7 @@
 } from "./rollout_messages.ts";
 import type { CurrentRollout, RolloutTable } from "./rollout_table.ts";
 import { RolloutPhase } from "./rollout_types.ts";
+import { createSlotTask, slotMs } from "./slot_task.ts";
 
 export interface RolloutService {
   sync(request: SyncRollouts): ResultAsync<SyncRolloutsReply, SystemError>;
@@ -40,7 +41,8 @@
   getInstanceCount(): number;
 }
 
-const roundMs = 250;
+/** Evidence of a slot arrives before its round. */
+const roundOffsetMs = 200;
 export const leaseMs = 2_000;
 /** Instances that wait for one round; more are asked to come back. */
 const maxWaiting = 2_000;
@@ -58,10 +60,10 @@
   let round = createRound();
   return {
     sync,
-    task: createPeriodicTask({
+    task: createSlotTask({
       name: "rollout-rounds",
       clock,
-      intervalMs: roundMs,
+      offsetMs: roundOffsetMs,
       action: runRound,
     }),
   };
@@ -77,7 +79,7 @@
       return errAsync(createError(
         ErrorKind.Overloaded,
         "too many instances wait for a rollout round",
-        { retryAfterMs: roundMs },
+        { retryAfterMs: slotMs },
       ));
     }
     for (const { rolloutId, batch } of request.batches) {
@@ -93,7 +95,7 @@
       isCommitted ? okAsync(getReply()) : errAsync(createError(
         ErrorKind.NoQuorum,
         "the rollout round was not committed",
-        { retryAfterMs: roundMs },
+        { retryAfterMs: slotMs },
       ))
     );
   }
--- a/src/control/rollouts/rollout_sync.ts
+++ b/src/control/rollouts/rollout_sync.ts
@@ -4,7 +4,7 @@
  * the candidate before control is told.
  */
 import type { Clock } from "../../core/clock.ts";
-import { createPeriodicTask, type Task } from "../../core/supervisor.ts";
+import type { Task } from "../../core/supervisor.ts";
 import type { InstanceId } from "../../core/types.ts";
 import { PeerCallKind } from "../../peer/messages.ts";
 import type { PeerClient } from "../../peer/peer_client.ts";
@@ -12,6 +12,7 @@
 import type { EvidenceCollector } from "./evidence_collector.ts";
 import type { SyncRollouts, SyncRolloutsReply } from "./rollout_messages.ts";
 import type { RolloutService } from "./rollout_service.ts";
+import { createSlotTask } from "./slot_task.ts";
 import type { TrafficLeases } from "./traffic_leases.ts";
 
 export interface RolloutSyncOptions {
@@ -30,7 +31,6 @@
   onFault(rolloutId: string, finding: Finding): void;
 }
 
-const syncIntervalMs = 400;
 const syncTimeoutMs = 1_000;
 
 export function createRolloutSync(options: RolloutSyncOptions): RolloutSync {
@@ -39,10 +39,10 @@
   let leaderId = controlInstanceIds[0]!;
   let faults: SyncRollouts["faults"] = [];
   return {
-    task: createPeriodicTask({
+    task: createSlotTask({
       name: "rollout-sync",
       clock,
-      intervalMs: syncIntervalMs,
+      offsetMs: 0,
       action: sync,
     }),
     onFault,
