--- a/measure/rollout_model.ts
+++ b/measure/rollout_model.ts
@@ -49,8 +49,11 @@
   readonly durationMs: number;
 }
 
-export function createModel(kind: FaultKind, random: Random): ServiceModel {
-  const windowMs = 40 * 60_000;
+export function createModel(
+  kind: FaultKind,
+  random: Random,
+  windowMs = 40 * 60_000,
+): ServiceModel {
   const baseRequestsPerS = 25 + 20 * random.next();
   return {
     engineCount: 17,
