Await accepted orders before issuing them again; bound routes in evidence

A load takes longer than the read-back interval of 1 s, so it was issued again every second. Callers name routes: 5000 made-up routes gave a batch of 5000 cells, which control refuses, and the lease with it.

--- a/src/control/orders/engine_orders.ts
+++ b/src/control/orders/engine_orders.ts
@@ -36,6 +36,9 @@
   reported: EngineContent | undefined;
   checksFencing: boolean;
   inFlight: EngineOrder | undefined;
+  /** Accepted, and not yet seen in a report. */
+  accepted: EngineOrder | undefined;
+  reissueAtMs: number;
   /** The next order or check is due at this time. */
   dueAtMs: number;
   failureCount: number;
@@ -116,6 +119,8 @@
 /** Longest time from the write of an order to its effect on the engine. */
 export const maxOrderInFlightMs = 3_000;
 const checkIntervalMs = 1_000;
+/** An accepted load takes a while; sent again too early it may start over. */
+const reissueAfterMs = 10_000;
 const initialRetryMs = 500;
 const maxRetryMs = 30_000;
 
@@ -140,6 +145,7 @@
       state.unfencedFromMs = nowMs + leaderLeaseMs + maxOrderInFlightMs;
       for (const entry of state.engines.values()) {
         entry.inFlight = undefined;
+        entry.accepted = undefined;
         // The predecessor may have changed the engine since the last report.
         entry.reported = undefined;
         entry.dueAtMs = nowMs;
@@ -185,6 +191,8 @@
     reported: undefined,
     checksFencing: event.checksFencing,
     inFlight: undefined,
+    accepted: undefined,
+    reissueAtMs: 0,
     dueAtMs: nowMs,
     failureCount: 0,
   });
@@ -200,10 +208,13 @@
 ): OrdersEffect[] {
   const entry = state.engines.get(upstreamId);
   if (!entry?.inFlight) return [];
+  const order = entry.inFlight;
   entry.inFlight = undefined;
   switch (answer) {
     case OrderAnswer.Accepted:
       entry.failureCount = 0;
+      entry.accepted = order;
+      entry.reissueAtMs = nowMs + reissueAfterMs;
       entry.dueAtMs = nowMs + checkIntervalMs;
       // Accepted is not done: the state is read back until it matches.
       entry.reported = undefined;
@@ -234,7 +245,10 @@
       continue;
     }
     const order = findNextOrder(entry.desired, entry.reported);
-    if (!order) {
+    if (order?.kind !== entry.accepted?.kind) entry.accepted = undefined;
+    const isAwaited = order !== undefined &&
+      order.name === entry.accepted?.name && nowMs < entry.reissueAtMs;
+    if (!order || isAwaited) {
       // Read again later: a late order of a former leader may still arrive.
       entry.reported = undefined;
       entry.dueAtMs = nowMs + checkIntervalMs;
--- a/src/control/orders/engine_orders_test.ts
+++ b/src/control/orders/engine_orders_test.ts
@@ -122,6 +122,38 @@
   expect(unfenced.mustCheckLease).toBe(true);
 });
 
+test("an accepted order is awaited before it is issued again", () => {
+  const state = setUp(true);
+  const sentAtMs: number[] = [];
+  for (let nowMs = 0; nowMs < 15_000; nowMs += 500) {
+    const effects = applyOrdersEvent(
+      state,
+      { kind: OrdersEventKind.Ticked },
+      nowMs,
+    );
+    for (const effect of effects) {
+      if (effect.kind === OrdersEffectKind.SendOrder) sentAtMs.push(nowMs);
+      applyOrdersEvent(
+        state,
+        effect.kind === OrdersEffectKind.SendOrder
+          ? {
+            kind: OrdersEventKind.OrderAnswered,
+            upstreamId: "e1",
+            answer: OrderAnswer.Accepted,
+          }
+          : {
+            kind: OrdersEventKind.Reported,
+            upstreamId: "e1",
+            content: { versions: ["v1"], adapters: [], role: "" },
+          },
+        nowMs,
+      );
+    }
+  }
+  expect(sentAtMs.length).toBe(2);
+  expect(sentAtMs[1]! - sentAtMs[0]!).toBeGreaterThanOrEqual(10_000);
+});
+
 test("a rejected token ends the leader's orders", () => {
   const state = setUp(true);
   state.engines.get("e1")!.inFlight = { kind: OrderKind.Load, name: "v2" };
--- a/src/control/orders/order_task.ts
+++ b/src/control/orders/order_task.ts
@@ -43,6 +43,7 @@
   const { clock, logger, client } = options;
   const state = createOrdersState();
   const baseUrls = new Map<UpstreamId, string>();
+  const lastOrders = new Map<UpstreamId, string>();
   return createPeriodicTask({
     name: "engine-orders",
     clock,
@@ -69,6 +70,7 @@
     for (const upstreamId of baseUrls.keys()) {
       if (listedIds.has(upstreamId)) continue;
       baseUrls.delete(upstreamId);
+      lastOrders.delete(upstreamId);
       send({
         kind: OrdersEventKind.Desired,
         upstreamId,
@@ -130,7 +132,13 @@
     // No await between this check and the write.
     const mayWrite = baseUrl !== undefined &&
       (!mustCheckLease || options.hasLease());
-    logger.log(logEvents.orderSent, { upstream: upstreamId, ...order });
+    const text = `${order.kind} ${order.name}`;
+    const isRepeated = lastOrders.get(upstreamId) === text;
+    lastOrders.set(upstreamId, text);
+    logger.log(isRepeated ? logEvents.orderReissued : logEvents.orderSent, {
+      upstream: upstreamId,
+      ...order,
+    });
     const answer = mayWrite
       ? await client.send(baseUrl, order, fencingToken)
       : OrderAnswer.Failed;
--- a/src/control/rollouts/evidence_collector.ts
+++ b/src/control/rollouts/evidence_collector.ts
@@ -13,7 +13,12 @@
   createComparison,
   type Finding,
 } from "./comparison_state.ts";
-import { getLatencyBin, getLoadBucket } from "./evidence.ts";
+import {
+  getLatencyBin,
+  getLoadBucket,
+  maxRoutes,
+  otherRoute,
+} from "./evidence.ts";
 import type { RolloutBatch } from "./rollout_commands.ts";
 import type { TrafficGrant } from "./rollout_messages.ts";
 import { addEvidence } from "./version_comparison.ts";
@@ -71,6 +76,7 @@
   readonly pending: PendingBatch[];
   nextBatchNumber: number;
   readonly testCount: number;
+  readonly routes: Set<string>;
 }
 
 interface PendingFailure {
@@ -99,6 +105,7 @@
       pending: [],
       nextBatchNumber: 1,
       testCount: grant.instanceCount,
+      routes: new Set(),
     };
     collections.set(grant.rolloutId, collection);
     return collection;
@@ -111,9 +118,9 @@
     if (!isCandidate && attempt.version !== grant.stableVersion) {
       return undefined;
     }
-    const { counter } = getCollection(grant);
+    const { counter, routes } = getCollection(grant);
     const key = {
-      route: attempt.route,
+      route: limitRoute(routes, attempt.route),
       loadBucket: getLoadBucket(attempt.loadCount),
       isCandidate,
     };
@@ -223,3 +230,11 @@
     }
   }
 }
+
+/** Callers name routes, so their number has to be bounded here. */
+function limitRoute(routes: Set<string>, route: string): string {
+  if (routes.has(route)) return route;
+  if (routes.size >= maxRoutes - 1) return otherRoute;
+  routes.add(route);
+  return route;
+}
--- a/src/control/rollouts/evidence_collector_test.ts
+++ b/src/control/rollouts/evidence_collector_test.ts
@@ -43,11 +43,11 @@
     reportMs = nowMs;
   }
 
-  function run(version: string, isFailure: boolean): void {
+  function run(version: string, isFailure: boolean, route = "default"): void {
     const recorder = collector.observe({
       service: "taller-lm",
       version,
-      route: "default",
+      route,
       upstreamId: "e1",
       loadCount: 3,
       isResumed: false,
@@ -87,6 +87,13 @@
   expect(collector.flush().map(({ batch }) => batch.batchNumber)).toEqual([2]);
 });
 
+test("routes that callers make up do not enlarge a batch without bound", () => {
+  const { collector, run } = setUp();
+  for (let index = 0; index < 5_000; index++) run("v1", false, `r${index}`);
+  const [batch] = collector.flush();
+  expect(batch!.batch.cells.length).toBeLessThanOrEqual(16);
+});
+
 test("an instance sees a fault in its own outcomes", () => {
   const { collector, faults, run, report, advance } = setUp();
   for (let index = 0; index < 300; index++) run("v1", false);
