--- a/measure/recovery_trials.ts
+++ b/measure/recovery_trials.ts
@@ -4,7 +4,7 @@
  */
 import { startCluster, type UpstreamHandle } from "./launcher.ts";
 import { createLoadClient } from "./load_client.ts";
-import { getPercentile, getTotals, sum } from "./statistics.ts";
+import { getPercentile, getTotals } from "./statistics.ts";
 
 export type EngineLoss = "none" | "killed" | "frozen";
 
@@ -18,7 +18,8 @@
   readonly resumeP99Ms: number;
   readonly maxGapMs: number;
   readonly extraTokensRatio: number;
-  readonly refilledTokens: number;
+  /** Journal tokens prefilled again, in relation to useful tokens. */
+  readonly refilledTokensRatio: number;
 }
 
 const answerCount = 200;
@@ -72,14 +73,18 @@
       resumeP50Ms: Math.round(getPercentile(affected, 0.5)),
       resumeP99Ms: Math.round(getPercentile(affected, 0.99)),
       maxGapMs: Math.round(getPercentile(gaps, 1)),
-      extraTokensRatio: Math.round(totals.extraTokensRatio * 100_000) / 100_000,
-      refilledTokens: sum([totals.refilledTokens]),
+      extraTokensRatio: round(totals.extraTokensRatio),
+      refilledTokensRatio: round(totals.refilledTokens / totals.usefulTokens),
     };
   } finally {
     await cluster.stop();
   }
 }
 
+function round(value: number): number {
+  return Math.round(value * 10_000) / 10_000;
+}
+
 function loseEngine({ process }: UpstreamHandle, loss: EngineLoss): void {
   if (loss === "killed") {
     process.kill("SIGKILL");
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -163,7 +163,14 @@
   const app = new Hono();
   app.route(
     "/admin",
-    createOperatorApp({ authenticator, membership, registry, answers }),
+    createOperatorApp({
+      authenticator,
+      membership,
+      registry,
+      answers,
+      getLimits: traffic.getLimits,
+      getCircuit: traffic.getCircuit,
+    }),
   );
   app.route(
     "/",
--- a/src/daemon/traffic.ts
+++ b/src/daemon/traffic.ts
@@ -7,7 +7,7 @@
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import { createPeriodicTask, type Task } from "../core/supervisor.ts";
-import { UpstreamKind } from "../core/types.ts";
+import { type UpstreamId, UpstreamKind } from "../core/types.ts";
 import { type Admission, createAdmission } from "../limits/admission.ts";
 import { createConcurrencyWindow } from "../limits/concurrency_window.ts";
 import { createSettingsCustomerLimits } from "../limits/customer_limits.ts";
@@ -40,6 +40,9 @@
   readonly callBudget: RetryBudget;
   readonly admission: Admission;
   readonly tasks: readonly Task[];
+  /** For operators. */
+  getLimits(): unknown;
+  getCircuit(upstreamId: UpstreamId): string;
   close(): Promise<void>;
 }
 
@@ -88,6 +91,16 @@
     maxQueueWaitMs: limits.maxQueueWaitMs,
   });
   const ratio = limits.retryBudgetRatio;
+  const answerBudget = createRetryBudget({
+    ratio,
+    initialUnits: 2_000,
+    maxUnits: 50_000,
+  });
+  const callBudget = createRetryBudget({
+    ratio,
+    initialUnits: 10,
+    maxUnits: 100,
+  });
   return {
     router: createEngineRouter({
       clock,
@@ -98,12 +111,8 @@
       getInstanceCount: options.getInstanceCount,
     }),
     stalls: createStallDetector({ clock }),
-    answerBudget: createRetryBudget({
-      ratio,
-      initialUnits: 2_000,
-      maxUnits: 50_000,
-    }),
-    callBudget: createRetryBudget({ ratio, initialUnits: 10, maxUnits: 100 }),
+    answerBudget,
+    callBudget,
     admission,
     tasks: [
       createPeriodicTask({
@@ -125,6 +134,13 @@
         action: () => admission.tick(),
       }),
     ],
+    getLimits: () => ({
+      admission: admission.getStats(),
+      answerBudget: answerBudget.getStats(),
+      callBudget: callBudget.getStats(),
+      cacheIndexBlocks: cacheIndex.getBlockCount(),
+    }),
+    getCircuit: breaker.getState,
     close: cacheEvents.close,
   };
 
--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -4,6 +4,7 @@
 import { Hono } from "hono";
 import type { AnswerService } from "../answers/answer_service.ts";
 import { errorAnswers, getErrorBody } from "../core/errors.ts";
+import type { UpstreamId } from "../core/types.ts";
 import type { MembershipView } from "../membership/membership_view.ts";
 import type { UpstreamRegistry } from "../upstreams/upstream_registry.ts";
 import type { Authenticator } from "./authenticator.ts";
@@ -13,6 +14,9 @@
   readonly membership: MembershipView;
   readonly registry: UpstreamRegistry;
   readonly answers: AnswerService;
+  /** Admission, budgets and circuits, as the daemon has them. */
+  getLimits(): unknown;
+  getCircuit(upstreamId: UpstreamId): string;
 }
 
 export function createOperatorApp(options: OperatorAppOptions): Hono {
@@ -32,6 +36,7 @@
     context.json({
       instance: membership.getSelf(),
       answers: answers.getStats(),
+      limits: options.getLimits(),
     }));
   app.get("/instances", (context) =>
     context.json({
@@ -46,6 +51,8 @@
         ...upstream.info,
         inFlightCount: upstream.inFlightCount,
         isLeavingReported: upstream.isLeavingReported,
+        isMarkedLeaving: registry.isMarkedLeaving(upstream.info.upstreamId),
+        circuit: options.getCircuit(upstream.info.upstreamId),
       })),
     }));
   return app;
--- a/src/upstreams/upstream_registry.ts
+++ b/src/upstreams/upstream_registry.ts
@@ -46,6 +46,7 @@
   addInFlight(upstreamId: UpstreamId, change: 1 | -1): void;
   /** Replaces the set of upstreams that operators marked as leaving. */
   setMarkedLeaving(upstreamIds: ReadonlySet<UpstreamId>): void;
+  isMarkedLeaving(upstreamId: UpstreamId): boolean;
 }
 
 export interface UpstreamRegistryOptions {
@@ -66,6 +67,7 @@
     reportLoad,
     addInFlight,
     setMarkedLeaving,
+    isMarkedLeaving: (upstreamId) => markedLeaving.has(upstreamId),
   };
 
   function update(upstreams: readonly UpstreamInfo[]): void {
