--- a/src/limits/admission.ts
+++ b/src/limits/admission.ts
@@ -184,6 +184,9 @@
 
   /** Time until the requests that go before this one have started. */
   function getExpectedWaitMs(request: QueueEntry): number {
+    const isFree = queue.getLength() === 0 &&
+      shares.canOpen(request.customerId, window.getSize());
+    if (isFree) return 0;
     const openCount = shares.getOpenCount();
     const startsPerS = queueStarts.getPerS() ?? closes.getPerS() ??
       Math.max(1, openCount) / assumedAnswerS;
--- a/src/limits/admission_test.ts
+++ b/src/limits/admission_test.ts
@@ -64,6 +64,13 @@
     expect(admission.getStats().openCount).toBe(9);
   });
 
+  it("guards against a long retry-after time while capacity is free", async () => {
+    const { admit } = setUp();
+    await admit("a");
+    const result = await admit("a", 0);
+    expect(result.isErr() && result.error.retryAfterMs.unwrapOr(0)).toBe(100);
+  });
+
   it("names the customer's own limit only when it is above its share", async () => {
     const { admission, admit } = setUp(20);
     await admit("small");
