--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -281,6 +281,8 @@
         ...configuration,
       })),
       rollouts,
+      getLimits: traffic.getLimits,
+      getCircuit: traffic.getCircuit,
     }),
   );
   app.route(
--- a/src/daemon/traffic.ts
+++ b/src/daemon/traffic.ts
@@ -7,7 +7,11 @@
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import { createPeriodicTask, type Task } from "../core/supervisor.ts";
-import { type UpstreamInfo, UpstreamKind } from "../core/types.ts";
+import {
+  type UpstreamId,
+  type UpstreamInfo,
+  UpstreamKind,
+} from "../core/types.ts";
 import { type Admission, createAdmission } from "../limits/admission.ts";
 import { createConcurrencyWindow } from "../limits/concurrency_window.ts";
 import { createSettingsCustomerLimits } from "../limits/customer_limits.ts";
@@ -40,6 +44,9 @@
   readonly callBudget: RetryBudget;
   readonly admission: Admission;
   readonly tasks: readonly Task[];
+  /** For operators. */
+  getLimits(): unknown;
+  getCircuit(upstreamId: UpstreamId): string;
   close(): Promise<void>;
 }
 
@@ -90,6 +97,16 @@
     maxQueueWaitMs: limits.maxQueueWaitMs,
   });
   const ratio = limits.retryBudgetRatio;
+  const answerBudget = createRetryBudget({
+    ratio,
+    initialUnits: 2_000,
+    maxUnits: 50_000,
+  });
+  const callBudget = createRetryBudget({
+    ratio,
+    initialUnits: 10,
+    maxUnits: 100,
+  });
   return {
     router: createEngineRouter({
       clock,
@@ -101,12 +118,8 @@
       servesVersion: options.servesVersion,
     }),
     stalls: createStallDetector({ clock }),
-    answerBudget: createRetryBudget({
-      ratio,
-      initialUnits: 2_000,
-      maxUnits: 50_000,
-    }),
-    callBudget: createRetryBudget({ ratio, initialUnits: 10, maxUnits: 100 }),
+    answerBudget,
+    callBudget,
     admission,
     tasks: [
       createPeriodicTask({
@@ -128,6 +141,13 @@
         action: () => admission.tick(),
       }),
     ],
+    getLimits: () => ({
+      admission: admission.getStats(),
+      answerBudget: answerBudget.getStats(),
+      callBudget: callBudget.getStats(),
+      cacheIndexBlocks: cacheIndex.getBlockCount(),
+    }),
+    getCircuit: breaker.getState,
     close: cacheEvents.close,
   };
 
--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -6,6 +6,7 @@
 import type { AnswerExplainer } from "../answers/answer_explainer.ts";
 import type { AnswerService } from "../answers/answer_service.ts";
 import { errorAnswers, getErrorBody } from "../core/errors.ts";
+import type { UpstreamId } from "../core/types.ts";
 import type { MembershipView } from "../membership/membership_view.ts";
 import type { PeerTraffic } from "../peer/peer_client.ts";
 import type { UpstreamRegistry } from "../upstreams/upstream_registry.ts";
@@ -30,6 +31,9 @@
   readonly reportRoutes: Hono;
   readonly explainer: AnswerExplainer;
   readonly rollouts: RolloutAdmin;
+  /** Admission, budgets and circuits, as the daemon has them. */
+  getLimits(): unknown;
+  getCircuit(upstreamId: UpstreamId): string;
 }
 
 export function createOperatorApp(options: OperatorAppOptions): Hono {
@@ -57,6 +61,7 @@
         isKnown: configuration.isKnown(),
         behind: configuration.listBehind(configuration.getRevision()),
       },
+      limits: options.getLimits(),
     }));
   app.get("/instances", (context) =>
     context.json({
@@ -72,6 +77,8 @@
         ...upstream.info,
         inFlightCount: upstream.inFlightCount,
         isLeavingReported: upstream.isLeavingReported,
+        isMarkedLeaving: registry.isMarkedLeaving(upstream.info.upstreamId),
+        circuit: options.getCircuit(upstream.info.upstreamId),
       })),
     }));
   app.get("/answers/:answerId", async (context) => {
