--- a/src/answers/answer_machine.ts
+++ b/src/answers/answer_machine.ts
@@ -137,6 +137,7 @@
   { effects, nowMs }: Turn,
 ): void {
   const attempt = state.attempts.get(event.attemptNumber);
+  if (attempt) countRefill(state, attempt);
   const skipCount = state.tokens.length - event.fromPosition;
   const newTokens = event.tokens.slice(Math.max(0, skipCount));
   const isUseful = attempt && !state.end && skipCount >= 0 &&
@@ -264,8 +265,8 @@
     isHedge,
     lastProgressAtMs: nowMs + delayMs,
     tokenCount: 0,
+    isRefillCounted: false,
   });
-  state.waste.refilledTokens += fromPosition;
   effects.push({
     kind: AnswerEffectKind.StartAttempt,
     attemptNumber,
@@ -280,10 +281,22 @@
   attemptNumber: number,
   effects: AnswerEffect[],
 ): void {
+  const attempt = state.attempts.get(attemptNumber);
+  if (attempt) countRefill(state, attempt);
   state.attempts.delete(attemptNumber);
   effects.push({ kind: AnswerEffectKind.CancelAttempt, attemptNumber });
 }
 
+/**
+ * An engine has prefilled the journal when its first token arrives, and may
+ * have when it is cancelled; one that refused the attempt has not.
+ */
+function countRefill(state: AnswerState, attempt: Attempt): void {
+  if (attempt.isRefillCounted) return;
+  attempt.isRefillCounted = true;
+  state.waste.refilledTokens += attempt.fromPosition;
+}
+
 function hedgeSilentAttempt(
   state: AnswerState,
   event: Extract<AnswerEvent, { kind: AnswerEventKind.Ticked }>,
--- a/src/answers/answer_machine_test.ts
+++ b/src/answers/answer_machine_test.ts
@@ -27,6 +27,33 @@
   });
 }
 
+describe("token accounts", () => {
+  it("count a resume as prefilled again only where an engine took it", () => {
+    const state = createAnswer();
+    applyAnswerEvent(state, { kind: AnswerEventKind.Opened }, 0);
+    const receive = (attemptNumber: number, fromPosition: number) =>
+      applyAnswerEvent(state, {
+        kind: AnswerEventKind.TokensReceived,
+        attemptNumber,
+        fromPosition,
+        tokens: ["x", "y"],
+      }, 1);
+    const fail = (attemptNumber: number) =>
+      applyAnswerEvent(state, {
+        kind: AnswerEventKind.AttemptFailed,
+        attemptNumber,
+        errorKind: ErrorKind.UpstreamFailed,
+        message: "refused",
+      }, 2);
+    receive(1, 0);
+    fail(1);
+    fail(2);
+    receive(3, 2);
+    receive(3, 4);
+    expect(state.waste).toEqual({ droppedTokens: 0, refilledTokens: 2 });
+  });
+});
+
 describe("hedging", () => {
   it("reaches a live engine soon when several refuse in turn", () => {
     // Two domains out of three are cut off: the stream is silent and four
--- a/src/answers/answer_state.ts
+++ b/src/answers/answer_state.ts
@@ -19,6 +19,7 @@
   isHedge: boolean;
   lastProgressAtMs: number;
   tokenCount: number;
+  isRefillCounted: boolean;
 }
 
 export interface Replica {
