--- a/measure/recovery_trials.ts
+++ b/measure/recovery_trials.ts
@@ -4,7 +4,7 @@
  */
 import { startCluster, type UpstreamHandle } from "./launcher.ts";
 import { createLoadClient } from "./load_client.ts";
-import { getPercentile, getTotals } from "./statistics.ts";
+import { getPercentile, getTotals, sum } from "./statistics.ts";
 
 export type EngineLoss = "none" | "killed" | "frozen";
 
@@ -64,6 +64,7 @@
     const totals = await getTotals(cluster);
     await client.close();
     const gaps = results.map((result) => result.maxGapMs);
+    const usefulTokens = sum(results.map((result) => result.tokens));
     const affected = gaps.filter((gapMs) => gapMs > affectedGapMs);
     return {
       answers: results.length,
@@ -73,8 +74,8 @@
       resumeP50Ms: Math.round(getPercentile(affected, 0.5)),
       resumeP99Ms: Math.round(getPercentile(affected, 0.99)),
       maxGapMs: Math.round(getPercentile(gaps, 1)),
-      extraTokensRatio: round(totals.extraTokensRatio),
-      refilledTokensRatio: round(totals.refilledTokens / totals.usefulTokens),
+      extraTokensRatio: round(totals.droppedTokens / usefulTokens),
+      refilledTokensRatio: round(totals.refilledTokens / usefulTokens),
     };
   } finally {
     await cluster.stop();
--- a/src/control/configuration.ts
+++ b/src/control/configuration.ts
@@ -7,7 +7,6 @@
  * replaces; `null` removes one.
  */
 import { z } from "zod";
-import { type UpstreamInfo, UpstreamState } from "../core/types.ts";
 import type { Random } from "../core/random.ts";
 import {
   type ApplicationService,
@@ -237,18 +236,6 @@
   return weights.at(-1)![0];
 }
 
-/** Marks the upstreams that a ticket declares as leaving. */
-export function markLeaving(
-  upstreams: readonly UpstreamInfo[],
-  configuration: Configuration,
-): readonly UpstreamInfo[] {
-  return upstreams.map((info) =>
-    lookUp(configuration.leavingUpstreams, info.upstreamId)
-      ? { ...info, state: UpstreamState.Leaving }
-      : info
-  );
-}
-
 export function getTargetWallMs(rollout: Rollout): number {
   return Date.parse(rollout.targetDate);
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -13,10 +13,7 @@
 } from "../answers/answer_service.ts";
 import { createCallService } from "../calls/call_service.ts";
 import { commandSchema } from "../control/commands.ts";
-import {
-  getInitialConfiguration,
-  markLeaving,
-} from "../control/configuration.ts";
+import { getInitialConfiguration } from "../control/configuration.ts";
 import { createConfigurationCache } from "../control/configuration_cache.ts";
 import { createConfigurationService } from "../control/configuration_service.ts";
 import { createControlClient } from "../control/control_client.ts";
@@ -33,11 +30,7 @@
 import { createMetrics } from "../core/metrics.ts";
 import { createRandom } from "../core/random.ts";
 import { createPeriodicTask, createSupervisor } from "../core/supervisor.ts";
-import {
-  type InstanceInfo,
-  InstanceState,
-  type UpstreamInfo,
-} from "../core/types.ts";
+import { type InstanceInfo, InstanceState } from "../core/types.ts";
 import { createAuthenticator } from "../entry/authenticator.ts";
 import { createCallerApp } from "../entry/caller_app.ts";
 import { createOperatorApp } from "../entry/operator_app.ts";
@@ -103,10 +96,9 @@
     membership?: MembershipService;
     usage?: UsageReporter;
   } = {};
-  let listedUpstreams: readonly UpstreamInfo[] = [];
-  const updateRegistry = () =>
-    registry.update(
-      markLeaving(listedUpstreams, configuration.getConfiguration()),
+  const markLeavingUpstreams = () =>
+    registry.setMarkedLeaving(
+      new Set(Object.keys(configuration.getConfiguration().leavingUpstreams)),
     );
   const configuration = createConfigurationService({
     clock,
@@ -120,7 +112,7 @@
     getMembership: () => late.membership!,
     getPeers: () => late.peers!,
     isLeader: () => log?.isLeader() ?? false,
-    onApplied: updateRegistry,
+    onApplied: markLeavingUpstreams,
   });
   const stateMachine = createStateMachine({
     onConfiguration: configuration.record,
@@ -155,8 +147,8 @@
     getRevision: configuration.getRevision,
     onHeartbeat: configuration.handleHeartbeat,
     onListRead: (list) => {
-      listedUpstreams = list.upstreams;
-      updateRegistry();
+      registry.update(list.upstreams);
+      markLeavingUpstreams();
       configuration.handleListRead();
     },
     onInstanceLost: (id) => late.answers!.onInstanceLost(id),
