--- a/measure/main.ts
+++ b/measure/main.ts
@@ -6,6 +6,7 @@
 import { parseArgs } from "node:util";
 import { runCase } from "./case_run.ts";
 import { cases } from "./cases.ts";
+import { controlCases } from "./control_cases.ts";
 
 const { values, positionals } = parseArgs({
   allowPositionals: true,
@@ -15,10 +16,11 @@
   },
 });
 const caseName = positionals[0] ?? "";
-const spec = cases[caseName];
+const allCases = { ...cases, ...controlCases };
+const spec = allCases[caseName];
 const seed = Number(values.seed);
 if (!spec || !Number.isSafeInteger(seed)) {
-  const names = Object.keys(cases).join(", ");
+  const names = Object.keys(allCases).join(", ");
   process.stderr.write(
     `usage: npm run measure -- CASE --seed N [--baseline]\ncases: ${names}\n`,
   );
--- /dev/null
+++ b/measure/ticket_client.ts
@@ -0,0 +1,110 @@
+/**
+ * Submits change tickets to instances and reads what is in force there.
+ */
+import type { Cluster, InstanceHandle } from "./launcher.ts";
+import { readJson } from "./statistics.ts";
+
+export interface TicketReply {
+  readonly status: number;
+  readonly revision: number;
+  readonly text: string;
+}
+
+export interface TicketClient {
+  submit(
+    instance: InstanceHandle,
+    number: number,
+    weight: number,
+  ): Promise<TicketReply>;
+  /** Sends the ticket until some instance replies with a decision. */
+  submitUntilDecided(number: number, weight: number): Promise<TicketReply>;
+  /** Revision in force; -1 when the instance does not answer. */
+  getRevision(instance: InstanceHandle): Promise<number>;
+  /** Weight of the customer that tickets of this client change. */
+  getWeight(instance: InstanceHandle): Promise<number>;
+  getLeaderId(instance: InstanceHandle): Promise<string>;
+  listLive(): InstanceHandle[];
+}
+
+interface ShownConfiguration {
+  readonly configuration: {
+    readonly revision: number;
+    readonly limits: Readonly<Record<string, { readonly weight: number }>>;
+  };
+}
+
+const customerId = "bench-a";
+const submitTimeoutMs = 5_000;
+const retryDelayMs = 100;
+const maxTries = 100;
+
+export function createTicketClient(cluster: Cluster): TicketClient {
+  const headers = { authorization: `Bearer ${cluster.operatorToken}` };
+  let next = 0;
+  return {
+    submit,
+    submitUntilDecided,
+    getRevision: async (instance) =>
+      (await readConfiguration(instance)).configuration.revision,
+    getWeight: async (instance) =>
+      (await readConfiguration(instance)).configuration.limits[customerId]
+        ?.weight ?? -1,
+    getLeaderId: async ({ callerUrl }) =>
+      (await readJson(
+        `${callerUrl}/admin/status`,
+        { control: { leaderId: "" } },
+        headers,
+      )).control.leaderId,
+    listLive,
+  };
+
+  function listLive(): InstanceHandle[] {
+    return cluster.instances.filter(({ process }) =>
+      process.exitCode === null && process.signalCode === null
+    );
+  }
+
+  async function submit(
+    { callerUrl }: InstanceHandle,
+    number: number,
+    weight: number,
+  ): Promise<TicketReply> {
+    try {
+      const response = await fetch(`${callerUrl}/admin/tickets`, {
+        method: "POST",
+        headers,
+        body: JSON.stringify({ number, limits: { [customerId]: { weight } } }),
+        signal: AbortSignal.timeout(submitTimeoutMs),
+      });
+      const text = await response.text();
+      const { revision } = JSON.parse(text) as { revision?: number };
+      return { status: response.status, revision: revision ?? -1, text };
+    } catch (cause) {
+      return { status: 0, revision: -1, text: String(cause) };
+    }
+  }
+
+  async function submitUntilDecided(
+    number: number,
+    weight: number,
+  ): Promise<TicketReply> {
+    let reply: TicketReply = { status: 0, revision: -1, text: "" };
+    for (let tries = 0; tries < maxTries; tries++) {
+      const live = listLive();
+      reply = await submit(live[next++ % live.length]!, number, weight);
+      if (reply.status !== 0 && reply.status < 500) return reply;
+      await new Promise((resolve) => setTimeout(resolve, retryDelayMs));
+    }
+    return reply;
+  }
+
+  function readConfiguration(
+    { callerUrl }: InstanceHandle,
+  ): Promise<ShownConfiguration> {
+    return readJson(
+      `${callerUrl}/admin/configuration`,
+      { configuration: { revision: -1, limits: {} } },
+      headers,
+    );
+  }
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -255,6 +255,7 @@
       registry,
       answers,
       getPeerTraffic: peers.getTraffic,
+      getLeaderId: () => log?.getLeaderId() ?? "",
       configuration,
       explainer: createAnswerExplainer({
         membership,
--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -20,6 +20,8 @@
   readonly registry: UpstreamRegistry;
   readonly answers: AnswerService;
   getPeerTraffic(): PeerTraffic;
+  /** Empty where this instance does not know the control leader. */
+  getLeaderId(): InstanceId;
   readonly configuration: {
     getRevision(): number;
     isKnown(): boolean;
@@ -54,6 +56,7 @@
     context.json({
       instance: membership.getSelf(),
       answers: answers.getStats(),
+      control: { leaderId: options.getLeaderId() },
       peerTraffic: options.getPeerTraffic(),
       process: getProcessStats(),
       configuration: {
