Replace the old identity of a returned voter at once

Cause: the case lost-disk did not end. An instance that lost its disk was added under its new identity; then its old identity did not count as lost, because only learners were looked at, so the new identity was removed as surplus, and added again, until the old one had been silent for replaceVoterAfterMs (10 s). A second loss in that time blocked the group. Ruled out: a lost quorum by slow processes (the log showed a change of voters about every 100 ms). The property test missed it since its replacement time is 0.4 s; a focused test with 10 s fails before and passes after the change. The case counted revision 0 of a starting instance that refuses callers as in force; it now waits until the instance knows its configuration.

--- a/measure/ticket_client.ts
+++ b/measure/ticket_client.ts
@@ -18,7 +18,10 @@
   ): Promise<TicketReply>;
   /** Sends the ticket until some instance replies with a decision. */
   submitUntilDecided(number: number, weight: number): Promise<TicketReply>;
-  /** Revision in force; -1 when the instance does not answer. */
+  /**
+   * Revision in force; -1 when the instance does not answer, or refuses callers
+   * because it has just started and does not know its configuration yet.
+   */
   getRevision(instance: InstanceHandle): Promise<number>;
   /** Weight of the customer that tickets of this client change. */
   getWeight(instance: InstanceHandle): Promise<number>;
@@ -44,8 +47,14 @@
   return {
     submit,
     submitUntilDecided,
-    getRevision: async (instance) =>
-      (await readConfiguration(instance)).configuration.revision,
+    getRevision: async ({ callerUrl }) => {
+      const { configuration } = await readJson(
+        `${callerUrl}/admin/status`,
+        { configuration: { revision: -1, isKnown: false } },
+        headers,
+      );
+      return configuration.isKnown ? configuration.revision : -1;
+    },
     getWeight: async (instance) =>
       (await readConfiguration(instance)).configuration.limits[customerId]
         ?.weight ?? -1,
--- a/src/control/log/consensus_test.ts
+++ b/src/control/log/consensus_test.ts
@@ -188,6 +188,27 @@
   expectProgress(group, 2_000);
 });
 
+// Guards against a returned instance that is made a voter and removed again in
+// turns until its old identity counts as silent: found by the case lost-disk.
+test("an instance that lost its disk replaces its old identity at once", () => {
+  const group = createSimulatedGroup({
+    size: 3,
+    voterCount: 3,
+    replaceVoterAfterMs: 10_000,
+  });
+  expectProgress(group, 2_000);
+  const [lost, second] = getFollowers(group);
+  const oldId = lost!.replicaId;
+  group.loseDisk(lost!);
+  group.start(lost!);
+  group.run(1_500);
+  const { voters } = group.getLeader()!.state!.configuration;
+  expect(voters).toContain(lost!.replicaId);
+  expect(voters).not.toContain(oldId);
+  group.loseDisk(second!);
+  expectProgress(group, 2_000);
+});
+
 // Guards against a group that is blocked for good because it counts on a spare
 // that was lost, together with another voter's disk, before the change began.
 test("a spare that was just lost does not become a voter", () => {
--- a/src/control/log/voter_changes.ts
+++ b/src/control/log/voter_changes.ts
@@ -135,9 +135,10 @@
 function isLost(step: Step, role: LeaderRole, id: ReplicaId): boolean {
   const { state, nowMs } = step;
   if (id === state.selfId) return false;
-  const isSuperseded = state.configuration.learners.some((learner) =>
-    getInstanceId(learner) === getInstanceId(id) &&
-    isReachable(step, role, learner)
+  const { voters, learners } = state.configuration;
+  const isSuperseded = [...voters, ...learners].some((other) =>
+    other !== id && getInstanceId(other) === getInstanceId(id) &&
+    isReachable(step, role, other)
   );
   const ackedSentAtMs = role.progress.get(id)?.ackedSentAtMs ?? -Infinity;
   const silentSinceMs = Math.max(role.sinceMs, ackedSentAtMs);
