Add this process's own pauses to the limits of silence

A pause of the instance itself, in which no output can be received, looked like a freeze of every engine. The tick that checks for silence now reports how late it is, and the limits grow by that, falling by a fifth with each further tick. The test failed with the mechanism off.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -263,7 +263,10 @@
             name: "answer-tick",
             clock,
             intervalMs: answerTickMs,
-            action: () => answers.tick(),
+            action: () => {
+              traffic.stalls.recordCheck(answerTickMs);
+              answers.tick();
+            },
           })],
         }),
         createSupervisor({
--- a/src/routing/stall_detector.ts
+++ b/src/routing/stall_detector.ts
@@ -23,6 +23,11 @@
   getGapLimitMs(upstreamId: UpstreamId, load: number): number;
   /** Time since any output of the engine; Infinity before the first. */
   getEngineSilenceMs(upstreamId: UpstreamId): number;
+  /**
+   * Called before every check of the limits. A check that comes late shows a
+   * pause of this process, in which no output could be received.
+   */
+  recordCheck(intervalMs: number): void;
   forget(upstreamId: UpstreamId): void;
 }
 
@@ -47,6 +52,9 @@
   recentPeakMs: number;
 }
 
+/** What is left of an own pause in the limits of the next check. */
+const ownPauseDecay = 0.8;
+const maxOwnPauseMs = 1_000;
 const bucketWidth = 4;
 const maxBuckets = 64;
 const smoothing = 0.02;
@@ -70,12 +78,15 @@
   { clock }: { readonly clock: Clock },
 ): StallDetector {
   const estimates = new Map<UpstreamId, EngineEstimate>();
+  let checkedAtMs = Infinity;
+  let ownPauseMs = 0;
   return {
     recordFirstToken,
     recordGap,
     getFirstTokenLimitMs,
     getGapLimitMs,
     getEngineSilenceMs,
+    recordCheck,
     forget: (upstreamId) => {
       estimates.delete(upstreamId);
     },
@@ -117,7 +128,8 @@
   function getGapLimitMs(upstreamId: UpstreamId, load: number): number {
     const estimate = getEstimate(upstreamId);
     const limitMs = getEngineLimitMs(estimate, load);
-    return isActive(estimate, limitMs) ? limitMs * activeEngineFactor : limitMs;
+    return ownPauseMs +
+      (isActive(estimate, limitMs) ? limitMs * activeEngineFactor : limitMs);
   }
 
   /** Silence of the whole engine that is normal at the load. */
@@ -138,9 +150,20 @@
       minMs: minFirstTokenLimitMs,
       maxMs: maxFirstTokenLimitMs,
     });
-    return isActive(estimate, getEngineLimitMs(estimate, load))
-      ? limitMs * activeEngineFactor
-      : limitMs;
+    return ownPauseMs +
+      (isActive(estimate, getEngineLimitMs(estimate, load))
+        ? limitMs * activeEngineFactor
+        : limitMs);
+  }
+
+  function recordCheck(intervalMs: number): void {
+    const nowMs = clock.nowMs();
+    const lateMs = nowMs - checkedAtMs - intervalMs;
+    checkedAtMs = nowMs;
+    ownPauseMs = Math.min(
+      maxOwnPauseMs,
+      Math.max(0, lateMs, ownPauseMs * ownPauseDecay),
+    );
   }
 
   function isActive(estimate: EngineEstimate, limitMs: number): boolean {
--- a/src/routing/stall_detector_test.ts
+++ b/src/routing/stall_detector_test.ts
@@ -66,6 +66,22 @@
     expect(detector.getGapLimitMs(id, 8)).toBeGreaterThanOrEqual(600);
   });
 
+  it("guards against a pause of this process that is taken for a freeze", () => {
+    const { detector, advance, learn } = setUp();
+    detector.recordCheck(25);
+    learn(12, 8, 2);
+    detector.recordCheck(25);
+    const limitMs = detector.getGapLimitMs(id, 8);
+    advance(1_000);
+    detector.recordCheck(25);
+    expect(detector.getGapLimitMs(id, 8)).toBeGreaterThan(1_000);
+    for (let check = 0; check < 40; check++) {
+      advance(25);
+      detector.recordCheck(25);
+    }
+    expect(detector.getGapLimitMs(id, 8)).toBeLessThan(limitMs + 1);
+  });
+
   it("gives one silent stream more time while its engine serves others", () => {
     const { detector, advance, learn } = setUp();
     learn(12, 8);
