--- a/src/control/rollouts/stable_reference.ts
+++ b/src/control/rollouts/stable_reference.ts
@@ -185,9 +185,7 @@
 
 /**
  * The stable version itself is clearly worse than its history. Outcomes are not
- * compared then: with the highest rate that the latest outcomes allow as the
- * normal one, about 4% of the blocks of a good time cost so much evidence that
- * faults under rare load were missed.
+ * compared then, because what is normal at the moment is not known.
  */
 function isDisturbed(
   upper: number,
