--- a/measure/load_client.ts
+++ b/measure/load_client.ts
@@ -109,7 +109,8 @@
       !hiddenIds.has(instance.instanceId) &&
       (avoidedUntilMs.get(instance.callerUrl) ?? 0) < performance.now()
     );
-    return live[nextInstance++ % live.length]!.callerUrl;
+    const usable = live.length > 0 ? live : cluster.instances;
+    return usable[nextInstance++ % usable.length]!.callerUrl;
   }
 
   async function generate(options: GenerateOptions): Promise<AnswerResult> {
