--- a/measure/cases.ts
+++ b/measure/cases.ts
@@ -79,11 +79,11 @@
     bookings: 120,
     plain: "engines",
     run: async (context) => {
-      const first = context.random.nextInt(5);
+      const first = context.random.nextInt(6);
       for (const step of [0, 1]) {
         await waitForLoad(context);
-        // The first instance keeps the control log, which has no replica yet.
-        const index = 1 + (first + step) % 5;
+        // Neighbours in the list: at most one of them is a control voter.
+        const index = (first + step) % 6;
         kill(context, context.cluster.instances[index]!.instanceId);
       }
       await context.sleep(3_000);
@@ -100,9 +100,7 @@
 
 async function drain({ cluster, client, sleep, ...context }: CaseContext) {
   await sleep(1_500 + context.random.nextInt(1_000));
-  // The first instance keeps the control log, which has no replica yet.
-  const instances = cluster.instances.slice(1);
-  const { instanceId, process: child } = pick(context, instances);
+  const { instanceId, process: child } = pick(context, cluster.instances);
   context.markFault();
   process.kill(child.pid!, "SIGTERM");
   // The load balancer sees after a second that the instance is not ready.
@@ -120,10 +118,10 @@
 async function cutDomain(context: CaseContext) {
   const { cluster, client, sleep, markFault } = context;
   await waitForLoad(context);
-  // The control log has one instance so far; it stays with the majority.
-  const domainId = pick(context, ["andina-b", "andina-c"]);
+  const { domainId } = pick(context, cluster.instances);
   const inside = cluster.instances.find((one) => one.domainId === domainId)!;
-  const sides = [inside, cluster.instances[0]!].map((one) => one.instanceId);
+  const outside = cluster.instances.find((one) => one.domainId !== domainId)!;
+  const sides = [inside, outside].map((one) => one.instanceId);
   cluster.setCut(domainId, true);
   markFault();
   await sleep(2_000);
--- a/measure/launcher.ts
+++ b/measure/launcher.ts
@@ -4,7 +4,13 @@
  */
 import { type ChildProcess, spawn } from "node:child_process";
 import { createHash, randomBytes } from "node:crypto";
-import { mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
+import {
+  mkdtempSync,
+  openSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import { createServer, type Server } from "node:http";
 import { createServer as createTcpServer } from "node:net";
 import { tmpdir } from "node:os";
@@ -68,6 +74,8 @@
 export const stableVersion = "v1";
 export const customerIds = ["bench-a", "bench-b", "bench-c"];
 const operatorToken = "operator-token";
+const firstPort = 12_000;
+const portCount = 18_000;
 const readyTimeoutMs = 10_000;
 
 const distFolder = fileURLToPath(new URL("..", import.meta.url));
@@ -317,7 +325,9 @@
     const headers = { authorization: `Bearer ${operatorToken}` };
     for (const { callerUrl, instanceId } of instances) {
       while (true) {
-        if (Date.now() > giveUpAtMs) throw new Error(`${instanceId} not ready`);
+        if (Date.now() > giveUpAtMs) {
+          throw new Error(`${instanceId} not ready: ${getLastLog(instanceId)}`);
+        }
         const isReady = await fetch(`${callerUrl}/admin/instances`, { headers })
           .then((response) => response.json())
           .then(async (body) =>
@@ -333,6 +343,11 @@
     }
   }
 
+  function getLastLog(instanceId: string): string {
+    const text = readFileSync(join(folder, `${instanceId}.log`), "utf8");
+    return text.trim().split("\n").slice(-3).join("\n");
+  }
+
   async function stop(): Promise<void> {
     const exits = [...children].map((child) =>
       new Promise((resolve) => child.once("exit", resolve))
@@ -360,18 +375,24 @@
   });
 }
 
+/**
+ * Ports below the range that the kernel gives to outgoing connections: a port
+ * of that range may be taken between this check and the start of its process.
+ */
 async function getFreePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => {
-    const server = createTcpServer();
-    return new Promise<typeof server>((resolve) =>
-      server.listen(0, "127.0.0.1", () => resolve(server))
-    );
-  }));
-  const ports = servers.map((server) =>
-    (server.address() as { port: number }).port
-  );
-  await Promise.all(
-    servers.map((server) => new Promise((resolve) => server.close(resolve))),
-  );
+  const ports: number[] = [];
+  let port = firstPort + randomBytes(2).readUInt16BE() % portCount;
+  while (ports.length < count) {
+    port = firstPort + (port + 1 - firstPort) % portCount;
+    if (await isFree(port)) ports.push(port);
+  }
   return ports;
 }
+
+function isFree(port: number): Promise<boolean> {
+  const server = createTcpServer();
+  return new Promise((resolve) => {
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+  });
+}
