Remember claims that were given up, and use the leader's time

Cause: a claim whose proposer gave up could be committed after its own 'not run', and then held the key until its retention ended: resends were told 'outcome unknown' for a call that nobody dispatches. A late 'not run' could also free an answered key. Engine orders use the term of the control log as their fencing token in place of the start time of the process.

--- a/src/calls/call_service.ts
+++ b/src/calls/call_service.ts
@@ -190,6 +190,12 @@
           ErrorKind.KeyReused,
           "the Idempotency-Key was used with another request",
         ));
+      case ClaimStatus.Withdrawn:
+        return err(createError(
+          ErrorKind.NoQuorum,
+          "the claim was given up before it was committed",
+          { retryAfterMs: minRetryAfterMs },
+        ));
       case ClaimStatus.Pending:
         return err(createError(
           ErrorKind.OutcomeUnknown,
--- a/src/control/claim_table.ts
+++ b/src/control/claim_table.ts
@@ -21,11 +21,19 @@
   readonly outcome?: Outcome;
 }
 
+/** Claims that were given up, by claim id, with the time. */
+export type WithdrawnClaims = readonly [string, number][];
+
+export interface ClaimSnapshot {
+  readonly records: readonly [string, ClaimRecord][];
+  readonly withdrawn: WithdrawnClaims;
+}
+
 export interface ClaimTable {
   claim(command: ClaimCommand): ClaimResult;
   settle(command: SettleCommand): void;
-  getSnapshot(): [string, ClaimRecord][];
-  restore(entries: readonly [string, ClaimRecord][]): void;
+  getSnapshot(): ClaimSnapshot;
+  restore(snapshot: ClaimSnapshot): void;
   getCount(): number;
 }
 
@@ -33,13 +41,21 @@
 
 export function createClaimTable(): ClaimTable {
   const records = new Map<string, ClaimRecord>();
+  const withdrawnAtWallMs = new Map<string, number>();
   return {
     claim,
     settle,
-    getSnapshot: () => [...records],
-    restore: (entries) => {
+    getSnapshot: () => ({
+      records: [...records],
+      withdrawn: [...withdrawnAtWallMs],
+    }),
+    restore: (snapshot) => {
       records.clear();
-      for (const [key, record] of entries) records.set(key, record);
+      withdrawnAtWallMs.clear();
+      for (const [key, record] of snapshot.records) records.set(key, record);
+      for (const [claimId, atWallMs] of snapshot.withdrawn) {
+        withdrawnAtWallMs.set(claimId, atWallMs);
+      }
     },
     getCount: () => records.size,
   };
@@ -48,6 +64,11 @@
     removeExpired(command.atWallMs);
     const key = getKeyText(command.key);
     const record = records.get(key);
+    // A claim can be delivered after its own settlement, when its proposer gave
+    // up waiting. Nobody would dispatch it, so it must not hold the key.
+    if (withdrawnAtWallMs.has(command.claimId)) {
+      return { status: ClaimStatus.Withdrawn };
+    }
     if (!record) {
       records.set(key, {
         bodySha256: command.bodySha256,
@@ -74,17 +95,28 @@
   function settle(command: SettleCommand): void {
     const key = getKeyText(command.key);
     const record = records.get(key);
-    if (!record || record.claimId !== command.claimId) return;
-    if (command.outcome.kind === OutcomeKind.NotRun) records.delete(key);
-    else records.set(key, { ...record, outcome: command.outcome });
+    const isHolder = record?.claimId === command.claimId;
+    if (command.outcome.kind === OutcomeKind.Answered) {
+      if (isHolder) records.set(key, { ...record, outcome: command.outcome });
+      return;
+    }
+    // An answer is final: a late "not run" must not free the key again.
+    if (record?.outcome) return;
+    withdrawnAtWallMs.set(command.claimId, command.atWallMs);
+    if (isHolder) records.delete(key);
   }
 
-  /** Records are in order of their claim time, so the oldest come first. */
+  /** Both maps are in order of time, so the oldest entries come first. */
   function removeExpired(atWallMs: number): void {
+    const oldestMs = atWallMs - claimRetentionMs;
     for (const [key, record] of records) {
-      if (record.claimedAtWallMs + claimRetentionMs > atWallMs) return;
+      if (record.claimedAtWallMs > oldestMs) break;
       records.delete(key);
     }
+    for (const [claimId, withdrawnMs] of withdrawnAtWallMs) {
+      if (withdrawnMs > oldestMs) break;
+      withdrawnAtWallMs.delete(claimId);
+    }
   }
 }
 
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -120,6 +120,8 @@
   Answered = "answered",
   /** The key was used with another body. */
   KeyReused = "keyReused",
+  /** The claim was given up before it was applied. */
+  Withdrawn = "withdrawn",
 }
 
 export const claimResultSchema = z.object({
--- a/src/control/replicated_log.ts
+++ b/src/control/replicated_log.ts
@@ -50,6 +50,8 @@
   /** Whether this instance leads and no other instance can lead yet. */
   isLeader(): boolean;
   getLeaderId(): InstanceId | undefined;
+  /** Increases with every leader: the fencing token of orders. */
+  getTerm(): number;
   /**
    * Resolves with the result once a majority has synced the command. A command
    * that ended with an error may still be committed later.
@@ -95,6 +97,14 @@
 
 const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
 
+/**
+ * Commands get the leader's time. With the proposers' times, one instance whose
+ * clock is a day ahead would expire the claims of all others.
+ */
+function stampTime(command: Command, atWallMs: number): Command {
+  return "atWallMs" in command ? { ...command, atWallMs } : command;
+}
+
 export function createConsensusOptions(
   options: Pick<
     ConsensusOptions,
@@ -150,6 +160,7 @@
       state && state.leaderId !== ""
         ? getInstanceId(state.leaderId)
         : undefined,
+    getTerm: () => state?.durable.term ?? 0,
     propose: (command) => new ResultAsync(propose(command)),
     receive: (envelope) => enqueue({ kind: LogEventKind.Receive, envelope }),
   };
@@ -169,7 +180,7 @@
         { retryAfterMs: 1_000 },
       )));
     }
-    const data = encoder.encode(command);
+    const data = encoder.encode(stampTime(command, clock.wallMs()));
     return new Promise((resolve) => {
       const proposalId = nextProposalId++;
       queuedProposals.set(proposalId, resolve);
--- a/src/control/state_machine.ts
+++ b/src/control/state_machine.ts
@@ -3,7 +3,7 @@
  * not depend on anything but the state and the command.
  */
 import { assertNever } from "../core/assert_never.ts";
-import { type ClaimRecord, createClaimTable } from "./claim_table.ts";
+import { type ClaimSnapshot, createClaimTable } from "./claim_table.ts";
 import {
   type Command,
   CommandKind,
@@ -31,7 +31,7 @@
 const forecastSeed = 1;
 
 export interface StateSnapshot {
-  readonly claims: readonly [string, ClaimRecord][];
+  readonly claims: ClaimSnapshot;
   readonly tickets: TicketSnapshot;
   readonly rollouts: readonly [string, RolloutRecord][];
   readonly usage: LedgerSnapshot;
--- a/src/daemon/rollouts.ts
+++ b/src/daemon/rollouts.ts
@@ -207,8 +207,8 @@
       clock,
       logger,
       client: orders,
-      // The log has no term yet: the start time stands in for it.
-      getFencingToken: () => isLeader() ? startedAtWallMs : undefined,
+      getFencingToken: () =>
+        isLeader() ? options.getLog()?.getTerm() : undefined,
       hasLease: isLeader,
       listDesired: () => getDesiredEngines(getEngineInput()),
       onReported: (upstreamId, content) => reported.set(upstreamId, content),
