--- a/measure/bench.ts
+++ b/measure/bench.ts
@@ -13,6 +13,7 @@
 const streamCount = 150;
 const stepMs = 25; // 150 streams at 40 tokens/s each are 6,000 tokens/s
 const maxTokens = 400;
+const warmUpTokens = 60;
 const engineOptions = {
   stepMs,
   stepPerRequestMs: 0,
@@ -107,6 +108,13 @@
   const cluster = await start(domainIds, 1, perDomain);
   const client = createLoadClient(cluster);
   const { instanceId } = cluster.instances[0]!;
+  // A start measures compilation and the growing concurrency window instead.
+  await Promise.all(
+    Array.from(
+      { length: 2 * streamCount },
+      () => client.generate({ maxTokens: warmUpTokens, instanceId }),
+    ),
+  );
   const before = await readStats(cluster);
   const startedAtMs = performance.now();
   let peakHeapBytes = 0;
--- a/measure/case_run.ts
+++ b/measure/case_run.ts
@@ -4,7 +4,7 @@
 import { readFileSync } from "node:fs";
 import { join } from "node:path";
 import { createRandom, type Random } from "../src/core/random.ts";
-import { type Cluster, startCluster } from "./launcher.ts";
+import { type Cluster, modelService, startCluster } from "./launcher.ts";
 import {
   type AnswerResult,
   type CallResult,
@@ -22,6 +22,8 @@
   /** Keys that are booked while the answers run. */
   readonly bookings?: number;
   readonly enginesPerDomain?: number;
+  /** Share of traffic per version; all on stable by default. */
+  readonly versionWeights?: Readonly<Record<string, number>>;
   readonly hasRelays?: boolean;
   readonly plain: PlainVariant;
   readonly maxResumeP99Ms: number;
@@ -62,15 +64,38 @@
     workersPerDomain: 1,
     hasRelays: spec.hasRelays === true,
     seed: options.seed,
+    ...(spec.versionWeights
+      ? { versions: Object.keys(spec.versionWeights) }
+      : {}),
   });
   try {
     await cluster.waitUntilReady();
+    if (spec.versionWeights) {
+      await submitWeights(cluster, spec.versionWeights);
+    }
     return await measure(spec, cluster, options);
   } finally {
     await cluster.stop();
   }
 }
 
+/** Splits the traffic by a change ticket, as an operator does. */
+async function submitWeights(
+  cluster: Cluster,
+  weights: Readonly<Record<string, number>>,
+): Promise<void> {
+  const versions = { [modelService]: { kind: "weighted", weights } };
+  const response = await fetch(
+    `${cluster.instances[0]!.callerUrl}/admin/tickets`,
+    {
+      method: "POST",
+      headers: { authorization: `Bearer ${cluster.operatorToken}` },
+      body: JSON.stringify({ number: 1, versions }),
+    },
+  );
+  if (!response.ok) throw new Error(await response.text());
+}
+
 async function measure(
   spec: CaseSpec,
   cluster: Cluster,
--- a/measure/demo.ts
+++ b/measure/demo.ts
@@ -6,10 +6,18 @@
 import { runCase } from "./case_run.ts";
 import { cases } from "./cases.ts";
 
-print("3 failure domains with 2 instances, 3 engines and 1 worker each");
+print("3 failure domains with 2 instances, 4 engines and 1 worker each");
+print("a change ticket splits the traffic over two versions of the model");
 print("24 answers and 30 bookings; two engines are killed on the way");
 const { promises, figures } = await runCase(
-  { ...cases["engine-kill"]!, answers: 24, maxTokens: 800, bookings: 30 },
+  {
+    ...cases["engine-kill"]!,
+    answers: 24,
+    maxTokens: 800,
+    bookings: 30,
+    enginesPerDomain: 4,
+    versionWeights: { v1: 1, v2: 1 },
+  },
   {
     seed: 1,
     onProgress: (finished) => print(`${finished}/24 answers`),
--- a/measure/launcher.ts
+++ b/measure/launcher.ts
@@ -45,6 +45,8 @@
   readonly workersPerDomain: number;
   readonly seed: number;
   readonly engine?: Partial<EngineOptions>;
+  /** Versions of the engines of a domain in turn; only stable by default. */
+  readonly versions?: readonly string[];
   /** Puts relays before instances and engines, one per calling domain. */
   readonly hasRelays?: boolean;
   /** Changes the settings of every instance before they are written. */
@@ -106,6 +108,7 @@
   for (const signal of ["SIGINT", "SIGTERM"] as const) {
     process.once(signal, () => process.exit(130));
   }
+  const versions = options.versions ?? [stableVersion];
   const list = await startList();
   const engines = await startUpstreams("engine", options.enginesPerDomain);
   const workers = await startUpstreams("worker", options.workersPerDomain);
@@ -159,6 +162,7 @@
         ...defaultEngine,
         ...options.engine,
         seed: options.seed + children.size,
+        version: versions[index % versions.length]!,
       };
       const child = kind === "engine"
         ? spawnNode(
