--- a/src/answers/answer_service.ts
+++ b/src/answers/answer_service.ts
@@ -152,7 +152,6 @@
   let tickedAtMs = clock.nowMs();
   let hedgeFromMs = 0;
   const copySender = createCopySender({
-    clock,
     peers,
     timeoutMs: options.copyTimeoutMs,
     onAnswered: (replicaId, result) =>
--- a/src/answers/copy_sender.ts
+++ b/src/answers/copy_sender.ts
@@ -2,7 +2,6 @@
  * Sends journal updates to replica instances. Updates of many answers that are
  * due in the same turn of the event loop share one message.
  */
-import type { Clock } from "../core/clock.ts";
 import type { AnswerId, InstanceId } from "../core/types.ts";
 import {
   type CopyResult,
@@ -19,7 +18,6 @@
 }
 
 export interface CopySenderOptions {
-  readonly clock: Clock;
   readonly peers: PeerClient;
   readonly timeoutMs: number;
   onAnswered(replicaId: InstanceId, result: CopyResult): void;
@@ -31,17 +29,11 @@
   readonly isProbe: boolean;
 }
 
-/**
- * Under load, updates to one replica wait for the next of these intervals and
- * share a message. A single update after a quiet time is sent at once.
- */
-const flushIntervalMs = 2;
 /** Keeps a message well below the largest frame. */
 const maxBatchChars = 1_000_000;
 
 export function createCopySender(options: CopySenderOptions): CopySender {
   const queues = new Map<InstanceId, QueuedUpdate[]>();
-  const flushedAtMs = new Map<InstanceId, number>();
   return {
     send: (replicaId, update) => add(replicaId, { update, isProbe: false }),
     probe: (instanceId, update) => add(instanceId, { update, isProbe: true }),
@@ -54,18 +46,12 @@
       return;
     }
     queues.set(replicaId, [queued]);
-    const lastAtMs = flushedAtMs.get(replicaId) ?? -Infinity;
-    if (options.clock.nowMs() - lastAtMs >= flushIntervalMs) {
-      setImmediate(() => flush(replicaId));
-    } else {
-      setTimeout(() => flush(replicaId), flushIntervalMs);
-    }
+    setImmediate(() => flush(replicaId));
   }
 
   function flush(replicaId: InstanceId): void {
     const queue = queues.get(replicaId) ?? [];
     queues.delete(replicaId);
-    flushedAtMs.set(replicaId, options.clock.nowMs());
     for (const isProbe of [false, true]) {
       const updates = queue.filter((queued) => queued.isProbe === isProbe)
         .map((queued) => queued.update);
