--- a/measure/case_run.ts
+++ b/measure/case_run.ts
@@ -12,6 +12,7 @@
   type LoadClient,
   type PlainVariant,
 } from "./load_client.ts";
+import { submitTicket } from "./ticket_client.ts";
 import { getPercentile, getTotals, readJson, sum } from "./statistics.ts";
 
 export interface CaseSpec {
@@ -71,7 +72,11 @@
   try {
     await cluster.waitUntilReady();
     if (spec.versionWeights) {
-      await submitWeights(cluster, spec.versionWeights);
+      const weights = spec.versionWeights;
+      await submitTicket(cluster, {
+        number: 1,
+        versions: { [modelService]: { kind: "weighted", weights } },
+      });
     }
     return await measure(spec, cluster, options);
   } finally {
@@ -79,23 +84,6 @@
   }
 }
 
-/** Splits the traffic by a change ticket, as an operator does. */
-async function submitWeights(
-  cluster: Cluster,
-  weights: Readonly<Record<string, number>>,
-): Promise<void> {
-  const versions = { [modelService]: { kind: "weighted", weights } };
-  const response = await fetch(
-    `${cluster.instances[0]!.callerUrl}/admin/tickets`,
-    {
-      method: "POST",
-      headers: { authorization: `Bearer ${cluster.operatorToken}` },
-      body: JSON.stringify({ number: 1, versions }),
-    },
-  );
-  if (!response.ok) throw new Error(await response.text());
-}
-
 async function measure(
   spec: CaseSpec,
   cluster: Cluster,
--- a/measure/cases.ts
+++ b/measure/cases.ts
@@ -5,6 +5,7 @@
 import process from "node:process";
 import { parseAnswerId } from "../src/answers/answer_id.ts";
 import type { CaseContext, CaseSpec } from "./case_run.ts";
+import { submitTicket } from "./ticket_client.ts";
 import type { UpstreamHandle } from "./launcher.ts";
 import { readJson } from "./statistics.ts";
 
@@ -151,12 +152,18 @@
 async function leave({ sleep, cluster, ...context }: CaseContext) {
   await sleep(1_500);
   const first = context.random.nextInt(6);
-  const engines = [cluster.engines[first]!, cluster.engines[(first + 1) % 6]!];
+  const engines = [0, 1, 2].map((step) =>
+    cluster.engines[(first + step) % cluster.engines.length]!
+  );
   cluster.listedStates.set(engines[0]!.upstreamId, "leaving");
   await fetch(`${engines[1]!.baseUrl}/faults`, {
     method: "POST",
     body: '{"isLeaving":true}',
   });
+  await submitTicket(cluster, {
+    number: 1,
+    leavingUpstreams: { [engines[2]!.upstreamId]: { reason: "repair" } },
+  });
   await sleep(leavingBoundMs);
   const before = await Promise.all(engines.map(getRequests));
   const hasLoad = context.getOpenAnswers() > 0;
@@ -166,6 +173,7 @@
     hasLoad,
     noNewWorkByList: before[0]! > 0 && after[0] === before[0],
     noNewWorkByReport: before[1]! > 0 && after[1] === before[1],
+    noNewWorkByTicket: before[2]! > 0 && after[2] === before[2],
   };
 
   async function getRequests({ baseUrl }: { baseUrl: string }) {
--- a/measure/ticket_client.ts
+++ b/measure/ticket_client.ts
@@ -117,3 +117,16 @@
     );
   }
 }
+
+/** Submits one ticket at the first instance, as an operator does. */
+export async function submitTicket(
+  { instances, operatorToken }: Cluster,
+  ticket: Readonly<Record<string, unknown>>,
+): Promise<void> {
+  const response = await fetch(`${instances[0]!.callerUrl}/admin/tickets`, {
+    method: "POST",
+    headers: { authorization: `Bearer ${operatorToken}` },
+    body: JSON.stringify(ticket),
+  });
+  if (!response.ok) throw new Error(await response.text());
+}
