--- a/src/answers/answer_reader.ts
+++ b/src/answers/answer_reader.ts
@@ -16,7 +16,7 @@
 } from "../peer/messages.ts";
 import type { PeerClient } from "../peer/peer_client.ts";
 import { parseAnswerId, rankInstances } from "./answer_id.ts";
-import type { AnswerService } from "./answer_service.ts";
+import type { AnswerService } from "./answer_service_types.ts";
 
 export interface ReadOptions {
   readonly answerId: AnswerId;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -2,17 +2,13 @@
  * Builds one instance from its settings and runs it until it is told to stop.
  */
 import type { Server } from "node:http";
-import { serve } from "@hono/node-server";
 import { Hono } from "hono";
-import { errAsync, ok, okAsync, ResultAsync } from "neverthrow";
+import { ResultAsync } from "neverthrow";
 import { createAnswerExplainer } from "../answers/answer_explainer.ts";
 import { createAnswerReader } from "../answers/answer_reader.ts";
-import {
-  type AnswerService,
-  createAnswerService,
-} from "../answers/answer_service.ts";
+import { createAnswerService } from "../answers/answer_service.ts";
+import type { AnswerService } from "../answers/answer_service_types.ts";
 import { createCallService } from "../calls/call_service.ts";
-import { commandSchema } from "../control/commands.ts";
 import { getInitialConfiguration } from "../control/configuration.ts";
 import { createConfigurationCache } from "../control/configuration_cache.ts";
 import { createConfigurationService } from "../control/configuration_service.ts";
@@ -24,7 +20,7 @@
 import { createStateMachine } from "../control/state_machine.ts";
 import { createTicketService } from "../control/ticket_service.ts";
 import { createSystemClock } from "../core/clock.ts";
-import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
+import { type SystemError } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
 import { createLogger } from "../core/logger.ts";
 import { createMetrics } from "../core/metrics.ts";
@@ -40,13 +36,8 @@
   createMembershipService,
   type MembershipService,
 } from "../membership/membership_service.ts";
-import { PeerCallKind } from "../peer/messages.ts";
 import { createPeerClient, type PeerClient } from "../peer/peer_client.ts";
-import {
-  type PeerHandlers,
-  type PeerServer,
-  startPeerServer,
-} from "../peer/peer_server.ts";
+import { type PeerServer, startPeerServer } from "../peer/peer_server.ts";
 import {
   createUsageReporter,
   tokenGapLimitMs,
@@ -58,6 +49,8 @@
 import { createEngineClient } from "../upstreams/engine_client.ts";
 import { createUpstreamRegistry } from "../upstreams/upstream_registry.ts";
 import { createDrain } from "./drain.ts";
+import { startHttpServer } from "./http_server.ts";
+import { createPeerHandlers } from "./peer_handlers.ts";
 import { createRollouts } from "./rollouts.ts";
 import { createTraffic } from "./traffic.ts";
 
@@ -301,69 +294,18 @@
 
   return startPeerServer({
     ...settings.peers,
-    handlers: createHandlers(),
+    handlers: createPeerHandlers({
+      selfId: settings.instanceId,
+      membership,
+      answers,
+      configuration,
+      rollouts,
+      log,
+    }),
     logger,
-  }).andThen((peerServer) => startHttp().map((http) => run(peerServer, http)));
-
-  function createHandlers(): PeerHandlers {
-    return {
-      [PeerCallKind.Heartbeat]: (heartbeat) =>
-        ok(membership.handleHeartbeat(heartbeat)),
-      [PeerCallKind.CopyBatch]: ({ updates }) => answers.applyCopies(updates),
-      [PeerCallKind.ReadAnswer]: (request) => answers.read(request),
-      [PeerCallKind.TakeOver]: ({ answerId, customerId }) =>
-        answers.takeOver(answerId, customerId),
-      [PeerCallKind.Propose]: ({ command }) => propose(command),
-      [PeerCallKind.PushConfiguration]: configuration.handlePush,
-      [PeerCallKind.PullConfiguration]: configuration.handlePull,
-      [PeerCallKind.DescribeAnswer]: ({ answerId }) =>
-        ok({ records: answers.describe(answerId) }),
-      [PeerCallKind.SyncRollouts]: rollouts.handleSync,
-      [PeerCallKind.LogMessage]: (envelope) => {
-        log?.receive(envelope);
-        return ok({});
-      },
-    };
-  }
-
-  function propose(value: unknown) {
-    const parsed = commandSchema.safeParse(value);
-    if (!parsed.success) {
-      return ResultAsync.fromPromise(
-        Promise.reject(parsed.error),
-        (cause) => createError(ErrorKind.ProtocolError, String(cause)),
-      );
-    }
-    if (!log?.isLeader()) {
-      const leaderId = log?.getLeaderId() ?? "";
-      return ResultAsync.fromSafePromise(
-        Promise.resolve({ isLeader: false, leaderId, result: undefined }),
-      );
-    }
-    return log.propose(parsed.data).map((result) => ({
-      isLeader: true,
-      leaderId: settings.instanceId,
-      result,
-    })).orElse((error) => {
-      if (error.kind !== ErrorKind.NotLeader) return errAsync(error);
-      const leaderId = log.getLeaderId() ?? "";
-      return okAsync({ isLeader: false, leaderId, result: undefined });
-    });
-  }
-
-  function startHttp(): ResultAsync<Server, SystemError> {
-    return ResultAsync.fromPromise(
-      new Promise<Server>((resolve, reject) => {
-        const server = serve({
-          fetch: app.fetch,
-          hostname: settings.callers.host,
-          port: settings.callers.port,
-        }, () => resolve(server as Server)) as Server;
-        server.on("error", reject);
-      }),
-      (cause) => createError(ErrorKind.InvalidSettings, String(cause)),
-    );
-  }
+  }).andThen((peerServer) =>
+    startHttpServer(app, settings.callers).map((http) => run(peerServer, http))
+  );
 
   function run(peerServer: PeerServer, http: Server): Daemon {
     const stopping = new AbortController();
--- a/src/daemon/drain.ts
+++ b/src/daemon/drain.ts
@@ -3,7 +3,7 @@
  * stops sending, requests that still arrive are served for a grace time, then
  * the instance waits until all its answers and requests are finished.
  */
-import type { AnswerService } from "../answers/answer_service.ts";
+import type { AnswerService } from "../answers/answer_service_types.ts";
 import type { Clock } from "../core/clock.ts";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
--- a/src/daemon/rollouts.ts
+++ b/src/daemon/rollouts.ts
@@ -3,7 +3,7 @@
  * control state; the leader starts the ones that tickets ask for.
  */
 import { err, errAsync, ok, type Result, type ResultAsync } from "neverthrow";
-import type { AnswerService } from "../answers/answer_service.ts";
+import type { AnswerService } from "../answers/answer_service_types.ts";
 import type { ReplicatedLog } from "../control/replicated_log.ts";
 import type { EngineContent } from "../control/orders/engine_orders.ts";
 import { createOrderClient } from "../control/orders/order_client.ts";
--- a/src/entry/caller_app.ts
+++ b/src/entry/caller_app.ts
@@ -8,7 +8,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { parseAnswerId } from "../answers/answer_id.ts";
 import type { AnswerReader } from "../answers/answer_reader.ts";
-import type { AnswerService } from "../answers/answer_service.ts";
+import type { AnswerService } from "../answers/answer_service_types.ts";
 import type { CallService } from "../calls/call_service.ts";
 import type { Clock } from "../core/clock.ts";
 import {
@@ -42,6 +42,7 @@
   parseCompletionRequest,
 } from "./completion_request.ts";
 import { type EventPosition, parseEventId } from "./event_id.ts";
+import { getRemainingMs, getServicePath, writeText } from "./http_exchange.ts";
 
 export interface CallerAppOptions {
   readonly settings: Settings;
@@ -76,7 +77,6 @@
 
 const startingRetryMs = 1_000;
 const answerIdHeader = "x-answer-id";
-const deadlineHeader = "x-deadline-ms";
 /** Priority at the engines of work above the customer's share. */
 const overSharePriority = 0;
 /** A caller can then try an instance on the other side of a partition. */
@@ -408,34 +408,3 @@
     return context.json(getErrorBody(error), httpStatus as 500, headers);
   }
 }
-
-/** Time the caller still waits, from its header and at most `maxMs`. */
-function getRemainingMs(context: Context, maxMs: number): number {
-  const text = context.req.header(deadlineHeader) ?? "";
-  return /^\d{1,9}$/.test(text) ? Math.min(maxMs, Number(text)) : maxMs;
-}
-
-/**
- * What follows the service name, as sent. The name may be percent-encoded, so
- * its length says nothing about where the rest starts.
- */
-function getServicePath(requestUrl: string): string {
-  const { pathname, search } = new URL(requestUrl);
-  return `/${pathname.split("/").slice(4).join("/")}${search}`;
-}
-
-function writeText(outgoing: ServerResponse, text: string): Promise<boolean> {
-  if (outgoing.destroyed || outgoing.writableEnded) {
-    return Promise.resolve(false);
-  }
-  if (outgoing.write(text)) return Promise.resolve(true);
-  return new Promise((resolve) => {
-    const finish = () => {
-      outgoing.off("drain", finish);
-      outgoing.off("close", finish);
-      resolve(!outgoing.destroyed);
-    };
-    outgoing.on("drain", finish);
-    outgoing.on("close", finish);
-  });
-}
--- /dev/null
+++ b/src/entry/http_exchange.ts
@@ -0,0 +1,42 @@
+/**
+ * Reads from HTTP requests and writes to HTTP responses of callers.
+ */
+import type { ServerResponse } from "node:http";
+import type { Context } from "hono";
+
+const deadlineHeader = "x-deadline-ms";
+
+/** Time the caller still waits, from its header and at most `maxMs`. */
+export function getRemainingMs(context: Context, maxMs: number): number {
+  const text = context.req.header(deadlineHeader) ?? "";
+  return /^\d{1,9}$/.test(text) ? Math.min(maxMs, Number(text)) : maxMs;
+}
+
+/**
+ * What follows the service name, as sent. The name may be percent-encoded, so
+ * its length says nothing about where the rest starts.
+ */
+export function getServicePath(requestUrl: string): string {
+  const { pathname, search } = new URL(requestUrl);
+  return `/${pathname.split("/").slice(4).join("/")}${search}`;
+}
+
+/** Resolves when more can be written; false when the caller is gone. */
+export function writeText(
+  outgoing: ServerResponse,
+  text: string,
+): Promise<boolean> {
+  if (outgoing.destroyed || outgoing.writableEnded) {
+    return Promise.resolve(false);
+  }
+  if (outgoing.write(text)) return Promise.resolve(true);
+  return new Promise((resolve) => {
+    const finish = () => {
+      outgoing.off("drain", finish);
+      outgoing.off("close", finish);
+      resolve(!outgoing.destroyed);
+    };
+    outgoing.on("drain", finish);
+    outgoing.on("close", finish);
+  });
+}
--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -4,7 +4,7 @@
 import process from "node:process";
 import { Hono } from "hono";
 import type { AnswerExplainer } from "../answers/answer_explainer.ts";
-import type { AnswerService } from "../answers/answer_service.ts";
+import type { AnswerService } from "../answers/answer_service_types.ts";
 import { errorAnswers, getErrorBody } from "../core/errors.ts";
 import type { UpstreamId } from "../core/types.ts";
 import type { MembershipView } from "../membership/membership_view.ts";
