--- a/src/control/configuration.ts
+++ b/src/control/configuration.ts
@@ -67,7 +67,7 @@
 
 export const retryBudgetSchema = strictFields({
   /** Retries, hedges and resumes as a share of useful work. */
-  failureBudgetRatio: z.number().min(0).max(1),
+  retryBudgetRatio: z.number().min(0).max(1),
 });
 
 export const leavingUpstreamSchema = strictFields({
@@ -131,10 +131,10 @@
     readonly limits: Pick<Settings["limits"], "retryBudgetRatio">;
   },
 ): Configuration {
-  const failureBudgetRatio = settings.limits.retryBudgetRatio;
+  const retryBudgetRatio = settings.limits.retryBudgetRatio;
   const configuration = getEmptyConfiguration();
   for (const { service, ...rest } of settings.services) {
-    configuration.retryBudgets[service] = { failureBudgetRatio };
+    configuration.retryBudgets[service] = { retryBudgetRatio };
     if (rest.kind === "application") {
       configuration.services[service] = rest;
       continue;
--- a/src/control/ticket_table_test.ts
+++ b/src/control/ticket_table_test.ts
@@ -177,8 +177,8 @@
   ],
   [
     "share",
-    { retryBudgets: { lm: { failureBudgetRatio: 2 } } },
-    "retryBudgets.lm.failureBudgetRatio",
+    { retryBudgets: { lm: { retryBudgetRatio: 2 } } },
+    "retryBudgets.lm.retryBudgetRatio",
     /<=1/,
   ],
   [
--- a/src/entry/completion_request.ts
+++ b/src/entry/completion_request.ts
@@ -1,9 +1,10 @@
 /**
  * Parses the body of a completion request.
  */
-import { err, ok, Result } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
+import { parseJson } from "../core/parse_json.ts";
 import type { GenerationRequest } from "../core/types.ts";
 
 const completionSchema = z.object({
@@ -25,7 +26,10 @@
   text: string,
   maxTokens: number,
 ): Result<CompletionRequest, SystemError> {
-  return parseJson(text).andThen((value) => {
+  const json = parseJson(text).mapErr(() =>
+    invalid("the body is not JSON", "")
+  );
+  return json.andThen((value) => {
     const parsed = completionSchema.safeParse(value);
     if (!parsed.success) {
       const issue = parsed.error.issues[0]!;
@@ -49,13 +53,6 @@
   });
 }
 
-function parseJson(text: string): Result<unknown, SystemError> {
-  return Result.fromThrowable(
-    () => JSON.parse(text) as unknown,
-    () => invalid("the body is not JSON", ""),
-  )();
-}
-
 function invalid(message: string, fieldPath: string): SystemError {
   return createError(ErrorKind.InvalidRequest, message, { fieldPath });
 }
--- a/src/entry/ticket_routes.ts
+++ b/src/entry/ticket_routes.ts
@@ -3,16 +3,16 @@
  */
 import { type Context, Hono } from "hono";
 import { bodyLimit } from "hono/body-limit";
-import { Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import type { TicketRecord, TicketResult } from "../control/ticket_table.ts";
 import type { TicketService } from "../control/ticket_service.ts";
+import { parseJson } from "../core/parse_json.ts";
 import { assertNever } from "../core/assert_never.ts";
 import {
   createError,
   errorAnswers,
   ErrorKind,
   getErrorBody,
-  getErrorMessage,
   type SystemError,
 } from "../core/errors.ts";
 
@@ -37,7 +37,7 @@
     }),
   );
   app.post("/tickets", async (context) => {
-    const ticket = parseJson(await context.req.text());
+    const ticket = parseTicketText(await context.req.text());
     if (ticket.isErr()) return refuse(context, ticket.error);
     return await tickets.submit(ticket.value).match(
       (result) => sendResult(context, result),
@@ -45,7 +45,7 @@
     );
   });
   app.post("/tickets/diff", async (context) => {
-    const ticket = parseJson(await context.req.text());
+    const ticket = parseTicketText(await context.req.text());
     if (ticket.isErr()) return refuse(context, ticket.error);
     return context.json(tickets.compare(ticket.value));
   });
@@ -138,15 +138,10 @@
   return context.json(body, httpStatus as 400);
 }
 
-function parseJson(text: string): Result<unknown, SystemError> {
-  return Result.fromThrowable(
-    () => JSON.parse(text) as unknown,
-    (cause) =>
-      createError(
-        ErrorKind.InvalidTicket,
-        `the ticket is not JSON: ${getErrorMessage(cause)}`,
-      ),
-  )();
+function parseTicketText(text: string): Result<unknown, SystemError> {
+  return parseJson(text).mapErr((message) =>
+    createError(ErrorKind.InvalidTicket, `the ticket is not JSON: ${message}`)
+  );
 }
 
 /** A whole number above 0, or the default. */
--- a/src/settings/load_settings.ts
+++ b/src/settings/load_settings.ts
@@ -7,10 +7,11 @@
 import { createError, ErrorKind, getErrorMessage } from "../core/errors.ts";
 import type { SystemError } from "../core/errors.ts";
 import { getFieldIssues } from "../core/strict_fields.ts";
+import { parseJson } from "../core/parse_json.ts";
 import { type Settings, settingsSchema } from "./schema.ts";
 
 export function loadSettings(filePath: string): Result<Settings, SystemError> {
-  return readText(filePath).andThen(parseJson).andThen(checkSettings);
+  return readText(filePath).andThen(parseText).andThen(checkSettings);
 
   function readText(path: string): Result<string, SystemError> {
     return Result.fromThrowable(
@@ -19,11 +20,10 @@
     )();
   }
 
-  function parseJson(text: string): Result<unknown, SystemError> {
-    return Result.fromThrowable(
-      () => JSON.parse(text) as unknown,
-      (cause) => invalid(`${filePath} is not JSON: ${getErrorMessage(cause)}`),
-    )();
+  function parseText(text: string): Result<unknown, SystemError> {
+    return parseJson(text).mapErr((message) =>
+      invalid(`${filePath} is not JSON: ${message}`)
+    );
   }
 }
 
--- a/src/upstreams/engine_client.ts
+++ b/src/upstreams/engine_client.ts
@@ -4,7 +4,7 @@
  */
 import type { Buffer } from "node:buffer";
 import { createParser } from "eventsource-parser";
-import { err, ok, Result, ResultAsync } from "neverthrow";
+import { err, ok, type Result, ResultAsync } from "neverthrow";
 import { Agent, request } from "undici";
 import { z } from "zod";
 import {
@@ -13,6 +13,7 @@
   getErrorMessage,
   type SystemError,
 } from "../core/errors.ts";
+import { parseJson } from "../core/parse_json.ts";
 import { FinishReason } from "../core/types.ts";
 
 export interface EngineCompletion {
@@ -234,7 +235,7 @@
 }
 
 function parseChunk(data: string): Result<Chunk, SystemError> {
-  return parseJson(data).andThen((value) => {
+  return parseJson(data).mapErr(malformed).andThen((value) => {
     const parsed = chunkSchema.safeParse(value);
     if (!parsed.success) return err(malformed(parsed.error.message));
     const choice = parsed.data.choices[0]!;
@@ -246,13 +247,6 @@
   });
 }
 
-function parseJson(text: string): Result<unknown, SystemError> {
-  return Result.fromThrowable(
-    () => JSON.parse(text) as unknown,
-    (cause) => malformed(getErrorMessage(cause)),
-  )();
-}
-
 function getFinishReason(
   reason: "stop" | "length" | null | undefined,
 ): FinishReason | undefined {
