Start rollouts by ticket only, and show them from any instance

POST /admin/rollouts stood in for tickets and worked on the leader alone; with rollouts in the control log it answered notLeader in rollout-processes.

--- a/measure/rollout_process_run.ts
+++ b/measure/rollout_process_run.ts
@@ -5,6 +5,7 @@
  * fails on that engine. The run ends with the rollback and reports what callers
  * saw and how many requests reached the candidate afterwards.
  */
+import { submitTicket } from "./ticket_client.ts";
 import process from "node:process";
 import { startCluster, type UpstreamHandle } from "./launcher.ts";
 import { type AnswerResult, createLoadClient } from "./load_client.ts";
@@ -22,6 +23,9 @@
   enginesPerDomain: 5,
   workersPerDomain: 1,
   seed: 1,
+  changeSettings: (settings) => {
+    settings.weightStore = { rateBytesPerS: 1e9, weightBytes: 1e9 };
+  },
 });
 await cluster.waitUntilReady();
 const client = createLoadClient(cluster);
@@ -37,22 +41,23 @@
 }));
 
 const startedAtMs = Date.now();
-const started = await fetch(`${leader.callerUrl}/admin/rollouts`, {
-  method: "POST",
-  headers,
-  body: JSON.stringify({
-    rolloutId: "r1",
-    service: "taller-lm",
-    stableVersion: "v1",
-    candidateVersion: "v2",
-    createdAtWallMs: startedAtMs,
-    targetAtWallMs: startedAtMs + 10 * 60_000,
-    weightBytes: 1e9,
-    weightStoreBytesPerS: 1e9,
-    engineCount: cluster.engines.length,
-  }),
+await submitTicket(cluster, {
+  number: 1,
+  versions: {
+    "taller-lm": {
+      kind: "stable",
+      stableVersion: "v1",
+      candidateVersion: "v2",
+    },
+  },
+  rollouts: {
+    "taller-lm": {
+      candidateVersion: "v2",
+      targetDate: new Date(startedAtMs + 10 * 60_000).toISOString(),
+      soakMs: 0,
+    },
+  },
 });
-print(`started: ${await started.text()}`);
 
 await waitFor(async () => (await read()).share > 0);
 const canaryAtMs = Date.now();
@@ -112,8 +117,10 @@
   const response = await fetch(`${leader.callerUrl}/admin/rollouts`, {
     headers,
   });
-  const body = await response.json() as { rollouts: Explanation[] };
-  return body.rollouts[0]!;
+  const body = await response.json() as { rollouts?: Explanation[] };
+  // The leader starts the rollout shortly after the ticket is in force.
+  return body.rollouts?.[0] ??
+    { phase: "", share: 0, reason: "", summary: "" };
 }
 
 async function listCandidateEngines(): Promise<UpstreamHandle[]> {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -14,6 +14,10 @@
 } from "./state_commands.ts";
 import { ExplainCommand } from "./explain_command.ts";
 import { ReportBillCommand, ReportBurnCommand } from "./report_commands.ts";
+import {
+  RolloutExplainCommand,
+  RolloutListCommand,
+} from "./rollout_commands.ts";
 import {
   TicketDiffCommand,
   TicketListCommand,
@@ -40,6 +44,8 @@
     StatusCommand,
     TopCommand,
     ExplainCommand,
+    RolloutListCommand,
+    RolloutExplainCommand,
     ReportBillCommand,
     ReportBurnCommand,
     Builtins.HelpCommand,
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -16,6 +16,7 @@
   /** Reads go through the log, so that a stale leader cannot answer them. */
   ReadTickets = "readTickets",
   Rollout = "rollout",
+  ReadRollouts = "readRollouts",
   RecordUsage = "recordUsage",
   ReadBill = "readBill",
   ReadBurn = "readBurn",
@@ -81,6 +82,7 @@
     kind: z.literal(CommandKind.Rollout),
     rollout: rolloutCommandSchema,
   }),
+  z.object({ kind: z.literal(CommandKind.ReadRollouts) }),
   z.object({
     kind: z.literal(CommandKind.RecordUsage),
     batch: usageBatchSchema,
--- a/src/control/state_machine.ts
+++ b/src/control/state_machine.ts
@@ -96,6 +96,12 @@
         return { records: readTickets(command) };
       case CommandKind.Rollout:
         return rollouts.apply(command.rollout);
+      case CommandKind.ReadRollouts:
+        return {
+          rollouts: rollouts.listAll().flatMap(({ spec }) =>
+            rollouts.explain(spec.rolloutId) ?? []
+          ),
+        };
       case CommandKind.RecordUsage:
         return { isCounted: ledger.record(command.batch) };
       case CommandKind.ReadBill:
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -266,7 +266,6 @@
         control,
         ...configuration,
       })),
-      rollouts,
       getLimits: traffic.getLimits,
       getCircuit: traffic.getCircuit,
     }),
--- a/src/daemon/rollouts.ts
+++ b/src/daemon/rollouts.ts
@@ -2,7 +2,7 @@
  * Wires version rollouts into an instance. Rollouts are part of the replicated
  * control state; the leader starts the ones that tickets ask for.
  */
-import { err, errAsync, ok, type Result, type ResultAsync } from "neverthrow";
+import { errAsync, type ResultAsync } from "neverthrow";
 import type { AnswerService } from "../answers/answer_service_types.ts";
 import type { ReplicatedLog } from "../control/replicated_log.ts";
 import type { EngineContent } from "../control/orders/engine_orders.ts";
@@ -16,7 +16,6 @@
 import {
   type RolloutCommand,
   RolloutCommandKind,
-  type RolloutCommandResult,
 } from "../control/rollouts/rollout_commands.ts";
 import {
   createEvidenceCollector,
@@ -48,12 +47,11 @@
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import { createPeriodicTask, type Task } from "../core/supervisor.ts";
-import type { RolloutAdmin } from "../entry/rollout_routes.ts";
 import type { PeerClient } from "../peer/peer_client.ts";
 import type { Settings } from "../settings/schema.ts";
 import type { UpstreamRegistry } from "../upstreams/upstream_registry.ts";
 
-export interface Rollouts extends RolloutAdmin {
+export interface Rollouts {
   readonly leases: TrafficLeases;
   readonly collector: EvidenceCollector;
   handleSync(
@@ -121,16 +119,6 @@
   return {
     leases,
     collector,
-    start: (spec) =>
-      propose({ kind: RolloutCommandKind.Start, spec }).map((result) =>
-        result as RolloutCommandResult
-      ),
-    explainAll: () =>
-      onLeader(() =>
-        table.listAll().flatMap(({ spec }) =>
-          table.explain(spec.rolloutId) ?? []
-        )
-      ),
     handleSync,
     createTasks,
     close: () => orders.close(),
@@ -147,15 +135,6 @@
     ));
   }
 
-  function onLeader<T>(action: () => T): Result<T, SystemError> {
-    const log = options.getLog();
-    if (log?.isLeader()) return ok(action());
-    return err(createError(
-      ErrorKind.NotLeader,
-      `rollouts are kept by the control leader ${log?.getLeaderId() ?? ""}`,
-    ));
-  }
-
   function handleSync(
     request: SyncRollouts,
   ): ResultAsync<SyncRolloutsReply, SystemError> {
--- a/src/entry/operator_app.ts
+++ b/src/entry/operator_app.ts
@@ -12,7 +12,6 @@
 import type { UpstreamRegistry } from "../upstreams/upstream_registry.ts";
 import type { InstanceId } from "../core/types.ts";
 import type { Authenticator } from "./authenticator.ts";
-import { createRolloutRoutes, type RolloutAdmin } from "./rollout_routes.ts";
 
 export interface OperatorAppOptions {
   readonly authenticator: Authenticator;
@@ -32,7 +31,6 @@
   readonly ticketRoutes: Hono;
   readonly reportRoutes: Hono;
   readonly explainer: AnswerExplainer;
-  readonly rollouts: RolloutAdmin;
   /** Admission, budgets and circuits, as the daemon has them. */
   getLimits(): unknown;
   getCircuit(upstreamId: UpstreamId): string;
@@ -96,7 +94,6 @@
   });
   app.route("/", options.ticketRoutes);
   app.route("/", options.reportRoutes);
-  app.route("/rollouts", createRolloutRoutes(options.rollouts));
   return app;
 }
 
--- a/src/entry/report_routes.ts
+++ b/src/entry/report_routes.ts
@@ -1,5 +1,6 @@
 /**
- * Operator routes for the bill and for the burn of service-level objectives.
+ * Operator routes for the bill, the burn of service-level objectives and the
+ * explanation of rollouts. They are read through the control log.
  */
 import { type Context, Hono } from "hono";
 import type { ResultAsync } from "neverthrow";
@@ -38,6 +39,10 @@
       context,
       read({ kind: CommandKind.ReadBurn, atWallMs: clock.wallMs() }),
     ));
+  app.get(
+    "/rollouts",
+    (context) => send(context, read({ kind: CommandKind.ReadRollouts })),
+  );
   return app;
 
   function read(command: Command): ResultAsync<unknown, SystemError> {
