--- a/src/upstreams/engine_attempts.ts
+++ b/src/upstreams/engine_attempts.ts
@@ -145,6 +145,7 @@
       model: meta.request.model,
       version: meta.version,
       adapter: meta.request.adapter,
+      route: meta.request.route,
       prompt: meta.request.prompt,
       maxTokens: meta.request.maxTokens,
       priority: meta.request.priority +
--- a/src/upstreams/engine_client.ts
+++ b/src/upstreams/engine_client.ts
@@ -21,6 +21,8 @@
   readonly model: string;
   readonly version: string;
   readonly adapter: string;
+  /** For the engine's own logs and metrics. */
+  readonly route: string;
   readonly prompt: string;
   readonly maxTokens: number;
   readonly priority: number;
@@ -150,6 +152,7 @@
     model: completion.model,
     version: completion.version,
     adapter: completion.adapter,
+    route: completion.route,
     prompt: completion.prompt,
     max_tokens: completion.maxTokens,
     priority: completion.priority,
