--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -161,6 +161,7 @@
     random,
     registry,
     engines,
+    configuration,
     getInstanceCount: () => membership.listInstances().length,
     servesVersion: rollouts.leases.servesVersion,
   });
--- a/src/daemon/traffic.ts
+++ b/src/daemon/traffic.ts
@@ -2,6 +2,7 @@
  * Builds what decides where work goes and how much of it is accepted: router,
  * circuit breakers, cache index, stall detector, budgets and admission.
  */
+import type { ConfigurationView } from "../control/configuration.ts";
 import type { Clock } from "../core/clock.ts";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
@@ -14,7 +15,7 @@
 } from "../core/types.ts";
 import { type Admission, createAdmission } from "../limits/admission.ts";
 import { createConcurrencyWindow } from "../limits/concurrency_window.ts";
-import { createSettingsCustomerLimits } from "../limits/customer_limits.ts";
+import { createConfiguredCustomerLimits } from "../limits/customer_limits.ts";
 import { createFairShare } from "../limits/fair_share.ts";
 import { createRetryBudget, type RetryBudget } from "../limits/retry_budget.ts";
 import { createCacheIndex } from "../routing/cache_index.ts";
@@ -57,6 +58,7 @@
   readonly random: Random;
   readonly registry: UpstreamRegistry;
   readonly engines: EngineClient;
+  readonly configuration: ConfigurationView;
   getInstanceCount(): number;
   /** Whether new work on the version may go to the engine. */
   servesVersion(info: UpstreamInfo, version: string): boolean;
@@ -89,7 +91,7 @@
     window,
     shares: createFairShare({
       clock,
-      limits: createSettingsCustomerLimits(settings.customers),
+      limits: createConfiguredCustomerLimits(options.configuration),
       maxOpenAnswers: limits.maxOpenAnswers,
       maxTokensPerS: limits.maxTokensPerS,
     }),
--- a/src/limits/customer_limits.ts
+++ b/src/limits/customer_limits.ts
@@ -1,7 +1,8 @@
 /**
- * Source of customer weights. The settings provide them today; a configuration
- * that changes while the instance runs implements the same interface.
+ * Sources of customer weights: a fixed list, or the configuration in force,
+ * which change tickets alter while the instance runs.
  */
+import { type ConfigurationView, lookUp } from "../control/configuration.ts";
 import type { CustomerId } from "../core/types.ts";
 
 export interface CustomerLimits {
@@ -20,3 +21,12 @@
   );
   return { getWeight: (customerId) => weights.get(customerId) ?? 1 };
 }
+
+export function createConfiguredCustomerLimits(
+  view: ConfigurationView,
+): CustomerLimits {
+  return {
+    getWeight: (customerId) =>
+      lookUp(view.getConfiguration().limits, customerId)?.weight ?? 1,
+  };
+}
