Remove a second comparison of owners and code without users

isNewerOwner spelled out what compareAttempts decides; it calls it now. Looked at and left: pairs of the same shape in discriminated unions, and the two dispatch loops of call_service.ts, which differ in time limit and connection.

--- a/src/answers/stale_owners.ts
+++ b/src/answers/stale_owners.ts
@@ -2,7 +2,11 @@
  * Ends one of two ownerships of an answer that a partition or a pause left
  * behind: the newer owner stays.
  */
-import type { AttemptId, InstanceId } from "../core/types.ts";
+import {
+  type AttemptId,
+  compareAttempts,
+  type InstanceId,
+} from "../core/types.ts";
 import { parseAnswerId } from "./answer_id.ts";
 import type { AnswerState } from "./answer_state.ts";
 import type { CopySender } from "./copy_sender.ts";
@@ -37,9 +41,7 @@
 }
 
 export function isNewerOwner(left: AttemptId, right: AttemptId): boolean {
-  return left.attemptNumber > right.attemptNumber ||
-    (left.attemptNumber === right.attemptNumber &&
-      left.instanceId > right.instanceId);
+  return compareAttempts(left, right) > 0;
 }
 
 function isConcerned(state: AnswerState, instanceId: InstanceId): boolean {
--- a/src/control/rollouts/evidence.ts
+++ b/src/control/rollouts/evidence.ts
@@ -41,11 +41,6 @@
   return Math.min(latencyBinCount - 1, Math.max(0, bin));
 }
 
-/** Lower edge of a bin. */
-export function getBinLatencyMs(bin: number): number {
-  return smallestLatencyMs * binRatio ** bin;
-}
-
 const loadBucketStarts = [0, 2, 4, 6, 8, 11, 15, 20, 28, 40, 56, 80, 112, 160];
 
 export const loadBucketCount = loadBucketStarts.length;
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -36,7 +36,6 @@
   // 2xxx: answers
   answerOpened: event(2001, Debug, "answer opened"),
   answerFinished: event(2002, Debug, "answer finished"),
-  answerFailed: event(2003, Warn, "answer failed"),
   attemptStarted: event(2004, Debug, "attempt started"),
   attemptLost: event(2005, Warn, "attempt lost its engine"),
   attemptSuspected: event(2006, Warn, "engine is silent, hedge started"),
@@ -56,7 +55,6 @@
   staleOwnersTold: event(2101, Info, "returned instance told of newer owners"),
   // 3xxx: calls to plain services
   callOutcomeUnknown: event(3001, Warn, "call dispatched without an answer"),
-  callRefused: event(3002, Info, "call refused before dispatch"),
   claimFailed: event(3003, Warn, "claim could not be committed"),
   // 4xxx: upstreams
   upstreamAdded: event(4001, Info, "upstream added"),
@@ -84,10 +82,8 @@
   ticketAccepted: event(6003, Info, "ticket accepted"),
   ticketRefused: event(6004, Info, "ticket refused"),
   configurationApplied: event(6005, Info, "configuration applied"),
-  rolloutDecided: event(6006, Info, "version rollout decided"),
   orderSent: event(6007, Info, "engine order sent"),
   storageFailed: event(6008, Failure, "data folder could not be written"),
-  voterReplaced: event(6009, Info, "voter replaced"),
   leaseExpired: event(
     6010,
     Warn,
