--- a/measure/control_log.ts
+++ b/measure/control_log.ts
@@ -54,7 +54,7 @@
   clock,
   peers,
   selfId: "measure",
-  controlInstanceIds: domainIds.map((id) => `${id}-0`),
+  listControlIds: () => domainIds.map((id) => `${id}-0`),
   log: undefined,
 });
 
--- a/measure/propagation_fakes.ts
+++ b/measure/propagation_fakes.ts
@@ -124,6 +124,7 @@
           instanceId: other.id,
           domainId: other.domainId,
           isReachable: looksReachable(node, other),
+          isRelay: true,
         })),
     });
     if (node.hasDisk) options.onInForce?.(node, node.highest);
--- a/measure/simulated_log_group.ts
+++ b/measure/simulated_log_group.ts
@@ -66,7 +66,8 @@
   const random = createRandom(seed);
   const controlInstanceIds = Array.from({ length: size }, (_, i) => `c${i}`);
   const options = {
-    controlInstanceIds,
+    founderIds: controlInstanceIds,
+    listControlIds: () => controlInstanceIds,
     voterCount,
     electionTimeoutMs: 100,
     leaseMs: 90,
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -75,6 +75,8 @@
     kind: z.literal(CommandKind.ReadTickets),
     /** Only this ticket; otherwise the newest ones below `beforeNumber`. */
     number: ticketNumberSchema.optional(),
+    /** Only the ticket in force for this object, such as `limits.clinic`. */
+    objectPath: z.string().max(500).optional(),
     beforeNumber: ticketNumberSchema.default(Number.MAX_SAFE_INTEGER),
     limit: z.int().min(1).max(1_000).default(100),
   }),
--- a/src/control/configuration.ts
+++ b/src/control/configuration.ts
@@ -16,6 +16,7 @@
   type Settings,
 } from "../settings/schema.ts";
 import { intInRange, strictFields } from "../core/strict_fields.ts";
+import { forwardingTableSchema } from "../forwarding/forwarding_table.ts";
 
 const dayMs = 86_400_000;
 
@@ -81,6 +82,7 @@
   limits: customerLimitsSchema,
   retryBudgets: retryBudgetSchema,
   leavingUpstreams: leavingUpstreamSchema,
+  forwarding: forwardingTableSchema,
 } as const;
 
 export type ObjectKind = keyof typeof objectSchemas;
@@ -98,6 +100,7 @@
   limits: mapOf(customerLimitsSchema.nullable()).optional(),
   retryBudgets: mapOf(retryBudgetSchema.nullable()).optional(),
   leavingUpstreams: mapOf(leavingUpstreamSchema.nullable()).optional(),
+  forwarding: mapOf(forwardingTableSchema.nullable()).optional(),
 } as const;
 
 export const configurationChangesSchema = strictFields(changeFields);
@@ -110,6 +113,8 @@
   limits: mapOf(customerLimitsSchema),
   retryBudgets: mapOf(retryBudgetSchema),
   leavingUpstreams: mapOf(leavingUpstreamSchema),
+  // Caches and snapshots of earlier versions lack it.
+  forwarding: mapOf(forwardingTableSchema).default({}),
 });
 
 export type ServiceConfiguration = z.output<typeof serviceConfigurationSchema>;
@@ -166,6 +171,7 @@
     limits: {},
     retryBudgets: {},
     leavingUpstreams: {},
+    forwarding: {},
   };
 }
 
--- a/src/control/configuration_checks.ts
+++ b/src/control/configuration_checks.ts
@@ -3,6 +3,7 @@
  * object cannot see. They run on the state that a ticket would produce.
  */
 import type { FieldIssue } from "../core/strict_fields.ts";
+import { checkForwardingTable } from "../forwarding/forwarding_checks.ts";
 import {
   type Configuration,
   getTargetWallMs,
@@ -31,6 +32,7 @@
       checkRollout(next, service, rollout)
     ),
     ...checkTargetDates(check),
+    ...checkForwarding(check.ticket),
   ];
 }
 
@@ -125,3 +127,13 @@
     }];
   });
 }
+
+/** Only tables in the ticket: those in force were checked before. */
+function checkForwarding({ forwarding }: Ticket): FieldIssue[] {
+  return Object.entries(forwarding ?? {}).flatMap(([name, table]) =>
+    (table ? checkForwardingTable(table) : []).map(({ path, message }) => ({
+      path: `forwarding.${name}.${path}`,
+      message,
+    }))
+  );
+}
--- a/src/control/configuration_service.ts
+++ b/src/control/configuration_service.ts
@@ -146,9 +146,10 @@
     const membership = options.getMembership();
     return membership.listInstances()
       .filter(({ instanceId }) => instanceId !== selfId)
-      .map(({ instanceId, domainId }) => ({
+      .map(({ instanceId, domainId, isControl }) => ({
         instanceId,
         domainId,
+        isRelay: isControl ?? true,
         isReachable: membership.isReachable(instanceId),
       }));
   }
--- a/src/control/control_client.ts
+++ b/src/control/control_client.ts
@@ -23,7 +23,8 @@
   readonly clock: Clock;
   readonly peers: PeerClient;
   readonly selfId: InstanceId;
-  readonly controlInstanceIds: readonly InstanceId[];
+  /** The control instances known now; at least one. */
+  listControlIds(): readonly InstanceId[];
   /** Present on control instances. */
   readonly log: ReplicatedLog | undefined;
 }
@@ -34,8 +35,8 @@
 export function createControlClient(
   options: ControlClientOptions,
 ): ControlClient {
-  const { clock, peers, selfId, controlInstanceIds, log } = options;
-  let leaderId: InstanceId = controlInstanceIds[0]!;
+  const { clock, peers, selfId, listControlIds, log } = options;
+  let leaderId: InstanceId = listControlIds()[0]!;
   return {
     propose: (command, timeoutMs) =>
       new ResultAsync(proposeUntil(command, clock.nowMs() + timeoutMs)),
@@ -45,6 +46,8 @@
     command: Command,
     giveUpAtMs: number,
   ): Promise<Result<unknown, SystemError>> {
+    // A replica hears of a new leader before a proposal fails at the old one.
+    leaderId = log?.getLeaderId() ?? leaderId;
     while (true) {
       const remainingMs = giveUpAtMs - clock.nowMs();
       if (remainingMs <= 0) {
@@ -102,12 +105,13 @@
 
   /** A new leader names itself before it may answer; it is asked again. */
   function chooseNext(hintId: InstanceId | undefined): void {
-    if (hintId && controlInstanceIds.includes(hintId)) {
+    const controlIds = listControlIds();
+    if (hintId && controlIds.includes(hintId)) {
       leaderId = hintId;
       return;
     }
-    const index = controlInstanceIds.indexOf(leaderId);
-    leaderId = controlInstanceIds[(index + 1) % controlInstanceIds.length]!;
+    const index = controlIds.indexOf(leaderId);
+    leaderId = controlIds[(index + 1) % controlIds.length]!;
   }
 }
 
--- a/src/control/log/bootstrap.ts
+++ b/src/control/log/bootstrap.ts
@@ -1,7 +1,7 @@
 /**
  * Founding of the first group, and greetings of replicas without a leader.
  *
- * Only the first instance of `controlInstanceIds` founds a group, and only
+ * Only the first instance of `founderIds` founds a group, and only
  * after every instance of the list reported in this process's lifetime that its
  * data folder never belonged to one. `docs/control_log.md` explains why this
  * cannot form two groups that commit.
@@ -31,7 +31,7 @@
   if (!isFresh && !isWithoutLeader) return;
   state.helloAtMs = nowMs + 2 * heartbeatMs;
   foundGroup(step);
-  for (const instanceId of state.options.controlInstanceIds) {
+  for (const instanceId of state.options.listControlIds()) {
     if (instanceId === getInstanceId(state.selfId)) continue;
     step.effects.push({
       kind: EffectKind.Send,
@@ -42,7 +42,7 @@
         toId: "",
         message: {
           kind: LogMessageKind.Hello,
-          controlInstanceIds: [...state.options.controlInstanceIds],
+          founderIds: [...state.options.founderIds],
         },
       },
     });
@@ -56,8 +56,8 @@
   },
 ): void {
   const { state, effects } = step;
-  const isSameList = JSON.stringify(message.controlInstanceIds) ===
-    JSON.stringify(state.options.controlInstanceIds);
+  const isSameList = JSON.stringify(message.founderIds) ===
+    JSON.stringify(state.options.founderIds);
   effects.push({
     kind: EffectKind.Send,
     instanceId: getInstanceId(fromId),
@@ -71,7 +71,7 @@
       },
     },
   });
-  const isListed = state.options.controlInstanceIds.includes(
+  const isListed = state.options.listControlIds().includes(
     getInstanceId(fromId),
   );
   const isOwnGroup = groupId === "" || groupId === state.durable.groupId;
@@ -94,15 +94,15 @@
 
 function foundGroup(step: Step): void {
   const { state, random, effects } = step;
-  const { controlInstanceIds, voterCount } = state.options;
-  const isFounder = controlInstanceIds[0] === getInstanceId(state.selfId);
+  const { founderIds, voterCount } = state.options;
+  const isFounder = founderIds[0] === getInstanceId(state.selfId);
   if (!isFounder || state.durable.groupId !== "") return;
-  const replicaIds = controlInstanceIds.map((instanceId) =>
-    instanceId === controlInstanceIds[0]
+  const replicaIds = founderIds.map((instanceId) =>
+    instanceId === founderIds[0]
       ? state.selfId
       : state.freshReplicas.get(instanceId)
   ).filter((id) => id !== undefined);
-  if (replicaIds.length < controlInstanceIds.length) return;
+  if (replicaIds.length < founderIds.length) return;
   const groupId = Array.from(
     { length: 4 },
     () => random.nextInt(2 ** 31).toString(16).padStart(8, "0"),
--- a/src/control/log/consensus_test.ts
+++ b/src/control/log/consensus_test.ts
@@ -329,7 +329,8 @@
   const random = createRandom(1);
   const options = {
     ...createSimulatedGroup({ size: 1, voterCount: 1 }).options,
-    controlInstanceIds: ["c0", "c1", "c2", "c3", "c4"],
+    founderIds: ["c0", "c1", "c2", "c3", "c4"],
+    listControlIds: () => ["c0", "c1", "c2", "c3", "c4"],
     voterCount: 3,
   };
   const entry = { kind: EntryKind.Command, data: new Uint8Array([1]) };
@@ -379,7 +380,7 @@
   }
 
   function greet(fromId: string): void {
-    const { controlInstanceIds } = options;
-    receive(fromId, { kind: LogMessageKind.Hello, controlInstanceIds }, "");
+    const founderIds = [...options.founderIds];
+    receive(fromId, { kind: LogMessageKind.Hello, founderIds }, "");
   }
 });
--- a/src/control/log/log_types.ts
+++ b/src/control/log/log_types.ts
@@ -14,7 +14,10 @@
 export type ReplicaId = string;
 
 export interface ConsensusOptions {
-  readonly controlInstanceIds: readonly InstanceId[];
+  /** Found the group together; empty where none may be founded. */
+  readonly founderIds: readonly InstanceId[];
+  /** The control instances known now; they may join the group. */
+  listControlIds(): readonly InstanceId[];
   /** Target number of voters. */
   readonly voterCount: number;
   /**
--- a/src/control/propagation.ts
+++ b/src/control/propagation.ts
@@ -2,8 +2,9 @@
  * Decides whom to send a new configuration and whom to ask for one.
  *
  * The control leader sends a revision to one relay in each failure domain, its
- * own included; a relay forwards it inside its domain. Whoever
- * sees a higher revision than its own and does not get it in time pulls it.
+ * own included; a relay forwards it inside its domain. In a domain without a
+ * relay the leader sends it to every member. Whoever sees a higher revision
+ * than its own and does not get it in time pulls it.
  */
 import type { Random } from "../core/random.ts";
 import type { DomainId, InstanceId } from "../core/types.ts";
@@ -12,6 +13,8 @@
   readonly instanceId: InstanceId;
   readonly domainId: DomainId;
   readonly isReachable: boolean;
+  /** Knows the other members of its failure domain. */
+  readonly isRelay: boolean;
 }
 
 export interface MemberRevision {
@@ -169,7 +172,12 @@
     const relayed: PropagationEffect[] = [];
     for (const domain of domains) {
       const relay = chooseRelay(domain, nowMs);
-      if (relay !== undefined && mayPush(relay, ownRevision, nowMs)) {
+      if (relay === undefined) {
+        const direct = behind.filter(({ domainId, instanceId }) =>
+          domainId === domain && mayPush(instanceId, ownRevision, nowMs)
+        );
+        relayed.push(...direct.map((to) => push(to.instanceId, false, nowMs)));
+      } else if (mayPush(relay, ownRevision, nowMs)) {
         relayed.push(push(relay, true, nowMs));
       }
     }
@@ -208,7 +216,7 @@
     nowMs: number,
   ): InstanceId | undefined {
     const usable = options.listMembers().filter((member) =>
-      member.domainId === domain && member.isReachable &&
+      member.domainId === domain && member.isReachable && member.isRelay &&
       (failedUntilMs.get(member.instanceId) ?? 0) <= nowMs
     );
     const current = relays.get(domain);
--- a/src/control/replicated_log.ts
+++ b/src/control/replicated_log.ts
@@ -3,8 +3,8 @@
  * the data folder, the peer connections and the replicated state.
  *
  * Events that arrive during a sync are handled together and share the next one.
- * A failed write ends the log's part in the group until the process restarts:
- * what reached the disk is unknown then. Answers and idempotent calls go on.
+ * After a failed write it is unknown what reached the disk. The replica then
+ * leaves the group, and takes part again once it has read its folder anew.
  */
 import { Encoder } from "cbor-x";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
@@ -85,6 +85,8 @@
 }
 
 const tickMs = 20;
+/** A full disk may have room again; a damaged folder needs an operator. */
+const reopenDelayMs = 500;
 /**
  * A snapshot is taken when the commands since the last one exceed its size, and
  * this minimum. Writing snapshots thus costs no more than writing the log.
@@ -108,7 +110,8 @@
 export function createConsensusOptions(
   options: Pick<
     ConsensusOptions,
-    | "controlInstanceIds"
+    | "founderIds"
+    | "listControlIds"
     | "voterCount"
     | "electionTimeoutMs"
     | "replaceVoterAfterMs"
@@ -142,7 +145,7 @@
   let appliedIndex = 0;
   let appliedTerm = 0;
   let appliedBytes = 0;
-  let isHalted = false;
+  const emptyState = stateMachine.getSnapshot();
   return {
     tasks: [
       { name: "control-log", run },
@@ -154,7 +157,7 @@
       }),
     ],
     isLeader: () =>
-      state !== undefined && !isHalted && hasLease(state, clock.nowMs()) &&
+      state !== undefined && hasLease(state, clock.nowMs()) &&
       appliedTerm === state.durable.term,
     getLeaderId: () =>
       state && state.leaderId !== ""
@@ -166,13 +169,13 @@
   };
 
   function enqueue(event: ConsensusEvent): void {
-    if (!state || isHalted) return;
+    if (!state) return;
     queue.push(event);
     wake();
   }
 
   function propose(command: Command): Promise<Result<unknown, SystemError>> {
-    if (!state || isHalted) return Promise.resolve(notLeader());
+    if (!state) return Promise.resolve(notLeader());
     if (queuedProposals.size + proposals.size >= maxQueuedProposals) {
       return Promise.resolve(err(createError(
         ErrorKind.Overloaded,
@@ -190,10 +193,26 @@
 
   async function run(signal: AbortSignal): Promise<void> {
     signal.addEventListener("abort", () => wake());
+    while (!signal.aborted) {
+      const reason = await runUntilFailure(signal);
+      state = undefined;
+      queue = [];
+      failProposals(createError(ErrorKind.NotLeader, "the control log ended"));
+      if (reason === undefined) return;
+      logger.log(logEvents.controlLogStopped, { reason });
+      await clock.sleep(reopenDelayMs, signal);
+    }
+  }
+
+  /** Returns the reason of a failure; undefined after an abort. */
+  async function runUntilFailure(
+    signal: AbortSignal,
+  ): Promise<string | undefined> {
     let storage: LogStorage | undefined;
+    let failure: string | undefined;
     try {
-      if (!isHalted) storage = await open();
-      while (storage && !signal.aborted) {
+      storage = await open();
+      while (!signal.aborted) {
         if (queue.length === 0) {
           await new Promise<void>((resolve) => wake = resolve);
         }
@@ -202,17 +221,11 @@
         if (events.length > 0) await handleBatch(storage, events);
       }
     } catch (cause) {
-      halt(getErrorMessage(cause));
+      failure = getErrorMessage(cause);
     }
-    await storage?.close();
-    failProposals(createError(ErrorKind.NotLeader, "the control log ended"));
-    while (!signal.aborted) await clock.sleep(60_000, signal);
-  }
-
-  function halt(reason: string): void {
-    isHalted = true;
-    queue = [];
-    logger.log(logEvents.controlLogStopped, { reason });
+    const closed = await storage?.close();
+    if (closed?.isErr()) failure ??= closed.error.message;
+    return failure;
   }
 
   async function open(): Promise<LogStorage> {
@@ -229,6 +242,7 @@
       random,
     });
     if (stored.snapshot.index > 0) restore(stored.snapshot);
+    else if (appliedIndex > 0) forgetApplied();
     logger.log(logEvents.controlLogOpened, {
       replica: replicaId,
       group: stored.durable.groupId,
@@ -350,6 +364,14 @@
     appliedBytes = 0;
   }
 
+  /** The committed entries are applied anew from the first one on. */
+  function forgetApplied(): void {
+    stateMachine.restore(emptyState);
+    appliedIndex = 0;
+    appliedTerm = 0;
+    appliedBytes = 0;
+  }
+
   function takeSnapshotWhenDue(): void {
     const isDue = appliedBytes >=
       Math.max(snapshotBytes, state!.snapshot.data.length);
--- a/src/control/replicated_log_test.ts
+++ b/src/control/replicated_log_test.ts
@@ -56,7 +56,8 @@
     instanceId: id,
     dataFolder: join(folder, id),
     consensus: createConsensusOptions({
-      controlInstanceIds: ids,
+      founderIds: ids,
+      listControlIds: () => ids,
       voterCount: 3,
       electionTimeoutMs: 200,
       replaceVoterAfterMs: 600,
--- a/src/control/state_machine.ts
+++ b/src/control/state_machine.ts
@@ -119,10 +119,13 @@
   }
 
   function readTickets(command: ReadTicketsCommand): TicketRecord[] {
-    if (command.number === undefined) {
+    const { number, objectPath } = command;
+    if (number === undefined && objectPath === undefined) {
       return tickets.listRecords(command.beforeNumber, command.limit);
     }
-    const record = tickets.getRecord(command.number);
+    const record = number === undefined
+      ? tickets.findInForce(objectPath!)
+      : tickets.getRecord(number);
     return record ? [record] : [];
   }
 }
--- a/src/control/ticket.ts
+++ b/src/control/ticket.ts
@@ -16,11 +16,16 @@
 /** Bounds a log entry and the time to check one ticket. */
 export const maxTouchedObjects = 2_000;
 
+/** Fits one frame between instances together with the objects made from it. */
+const maxSourceChars = 4 * 1024 * 1024;
+
 export const ticketNumberSchema = intInRange(1, Number.MAX_SAFE_INTEGER);
 
 export const ticketSchema = strictFields({
   number: ticketNumberSchema,
   comment: z.string().max(2_000).default(""),
+  /** The operator's own document that the ticket was made from. */
+  source: z.string().max(maxSourceChars).optional(),
   ...changeFields,
 });
 
--- a/src/control/ticket_service.ts
+++ b/src/control/ticket_service.ts
@@ -19,6 +19,7 @@
 import {
   type Command,
   CommandKind,
+  type ReadTicketsCommand,
   readTicketsResultSchema,
 } from "./commands.ts";
 import {
@@ -51,6 +52,10 @@
 export interface TicketService {
   submit(ticket: unknown): ResultAsync<TicketResult, SystemError>;
   find(number: number): ResultAsync<TicketRecord, SystemError>;
+  /** The ticket in force for an object, as a majority knows it now. */
+  findInForce(
+    objectPath: string,
+  ): ResultAsync<TicketRecord | undefined, SystemError>;
   list(
     query: { readonly beforeNumber: number; readonly limit: number },
   ): ResultAsync<TicketRecord[], SystemError>;
@@ -83,6 +88,7 @@
           `ticket ${number} was not accepted, or its record was discarded`,
         ))
       ),
+    findInForce: (objectPath) => read({ objectPath }).map(([record]) => record),
     list: read,
     compare,
     listBehind: options.listBehind,
@@ -125,7 +131,7 @@
   }
 
   function read(
-    query: { number?: number; beforeNumber?: number; limit?: number },
+    query: Partial<Omit<ReadTicketsCommand, "kind">>,
   ): ResultAsync<TicketRecord[], SystemError> {
     return proposeCommand({
       kind: CommandKind.ReadTickets,
--- a/src/control/ticket_table.ts
+++ b/src/control/ticket_table.ts
@@ -83,6 +83,8 @@
   change(changes: ConfigurationChanges): Configuration;
   getConfiguration(): Configuration;
   getRecord(number: number): TicketRecord | undefined;
+  /** The ticket that gave the object its present state. */
+  findInForce(objectPath: string): TicketRecord | undefined;
   /** Newest first, at most `limit` with numbers below `beforeNumber`. */
   listRecords(beforeNumber: number, limit: number): TicketRecord[];
   getSnapshot(): TicketSnapshot;
@@ -114,6 +116,7 @@
     change,
     getConfiguration: () => configuration,
     getRecord: (number) => records.get(number),
+    findInForce: (objectPath) => records.get(lastNumbers.get(objectPath) ?? 0),
     listRecords: (beforeNumber, limit) =>
       [...records.values()]
         .filter(({ number }) => number < beforeNumber)
@@ -173,7 +176,7 @@
     contentSha256: string,
     acceptedAtWallMs: number,
   ): TicketResult {
-    const { number, comment: _comment, ...changes } = ticket;
+    const { number, comment: _comment, source: _source, ...changes } = ticket;
     const record: TicketRecord = {
       number,
       contentSha256,
@@ -181,13 +184,28 @@
       acceptedAtWallMs,
       ticket,
     };
-    for (const path of listTouched(ticket)) lastNumbers.set(path, number);
+    for (const path of listTouched(ticket)) {
+      forgetLargeContent(lastNumbers.get(path));
+      lastNumbers.set(path, number);
+    }
     records.set(number, record);
     if (records.size > 2 * retainedRecords) discardRecords();
     change(changes);
     return getAcceptedReply(record);
   }
 
+  /**
+   * Forwarding tables and source documents are large and sent whole with every
+   * ticket. Of a superseded one the hash is enough to recognise it again.
+   */
+  function forgetLargeContent(number: number | undefined): void {
+    const record = records.get(number ?? 0);
+    if (!record?.ticket.forwarding) return;
+    const { source: _source, forwarding: _forwarding, ...ticket } =
+      record.ticket;
+    records.set(record.number, { ...record, ticket });
+  }
+
   function change(changes: ConfigurationChanges): Configuration {
     const revision = configuration.revision + 1;
     configuration = applyChanges(configuration, changes, revision);
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -32,6 +32,8 @@
   taskRestarted: event(1004, Warn, "task failed and is restarted"),
   taskGaveUp: event(1005, Failure, "task failed too often"),
   unexpectedError: event(1006, Failure, "unexpected error"),
+  settingsReloaded: event(1008, Info, "settings reloaded"),
+  settingsRejected: event(1009, Warn, "changed settings rejected"),
   drainWaiting: event(1007, Info, "drain waits for open work"),
   // 2xxx: answers
   answerOpened: event(2001, Debug, "answer opened"),
@@ -67,6 +69,13 @@
   upstreamProbed: event(4102, Info, "upstream is probed with one request"),
   cacheEventsFailed: event(4103, Debug, "cache events could not be read"),
   hedgeRefused: event(4104, Warn, "hedge refused by the retry budget"),
+  upstreamSuspended: event(4203, Warn, "upstream gets no new work for a while"),
+  upstreamViewChanged: event(4201, Info, "upstream view changed"),
+  upstreamListReadHere: event(
+    4202,
+    Warn,
+    "no control instance confirms the upstream view, list read here",
+  ),
   // 5xxx: peers and membership
   peerConnected: event(5001, Debug, "peer connected"),
   peerLost: event(5002, Warn, "peer connection lost"),
@@ -117,12 +126,19 @@
   controlLogStopped: event(
     6105,
     Failure,
-    "control log stopped until the process restarts",
+    "control log stopped, its folder is read anew",
   ),
   // 7xxx: callers
   requestRefused: event(7001, Debug, "request refused"),
   requestFailed: event(7002, Warn, "request failed"),
   admissionRefused: event(7101, Info, "request refused by admission"),
   answerAbandoned: event(7102, Info, "caller is gone, answer cancelled"),
+  forwardingFailed: event(7201, Warn, "request ended without an answer"),
+  attemptFailed: event(7202, Info, "attempt failed at an upstream"),
+  callerLeft: event(7203, Info, "caller left before its answer was complete"),
+  requestAnswered: event(7204, Info, "request answered"),
+  forwardingRefused: event(7205, Info, "request refused before an attempt"),
+  streamResumed: event(7206, Info, "stream goes on at another engine"),
+  engineSilent: event(7207, Warn, "engine is silent, its streams move"),
   retryRefused: event(7103, Info, "retry refused by the retry budget"),
 } as const satisfies Record<string, LogEvent>;
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -22,6 +22,8 @@
   readonly state: InstanceState;
   /** Increases with every start of the process. */
   readonly incarnation: number;
+  /** The instance keeps the control log. */
+  readonly isControl?: boolean | undefined;
 }
 
 export enum UpstreamKind {
--- /dev/null
+++ b/src/daemon/control_instance.ts
@@ -0,0 +1,142 @@
+/**
+ * A control instance of a forwarding deployment: keeps the control log, serves
+ * operators and reads the list of upstreams while it leads.
+ */
+import { join } from "node:path";
+import { errAsync, ok, okAsync, type ResultAsync } from "neverthrow";
+import { createControlClient } from "../control/control_client.ts";
+import { createOperatorService } from "../control/operator_service.ts";
+import {
+  createConsensusOptions,
+  createReplicatedLog,
+  type ReplicatedLogService,
+} from "../control/replicated_log.ts";
+import { createStateMachine } from "../control/state_machine.ts";
+import { createTicketService } from "../control/ticket_service.ts";
+import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
+import { createSupervisor } from "../core/supervisor.ts";
+import { PeerCallKind } from "../peer/messages.ts";
+import { startPeerServer } from "../peer/peer_server.ts";
+import { startHttpServer } from "./http_server.ts";
+import { createInstanceCore } from "./instance_core.ts";
+import type {
+  InstanceOptions,
+  RunningInstance,
+} from "./forwarding_instance.ts";
+import { createProposeHandler } from "./peer_handlers.ts";
+
+/**
+ * Below the time in which an operator's call has to be acknowledged by a
+ * factor, so that an election and a retry fit in.
+ */
+const electionTimeoutMs = 600;
+/** A lost voter is replaced within the time that a loss may last. */
+const replaceVoterAfterMs = 2_500;
+
+export function startControlInstance(
+  options: InstanceOptions,
+): ResultAsync<RunningInstance, SystemError> {
+  const { settings, adapter, clock, logger, random } = options;
+  const { dataFolder, operators: operatorsAddress } = settings;
+  if (dataFolder === null || operatorsAddress === null) {
+    const message = "a control instance needs a data folder and an address";
+    return errAsync(createError(ErrorKind.InvalidSettings, message));
+  }
+  const late: { log?: ReplicatedLogService } = {};
+  const core = createInstanceCore({
+    settings,
+    adapter,
+    clock,
+    logger,
+    random,
+    isLeader: () => late.log!.isLeader(),
+    getLeaderTerm: () => late.log!.isLeader() ? late.log!.getTerm() : undefined,
+    onConfiguration: () => {},
+    onUpstreams: () => {},
+  });
+  const { membership, peers, configuration, upstreams } = core;
+  const seedIds = settings.seeds.map(({ host }) => host).sort();
+  const log = createReplicatedLog({
+    clock,
+    logger,
+    random,
+    peers,
+    instanceId: settings.host,
+    dataFolder: join(dataFolder, "log"),
+    consensus: createConsensusOptions({
+      founderIds: settings.isFirstStart ? seedIds : [],
+      listControlIds: membership.listControlIds,
+      voterCount: 2 * settings.toleratedLosses + 1,
+      electionTimeoutMs,
+      replaceVoterAfterMs,
+    }),
+    stateMachine: createStateMachine({ onConfiguration: configuration.record }),
+  });
+  late.log = log;
+  const control = createControlClient({
+    clock,
+    peers,
+    selfId: settings.host,
+    listControlIds: membership.listControlIds,
+    log,
+  });
+  const operators = createOperatorService(createTicketService({
+    clock,
+    logger,
+    control,
+    getConfiguration: configuration.getConfiguration,
+    listBehind: configuration.listBehind,
+  }));
+  return startPeerServer({
+    host: settings.host,
+    port: settings.peerPort,
+    keys: settings.peerKeys,
+    logger,
+    handlers: {
+      [PeerCallKind.Heartbeat]: (heartbeat) =>
+        ok(membership.handleHeartbeat(heartbeat)),
+      [PeerCallKind.PushConfiguration]: configuration.handlePush,
+      [PeerCallKind.PullConfiguration]: configuration.handlePull,
+      [PeerCallKind.PullUpstreams]: upstreams.handlePull,
+      [PeerCallKind.Propose]: createProposeHandler({
+        selfId: settings.host,
+        log,
+      }),
+      [PeerCallKind.LogMessage]: (envelope) => {
+        log.receive(envelope);
+        return ok({});
+      },
+    },
+  }).andThen((peerServer) =>
+    startHttpServer(adapter.createOperatorApi(operators), operatorsAddress)
+      .andThen((http) =>
+        okAsync<RunningInstance, SystemError>({
+          task: createSupervisor({
+            name: "control-instance",
+            clock,
+            logger,
+            tasks: [
+              ...core.tasks,
+              createSupervisor({
+                name: "control-log",
+                clock,
+                logger,
+                tasks: log.tasks,
+              }),
+            ],
+          }),
+          membership,
+          drain: async () => {
+            http.close();
+            http.closeIdleConnections();
+            await clock.sleep(0);
+          },
+          close: async () => {
+            http.closeAllConnections();
+            peers.close();
+            await peerServer.close();
+          },
+        })
+      )
+  );
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -203,7 +203,8 @@
     dataFolder: settings.control.dataFolder,
     consensus: createConsensusOptions({
       ...settings.control,
-      controlInstanceIds: settings.controlInstanceIds,
+      founderIds: settings.controlInstanceIds,
+      listControlIds: () => settings.controlInstanceIds,
       voterCount: settings.control.voterCount ??
         Math.min(3, settings.controlInstanceIds.length),
     }),
@@ -213,7 +214,7 @@
     clock,
     peers,
     selfId: settings.instanceId,
-    controlInstanceIds: settings.controlInstanceIds,
+    listControlIds: () => settings.controlInstanceIds,
     log,
   });
   const usage = createUsageReporter({
--- /dev/null
+++ b/src/daemon/entry_instance.ts
@@ -0,0 +1,137 @@
+/**
+ * An entry instance of a forwarding deployment: serves callers with the
+ * configuration and the upstream view that it gets from control instances.
+ */
+import { errAsync, type ResultAsync } from "neverthrow";
+import type { Configuration } from "../control/configuration.ts";
+import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
+import { logEvents } from "../core/log_events.ts";
+import { createSupervisor } from "../core/supervisor.ts";
+import { type CallerExchange } from "../forwarding/caller_exchange.ts";
+import { createEntryServer } from "../forwarding/entry_server.ts";
+import type { ForwardingContext } from "../forwarding/forwarding_context.ts";
+import { forwardingTableName } from "../forwarding/forwarding_table.ts";
+import {
+  createRouteTable,
+  type RouteTable,
+} from "../forwarding/route_table.ts";
+import { createStreamWatch } from "../forwarding/stream_watch.ts";
+import { createUpstreamConnections } from "../forwarding/upstream_connections.ts";
+import { createUpstreamDirectory } from "../forwarding/upstream_directory.ts";
+import { createRetryBudget } from "../limits/retry_budget.ts";
+import { PeerCallKind } from "../peer/messages.ts";
+import { startPeerServer } from "../peer/peer_server.ts";
+import { createInstanceCore } from "./instance_core.ts";
+import type {
+  InstanceOptions,
+  RunningInstance,
+} from "./forwarding_instance.ts";
+
+/** Share of the allowed repeats that entry instances plan with. */
+const budgetSafety = 0.6;
+/** Least balance of one instance; without it none could ever retry. */
+const minBudgetUnits = 2;
+
+export function startEntryInstance(
+  options: InstanceOptions,
+): ResultAsync<RunningInstance, SystemError> {
+  const { settings, adapter, clock, logger, random } = options;
+  const { callers, readiness, bounds } = settings;
+  if (callers === null || readiness === null) {
+    const message =
+      "an entry instance needs addresses for callers and balancer";
+    return errAsync(createError(ErrorKind.InvalidSettings, message));
+  }
+  let routes: RouteTable | undefined;
+  const directory = createUpstreamDirectory({ clock, logger });
+  const core = createInstanceCore({
+    settings,
+    adapter,
+    clock,
+    logger,
+    random,
+    isLeader: () => false,
+    getLeaderTerm: () => undefined,
+    onConfiguration: applyConfiguration,
+    onUpstreams: directory.update,
+  });
+  const { membership, peers, configuration } = core;
+  const getMaxRepeats = () =>
+    Math.max(
+      minBudgetUnits,
+      bounds.retrySlack * budgetSafety / membership.getEntryCount(),
+    );
+  const context: ForwardingContext = {
+    clock,
+    logger,
+    random,
+    domainId: settings.domainId,
+    protocol: adapter.createForwardingProtocol(),
+    connections: createUpstreamConnections(),
+    directory,
+    budget: createRetryBudget({
+      ratio: bounds.retryRatio * budgetSafety,
+      initialUnits: minBudgetUnits,
+      maxUnits: getMaxRepeats,
+    }),
+  };
+  const { protocol, connections } = context;
+  const server = createEntryServer({
+    context,
+    watch: createStreamWatch({
+      clock,
+      logger,
+      protocol,
+      connections,
+      directory,
+    }),
+    callers,
+    readiness,
+    getRouteTable: () => configuration.isKnown() ? routes : undefined,
+    onAnswered: logAnswer,
+  });
+  return startPeerServer({
+    host: settings.host,
+    port: settings.peerPort,
+    keys: settings.peerKeys,
+    logger,
+    handlers: {
+      [PeerCallKind.PushConfiguration]: configuration.handlePush,
+      [PeerCallKind.PullConfiguration]: configuration.handlePull,
+    },
+  }).andThen((peerServer) =>
+    server.listen().map((): RunningInstance => ({
+      task: createSupervisor({
+        name: "entry-instance",
+        clock,
+        logger,
+        tasks: core.tasks,
+      }),
+      membership,
+      drain: async () => {
+        membership.setLeaving();
+        await server.drain(bounds.graceS * 1_000);
+      },
+      close: async () => {
+        connections.close();
+        peers.close();
+        await peerServer.close();
+      },
+    }))
+  );
+
+  function applyConfiguration({ forwarding, revision }: Configuration): void {
+    const table = forwarding[forwardingTableName];
+    if (!table) return;
+    routes = createRouteTable(table, revision);
+    server.setLimits(table.limits);
+  }
+
+  function logAnswer(caller: CallerExchange, status: number): void {
+    logger.log(logEvents.requestAnswered, {
+      request: caller.description.requestId,
+      status,
+      durationMs: Math.round(clock.nowMs() - caller.arrivedAtMs),
+    });
+  }
+}
--- /dev/null
+++ b/src/daemon/forwarding_instance.ts
@@ -0,0 +1,96 @@
+/**
+ * Runs one instance of a forwarding deployment until it is told to stop.
+ */
+import { ResultAsync } from "neverthrow";
+import { assertNever } from "../core/assert_never.ts";
+import { type Clock, createSystemClock } from "../core/clock.ts";
+import type { SystemError } from "../core/errors.ts";
+import { logEvents } from "../core/log_events.ts";
+import { createLogger, type Logger } from "../core/logger.ts";
+import { createRandom, type Random } from "../core/random.ts";
+import type { Task } from "../core/supervisor.ts";
+import type { SeedMembership } from "../membership/seed_membership.ts";
+import {
+  type ForwardingSettings,
+  InstanceRole,
+} from "../settings/forwarding_settings.ts";
+import { startControlInstance } from "./control_instance.ts";
+import type { DeploymentAdapter } from "./deployment_adapter.ts";
+import { startEntryInstance } from "./entry_instance.ts";
+
+export interface InstanceOptions {
+  readonly settings: ForwardingSettings;
+  readonly adapter: DeploymentAdapter;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly random: Random;
+}
+
+/** What a role starts; the instance runs its task and stops it. */
+export interface RunningInstance {
+  readonly task: Task;
+  readonly membership: SeedMembership;
+  /** Finishes what is open. */
+  drain(): Promise<void>;
+  close(): Promise<void>;
+}
+
+export interface ForwardingInstance {
+  /** Graceful shutdown. */
+  stop(): Promise<void>;
+  /** Takes over settings that may change while the instance runs. */
+  reload(settings: ForwardingSettings): void;
+  /** Rejects when the supervisor tree gave up. */
+  readonly finished: Promise<void>;
+}
+
+export function startForwardingInstance(
+  settings: ForwardingSettings,
+  adapter: DeploymentAdapter,
+): ResultAsync<ForwardingInstance, SystemError> {
+  const clock = createSystemClock();
+  const logger = createLogger({
+    level: settings.log.level,
+    isJson: settings.log.format === "json",
+  }).with({ instance: settings.instanceName });
+  const random = createRandom(Date.now() ^ (Math.random() * 2 ** 31));
+  const options = { settings, adapter, clock, logger, random };
+  return startRole(options).map((running) => {
+    logger.log(logEvents.daemonStarted, {
+      role: settings.role,
+      host: settings.host,
+      domain: settings.domainId,
+      seeds: settings.seeds.map(({ host }) => host),
+    });
+    const stopping = new AbortController();
+    return {
+      finished: running.task.run(stopping.signal),
+      reload: ({ seeds }) => {
+        running.membership.setSeeds(seeds.map(({ host }) => host));
+        logger.log(logEvents.settingsReloaded, {
+          seeds: seeds.map(({ host }) => host),
+        });
+      },
+      stop: async () => {
+        logger.log(logEvents.daemonStopping);
+        await running.drain();
+        stopping.abort();
+        await running.close();
+        logger.log(logEvents.daemonStopped);
+      },
+    };
+  });
+}
+
+function startRole(
+  options: InstanceOptions,
+): ResultAsync<RunningInstance, SystemError> {
+  switch (options.settings.role) {
+    case InstanceRole.Entry:
+      return startEntryInstance(options);
+    case InstanceRole.Control:
+      return startControlInstance(options);
+    default:
+      return assertNever(options.settings.role);
+  }
+}
--- /dev/null
+++ b/src/daemon/instance_core.ts
@@ -0,0 +1,155 @@
+/**
+ * The parts that entry and control instances of a forwarding deployment share:
+ * membership by seeds, peer connections, the configuration in force and the
+ * upstream view.
+ */
+import {
+  type ConfigurationCache,
+  createConfigurationCache,
+} from "../control/configuration_cache.ts";
+import {
+  type Configuration,
+  getEmptyConfiguration,
+} from "../control/configuration.ts";
+import {
+  type ConfigurationService,
+  createConfigurationService,
+} from "../control/configuration_service.ts";
+import type { Clock } from "../core/clock.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Random } from "../core/random.ts";
+import { createSupervisor, type Task } from "../core/supervisor.ts";
+import { InstanceState } from "../core/types.ts";
+import {
+  createSeedMembership,
+  type SeedMembership,
+} from "../membership/seed_membership.ts";
+import { createPeerClient, type PeerClient } from "../peer/peer_client.ts";
+import {
+  type ForwardingSettings,
+  InstanceRole,
+} from "../settings/forwarding_settings.ts";
+import {
+  createUpstreamViewService,
+  type UpstreamViewService,
+} from "../upstreams/upstream_view_service.ts";
+import type { ListedUpstream } from "../upstreams/upstream_view.ts";
+import type { DeploymentAdapter } from "./deployment_adapter.ts";
+
+export interface InstanceCore {
+  readonly membership: SeedMembership;
+  readonly peers: PeerClient;
+  readonly configuration: ConfigurationService;
+  readonly upstreams: UpstreamViewService;
+  readonly tasks: readonly Task[];
+}
+
+export interface InstanceCoreOptions {
+  readonly settings: ForwardingSettings;
+  readonly adapter: DeploymentAdapter;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly random: Random;
+  isLeader(): boolean;
+  getLeaderTerm(): number | undefined;
+  onConfiguration(configuration: Configuration): void;
+  onUpstreams(upstreams: readonly ListedUpstream[]): void;
+}
+
+/** The drain time covers two reads, two heartbeats and the way of a request. */
+const drainParts = 5;
+const maxPollMs = 1_000;
+/** Heartbeats that may get lost before an instance counts as lost. */
+const lostHeartbeats = 2.4;
+const forgetAfterMs = 30_000;
+
+export function createInstanceCore(options: InstanceCoreOptions): InstanceCore {
+  const { settings, adapter, clock, logger, random } = options;
+  const { heartbeatIntervalMs } = settings;
+  const isControl = settings.role === InstanceRole.Control;
+  const late: { membership?: SeedMembership; peers?: PeerClient } = {};
+  const pollIntervalMs = Math.min(
+    maxPollMs,
+    settings.bounds.drainMs / drainParts,
+  );
+  const configuration = createConfigurationService({
+    clock,
+    logger,
+    random,
+    initial: getEmptyConfiguration(),
+    cache: openCache(settings),
+    selfId: settings.host,
+    domainId: settings.domainId,
+    getMembership: () => late.membership!,
+    getPeers: () => late.peers!,
+    isLeader: options.isLeader,
+    onApplied: () => options.onConfiguration(configuration.getConfiguration()),
+  });
+  // Instances are found by the seeds, so there is no list to wait for.
+  configuration.handleListRead();
+  const upstreams = createUpstreamViewService({
+    clock,
+    logger,
+    random,
+    pollIntervalMs,
+    staleAfterMs: settings.bounds.drainMs,
+    isControl,
+    getPeers: () => late.peers!,
+    getLeaderTerm: options.getLeaderTerm,
+    readList: () => adapter.readUpstreamList(settings.upstreamList.address),
+    onChanged: options.onUpstreams,
+  });
+  const membership = createSeedMembership({
+    self: {
+      instanceId: settings.host,
+      domainId: settings.domainId,
+      host: settings.host,
+      peerPort: settings.peerPort,
+      state: InstanceState.Live,
+      incarnation: clock.wallMs(),
+      isControl,
+    },
+    seedIds: settings.seeds.map(({ host }) => host),
+    clock,
+    logger,
+    heartbeatIntervalMs,
+    lostAfterMs: heartbeatIntervalMs * lostHeartbeats,
+    forgetAfterMs,
+    getPeers: () => late.peers!,
+    getRevision: configuration.getRevision,
+    getUpstreams: upstreams.getState,
+    onHeartbeat: (heartbeat) => {
+      configuration.handleHeartbeat(heartbeat);
+      upstreams.handleHeartbeat(heartbeat);
+    },
+  });
+  const peers = createPeerClient({
+    keys: settings.peerKeys,
+    logger,
+    getAddress: membership.getAddress,
+    onConnectionLost: membership.checkNow,
+  });
+  late.membership = membership;
+  late.peers = peers;
+  return {
+    membership,
+    peers,
+    configuration,
+    upstreams,
+    tasks: [
+      supervise("membership", membership.tasks),
+      supervise("configuration", configuration.tasks),
+      supervise("upstreams", upstreams.tasks),
+    ],
+  };
+
+  function supervise(name: string, tasks: readonly Task[]): Task {
+    return createSupervisor({ name, clock, logger, tasks });
+  }
+}
+
+function openCache(
+  { dataFolder }: ForwardingSettings,
+): ConfigurationCache | undefined {
+  return dataFolder === null ? undefined : createConfigurationCache(dataFolder);
+}
--- a/src/daemon/peer_handlers.ts
+++ b/src/daemon/peer_handlers.ts
@@ -9,8 +9,12 @@
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import type { InstanceId } from "../core/types.ts";
 import type { MembershipService } from "../membership/membership_service.ts";
-import { PeerCallKind, type PeerReply } from "../peer/messages.ts";
-import type { PeerHandlers } from "../peer/peer_server.ts";
+import {
+  PeerCallKind,
+  type PeerReply,
+  type PeerRequest,
+} from "../peer/messages.ts";
+import type { PeerHandler, PeerHandlers } from "../peer/peer_server.ts";
 import type { Rollouts } from "./rollouts.ts";
 
 export interface PeerHandlersOptions {
@@ -32,7 +36,7 @@
     [PeerCallKind.ReadAnswer]: (request) => answers.read(request),
     [PeerCallKind.TakeOver]: ({ answerId, customerId }) =>
       answers.takeOver(answerId, customerId),
-    [PeerCallKind.Propose]: ({ command }) => propose(command),
+    [PeerCallKind.Propose]: createProposeHandler({ selfId, log }),
     [PeerCallKind.PushConfiguration]: configuration.handlePush,
     [PeerCallKind.PullConfiguration]: configuration.handlePull,
     [PeerCallKind.DescribeAnswer]: ({ answerId }) =>
@@ -43,11 +47,24 @@
       return ok({});
     },
   };
+}
+
+export interface ProposeHandlerOptions {
+  readonly selfId: InstanceId;
+  /** Present on control instances. */
+  readonly log: ReplicatedLogService | undefined;
+}
+
+/** Proposes commands of other instances where this one leads. */
+export function createProposeHandler(
+  { selfId, log }: ProposeHandlerOptions,
+): PeerHandler<PeerCallKind.Propose> {
+  return propose;
 
   function propose(
-    value: unknown,
+    { command }: PeerRequest<PeerCallKind.Propose>,
   ): ResultAsync<PeerReply<PeerCallKind.Propose>, SystemError> {
-    const parsed = commandSchema.safeParse(value);
+    const parsed = commandSchema.safeParse(command);
     if (!parsed.success) {
       const { message } = parsed.error;
       return errAsync(createError(ErrorKind.ProtocolError, message));
--- /dev/null
+++ b/src/forwarding/entry_server.ts
@@ -0,0 +1,193 @@
+/**
+ * The callers' side of an entry instance: accepts connections, checks requests
+ * and hands them to the forwarder of their kind, and answers the balancer's
+ * question whether the instance is ready.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { ResultAsync } from "neverthrow";
+import {
+  createError,
+  ErrorKind,
+  getErrorMessage,
+  type SystemError,
+} from "../core/errors.ts";
+import { logEvents } from "../core/log_events.ts";
+import type { ListenAddress } from "../settings/forwarding_settings.ts";
+import {
+  type CallerExchange,
+  CallerState,
+  createCallerExchange,
+} from "./caller_exchange.ts";
+import { forwardCall } from "./call_forwarder.ts";
+import type { ForwardingContext } from "./forwarding_context.ts";
+import { RequestKind } from "./forwarding_table.ts";
+import { checkRequest, chooseService } from "./request_checks.ts";
+import type { RouteTable } from "./route_table.ts";
+import { forwardStream } from "./stream_forwarder.ts";
+import type { StreamWatch } from "./stream_watch.ts";
+
+export interface EntryServer {
+  listen(): ResultAsync<void, SystemError>;
+  /** Applies the limits of a new configuration. */
+  setLimits(limits: RouteTable["limits"]): void;
+  /** Graceful shutdown: serves on until nothing is open or the time is over. */
+  drain(graceMs: number): Promise<void>;
+  getOpenCount(): number;
+}
+
+export interface EntryServerOptions {
+  readonly context: ForwardingContext;
+  readonly watch: StreamWatch;
+  readonly callers: ListenAddress;
+  readonly readiness: ListenAddress;
+  /** Undefined until a configuration is known. */
+  getRouteTable(): RouteTable | undefined;
+  onAnswered(exchange: CallerExchange, status: number): void;
+}
+
+/** Larger headers never reach the check against the configured limit. */
+const maxHeaderBytes = 64 * 1024;
+const defaultIdleTimeoutMs = 15_000;
+/** The configured limit must not end a connection that is still in use. */
+const idleMarginMs = 1_000;
+const timeoutCheckMs = 1_000;
+/** The balancer needs two questions, a second apart, to stop sending. */
+const balancerDelayMs = 3_500;
+const drainPollMs = 50;
+/** Left of the grace time when open requests are broken off. */
+const exitMarginMs = 500;
+
+export function createEntryServer(options: EntryServerOptions): EntryServer {
+  const { context, watch } = options;
+  const { clock, logger, random, protocol } = context;
+  const open = new Set<CallerExchange>();
+  let isDraining = false;
+  const server = createServer({
+    maxHeaderSize: maxHeaderBytes,
+    connectionsCheckingInterval: timeoutCheckMs,
+    keepAliveTimeout: defaultIdleTimeoutMs + idleMarginMs,
+    headersTimeout: defaultIdleTimeoutMs,
+    noDelay: true,
+  }, accept);
+  const readinessServer = createServer((_request, response) => {
+    const isReady = !isDraining && options.getRouteTable() !== undefined;
+    response.writeHead(isReady ? 200 : 503);
+    response.end();
+  });
+  return {
+    listen: () =>
+      listenOn(server, options.callers).andThen(() =>
+        listenOn(readinessServer, options.readiness)
+      ),
+    setLimits: ({ headerTimeoutMs, idleTimeoutMs }) => {
+      server.keepAliveTimeout = idleTimeoutMs + idleMarginMs;
+      // A connection without a request yet counts as reading headers.
+      server.headersTimeout = Math.max(headerTimeoutMs, idleTimeoutMs);
+    },
+    drain,
+    getOpenCount: () => open.size,
+  };
+
+  function accept(request: IncomingMessage, response: ServerResponse): void {
+    const caller = createCallerExchange({
+      request,
+      response,
+      protocol,
+      arrivedAtMs: clock.nowMs(),
+      mustClose: () => isDraining,
+      onFinished: (exchange, status) => {
+        open.delete(exchange);
+        options.onAnswered(exchange, status);
+      },
+    });
+    open.add(caller);
+    void serve(caller).catch((cause) => {
+      logger.log(logEvents.unexpectedError, {
+        request: caller.description.requestId,
+        reason: getErrorMessage(cause),
+      });
+      caller.fail(createError(ErrorKind.Internal, "unexpected error"));
+      caller.breakOff();
+    });
+  }
+
+  async function serve(caller: CallerExchange): Promise<void> {
+    const table = options.getRouteTable();
+    const checked = checkRequest(table, caller);
+    if (checked.isErr()) {
+      refuse(caller, checked.error);
+      return;
+    }
+    const { route, customerId } = checked.value;
+    const service = chooseService(route, table!, random.next());
+    if (!service) {
+      refuse(caller, createError(ErrorKind.Internal, "unknown service"));
+      return;
+    }
+    const body = await caller.readBody(table!.limits.maxBodyBytes);
+    if (!body) {
+      refuse(caller, createError(ErrorKind.PayloadTooLarge, "body too large"));
+      return;
+    }
+    if (caller.getState() === CallerState.Closed) return;
+    const { deadlineMs } = caller.description;
+    const admitted = {
+      caller,
+      route,
+      service,
+      customerId,
+      body,
+      revision: table!.revision,
+      endsAtMs: caller.arrivedAtMs +
+        Math.min(deadlineMs ?? Infinity, route.timeoutMs),
+    };
+    if (route.kind === RequestKind.Streaming) {
+      forwardStream({ context, watch }, admitted);
+    } else await forwardCall(context, admitted);
+  }
+
+  function refuse(caller: CallerExchange, error: SystemError): void {
+    logger.log(logEvents.forwardingRefused, {
+      request: caller.description.requestId,
+      kind: error.kind,
+      reason: error.message,
+      revision: options.getRouteTable()?.revision,
+    });
+    caller.fail(error);
+  }
+
+  async function drain(graceMs: number): Promise<void> {
+    isDraining = true;
+    const startedAtMs = clock.nowMs();
+    const getElapsedMs = () => clock.nowMs() - startedAtMs;
+    while (getElapsedMs() < graceMs - exitMarginMs) {
+      if (getElapsedMs() >= balancerDelayMs && open.size === 0) break;
+      await clock.sleep(drainPollMs);
+    }
+    server.close();
+    readinessServer.close();
+    server.closeIdleConnections();
+    for (const caller of open) caller.breakOff();
+  }
+}
+
+function listenOn(
+  server: Server,
+  { host, port }: ListenAddress,
+): ResultAsync<void, SystemError> {
+  return ResultAsync.fromPromise(
+    new Promise<void>((resolve, reject) => {
+      server.once("error", reject);
+      server.listen({ host, port }, () => {
+        server.off("error", reject);
+        resolve();
+      });
+    }),
+    (cause) => createError(ErrorKind.InvalidSettings, getErrorMessage(cause)),
+  );
+}
--- /dev/null
+++ b/src/forwarding/forwarding_context.ts
@@ -0,0 +1,37 @@
+/**
+ * What the forwarders of plain calls and of streams share.
+ */
+import type { Buffer } from "node:buffer";
+import type { Clock } from "../core/clock.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Random } from "../core/random.ts";
+import type { DomainId } from "../core/types.ts";
+import type { RetryBudget } from "../limits/retry_budget.ts";
+import type { CallerExchange } from "./caller_exchange.ts";
+import type { ForwardingProtocol } from "./forwarding_protocol.ts";
+import type { ForwardingRoute, ForwardingService } from "./forwarding_table.ts";
+import type { UpstreamConnections } from "./upstream_connections.ts";
+import type { UpstreamDirectory } from "./upstream_directory.ts";
+
+export interface ForwardingContext {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly random: Random;
+  readonly domainId: DomainId;
+  readonly protocol: ForwardingProtocol;
+  readonly connections: UpstreamConnections;
+  readonly directory: UpstreamDirectory;
+  readonly budget: RetryBudget;
+}
+
+/** A request that passed the checks, under the configuration it arrived at. */
+export interface AdmittedRequest {
+  readonly caller: CallerExchange;
+  readonly route: ForwardingRoute;
+  readonly service: ForwardingService;
+  readonly customerId: string | undefined;
+  readonly body: Buffer;
+  readonly revision: number;
+  /** Time at which the caller gives up or the route's timeout ends. */
+  readonly endsAtMs: number;
+}
--- /dev/null
+++ b/src/forwarding/placement.ts
@@ -0,0 +1,168 @@
+/**
+ * Chooses the upstream of a request. Pure functions from what the entry
+ * instance knows to a choice; nothing is shared between instances but the load
+ * that upstreams report, so own work in flight counts first.
+ */
+import type { Random } from "../core/random.ts";
+import type { DomainId, UpstreamId } from "../core/types.ts";
+import type { EngineTraits } from "./forwarding_table.ts";
+import type { Upstream } from "./upstream_directory.ts";
+
+export interface PlacementContext {
+  readonly nowMs: number;
+  readonly ownDomainId: DomainId;
+  /** Upstreams that this request has tried already. */
+  readonly triedIds: ReadonlySet<UpstreamId>;
+  readonly random: Random;
+}
+
+export interface StreamDemand {
+  readonly traits: EngineTraits;
+  /** Tokens that the engine has to read before the first event. */
+  readonly tokensToRead: number;
+  /** Tokens in memory at the end of the run. */
+  readonly totalTokens: number;
+}
+
+/** A reported load loses half of its weight in this time. */
+const reportHalfLifeMs = 1_000;
+/** Half a place of an upstream weighs as much as the way to another domain. */
+const remotePenaltyPlaces = 0.5;
+/** Failing every time weighs as much as this many full upstreams. */
+const failurePenaltyLoads = 8;
+const coldPenaltyLoads = 1;
+/** Engines read about this many prompt tokens in a millisecond. */
+const readTokensPerMs = 8;
+/** Delay that one more running request adds to the first event. */
+const runningDelayMs = 30;
+const remoteDelayMs = 120;
+const coldDelayMs = 1_000;
+/** A run that does not fit has to wait for others to end. */
+const noMemoryDelayMs = 10_000;
+const failureDelayMs = 4_000;
+/** Costs closer than this are equal, which spreads simultaneous choices. */
+const equalDelayMs = 40;
+const equalLoad = 0.05;
+
+/** Chooses an upstream that answers at once, by its share of places in use. */
+export function chooseForCall(
+  upstreams: readonly Upstream[],
+  context: PlacementContext,
+): Upstream | undefined {
+  return chooseLeast(
+    listAvailable(upstreams, context),
+    (upstream) => getCallCost(upstream, context),
+    { tolerance: equalLoad, random: context.random },
+  );
+}
+
+/** Chooses the engine of a stream, by the expected time to its first event. */
+export function chooseForStream(
+  upstreams: readonly Upstream[],
+  demand: StreamDemand,
+  context: PlacementContext,
+): Upstream | undefined {
+  return chooseLeast(
+    listAvailable(upstreams, context),
+    (upstream) => getStreamDelayMs(upstream, demand, context),
+    { tolerance: equalDelayMs, random: context.random },
+  );
+}
+
+/**
+ * Chooses the engine that keeps a copy of a run's memory. Crashes take one
+ * failure domain at a time, so it lies in another one than the run.
+ */
+export function chooseForCopy(
+  upstreams: readonly Upstream[],
+  running: Upstream,
+  demand: StreamDemand,
+  context: PlacementContext,
+): Upstream | undefined {
+  const elsewhere = upstreams.filter(({ info, suspendedUntilMs }) =>
+    info.domainId !== running.info.domainId &&
+    info.upstreamId !== running.info.upstreamId &&
+    suspendedUntilMs <= context.nowMs
+  );
+  const fitting = elsewhere.filter((upstream) => fits(upstream, demand));
+  return chooseLeast(
+    fitting,
+    (upstream) =>
+      getStreamDelayMs(upstream, demand, context) +
+      upstream.memoryTokens / readTokensPerMs,
+    { tolerance: equalDelayMs, random: context.random },
+  );
+}
+
+/** Without any other choice a suspended or tried upstream is better than none. */
+function listAvailable(
+  upstreams: readonly Upstream[],
+  { nowMs, triedIds }: PlacementContext,
+): readonly Upstream[] {
+  const untried = upstreams.filter(({ info }) =>
+    !triedIds.has(info.upstreamId)
+  );
+  const available = untried.filter(({ suspendedUntilMs }) =>
+    suspendedUntilMs <= nowMs
+  );
+  return available;
+}
+
+function getReportedCount(
+  { reported }: Upstream,
+  nowMs: number,
+): number {
+  if (!reported) return 0;
+  const { runningCount, waitingCount } = reported.load;
+  const weight = 0.5 ** ((nowMs - reported.atMs) / reportHalfLifeMs);
+  return (runningCount + waitingCount) * weight;
+}
+
+function getCallCost(upstream: Upstream, context: PlacementContext): number {
+  const { info, inFlightCount, failureRatio } = upstream;
+  const places = Math.max(1, info.maxRunning);
+  const open = Math.max(
+    inFlightCount,
+    getReportedCount(upstream, context.nowMs),
+  );
+  const isRemote = info.domainId !== context.ownDomainId;
+  return (open + (isRemote ? remotePenaltyPlaces : 0)) / places +
+    failureRatio * failurePenaltyLoads +
+    (info.isCold ? coldPenaltyLoads : 0);
+}
+
+export function getStreamDelayMs(
+  upstream: Upstream,
+  demand: StreamDemand,
+  context: PlacementContext,
+): number {
+  const { info, unreadTokens, inFlightCount, failureRatio } = upstream;
+  const running = Math.max(
+    inFlightCount,
+    getReportedCount(upstream, context.nowMs),
+  );
+  return unreadTokens / readTokensPerMs +
+    running * runningDelayMs +
+    (info.domainId === context.ownDomainId ? 0 : remoteDelayMs) +
+    (info.isCold ? coldDelayMs : 0) +
+    (fits(upstream, demand) ? 0 : noMemoryDelayMs) +
+    failureRatio * failureDelayMs;
+}
+
+function fits(upstream: Upstream, { traits, totalTokens }: StreamDemand) {
+  return upstream.memoryTokens + totalTokens <= traits.memoryTokens &&
+    upstream.inFlightCount < traits.maxRunning;
+}
+
+/** One of the cheapest, drawn at random among those that are about equal. */
+function chooseLeast(
+  upstreams: readonly Upstream[],
+  getCost: (upstream: Upstream) => number,
+  { tolerance, random }: { tolerance: number; random: Random },
+): Upstream | undefined {
+  if (upstreams.length === 0) return undefined;
+  const costs = upstreams.map(getCost);
+  const limit = Math.min(...costs) + tolerance;
+  const best = upstreams.filter((_, index) => costs[index]! <= limit);
+  return best[random.nextInt(best.length)];
+}
--- /dev/null
+++ b/src/forwarding/request_checks.ts
@@ -0,0 +1,77 @@
+/**
+ * Checks a request against the configuration in force before anything is done
+ * for it: pure, from what the caller sent to a route and a customer.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
+import type { RawHeaders, RequestDescription } from "./forwarding_protocol.ts";
+import type { ForwardingRoute, ForwardingService } from "./forwarding_table.ts";
+import type { RouteTable } from "./route_table.ts";
+
+export interface IncomingRequest {
+  readonly host: string;
+  readonly path: string;
+  readonly rawHeaders: RawHeaders;
+  readonly description: RequestDescription;
+}
+
+export interface CheckedRequest {
+  readonly route: ForwardingRoute;
+  /** Absent for a public route. */
+  readonly customerId: string | undefined;
+}
+
+/** An instance that just started has the configuration after this time. */
+const unconfiguredRetryMs = 300;
+
+export function checkRequest(
+  table: RouteTable | undefined,
+  request: IncomingRequest,
+): Result<CheckedRequest, SystemError> {
+  if (!table) {
+    const message = "this instance knows no configuration yet";
+    return err(createError(ErrorKind.NoQuorum, message, {
+      retryAfterMs: unconfiguredRetryMs,
+    }));
+  }
+  const headerBytes = getHeaderBytes(request.rawHeaders);
+  if (headerBytes > table.limits.maxHeaderBytes) {
+    const message = `headers of ${headerBytes} bytes exceed ` +
+      `${table.limits.maxHeaderBytes}`;
+    return err(createError(ErrorKind.HeadersTooLarge, message));
+  }
+  const route = table.findRoute(request.host, request.path);
+  if (!route) {
+    return err(createError(ErrorKind.NotFound, "no route for this request"));
+  }
+  if (route.isPublic || !table.needsKeys) {
+    return ok({ route, customerId: undefined });
+  }
+  const { apiKey } = request.description;
+  const customer = apiKey === undefined
+    ? undefined
+    : table.findCustomer(apiKey);
+  if (!customer) {
+    return err(createError(ErrorKind.Unauthenticated, "the key is unknown"));
+  }
+  return ok({ route, customerId: customer.customerId });
+}
+
+/** Chooses one of a route's targets by weight; `draw` is in [0, 1). */
+export function chooseService(
+  { targets }: ForwardingRoute,
+  table: RouteTable,
+  draw: number,
+): ForwardingService | undefined {
+  const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+  let left = draw * total;
+  for (const { service, weight } of targets) {
+    left -= weight;
+    if (left < 0) return table.getService(service);
+  }
+  return table.getService(targets.at(-1)!.service);
+}
+
+function getHeaderBytes(rawHeaders: RawHeaders): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+}
--- /dev/null
+++ b/src/forwarding/route_table.ts
@@ -0,0 +1,72 @@
+/**
+ * Finds the route of a request and the customer of a key in the forwarding
+ * table in force.
+ */
+import type {
+  CallerLimits,
+  ForwardingCustomer,
+  ForwardingRoute,
+  ForwardingService,
+  ForwardingTable,
+} from "./forwarding_table.ts";
+
+export interface RouteTable {
+  readonly revision: number;
+  readonly limits: CallerLimits;
+  /** Whether requests on routes that are not public need a key. */
+  readonly needsKeys: boolean;
+  /** The route whose prefix is the longest one that begins the path. */
+  findRoute(host: string, path: string): ForwardingRoute | undefined;
+  findCustomer(apiKey: string): ForwardingCustomer | undefined;
+  getService(name: string): ForwardingService | undefined;
+}
+
+export function createRouteTable(
+  table: ForwardingTable,
+  revision: number,
+): RouteTable {
+  const routes = new Map<string, ForwardingRoute>();
+  for (const route of table.routes) {
+    routes.set(getRouteKey(route.host.toLowerCase(), route.pathPrefix), route);
+  }
+  const customers = new Map<string, ForwardingCustomer>();
+  for (const customer of table.customers) {
+    for (const key of customer.apiKeys) customers.set(key, customer);
+  }
+  const services = new Map(table.services.map((entry) => [entry.name, entry]));
+  return {
+    revision,
+    limits: table.limits,
+    needsKeys: table.customers.length > 0,
+    findRoute,
+    findCustomer: (apiKey) => customers.get(apiKey),
+    getService: (name) => services.get(name),
+  };
+
+  function findRoute(host: string, path: string): ForwardingRoute | undefined {
+    const hostName = getHostName(host);
+    const queryStart = path.indexOf("?");
+    const end = queryStart < 0 ? path.length : queryStart;
+    let slash = path.lastIndexOf("/", end - 1);
+    while (slash >= 0) {
+      const prefix = path.slice(0, slash + 1);
+      const route = routes.get(getRouteKey(hostName, prefix));
+      if (route) return route;
+      if (slash === 0) return undefined;
+      slash = path.lastIndexOf("/", slash - 1);
+    }
+    return undefined;
+  }
+}
+
+function getRouteKey(host: string, pathPrefix: string): string {
+  return `${host}\0${pathPrefix}`;
+}
+
+/** The host without a port, in lower case. */
+function getHostName(host: string): string {
+  const lower = host.toLowerCase();
+  const port = lower.lastIndexOf(":");
+  const isPort = port > 0 && !lower.endsWith("]");
+  return isPort ? lower.slice(0, port) : lower;
+}
--- /dev/null
+++ b/src/forwarding/stream_forwarder.ts
@@ -0,0 +1,419 @@
+/**
+ * Forwards a stream of events. When its engine is lost, the stream goes on
+ * behind the last whole event at the engine that holds a copy of the run's
+ * memory, or else at one that reads the prompt again.
+ */
+import { Buffer } from "node:buffer";
+import { assertNever } from "../core/assert_never.ts";
+import { createError, ErrorKind } from "../core/errors.ts";
+import { logEvents } from "../core/log_events.ts";
+import { CallerState } from "./caller_exchange.ts";
+import {
+  createEventSplitter,
+  type EventSplitter,
+  maxEventBytes,
+  type StreamEvent,
+} from "./event_splitter.ts";
+import type {
+  AdmittedRequest,
+  ForwardingContext,
+} from "./forwarding_context.ts";
+import type { RawHeaders } from "./forwarding_protocol.ts";
+import type { EngineTraits } from "./forwarding_table.ts";
+import {
+  chooseForCopy,
+  chooseForStream,
+  type PlacementContext,
+  type StreamDemand,
+} from "./placement.ts";
+import { decideAfterLoss } from "./stream_decisions.ts";
+import type { StreamWatch, WatchedStream } from "./stream_watch.ts";
+import type { Exchange } from "./upstream_connections.ts";
+import type { Upstream, UpstreamUse } from "./upstream_directory.ts";
+
+export interface StreamForwarderOptions {
+  readonly context: ForwardingContext;
+  readonly watch: StreamWatch;
+}
+
+interface Run extends WatchedStream {
+  lastEventAtMs: number | undefined;
+  readonly use: UpstreamUse;
+  readonly copyUse: UpstreamUse | undefined;
+  readonly splitter: EventSplitter;
+  exchange: Exchange | undefined;
+  head: { readonly status: number; readonly headers: RawHeaders } | undefined;
+  /** Body of a response that is not a stream. */
+  readonly otherBody: Buffer[];
+}
+
+/** Engines that are down for a moment come back within this time. */
+const engineWaitMs = 1_500;
+const enginePollMs = 50;
+/** Callers that were refused for want of an engine come back after this. */
+const noEngineRetryMs = 1_000;
+/** Services that do not say what their engines can do. */
+const unknownEngine: EngineTraits = {
+  maxRunning: 1_000,
+  memoryTokens: Number.MAX_SAFE_INTEGER,
+  tokenBytes: 0,
+  linkMbps: 0,
+  canMove: false,
+  canBackUp: false,
+  tokensPerEvent: 1,
+  copyTtlMs: 0,
+};
+
+export function forwardStream(
+  { context, watch }: StreamForwarderOptions,
+  admitted: AdmittedRequest,
+): void {
+  const { clock, logger, protocol, directory, connections, budget } = context;
+  const { caller, route, service, endsAtMs, body } = admitted;
+  const { description } = caller;
+  const { requestId } = description;
+  const traits = service.engine ?? unknownEngine;
+  const budgetKey = { service: service.name, customerId: "" };
+  const triedIds = new Set<string>();
+  let lastEventId = description.lastEventId;
+  let eventCount = 0;
+  let ranCount = 0;
+  let waitingSinceMs: number | undefined;
+  let waitTimer: NodeJS.Timeout | undefined;
+  let run: Run | undefined;
+  let isOver = false;
+  const endTimer = setTimeout(expire, Math.max(0, endsAtMs - clock.nowMs()));
+  caller.onGone(() => {
+    if (isOver) return;
+    stop();
+    logger.log(logEvents.callerLeft, {
+      request: requestId,
+      eventCount,
+      ranCount,
+    });
+  });
+  budget.recordUseful(budgetKey, 1);
+  placeRun();
+
+  function getDemand(): StreamDemand {
+    const generated = eventCount * traits.tokensPerEvent;
+    return {
+      traits,
+      tokensToRead: description.promptTokens + generated,
+      totalTokens: description.promptTokens + description.maxOutputTokens,
+    };
+  }
+
+  function getPlacement(): PlacementContext {
+    return {
+      nowMs: clock.nowMs(),
+      ownDomainId: context.domainId,
+      triedIds,
+      random: context.random,
+    };
+  }
+
+  function placeRun(): void {
+    if (isOver) return;
+    const engines = directory.listUsable(service.name);
+    const engine = chooseForStream(engines, getDemand(), getPlacement());
+    if (!engine) {
+      waitForEngine(engines.length);
+      return;
+    }
+    waitingSinceMs = undefined;
+    startRun(engine, undefined);
+  }
+
+  function waitForEngine(listedCount: number): void {
+    const nowMs = clock.nowMs();
+    waitingSinceMs ??= nowMs;
+    triedIds.clear();
+    const isTooLong = nowMs - waitingSinceMs >= engineWaitMs;
+    if (listedCount === 0 || isTooLong) {
+      giveUp(ErrorKind.NoUpstream, "no engine is available");
+      return;
+    }
+    waitTimer = setTimeout(placeRun, enginePollMs);
+  }
+
+  function startRun(engine: Upstream, copyAddress: string | undefined): void {
+    const { info } = engine;
+    const demand = getDemand();
+    const use = directory.use(info.upstreamId);
+    use.addMemory(demand.totalTokens);
+    if (copyAddress === undefined) use.addUnread(demand.tokensToRead);
+    const copyHolder = traits.canBackUp && route.isResumable
+      ? chooseForCopy(
+        directory.listUsable(service.name),
+        engine,
+        demand,
+        getPlacement(),
+      )
+      : undefined;
+    const copyUse = copyHolder && directory.use(copyHolder.info.upstreamId);
+    copyUse?.addMemory(demand.totalTokens);
+    const started: Run = {
+      upstream: engine,
+      sinceMs: clock.nowMs(),
+      lastEventAtMs: undefined,
+      onLost: (reason) => {
+        if (run === started) lose(started, { wasSent: true, reason });
+      },
+      use,
+      copyUse,
+      splitter: createEventSplitter(),
+      exchange: undefined,
+      head: undefined,
+      otherBody: [],
+    };
+    run = started;
+    watch.add(started);
+    started.exchange = connections.send({
+      host: info.host,
+      port: info.port,
+      method: caller.method,
+      path: caller.path,
+      headers: protocol.buildUpstreamHeaders(caller.rawHeaders, {
+        upstreamId: info.upstreamId,
+        remainingMs: Math.max(1, endsAtMs - clock.nowMs()),
+        customerId: admitted.customerId,
+        lastEventId,
+        backupAddress: copyHolder && getAddress(copyHolder),
+        resumeFrom: copyAddress === undefined
+          ? undefined
+          : { address: copyAddress, copyId: requestId },
+        enginePriority: undefined,
+        bodyBytes: body.length,
+      }),
+      body,
+      mayReuseConnection: route.isResumable,
+    }, {
+      onHead: (status, headers) => onHead(started, status, headers),
+      onData: (chunk) => onData(started, chunk),
+      onEnd: () => onEnd(started),
+      onFailure: (failure) => lose(started, failure),
+    });
+  }
+
+  function onHead(current: Run, status: number, headers: RawHeaders): void {
+    const { upstreamId } = current.upstream.info;
+    const response = protocol.describeResponse(status, headers);
+    directory.recordHeard(upstreamId);
+    if (response.load) directory.recordLoad(upstreamId, response.load);
+    if (response.requestId !== "" && response.requestId !== requestId) {
+      const reason = "the response is for another request";
+      lose(current, { wasSent: true, reason });
+      return;
+    }
+    if (response.isMisdirected) {
+      directory.recordReplaced(upstreamId);
+      connections.dropIdle(
+        current.upstream.info.host,
+        current.upstream.info.port,
+      );
+    }
+    if (response.isNotRun || response.isMisdirected) {
+      if (!response.isMisdirected) directory.recordFull(upstreamId);
+      lose(current, { wasSent: false, reason: `refused with ${status}` });
+      return;
+    }
+    const isSuccess = status >= 200 && status < 300;
+    if (isSuccess && (!response.hasReceipt || response.isEncoded)) {
+      const reason = "the response is not the engine's";
+      lose(current, { wasSent: true, reason });
+      return;
+    }
+    current.head = { status, headers };
+  }
+
+  function onData(current: Run, chunk: Buffer): void {
+    directory.recordHeard(current.upstream.info.upstreamId);
+    if (!isStream(current)) {
+      current.otherBody.push(chunk);
+      return;
+    }
+    for (const event of current.splitter.push(chunk)) {
+      if (run !== current) return;
+      takeEvent(current, event);
+    }
+    if (current.splitter.getPendingBytes() > maxEventBytes) {
+      lose(current, { wasSent: true, reason: "an event is too large" });
+    }
+  }
+
+  function takeEvent(current: Run, { bytes, eventId }: StreamEvent): void {
+    if (current.lastEventAtMs === undefined) {
+      current.use.releaseUnread();
+      directory.recordSuccess(current.upstream.info.upstreamId);
+    }
+    current.lastEventAtMs = clock.nowMs();
+    if (eventId !== undefined && lastEventId !== undefined) {
+      if (eventId <= lastEventId) return; // the caller has it already
+      if (eventId > lastEventId + 1) {
+        const reason = `event ${eventId} follows ${lastEventId}`;
+        lose(current, { wasSent: true, reason });
+        return;
+      }
+    }
+    lastEventId = eventId ?? lastEventId;
+    eventCount += 1;
+    if (caller.getState() === CallerState.Waiting) {
+      const { status, headers } = current.head!;
+      caller.startAnswer(status, protocol.buildCallerHeaders(headers));
+    }
+    if (caller.write(bytes)) return;
+    current.exchange?.pause();
+    caller.onDrain(() => current.exchange?.resume());
+  }
+
+  function onEnd(current: Run): void {
+    if (run !== current) return;
+    if (!isStream(current)) {
+      endOther(current);
+      return;
+    }
+    if (current.splitter.getPendingBytes() > 0) {
+      lose(current, { wasSent: true, reason: "the stream ends in an event" });
+      return;
+    }
+    stop();
+    if (caller.getState() === CallerState.Waiting) {
+      const { status, headers } = current.head!;
+      caller.startAnswer(status, protocol.buildCallerHeaders(headers));
+    }
+    caller.endAnswer();
+  }
+
+  /** The engine answered with a failure instead of a stream. */
+  function endOther(current: Run): void {
+    const { status, headers } = current.head!;
+    directory.recordFailure(current.upstream.info.upstreamId);
+    const mayRetry = status >= 500 && route.isResumable &&
+      ranCount + 1 < route.maxAttempts;
+    if (mayRetry || caller.getState() !== CallerState.Waiting) {
+      lose(current, { wasSent: true, reason: `status ${status}` });
+      return;
+    }
+    stop();
+    caller.startAnswer(status, protocol.buildCallerHeaders(headers));
+    caller.endAnswer(Buffer.concat(current.otherBody));
+  }
+
+  function lose(
+    lost: Run,
+    { wasSent, reason }: { wasSent: boolean; reason: string },
+  ): void {
+    if (run !== lost || isOver) return;
+    const { upstreamId } = lost.upstream.info;
+    endRun(lost);
+    triedIds.add(upstreamId);
+    if (wasSent) {
+      ranCount += 1;
+      directory.recordLost(upstreamId, reason);
+    }
+    const copyHolder = lost.copyUse?.upstream;
+    const decision = decideAfterLoss({
+      isResumable: route.isResumable,
+      ranCount,
+      maxAttempts: route.maxAttempts,
+      remainingMs: endsAtMs - clock.nowMs(),
+      hasCopy: wasSent && copyHolder !== undefined &&
+        isUsable(copyHolder),
+      wasNotRun: !wasSent,
+    });
+    logger.log(logEvents.streamResumed, {
+      request: requestId,
+      lost: upstreamId,
+      reason,
+      lastEventId,
+      silentMs: Math.round(
+        clock.nowMs() - (lost.lastEventAtMs ?? lost.sinceMs),
+      ),
+      copyAt: copyHolder?.info.upstreamId,
+      decision,
+      ranCount,
+    });
+    switch (decision) {
+      case "fail":
+        giveUp(
+          ranCount > 0 ? ErrorKind.UpstreamFailed : ErrorKind.NoUpstream,
+          reason,
+        );
+        return;
+      case "resumeFromCopy":
+        budget.drawForResume(budgetKey, 1);
+        startRun(copyHolder!, getAddress(copyHolder!));
+        return;
+      case "resume":
+        budget.drawForResume(budgetKey, 1);
+        placeRun();
+        return;
+      default:
+        assertNever(decision);
+    }
+  }
+
+  function isUsable({ info, suspendedUntilMs }: Upstream): boolean {
+    return directory.get(info.upstreamId) !== undefined &&
+      suspendedUntilMs <= clock.nowMs();
+  }
+
+  function endRun(ended: Run): void {
+    watch.remove(ended);
+    ended.exchange?.cancel();
+    ended.use.release();
+    ended.copyUse?.release();
+    run = undefined;
+  }
+
+  function expire(): void {
+    giveUp(
+      run === undefined && ranCount === 0
+        ? ErrorKind.Overloaded
+        : ErrorKind.OutcomeUnknown,
+      "the time is over",
+    );
+  }
+
+  function giveUp(kind: ErrorKind, reason: string): void {
+    if (isOver) return;
+    stop();
+    logger.log(logEvents.forwardingFailed, {
+      request: requestId,
+      route: route.name,
+      kind,
+      reason,
+      eventCount,
+      ranCount,
+      revision: admitted.revision,
+    });
+    if (caller.getState() !== CallerState.Waiting) {
+      caller.breakOff();
+      return;
+    }
+    const isNoUpstream = kind === ErrorKind.NoUpstream ||
+      kind === ErrorKind.Overloaded;
+    caller.fail(createError(
+      kind,
+      reason,
+      isNoUpstream ? { retryAfterMs: noEngineRetryMs } : {},
+    ));
+  }
+
+  function stop(): void {
+    if (isOver) return;
+    isOver = true;
+    clearTimeout(endTimer);
+    clearTimeout(waitTimer);
+    if (run) endRun(run);
+  }
+}
+
+function isStream({ head }: Run): boolean {
+  return head !== undefined && head.status >= 200 && head.status < 300;
+}
+
+function getAddress({ info }: Upstream): string {
+  return `${info.host}:${info.port}`;
+}
--- /dev/null
+++ b/src/forwarding/upstream_directory.ts
@@ -0,0 +1,226 @@
+/**
+ * The upstreams that one entry instance knows: what the list says of them, its
+ * own work there, and how they answered lately.
+ */
+import type { Clock } from "../core/clock.ts";
+import { logEvents } from "../core/log_events.ts";
+import type { Logger } from "../core/logger.ts";
+import type { UpstreamId } from "../core/types.ts";
+import type { ListedUpstream } from "../upstreams/upstream_view.ts";
+import type { ReportedLoad } from "./forwarding_protocol.ts";
+
+export interface Upstream {
+  readonly info: ListedUpstream;
+  /** Own requests that it has not answered yet. */
+  readonly inFlightCount: number;
+  /** Tokens in its memory of own runs and of copies made for own runs. */
+  readonly memoryTokens: number;
+  /** Prompt tokens of own requests that it has not read yet. */
+  readonly unreadTokens: number;
+  readonly reported:
+    | { readonly load: ReportedLoad; readonly atMs: number }
+    | undefined;
+  /** Share of failures among its latest answers, 0 to 1. */
+  readonly failureRatio: number;
+  /** No new work before this time unless nothing else is left. */
+  readonly suspendedUntilMs: number;
+  /** Time of the last sign of life. */
+  readonly heardAtMs: number;
+}
+
+export interface UpstreamUse {
+  readonly upstream: Upstream;
+  addMemory(tokens: number): void;
+  addUnread(tokens: number): void;
+  /** The prompt has been read. */
+  releaseUnread(): void;
+  release(): void;
+}
+
+export interface UpstreamDirectory {
+  update(listed: readonly ListedUpstream[]): void;
+  /** Upstreams of the service that may get new work. */
+  listUsable(service: string): Upstream[];
+  get(upstreamId: UpstreamId): Upstream | undefined;
+  /** Counts a request until the use is released. */
+  use(upstreamId: UpstreamId): UpstreamUse;
+  recordLoad(upstreamId: UpstreamId, load: ReportedLoad): void;
+  /** Any byte from the upstream. */
+  recordHeard(upstreamId: UpstreamId): void;
+  recordSuccess(upstreamId: UpstreamId): void;
+  /** It answered with a failure of its own. */
+  recordFailure(upstreamId: UpstreamId): void;
+  /** It reset or refused a connection, or is silent. */
+  recordLost(upstreamId: UpstreamId, reason: string): void;
+  /** It refused work without running it. */
+  recordFull(upstreamId: UpstreamId): void;
+  /** Another upstream answers at its address. */
+  recordReplaced(upstreamId: UpstreamId): void;
+  count(): number;
+}
+
+export interface UpstreamDirectoryOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+type Mutable<T> = { -readonly [K in keyof T]: T[K] };
+interface Entry extends Mutable<Upstream> {
+  consecutiveLosses: number;
+}
+
+/** Crashed engines are back within one to two seconds. */
+const firstSuspensionMs = 600;
+const maxSuspensionMs = 5_000;
+const fullPauseMs = 100;
+/** Weight of one answer in the failure ratio: about the last 20 count. */
+const failureSmoothing = 0.05;
+/** The list still shows an upstream that is gone for some seconds. */
+const replacedSuspensionMs = 30_000;
+
+export function createUpstreamDirectory(
+  { clock, logger }: UpstreamDirectoryOptions,
+): UpstreamDirectory {
+  const entries = new Map<UpstreamId, Entry>();
+  return {
+    update,
+    listUsable: (service) =>
+      [...entries.values()].filter(({ info }) =>
+        info.service === service && !info.isLeaving
+      ),
+    get: (upstreamId) => entries.get(upstreamId),
+    use,
+    recordLoad: (upstreamId, load) => {
+      const entry = entries.get(upstreamId);
+      if (entry) entry.reported = { load, atMs: clock.nowMs() };
+    },
+    recordHeard: (upstreamId) => {
+      const entry = entries.get(upstreamId);
+      if (entry) entry.heardAtMs = clock.nowMs();
+    },
+    recordSuccess: (upstreamId) => recordAnswer(upstreamId, 0),
+    recordFailure: (upstreamId) => recordAnswer(upstreamId, 1),
+    recordLost,
+    recordFull: (upstreamId) => {
+      const entry = entries.get(upstreamId);
+      if (entry) suspend(entry, fullPauseMs);
+    },
+    recordReplaced: (upstreamId) => {
+      const entry = entries.get(upstreamId);
+      if (entry) suspend(entry, replacedSuspensionMs);
+    },
+    count: () => entries.size,
+  };
+
+  function update(listed: readonly ListedUpstream[]): void {
+    const listedIds = new Set(listed.map(({ upstreamId }) => upstreamId));
+    for (const upstreamId of entries.keys()) {
+      if (listedIds.has(upstreamId)) continue;
+      entries.delete(upstreamId);
+      logger.log(logEvents.upstreamRemoved, { upstream: upstreamId });
+    }
+    for (const info of listed) updateOne(info);
+  }
+
+  function updateOne(info: ListedUpstream): void {
+    const entry = entries.get(info.upstreamId);
+    if (!entry) {
+      entries.set(info.upstreamId, createEntry(info));
+      logger.log(logEvents.upstreamAdded, {
+        upstream: info.upstreamId,
+        service: info.service,
+        domain: info.domainId,
+      });
+      return;
+    }
+    if (info.isLeaving && !entry.info.isLeaving) {
+      logger.log(logEvents.upstreamLeaving, { upstream: info.upstreamId });
+    }
+    entry.info = info;
+  }
+
+  function use(upstreamId: UpstreamId): UpstreamUse {
+    const entry = entries.get(upstreamId);
+    if (!entry) throw new Error(`upstream ${upstreamId} is not listed`);
+    let memoryTokens = 0;
+    let unreadTokens = 0;
+    let isReleased = false;
+    entry.inFlightCount += 1;
+    return {
+      upstream: entry,
+      addMemory: (tokens) => {
+        if (isReleased) return;
+        memoryTokens += tokens;
+        entry.memoryTokens += tokens;
+      },
+      addUnread: (tokens) => {
+        if (isReleased) return;
+        unreadTokens += tokens;
+        entry.unreadTokens += tokens;
+      },
+      releaseUnread,
+      release: () => {
+        if (isReleased) return;
+        releaseUnread();
+        isReleased = true;
+        entry!.inFlightCount -= 1;
+        entry!.memoryTokens -= memoryTokens;
+      },
+    };
+
+    function releaseUnread(): void {
+      entry!.unreadTokens -= unreadTokens;
+      unreadTokens = 0;
+    }
+  }
+
+  function recordAnswer(upstreamId: UpstreamId, failure: 0 | 1): void {
+    const entry = entries.get(upstreamId);
+    if (!entry) return;
+    entry.heardAtMs = clock.nowMs();
+    entry.consecutiveLosses = 0;
+    entry.failureRatio += (failure - entry.failureRatio) * failureSmoothing;
+    if (failure === 0) entry.suspendedUntilMs = -Infinity;
+  }
+
+  function recordLost(upstreamId: UpstreamId, reason: string): void {
+    const entry = entries.get(upstreamId);
+    if (!entry) return;
+    const nowMs = clock.nowMs();
+    entry.failureRatio += (1 - entry.failureRatio) * failureSmoothing;
+    // One crash ends many requests; only the first of them counts.
+    if (entry.suspendedUntilMs > nowMs) return;
+    const suspensionMs = Math.min(
+      maxSuspensionMs,
+      firstSuspensionMs * 2 ** entry.consecutiveLosses,
+    );
+    entry.consecutiveLosses += 1;
+    suspend(entry, suspensionMs);
+    logger.log(logEvents.upstreamSuspended, {
+      upstream: upstreamId,
+      reason,
+      suspensionMs,
+    });
+  }
+
+  function suspend(entry: Entry, durationMs: number): void {
+    entry.suspendedUntilMs = Math.max(
+      entry.suspendedUntilMs,
+      clock.nowMs() + durationMs,
+    );
+  }
+}
+
+function createEntry(info: ListedUpstream): Entry {
+  return {
+    info,
+    inFlightCount: 0,
+    memoryTokens: 0,
+    unreadTokens: 0,
+    reported: undefined,
+    failureRatio: 0,
+    suspendedUntilMs: -Infinity,
+    heardAtMs: -Infinity,
+    consecutiveLosses: 0,
+  };
+}
--- a/src/limits/retry_budget.ts
+++ b/src/limits/retry_budget.ts
@@ -39,12 +39,14 @@
   readonly ratio: number;
   /** Balance of a new account and lower end of its bound. */
   readonly initialUnits: number;
-  readonly maxUnits: number;
+  /** A function where the bound depends on the number of instances. */
+  readonly maxUnits: number | (() => number);
   readonly maxAccounts?: number;
 }
 
 export function createRetryBudget(options: RetryBudgetOptions): RetryBudget {
   const { ratio, initialUnits, maxUnits } = options;
+  const getMaxUnits = typeof maxUnits === "number" ? () => maxUnits : maxUnits;
   const maxAccounts = options.maxAccounts ?? 10_000;
   /** In order of last use; an account that is dropped starts anew. */
   const balances = new Map<string, number>();
@@ -57,7 +59,7 @@
   return {
     recordUseful: (key, units) => {
       const balance = getAvailable(key) + ratio * Math.max(0, units);
-      setBalance(key, Math.min(maxUnits, balance));
+      setBalance(key, Math.min(getMaxUnits(), balance));
     },
     tryDraw,
     drawForResume,
--- /dev/null
+++ b/src/membership/seed_membership.ts
@@ -0,0 +1,285 @@
+/**
+ * Membership where instances know nothing of each other but the addresses of a
+ * few control instances.
+ *
+ * An instance's id is its host address. Every instance sends heartbeats to all
+ * control instances that it knows; their replies name further ones. Control
+ * instances learn of entry instances from their heartbeats. Entry instances
+ * send nothing to each other, so the messages of one instance depend only on
+ * the number of control instances.
+ */
+import type { Clock } from "../core/clock.ts";
+import { logEvents } from "../core/log_events.ts";
+import type { Logger } from "../core/logger.ts";
+import { createPeriodicTask, type Task } from "../core/supervisor.ts";
+import {
+  type InstanceId,
+  type InstanceInfo,
+  InstanceState,
+} from "../core/types.ts";
+import { type Heartbeat, PeerCallKind } from "../peer/messages.ts";
+import type { PeerAddress, PeerClient } from "../peer/peer_client.ts";
+import type { MembershipView } from "./membership_view.ts";
+
+export interface SeedMembership extends MembershipView {
+  readonly tasks: readonly Task[];
+  getAddress(instanceId: InstanceId): PeerAddress;
+  handleHeartbeat(heartbeat: Heartbeat): Heartbeat;
+  /** Known control instances, this one included if it is one. */
+  listControlIds(): InstanceId[];
+  /** Reachable control instances, those of the own failure domain first. */
+  listReachableControlIds(): InstanceId[];
+  /** Entry instances of the deployment, as control last told. */
+  getEntryCount(): number;
+  setSeeds(seedIds: readonly InstanceId[]): void;
+  /** Asks at once whether the instance is still there. */
+  checkNow(instanceId: InstanceId): void;
+  setLeaving(): void;
+}
+
+export interface SeedMembershipOptions {
+  readonly self: InstanceInfo;
+  readonly seedIds: readonly InstanceId[];
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly heartbeatIntervalMs: number;
+  readonly lostAfterMs: number;
+  /** A silent instance that is no seed is forgotten after this time. */
+  readonly forgetAfterMs: number;
+  getPeers(): Pick<PeerClient, "call" | "drop">;
+  getRevision(): number;
+  getUpstreams(): { readonly revision: number; readonly ageMs: number };
+  onHeartbeat(heartbeat: Heartbeat): void;
+}
+
+interface Member {
+  info: InstanceInfo;
+  lastSeenAtMs: number;
+  isReachable: boolean;
+  isHeartbeatPending: boolean;
+}
+
+/** More are not sent; the planned limit is 16 control instances. */
+const maxControlIds = 32;
+
+export function createSeedMembership(
+  options: SeedMembershipOptions,
+): SeedMembership {
+  const { clock, logger, heartbeatIntervalMs, lostAfterMs } = options;
+  let self = options.self;
+  let seedIds = new Set(options.seedIds);
+  const members = new Map<InstanceId, Member>();
+  let heartbeatsAtMs = clock.nowMs();
+  let reportedEntryCount = 0;
+  for (const seedId of seedIds) addControl(seedId);
+  return {
+    tasks: [createPeriodicTask({
+      name: "heartbeats",
+      clock,
+      intervalMs: heartbeatIntervalMs,
+      action: sendHeartbeats,
+    })],
+    getSelf: () => self,
+    getInstance: (instanceId) => members.get(instanceId)?.info,
+    listInstances: () => [self, ...listMembers().map(({ info }) => info)],
+    isReachable: (instanceId) =>
+      instanceId === self.instanceId ||
+      members.get(instanceId)?.isReachable === true,
+    getAddress,
+    handleHeartbeat,
+    listControlIds,
+    listReachableControlIds,
+    getEntryCount: () =>
+      Math.max(1, self.isControl ? countEntries() : reportedEntryCount),
+    setSeeds: (next) => {
+      seedIds = new Set(next);
+      for (const seedId of seedIds) addControl(seedId);
+    },
+    checkNow,
+    setLeaving: () => {
+      self = { ...self, state: InstanceState.Leaving };
+      sendHeartbeats();
+    },
+  };
+
+  function listMembers(): Member[] {
+    return [...members.values()];
+  }
+
+  function getAddress(instanceId: InstanceId): PeerAddress {
+    return { host: instanceId, port: self.peerPort };
+  }
+
+  function listControlIds(): InstanceId[] {
+    const others = listMembers().filter(({ info }) => info.isControl)
+      .map(({ info }) => info.instanceId);
+    return self.isControl ? [self.instanceId, ...others] : others;
+  }
+
+  function listReachableControlIds(): InstanceId[] {
+    const reachable = listMembers().filter(({ info, isReachable }) =>
+      info.isControl && isReachable
+    ).map(({ info }) => info);
+    const isNear = ({ domainId }: InstanceInfo) => domainId === self.domainId;
+    return [
+      ...reachable.filter(isNear),
+      ...reachable.filter((info) => !isNear(info)),
+    ].map(({ instanceId }) => instanceId);
+  }
+
+  function countEntries(): number {
+    return listMembers().filter(({ info, isReachable }) =>
+      !info.isControl && isReachable
+    ).length;
+  }
+
+  /** Its failure domain and incarnation are known after a heartbeat. */
+  function addControl(instanceId: InstanceId): void {
+    if (instanceId === self.instanceId) return;
+    const known = members.get(instanceId);
+    if (known) {
+      if (!known.info.isControl) {
+        known.info = { ...known.info, isControl: true };
+      }
+      return;
+    }
+    members.set(
+      instanceId,
+      createMember({
+        instanceId,
+        domainId: "",
+        host: instanceId,
+        peerPort: self.peerPort,
+        state: InstanceState.Live,
+        incarnation: 0,
+        isControl: true,
+      }),
+    );
+  }
+
+  function createMember(info: InstanceInfo): Member {
+    return {
+      info,
+      lastSeenAtMs: clock.nowMs(),
+      isReachable: false,
+      isHeartbeatPending: false,
+    };
+  }
+
+  function sendHeartbeats(): void {
+    const nowMs = clock.nowMs();
+    const pausedMs = nowMs - heartbeatsAtMs - heartbeatIntervalMs;
+    heartbeatsAtMs = nowMs;
+    if (pausedMs > lostAfterMs / 2) {
+      // This process was paused: the silence says nothing about the others.
+      logger.log(logEvents.processPaused, { pausedMs: Math.round(pausedMs) });
+      for (const member of members.values()) member.lastSeenAtMs = nowMs;
+    }
+    for (const [instanceId, member] of members) {
+      checkSilence(instanceId, member, nowMs);
+      const mustSend = member.info.isControl && !member.isHeartbeatPending;
+      if (mustSend) void sendHeartbeat(instanceId, lostAfterMs);
+    }
+  }
+
+  function checkSilence(
+    instanceId: InstanceId,
+    member: Member,
+    nowMs: number,
+  ): void {
+    const silentMs = nowMs - member.lastSeenAtMs;
+    if (silentMs > lostAfterMs) setReachable(member, false);
+    const isSeed = seedIds.has(instanceId);
+    if (silentMs <= options.forgetAfterMs || isSeed) return;
+    members.delete(instanceId);
+    options.getPeers().drop(instanceId);
+  }
+
+  async function sendHeartbeat(
+    instanceId: InstanceId,
+    timeoutMs: number,
+  ): Promise<void> {
+    const member = members.get(instanceId)!;
+    member.isHeartbeatPending = true;
+    const reply = await options.getPeers().call(
+      instanceId,
+      PeerCallKind.Heartbeat,
+      { body: getHeartbeat(), timeoutMs },
+    );
+    member.isHeartbeatPending = false;
+    if (reply.isOk()) receive(reply.value);
+    // A connection may stay silent for good while a new one works.
+    else options.getPeers().drop(instanceId);
+  }
+
+  function checkNow(instanceId: InstanceId): void {
+    const member = members.get(instanceId);
+    if (!member?.info.isControl || member.isHeartbeatPending) return;
+    void sendHeartbeat(instanceId, heartbeatIntervalMs);
+  }
+
+  function handleHeartbeat(heartbeat: Heartbeat): Heartbeat {
+    receive(heartbeat);
+    return getHeartbeat();
+  }
+
+  function receive(heartbeat: Heartbeat): void {
+    const { instanceId } = heartbeat;
+    if (instanceId === self.instanceId) return;
+    let member = members.get(instanceId);
+    if (!member) {
+      member = createMember(toInfo(heartbeat));
+      members.set(instanceId, member);
+    }
+    member.info = toInfo(heartbeat);
+    member.lastSeenAtMs = clock.nowMs();
+    options.onHeartbeat(heartbeat);
+    setReachable(member, true);
+    if (!heartbeat.isControl) return;
+    for (const controlId of heartbeat.controlIds ?? []) addControl(controlId);
+    reportedEntryCount = heartbeat.entryCount ?? reportedEntryCount;
+  }
+
+  function setReachable(member: Member, isReachable: boolean): void {
+    if (member.isReachable === isReachable) return;
+    member.isReachable = isReachable;
+    const peer = member.info.instanceId;
+    if (!isReachable) options.getPeers().drop(peer);
+    logger.log(
+      isReachable ? logEvents.instanceBack : logEvents.instanceLost,
+      { peer, domain: member.info.domainId },
+    );
+  }
+
+  function getHeartbeat(): Heartbeat {
+    const { revision, ageMs } = options.getUpstreams();
+    return {
+      ...self,
+      isControl: self.isControl === true,
+      revision: options.getRevision(),
+      upstreamsRevision: revision,
+      upstreamsAgeMs: ageMs,
+      ...(self.isControl
+        ? {
+          controlIds: [self.instanceId, ...listReachableControlIds()]
+            .slice(0, maxControlIds),
+          entryCount: countEntries(),
+        }
+        : {}),
+    };
+  }
+}
+
+function toInfo(heartbeat: Heartbeat): InstanceInfo {
+  const { instanceId, domainId, host, peerPort, state, incarnation } =
+    heartbeat;
+  return {
+    instanceId,
+    domainId,
+    host,
+    peerPort,
+    state,
+    incarnation,
+    isControl: heartbeat.isControl === true,
+  };
+}
--- a/src/peer/log_messages.ts
+++ b/src/peer/log_messages.ts
@@ -48,11 +48,11 @@
 const messageSchema = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal(LogMessageKind.Hello),
-    controlInstanceIds: z.array(z.string().max(200)).max(16),
+    founderIds: z.array(z.string().max(200)).max(16),
   }),
   z.object({
     kind: z.literal(LogMessageKind.HelloReply),
-    /** Never part of a group, and has the same `controlInstanceIds`. */
+    /** Never part of a group, and has the same `founderIds`. */
     isFresh: z.boolean(),
   }),
   z.object({
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -18,6 +18,7 @@
 import { answerRecordSchema } from "../answers/answer_history.ts";
 import { InstanceState } from "../core/types.ts";
 import { FinishReason } from "../core/types.ts";
+import { upstreamUpdateSchema } from "../upstreams/upstream_view.ts";
 import { logEnvelopeSchema } from "./log_messages.ts";
 
 const idSchema = z.string().min(1).max(200);
@@ -35,6 +36,7 @@
   SyncRollouts = "syncRollouts",
   DescribeAnswer = "describeAnswer",
   LogMessage = "logMessage",
+  PullUpstreams = "pullUpstreams",
 }
 
 export const attemptSchema = z.object({
@@ -79,6 +81,16 @@
   state: z.enum(InstanceState),
   incarnation: z.number(),
   revision: z.int().min(0),
+  /** The next ones are used where instances find each other through seeds. */
+  isControl: z.boolean().optional(),
+  /** Revision of the upstream view. */
+  upstreamsRevision: z.int().min(0).optional(),
+  /** Time since the list was read that the view was last confirmed by. */
+  upstreamsAgeMs: z.number().min(0).optional(),
+  /** Control instances that the sender can reach. */
+  controlIds: z.array(idSchema).max(100).optional(),
+  /** Entry instances that the sender can reach. */
+  entryCount: z.int().min(0).optional(),
 });
 
 /**
@@ -203,6 +215,10 @@
     request: logEnvelopeSchema,
     reply: z.object({}),
   },
+  [PeerCallKind.PullUpstreams]: {
+    request: z.object({ revision: z.int().min(0) }),
+    reply: z.object({ update: upstreamUpdateSchema }),
+  },
 } as const;
 
 export type PeerCalls = typeof peerCalls;
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -27,7 +27,8 @@
   request: PeerRequest<K>,
 ) => ResultAsync<PeerReply<K>, SystemError> | Result<PeerReply<K>, SystemError>;
 
-export type PeerHandlers = { [K in PeerCallKind]: PeerHandler<K> };
+/** An instance serves the calls of its role only. */
+export type PeerHandlers = { [K in PeerCallKind]?: PeerHandler<K> };
 
 export interface PeerServer {
   readonly port: number;
@@ -150,12 +151,17 @@
     kind: K,
     body: unknown,
   ): Promise<Result<unknown, SystemError>> {
+    const handler: PeerHandler<K> | undefined = handlers[kind];
+    if (!handler) {
+      const message = `${kind} is not served by this instance`;
+      return err(createError(ErrorKind.ProtocolError, message));
+    }
     const parsed = peerCalls[kind].request.safeParse(body);
     if (!parsed.success) {
       const message = `malformed ${kind}: ${parsed.error.message}`;
       return err(createError(ErrorKind.ProtocolError, message));
     }
-    return await handlers[kind](parsed.data as PeerRequest<K>);
+    return await handler(parsed.data as PeerRequest<K>);
   }
 }
 
--- /dev/null
+++ b/src/settings/forwarding_settings.ts
@@ -0,0 +1,90 @@
+/**
+ * Settings of an instance in a deployment where entry instances forward
+ * requests and a few control instances keep the configuration. Instances find
+ * each other through seeds; routes, services and customers come as tickets.
+ */
+import { z } from "zod";
+import { LogLevel } from "../core/log_events.ts";
+import { strictFields } from "../core/strict_fields.ts";
+import { durationMsSchema, peerKeySchema } from "./schema.ts";
+
+export enum InstanceRole {
+  Entry = "entry",
+  Control = "control",
+}
+
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+const addressSchema = z.string().regex(
+  /^[^:\s]+:\d{1,5}$/,
+  "must be an IPv4 address and a port, such as 10.0.0.1:8080",
+).transform((text): ListenAddress => {
+  const colon = text.lastIndexOf(":");
+  return { host: text.slice(0, colon), port: Number(text.slice(colon + 1)) };
+});
+
+const durationSSchema = z.number().positive().max(86_400);
+
+const boundsSchema = strictFields({
+  /** A listed upstream that leaves gets no new request after this time. */
+  drainMs: durationMsSchema.default(3_000),
+  /** A stopped process is killed after this time. */
+  graceS: durationSSchema.default(8),
+  /** Repeated requests to a service as a share of its requests. */
+  retryRatio: z.number().min(0).max(10).default(0.1),
+  retryWindowS: durationSSchema.default(10),
+  /** Repeated requests of a window that are allowed on top of the share. */
+  retrySlack: z.number().min(0).default(0),
+  /** A started instance catches up with the others within this time. */
+  catchUpS: durationSSchema.default(4),
+}).prefault({});
+
+export const forwardingSettingsSchema = strictFields({
+  role: z.enum(InstanceRole),
+  /** Name in logs; the host address identifies the instance. */
+  instanceName: z.string().min(1).max(200),
+  host: z.string().min(1).max(200),
+  domainId: z.string().min(1).max(200),
+  /** The same on all instances. */
+  peerPort: z.int().min(0).max(65_535),
+  peerKeys: z.array(peerKeySchema).min(1).max(8),
+  /** Control instances that are asked first. */
+  seeds: z.array(addressSchema).min(1).max(16),
+  /** The deployment starts for the first time, with empty data folders. */
+  isFirstStart: z.boolean(),
+  callers: addressSchema.nullable(),
+  readiness: addressSchema.nullable(),
+  operators: addressSchema.nullable(),
+  metricsPort: z.int().min(0).max(65_535).nullable().default(null),
+  dataFolder: z.string().min(1).nullable(),
+  /** Control instances whose disks may be lost at the same time. */
+  toleratedLosses: z.int().min(0).max(3).default(1),
+  upstreamList: strictFields({
+    address: addressSchema,
+    /** Reads of all instances together. */
+    rateCallsPerS: z.number().positive(),
+  }),
+  heartbeatIntervalMs: durationMsSchema.default(500),
+  bounds: boundsSchema,
+  log: strictFields({
+    level: z.enum(LogLevel).default(LogLevel.Info),
+    format: z.enum(["json", "text"]).default("json"),
+  }).prefault({}),
+}).superRefine((settings, context) => {
+  const required = settings.role === InstanceRole.Entry
+    ? ["callers", "readiness"] as const
+    : ["operators", "dataFolder"] as const;
+  for (const field of required) {
+    if (settings[field] !== null) continue;
+    context.addIssue({
+      code: "custom",
+      path: [field],
+      message: `is required for role "${settings.role}"`,
+    });
+  }
+});
+
+export type ForwardingSettings = z.output<typeof forwardingSettingsSchema>;
--- a/src/settings/load_settings.ts
+++ b/src/settings/load_settings.ts
@@ -8,10 +8,20 @@
 import type { SystemError } from "../core/errors.ts";
 import { getFieldIssues } from "../core/strict_fields.ts";
 import { parseJson } from "../core/parse_json.ts";
+import type { z } from "zod";
 import { type Settings, settingsSchema } from "./schema.ts";
 
 export function loadSettings(filePath: string): Result<Settings, SystemError> {
-  return readText(filePath).andThen(parseText).andThen(checkSettings);
+  return loadSettingsAs(settingsSchema, filePath);
+}
+
+export function loadSettingsAs<T extends z.ZodType>(
+  schema: T,
+  filePath: string,
+): Result<z.output<T>, SystemError> {
+  return readText(filePath).andThen(parseText).andThen((value) =>
+    checkSettingsAs(schema, value)
+  );
 
   function readText(path: string): Result<string, SystemError> {
     return Result.fromThrowable(
@@ -28,7 +38,14 @@
 }
 
 export function checkSettings(value: unknown): Result<Settings, SystemError> {
-  const parsed = settingsSchema.safeParse(value);
+  return checkSettingsAs(settingsSchema, value);
+}
+
+function checkSettingsAs<T extends z.ZodType>(
+  schema: T,
+  value: unknown,
+): Result<z.output<T>, SystemError> {
+  const parsed = schema.safeParse(value);
   if (parsed.success) return ok(parsed.data);
   const issues = getFieldIssues(parsed.error);
   const lines = issues.map(({ path, message }) =>
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -25,7 +25,7 @@
   port: portSchema,
 });
 
-const peerKeySchema = strictFields({
+export const peerKeySchema = strictFields({
   keyId: idSchema,
   /** Hexadecimal pre-shared key of at least 128 bits. */
   keyHex: z.string().regex(
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,6 +4,7 @@
   test: {
     include: [
       "src/**/*_test.ts",
+      "platform/**/*_test.ts",
       "measure/**/*_test.ts",
       "scripts/**/*_test.ts",
     ],
