Detect a reset that ends an answer without a length

Change: at the end of such an answer an empty line is written; on a connection that was reset the write fails, and the answer counts as broken off. Ruled out: the error event of the socket, which does not come in this case (the new test shows it).

--- a/src/forwarding/upstream_connections.ts
+++ b/src/forwarding/upstream_connections.ts
@@ -6,7 +6,7 @@
  * whether it ran.
  */
 import type { Buffer } from "node:buffer";
-import { Agent, request as httpRequest } from "node:http";
+import { Agent, type IncomingMessage, request as httpRequest } from "node:http";
 import net from "node:net";
 import { getErrorMessage } from "../core/errors.ts";
 import type { RawHeaders } from "./forwarding_protocol.ts";
@@ -61,8 +61,11 @@
 const maxIdlePerUpstream = 16;
 
 interface SocketNotes {
+  isInUse: boolean;
   idleSinceMs: number;
   hasFailed: boolean;
+  /** The end of the connection is the end of the response. */
+  endsResponse: boolean;
 }
 
 export function createUpstreamConnections(): UpstreamConnections {
@@ -79,7 +82,9 @@
   singleUseAgent.createConnection = agent.createConnection;
   const keepSocketAlive = agent.keepSocketAlive.bind(agent);
   agent.keepSocketAlive = ((socket: net.Socket): boolean => {
-    getNotes(socket).idleSinceMs = performance.now();
+    const entry = getNotes(socket);
+    entry.isInUse = false;
+    entry.idleSinceMs = performance.now();
     socket.setTimeout(maxIdleMs);
     // The return value is missing in the published types.
     return keepSocketAlive(socket) as unknown as boolean;
@@ -96,7 +101,12 @@
   function connect(options: net.NetConnectOpts): net.Socket {
     const { host, port } = options as net.TcpNetConnectOpts;
     openedCount += 1;
-    const socket = net.connect({ host: host!, port, noDelay: true });
+    const socket = net.connect({
+      host: host!,
+      port,
+      noDelay: true,
+      allowHalfOpen: true,
+    });
     const timer = setTimeout(
       () => socket.destroy(new Error("connecting timed out")),
       connectTimeoutMs,
@@ -106,13 +116,36 @@
     // Registered first: a response without a length must not look complete
     // when its connection is reset.
     socket.on("error", () => getNotes(socket).hasFailed = true);
+    socket.on("end", () => checkEnd(socket));
     return socket;
   }
 
+  /**
+   * A reset that arrives together with data is reported as an orderly end, but
+   * a write to such a connection fails. An empty line between messages is
+   * ignored by HTTP servers.
+   */
+  function checkEnd(socket: net.Socket): void {
+    const entry = getNotes(socket);
+    if (!entry.isInUse) {
+      socket.destroy();
+      return;
+    }
+    if (!entry.endsResponse) return;
+    socket.write("\r\n", (cause) => {
+      if (cause) entry.hasFailed = true;
+    });
+  }
+
   function getNotes(socket: net.Socket): SocketNotes {
     let entry = notes.get(socket);
     if (!entry) {
-      entry = { idleSinceMs: 0, hasFailed: false };
+      entry = {
+        isInUse: true,
+        idleSinceMs: 0,
+        hasFailed: false,
+        endsResponse: false,
+      };
       notes.set(socket, entry);
     }
     return entry;
@@ -143,6 +176,7 @@
     let isSettled = false;
     let wasSent = false;
     let socket: net.Socket | undefined;
+    let received: IncomingMessage | undefined;
     const connection = mayReuseConnection ? "keep-alive" : "close";
     const request = httpRequest({
       host,
@@ -154,27 +188,36 @@
     });
     request.on("socket", (assigned: net.Socket) => {
       socket = assigned;
+      getNotes(assigned).isInUse = true;
       if (!assigned.connecting) wasSent = true;
       else assigned.once("connect", () => wasSent = true);
     });
     request.on("response", (response) => {
+      received = response;
       response.on("data", (chunk: Buffer) => {
         if (!isSettled) handlers.onData(chunk);
       });
+      const { headers } = response;
+      const endsResponse = headers["content-length"] === undefined &&
+        headers["transfer-encoding"] === undefined;
+      if (socket) getNotes(socket).endsResponse = endsResponse;
       response.on("end", () => {
-        const isBroken = !response.complete ||
-          (socket !== undefined && getNotes(socket).hasFailed);
-        if (isBroken) fail("the response broke off");
-        else settle(handlers.onEnd);
+        // A failure of the connection shows after the end of the response.
+        if (endsResponse) setImmediate(finish);
+        else finish();
       });
       response.on("error", (cause) => fail(getErrorMessage(cause)));
-      response.on("close", () => fail("the response broke off"));
+      response.on("close", () => {
+        if (!response.complete) fail("the response broke off");
+      });
       if (!isSettled) {
         handlers.onHead(response.statusCode ?? 0, response.rawHeaders);
       }
     });
     request.on("error", (cause) => fail(getErrorMessage(cause)));
-    request.on("close", () => fail("the connection was closed"));
+    request.on("close", () => {
+      if (!received?.complete) fail("the connection was closed");
+    });
     request.end(upstreamRequest.body);
     return {
       cancel: () => {
@@ -185,6 +228,12 @@
       resume: () => socket?.resume(),
     };
 
+    function finish(): void {
+      const hasFailed = socket !== undefined && getNotes(socket).hasFailed;
+      if (hasFailed) fail("the response broke off");
+      else settle(handlers.onEnd);
+    }
+
     function settle(notify: () => void): void {
       if (isSettled) return;
       isSettled = true;
--- /dev/null
+++ b/src/forwarding/upstream_connections_test.ts
@@ -0,0 +1,132 @@
+import { Buffer } from "node:buffer";
+import net from "node:net";
+import { afterEach, expect, test } from "vitest";
+import {
+  createUpstreamConnections,
+  type ExchangeFailure,
+} from "./upstream_connections.ts";
+
+type Outcome =
+  | {
+    readonly kind: "answered";
+    readonly status: number;
+    readonly body: string;
+  }
+  | ({ readonly kind: "failed" } & ExchangeFailure);
+
+const servers: net.Server[] = [];
+const connections = createUpstreamConnections();
+
+afterEach(() => {
+  for (const server of servers.splice(0)) server.close();
+});
+
+/** Starts a server that hands each request to `answer` as raw bytes. */
+function startServer(
+  answer: (socket: net.Socket, requestNumber: number) => void,
+): Promise<number> {
+  let requestNumber = 0;
+  const server = net.createServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("data", () => answer(socket, ++requestNumber));
+  });
+  servers.push(server);
+  return new Promise((resolve) => {
+    server.listen(0, "127.0.0.1", () => {
+      resolve((server.address() as net.AddressInfo).port);
+    });
+  });
+}
+
+function send(port: number, mayReuseConnection = true): Promise<Outcome> {
+  return new Promise((resolve) => {
+    let status = 0;
+    const chunks: Buffer[] = [];
+    connections.send({
+      host: "127.0.0.1",
+      port,
+      method: "GET",
+      path: "/",
+      headers: ["Host", "test"],
+      body: Buffer.alloc(0),
+      mayReuseConnection,
+    }, {
+      onHead: (value) => status = value,
+      onData: (chunk) => chunks.push(chunk),
+      onEnd: () => {
+        const body = Buffer.concat(chunks).toString();
+        resolve({ kind: "answered", status, body });
+      },
+      onFailure: (failure) => resolve({ kind: "failed", ...failure }),
+    });
+  });
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+const withoutLength = "HTTP/1.1 200 OK\r\n\r\nbody";
+
+test("a response with a length is passed on whole", async () => {
+  const port = await startServer((socket) => socket.write(whole));
+  expect(await send(port)).toEqual({
+    kind: "answered",
+    status: 200,
+    body: "body",
+  });
+});
+
+test("a response that ends before its length has failed", async () => {
+  const port = await startServer((socket) => {
+    socket.end(whole.slice(0, -1));
+  });
+  expect(await send(port)).toMatchObject({ kind: "failed", wasSent: true });
+});
+
+test("a response without a length is complete when the upstream closes", async () => {
+  const port = await startServer((socket) => socket.end(withoutLength));
+  expect(await send(port)).toMatchObject({ kind: "answered", body: "body" });
+});
+
+test.each([true, false])(
+  "a response without a length that is reset has failed (reuse: %s)",
+  async (mayReuse) => {
+    const port = await startServer((socket) => {
+      socket.write(withoutLength, () => {
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      });
+    });
+    expect(await send(port, mayReuse)).toMatchObject({
+      kind: "failed",
+      wasSent: true,
+    });
+  },
+);
+
+test("a reset in the same moment as the data is not taken for an end", async () => {
+  const port = await startServer((socket) => {
+    socket.write(withoutLength);
+    socket.resetAndDestroy();
+  });
+  expect(await send(port)).toMatchObject({ kind: "failed" });
+});
+
+test("a refused connection means that nothing was sent", async () => {
+  const port = await startServer(() => {});
+  await new Promise((resolve) => servers.pop()!.close(resolve));
+  expect(await send(port)).toMatchObject({ kind: "failed", wasSent: false });
+});
+
+test("bytes on an idle connection are not the answer to the next request", async () => {
+  const port = await startServer((socket, requestNumber) => {
+    socket.write(whole);
+    if (requestNumber > 1) return;
+    setTimeout(() => socket.write(whole.replace("body", "late")), 10);
+  });
+  await send(port);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  expect(await send(port)).toMatchObject({ body: "body" });
+});
+
+test("bytes that are no response fail the request", async () => {
+  const port = await startServer((socket) => socket.write("garbage\r\n\r\n"));
+  expect(await send(port)).toMatchObject({ kind: "failed", wasSent: true });
+});
