--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -140,5 +140,6 @@
   forwardingRefused: event(7205, Info, "request refused before an attempt"),
   streamResumed: event(7206, Info, "stream goes on at another engine"),
   engineSilent: event(7207, Warn, "engine is silent, its streams move"),
+  streamPlaced: event(7208, Info, "stream placed at an engine"),
   retryRefused: event(7103, Info, "retry refused by the retry budget"),
 } as const satisfies Record<string, LogEvent>;
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -168,6 +168,23 @@
       otherBody: [],
     };
     run = started;
+    logger.log(logEvents.streamPlaced, {
+      request: requestId,
+      engine: info.upstreamId,
+      domain: info.domainId,
+      running: engine.inFlightCount,
+      unreadTokens: engine.unreadTokens,
+      memoryTokens: engine.memoryTokens,
+      reported: engine.reported && {
+        running: engine.reported.load.runningCount,
+        waiting: engine.reported.load.waitingCount,
+        ageMs: Math.round(clock.nowMs() - engine.reported.atMs),
+      },
+      copyAt: copyHolder?.info.upstreamId,
+      resumesFrom: copyAddress,
+      lastEventId,
+      revision: admitted.revision,
+    });
     watch.add(started);
     started.exchange = connections.send({
       host: info.host,
