Take no stream after a stop has been seen by the balancer

Change: 2.8 s after the stop the instance closes its listener and its idle connections, and refuses streams as not run with a time to come back.

--- /dev/null
+++ b/measure/forwarding_stand_ins.ts
@@ -0,0 +1,305 @@
+/**
+ * Stand-ins for tests of the forwarding entry: an upstream that answers as it
+ * is told, and an entry server in this process that forwards to such upstreams.
+ */
+import { Buffer } from "node:buffer";
+import http from "node:http";
+import type net from "node:net";
+import { createSystemClock } from "../src/core/clock.ts";
+import { createSilentLogger } from "../src/core/logger.ts";
+import { createRandom } from "../src/core/random.ts";
+import {
+  createEntryServer,
+  type EntryServer,
+} from "../src/forwarding/entry_server.ts";
+import type { ForwardingContext } from "../src/forwarding/forwarding_context.ts";
+import {
+  type EngineTraits,
+  type ForwardingRoute,
+  type ForwardingTable,
+  RequestKind,
+} from "../src/forwarding/forwarding_table.ts";
+import { createRouteTable } from "../src/forwarding/route_table.ts";
+import { createStreamWatch } from "../src/forwarding/stream_watch.ts";
+import { createUpstreamConnections } from "../src/forwarding/upstream_connections.ts";
+import { createUpstreamDirectory } from "../src/forwarding/upstream_directory.ts";
+import { createRetryBudget } from "../src/limits/retry_budget.ts";
+import type { ListedUpstream } from "../src/upstreams/upstream_view.ts";
+import { createForwardingProtocol } from "../platform/forwarding_protocol.ts";
+
+export interface SeenRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly rawHeaders: readonly string[];
+  readonly body: string;
+}
+
+export interface StandInUpstream {
+  readonly listed: ListedUpstream;
+  readonly seen: SeenRequest[];
+  /** Requests whose connection the caller closed before the answer. */
+  readonly cancelled: string[];
+  close(): Promise<void>;
+}
+
+export type StandInAnswer = (
+  request: SeenRequest,
+  response: http.ServerResponse,
+) => void;
+
+let nextUpstream = 1;
+
+export async function startUpstream(
+  answer: StandInAnswer,
+  listed: Partial<ListedUpstream> = {},
+): Promise<StandInUpstream> {
+  const seen: SeenRequest[] = [];
+  const cancelled: string[] = [];
+  const server = http.createServer((request, response) => {
+    const chunks: Buffer[] = [];
+    request.on("data", (chunk: Buffer) => chunks.push(chunk));
+    request.on("end", () => {
+      const entry: SeenRequest = {
+        method: request.method!,
+        path: request.url!,
+        headers: request.headers,
+        rawHeaders: request.rawHeaders,
+        body: Buffer.concat(chunks).toString(),
+      };
+      if (request.url !== "/report") seen.push(entry);
+      answer(entry, response);
+    });
+    response.on("close", () => {
+      if (response.writableFinished) return;
+      cancelled.push(String(request.headers["request-id"]));
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return {
+    listed: {
+      upstreamId: `upstream-${nextUpstream++}`,
+      service: "service",
+      host: "127.0.0.1",
+      port: (server.address() as net.AddressInfo).port,
+      domainId: "domain-a",
+      version: "v1",
+      maxRunning: 4,
+      isLeaving: false,
+      isCold: false,
+      ...listed,
+    },
+    seen,
+    cancelled,
+    close: () => {
+      server.closeAllConnections();
+      return new Promise((resolve) => server.close(() => resolve()));
+    },
+  };
+}
+
+/** Answers with the receipt and request id that a proper upstream adds. */
+export function answerWhole(
+  request: SeenRequest,
+  response: http.ServerResponse,
+  { status = 200, body = "whole" }: { status?: number; body?: string } = {},
+): void {
+  response.writeHead(status, {
+    "Request-Id": String(request.headers["request-id"]),
+    "Response-Seal": "seal",
+    "Content-Length": Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+export function startEvents(
+  request: SeenRequest,
+  response: http.ServerResponse,
+): void {
+  response.writeHead(200, {
+    "Request-Id": String(request.headers["request-id"]),
+    "Response-Seal": "seal",
+    "Content-Type": "text/event-stream",
+  });
+}
+
+export function formatEvent(eventId: number): string {
+  return `id: ${eventId}\ndata: token ${eventId}\n\n`;
+}
+
+export const engineTraits: EngineTraits = {
+  maxRunning: 8,
+  memoryTokens: 88_000,
+  tokenBytes: 1_000,
+  linkMbps: 10_000,
+  canMove: true,
+  canBackUp: true,
+  tokensPerEvent: 1,
+  copyTtlMs: 4_000,
+};
+
+export function createTestTable(
+  route: Partial<ForwardingRoute> = {},
+  engine: EngineTraits | null = null,
+): ForwardingTable {
+  return {
+    routes: [{
+      name: "route",
+      host: "app.example",
+      pathPrefix: "/app/",
+      kind: RequestKind.Safe,
+      timeoutMs: 2_000,
+      objectiveMs: 200,
+      priority: 1,
+      targets: [{ service: "service", weight: 1 }],
+      maxAttempts: 2,
+      isPublic: false,
+      isResumable: false,
+      maxEventGapMs: null,
+      ...route,
+    }],
+    services: [{
+      name: "service",
+      healthPath: "/healthz",
+      maxConnections: 100,
+      engine,
+    }],
+    customers: [{ customerId: "clinic", apiKeys: ["key-1"], priority: 1 }],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 100_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+export interface TestEntry {
+  readonly port: number;
+  readonly readinessPort: number;
+  readonly server: EntryServer;
+  readonly context: ForwardingContext;
+  setTable(table: ForwardingTable | undefined): void;
+}
+
+export async function startTestEntry(
+  upstreams: readonly StandInUpstream[],
+  table: ForwardingTable,
+): Promise<TestEntry> {
+  const clock = createSystemClock();
+  const logger = createSilentLogger();
+  const protocol = createForwardingProtocol();
+  const connections = createUpstreamConnections();
+  const directory = createUpstreamDirectory({ clock, logger });
+  directory.update(upstreams.map(({ listed }) => listed));
+  const context: ForwardingContext = {
+    clock,
+    logger,
+    random: createRandom(1),
+    domainId: "domain-a",
+    protocol,
+    connections,
+    directory,
+    budget: createRetryBudget({ ratio: 1, initialUnits: 10, maxUnits: 10 }),
+  };
+  let routes: ReturnType<typeof createRouteTable> | undefined =
+    createRouteTable(table, 1);
+  const [port, readinessPort] = [await findFreePort(), await findFreePort()];
+  const server = createEntryServer({
+    context,
+    watch: createStreamWatch({
+      clock,
+      logger,
+      protocol,
+      connections,
+      directory,
+    }),
+    callers: { host: "127.0.0.1", port },
+    readiness: { host: "127.0.0.1", port: readinessPort },
+    getRouteTable: () => routes,
+    onAnswered: () => {},
+  });
+  (await server.listen())._unsafeUnwrap();
+  return {
+    port,
+    readinessPort,
+    server,
+    context,
+    setTable: (next) => {
+      routes = next && createRouteTable(next, 2);
+    },
+  };
+}
+
+async function findFreePort(): Promise<number> {
+  const server = http.createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as net.AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** The answer ended as HTTP says that it should. */
+  readonly isComplete: boolean;
+  readonly durationMs: number;
+}
+
+export interface CallOptions {
+  readonly method?: string;
+  readonly path?: string;
+  readonly host?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  readonly agent?: http.Agent;
+  readonly signal?: AbortSignal;
+}
+
+let nextRequest = 1;
+
+/** Sends a request as a caller does; never rejects. */
+export function callEntry(
+  port: number,
+  options: CallOptions = {},
+): Promise<CallerAnswer> {
+  const startedAtMs = performance.now();
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let status = 0;
+    let headers: http.IncomingHttpHeaders = {};
+    const finish = (isComplete: boolean) =>
+      resolve({
+        status,
+        headers,
+        body: Buffer.concat(chunks).toString(),
+        isComplete,
+        durationMs: performance.now() - startedAtMs,
+      });
+    const request = http.request({
+      host: "127.0.0.1",
+      port,
+      method: options.method ?? "GET",
+      path: options.path ?? "/app/item",
+      headers: {
+        Host: options.host ?? "app.example",
+        "Request-Id": `request-${nextRequest++}`,
+        "Api-Key": "key-1",
+        "Deadline-Ms": "2000",
+        ...options.headers,
+      },
+      ...(options.agent ? { agent: options.agent } : { agent: false }),
+      ...(options.signal ? { signal: options.signal } : {}),
+    }, (response) => {
+      status = response.statusCode!;
+      headers = response.headers;
+      response.on("data", (chunk: Buffer) => chunks.push(chunk));
+      response.on("end", () => finish(response.complete));
+      response.on("error", () => finish(false));
+    });
+    request.on("error", () => finish(false));
+    request.end(options.body);
+  });
+}
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -56,8 +56,13 @@
 /** The configured limit must not end a connection that is still in use. */
 const idleMarginMs = 1_000;
 const timeoutCheckMs = 1_000;
-/** The balancer needs two questions, a second apart, to stop sending. */
-const balancerDelayMs = 3_500;
+/**
+ * The balancer needs two questions, a second apart, to stop sending. Requests
+ * that came until then are served; a stream that came later could not finish.
+ */
+const balancerDelayMs = 2_800;
+/** Callers that were refused by a stopping instance reach another at once. */
+const stoppingRetryMs = 20;
 const drainPollMs = 50;
 /** Left of the grace time when open requests are broken off. */
 const exitMarginMs = 500;
@@ -67,6 +72,7 @@
   const { clock, logger, random, protocol } = context;
   const open = new Set<CallerExchange>();
   let isDraining = false;
+  let isClosing = false;
   const server = createServer({
     maxHeaderSize: maxHeaderBytes,
     connectionsCheckingInterval: timeoutCheckMs,
@@ -124,6 +130,15 @@
       return;
     }
     const { route, customerId } = checked.value;
+    if (isClosing && route.kind === RequestKind.Streaming) {
+      refuse(
+        caller,
+        createError(ErrorKind.ShuttingDown, "this instance is stopping", {
+          retryAfterMs: stoppingRetryMs,
+        }),
+      );
+      return;
+    }
     const service = chooseService(route, table!, random.next());
     if (!service) {
       refuse(caller, createError(ErrorKind.Internal, "unknown service"));
@@ -166,12 +181,17 @@
     const startedAtMs = clock.nowMs();
     const getElapsedMs = () => clock.nowMs() - startedAtMs;
     while (getElapsedMs() < graceMs - exitMarginMs) {
-      if (getElapsedMs() >= balancerDelayMs && open.size === 0) break;
+      if (!isClosing && getElapsedMs() >= balancerDelayMs) {
+        isClosing = true;
+        server.close();
+      }
+      if (isClosing) {
+        server.closeIdleConnections();
+        if (open.size === 0) break;
+      }
       await clock.sleep(drainPollMs);
     }
-    server.close();
     readinessServer.close();
-    server.closeIdleConnections();
     for (const caller of open) caller.breakOff();
   }
 }
--- /dev/null
+++ b/src/forwarding/entry_server_test.ts
@@ -0,0 +1,339 @@
+import http from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { afterEach, expect, test } from "vitest";
+import {
+  answerWhole,
+  callEntry,
+  createTestTable,
+  engineTraits,
+  formatEvent,
+  type SeenRequest,
+  type StandInAnswer,
+  type StandInUpstream,
+  startEvents,
+  startTestEntry,
+  startUpstream,
+} from "../../measure/forwarding_stand_ins.ts";
+import type { ListedUpstream } from "../upstreams/upstream_view.ts";
+import { type ForwardingRoute, RequestKind } from "./forwarding_table.ts";
+
+const upstreams: StandInUpstream[] = [];
+
+afterEach(async () => {
+  await Promise.all(upstreams.splice(0).map((upstream) => upstream.close()));
+});
+
+async function start(
+  answers: readonly StandInAnswer[],
+  route: Partial<ForwardingRoute> = {},
+  listed: readonly Partial<ListedUpstream>[] = [],
+) {
+  for (const [index, answer] of answers.entries()) {
+    upstreams.push(await startUpstream(answer, listed[index] ?? {}));
+  }
+  const engine = route.kind === RequestKind.Streaming ? engineTraits : null;
+  return startTestEntry(upstreams, createTestTable(route, engine));
+}
+
+function countSeen(): number {
+  return upstreams.reduce((sum, { seen }) => sum + seen.length, 0);
+}
+
+const reset: StandInAnswer = (_request, response) => {
+  response.socket!.resetAndDestroy();
+};
+const refuse: StandInAnswer = (_request, response) => {
+  response.writeHead(503, { "Not-Executed": "1" });
+  response.end();
+};
+const failOwn: StandInAnswer = (request, response) =>
+  answerWhole(request, response, { status: 500, body: "failed" });
+
+test("a request reaches the upstream unchanged but for the system's headers", async () => {
+  const entry = await start([answerWhole]);
+  const answer = await callEntry(entry.port, {
+    method: "POST",
+    path: "/app/items?page=2",
+    body: "content",
+    headers: {
+      "X-Own": "kept",
+      Tenant: "forged",
+      Hold: "forged",
+      "Kv-From": "10.0.0.1:1/forged",
+      "Kv-Backup": "10.0.0.1:1",
+      "Pin-Ms": "5000",
+      Connection: "x-private",
+      "X-Private": "dropped",
+    },
+  });
+  expect(answer).toMatchObject({ status: 200, body: "whole" });
+  expect(answer.headers["response-seal"]).toBe("seal");
+  const seen = upstreams[0]!.seen[0]!;
+  expect(seen).toMatchObject({
+    method: "POST",
+    path: "/app/items?page=2",
+    body: "content",
+  });
+  expect(seen.headers).toMatchObject({
+    host: "app.example",
+    "x-own": "kept",
+    tenant: "clinic",
+    "target-instance": upstreams[0]!.listed.upstreamId,
+  });
+  for (
+    const name of [
+      "api-key",
+      "hold",
+      "kv-from",
+      "kv-backup",
+      "pin-ms",
+      "x-private",
+    ]
+  ) {
+    expect(seen.headers[name]).toBeUndefined();
+  }
+  const deadlineMs = Number(seen.headers["deadline-ms"]);
+  expect(deadlineMs).toBeGreaterThan(1_500);
+  expect(deadlineMs).toBeLessThanOrEqual(2_000);
+});
+
+test("requests without a route or a known key are refused, public ones served", async () => {
+  const entry = await start([answerWhole]);
+  expect(await callEntry(entry.port, { path: "/other/" }))
+    .toMatchObject({ status: 404 });
+  expect(await callEntry(entry.port, { headers: { "Api-Key": "wrong" } }))
+    .toMatchObject({ status: 401 });
+  expect(countSeen()).toBe(0);
+  entry.setTable(createTestTable({ isPublic: true }));
+  expect(await callEntry(entry.port, { headers: { "Api-Key": "wrong" } }))
+    .toMatchObject({ status: 200 });
+  expect(upstreams[0]!.seen[0]!.headers.tenant).toBeUndefined();
+});
+
+test("an instance without a configuration answers 503 and is not ready", async () => {
+  const entry = await start([answerWhole]);
+  entry.setTable(undefined);
+  const answer = await callEntry(entry.port);
+  expect(answer.status).toBe(503);
+  expect(Number(answer.headers["retry-after"])).toBeGreaterThan(0);
+  expect(await callEntry(entry.readinessPort)).toMatchObject({ status: 503 });
+});
+
+test("a body above the limit is refused", async () => {
+  const entry = await start([answerWhole]);
+  const body = "x".repeat(100_001);
+  expect(await callEntry(entry.port, { method: "POST", body }))
+    .toMatchObject({ status: 413 });
+  expect(countSeen()).toBe(0);
+});
+
+test("a safe request is tried again after a failure, up to its attempts", async () => {
+  const entry = await start([reset, failOwn]);
+  const answer = await callEntry(entry.port);
+  expect(answer.status === 500 || answer.status === 502).toBe(true);
+  expect(countSeen()).toBe(2);
+});
+
+test("a safe request that one upstream fails is answered by the other", async () => {
+  const entry = await start([failOwn, answerWhole]);
+  for (let count = 0; count < 5; count++) {
+    expect(await callEntry(entry.port)).toMatchObject({ status: 200 });
+  }
+});
+
+test("an unsafe request runs at most once, and a reset promises nothing", async () => {
+  const entry = await start([reset, reset], { kind: RequestKind.Unsafe });
+  const answer = await callEntry(entry.port, { method: "POST", body: "b" });
+  expect(answer.status).toBe(502);
+  expect(countSeen()).toBe(1);
+});
+
+test("an unsafe request goes on where the first upstream did not run it", async () => {
+  const entry = await start([refuse, answerWhole], {
+    kind: RequestKind.Unsafe,
+    maxAttempts: 1,
+  });
+  for (let count = 0; count < 4; count++) {
+    const answer = await callEntry(entry.port, { method: "POST", body: "b" });
+    expect(answer.status).toBe(200);
+  }
+});
+
+test("nothing but refusals ends with a promise and a time to come back", async () => {
+  const entry = await start([refuse, refuse], { kind: RequestKind.Unsafe });
+  const answer = await callEntry(entry.port, { method: "POST", body: "b" });
+  expect(answer.status).toBe(503);
+  expect(Number(answer.headers["retry-after"])).toBeGreaterThan(0);
+});
+
+test("a response for another request is not passed on", async () => {
+  const entry = await start([(request, response) => {
+    const headers = { ...request.headers, "request-id": "another" };
+    answerWhole({ ...request, headers }, response);
+  }], { kind: RequestKind.Unsafe });
+  expect(await callEntry(entry.port)).toMatchObject({ status: 502 });
+});
+
+test.each([
+  ["no receipt", { "Content-Length": "2" }],
+  ["an encoding", {
+    "Content-Length": "2",
+    "Response-Seal": "seal",
+    "Content-Encoding": "gzip",
+  }],
+])("a success with %s is not the upstream's", async (_name, headers) => {
+  const entry = await start([(_request, response) => {
+    response.writeHead(200, headers);
+    response.end("ok");
+  }], { kind: RequestKind.Unsafe });
+  expect(await callEntry(entry.port)).toMatchObject({ status: 502 });
+});
+
+test("a caller that leaves ends the work at the upstream", async () => {
+  const entry = await start([() => {}]);
+  const leaving = new AbortController();
+  const call = callEntry(entry.port, {
+    signal: leaving.signal,
+    headers: { "Request-Id": "left" },
+  });
+  await sleep(100);
+  leaving.abort();
+  await call;
+  await sleep(100);
+  expect(upstreams[0]!.cancelled).toEqual(["left"]);
+});
+
+test("a request past its route's timeout gets its final answer at once", async () => {
+  const entry = await start([() => {}], { timeoutMs: 200 });
+  const answer = await callEntry(entry.port);
+  expect(answer.status).toBe(504);
+  expect(answer.durationMs).toBeLessThan(400);
+  await sleep(50);
+  expect(upstreams[0]!.cancelled.length).toBe(1);
+});
+
+const streaming = {
+  kind: RequestKind.Streaming,
+  isResumable: true,
+  maxAttempts: 5,
+  timeoutMs: 5_000,
+};
+
+/** Sends events from the one after the caller's last; may break off. */
+function createEngine(
+  { eventCount, breakAfter }: { eventCount: number; breakAfter?: number },
+): StandInAnswer {
+  let isFirst = true;
+  return (request, response) => {
+    startEvents(request, response);
+    const lastEventId = Number(request.headers["last-event-id"] ?? 0);
+    const mustBreak = breakAfter !== undefined && isFirst;
+    isFirst = false;
+    for (let id = lastEventId + 1; id <= eventCount; id++) {
+      if (mustBreak && id > breakAfter) {
+        response.write(formatEvent(id).slice(0, 8));
+        setTimeout(() => response.socket!.resetAndDestroy(), 20);
+        return;
+      }
+      response.write(formatEvent(id));
+    }
+    response.end();
+  };
+}
+
+function listEventIds(body: string): number[] {
+  return [...body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
+}
+
+test("a stream goes on behind the last whole event when its engine is lost", async () => {
+  const engine = createEngine({ eventCount: 20, breakAfter: 7 });
+  const entry = await start([engine, engine], streaming, [
+    {},
+    { domainId: "domain-b" },
+  ]);
+  const answer = await callEntry(entry.port, {
+    headers: { "Token-Count": "100,20" },
+  });
+  expect(answer.isComplete).toBe(true);
+  expect(listEventIds(answer.body)).toEqual(
+    Array.from({ length: 20 }, (_, index) => index + 1),
+  );
+  const seen = upstreams.flatMap((upstream) => upstream.seen);
+  expect(seen).toHaveLength(2);
+  const resumed = seen.find(({ headers }) => headers["last-event-id"])!;
+  expect(resumed.headers["last-event-id"]).toBe("7");
+  const first = seen.find((request) => request !== resumed)!;
+  expect(resumed.headers["kv-from"]).toBe(
+    `${first.headers["kv-backup"]}/${first.headers["request-id"]}`,
+  );
+});
+
+test("a stream that is lost without a resume does not look complete", async () => {
+  const engine = createEngine({ eventCount: 20, breakAfter: 7 });
+  const entry = await start([engine], { ...streaming, isResumable: false });
+  const answer = await callEntry(entry.port);
+  expect(answer.isComplete).toBe(false);
+  expect(listEventIds(answer.body)).toEqual([1, 2, 3, 4, 5, 6, 7]);
+});
+
+test("a silent engine is left for one that answers", async () => {
+  let isSilent = false;
+  const silent: StandInAnswer = (request, response) => {
+    if (isSilent) return;
+    isSilent = true;
+    startEvents(request, response);
+    response.write(formatEvent(1));
+  };
+  const engine = createEngine({ eventCount: 5 });
+  const entry = await start([silent, engine], streaming, [
+    {},
+    { domainId: "domain-b" },
+  ]);
+  // Keeps the first stream at the engine that falls silent.
+  const answer = await callEntry(entry.port);
+  expect(listEventIds(answer.body)).toEqual([1, 2, 3, 4, 5]);
+  expect(answer.durationMs).toBeLessThan(700);
+});
+
+test(
+  "a stopped instance is not ready, serves on, and closes idle connections",
+  async () => {
+    const entry = await start([answerWhole]);
+    const agent = new http.Agent({ keepAlive: true });
+    await callEntry(entry.port, { agent });
+    const drained = entry.server.drain(8_000);
+    expect(await callEntry(entry.readinessPort)).toMatchObject({ status: 503 });
+    const answer = await callEntry(entry.port);
+    expect(answer).toMatchObject({ status: 200 });
+    expect(answer.headers.connection).toBe("close");
+    await drained;
+    expect(await callEntry(entry.port)).toMatchObject({ status: 0 });
+    agent.destroy();
+  },
+  10_000,
+);
+
+test(
+  "a stopping instance takes no stream that it could not finish",
+  async () => {
+    const requests: SeenRequest[] = [];
+    const entry = await start([(request, response) => {
+      requests.push(request);
+      startEvents(request, response);
+      response.write(formatEvent(1));
+      const timer = setInterval(() => response.write(": alive\n\n"), 100);
+      response.on("close", () => clearInterval(timer));
+    }], streaming);
+    const kept = callEntry(entry.port);
+    await sleep(50);
+    const drained = entry.server.drain(6_000);
+    await sleep(3_200);
+    // The first stream keeps the process busy; idle connections are closed.
+    const late = await callEntry(entry.port);
+    expect([0, 503]).toContain(late.status);
+    expect(requests).toHaveLength(1);
+    await drained;
+    expect((await kept).isComplete).toBe(false);
+  },
+  10_000,
+);
