--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -17,6 +17,7 @@
 import { createSupervisor } from "../core/supervisor.ts";
 import { PeerCallKind } from "../peer/messages.ts";
 import { startPeerServer } from "../peer/peer_server.ts";
+import { createLoadBoard } from "../upstreams/load_board.ts";
 import { startHttpServer } from "./http_server.ts";
 import { createInstanceCore } from "./instance_core.ts";
 import type {
@@ -43,6 +44,7 @@
     return errAsync(createError(ErrorKind.InvalidSettings, message));
   }
   const late: { log?: ReplicatedLogService } = {};
+  const loads = createLoadBoard({ getNowMs: clock.nowMs });
   const core = createInstanceCore({
     settings,
     adapter,
@@ -53,6 +55,12 @@
     getLeaderTerm: () => late.log!.isLeader() ? late.log!.getTerm() : undefined,
     onConfiguration: () => {},
     onUpstreams: () => {},
+    getLoads: (to) =>
+      core.membership.getInstance(to)?.isControl
+        ? loads.getReported()
+        : loads.getOthers(to),
+    onLoads: ({ instanceId, isControl }, report) =>
+      loads.record(instanceId, report, isControl === true),
   });
   const { membership, peers, configuration, upstreams } = core;
   const seedIds = settings.seeds.map(({ host }) => host).sort();
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -54,6 +54,15 @@
     getLeaderTerm: () => undefined,
     onConfiguration: applyConfiguration,
     onUpstreams: directory.update,
+    // One control instance is enough, and a near one costs least.
+    getLoads: (to) =>
+      core.membership.listReachableControlIds()[0] === to
+        ? directory.getOwnLoads()
+        : undefined,
+    onLoads: ({ instanceId }, loads) => {
+      const homeId = core.membership.listReachableControlIds()[0];
+      if (homeId === instanceId) directory.setOtherLoads(loads);
+    },
   });
   const { membership, peers, configuration } = core;
   const getMaxRepeats = () =>
--- a/src/daemon/instance_core.ts
+++ b/src/daemon/instance_core.ts
@@ -19,7 +19,11 @@
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import { createSupervisor, type Task } from "../core/supervisor.ts";
-import { InstanceState } from "../core/types.ts";
+import {
+  type InstanceId,
+  type InstanceInfo,
+  InstanceState,
+} from "../core/types.ts";
 import {
   createSeedMembership,
   type SeedMembership,
@@ -33,6 +37,7 @@
   createUpstreamViewService,
   type UpstreamViewService,
 } from "../upstreams/upstream_view_service.ts";
+import type { LoadReport } from "../upstreams/load_board.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import type { DeploymentAdapter } from "./deployment_adapter.ts";
 
@@ -54,6 +59,8 @@
   getLeaderTerm(): number | undefined;
   onConfiguration(configuration: Configuration): void;
   onUpstreams(upstreams: readonly ListedUpstream[]): void;
+  getLoads(to: InstanceId): LoadReport | undefined;
+  onLoads(from: InstanceInfo, loads: LoadReport): void;
 }
 
 /** The drain time covers two reads, two heartbeats and the way of a request. */
@@ -122,6 +129,8 @@
       configuration.handleHeartbeat(heartbeat);
       upstreams.handleHeartbeat(heartbeat);
     },
+    getLoads: options.getLoads,
+    onLoads: options.onLoads,
   });
   const peers = createPeerClient({
     keys: settings.peerKeys,
--- a/src/forwarding/call_forwarder.ts
+++ b/src/forwarding/call_forwarder.ts
@@ -85,6 +85,8 @@
       ownDomainId: context.domainId,
       triedIds,
       random,
+      isDomainSuspect: (domainId) =>
+        directory.isDomainSuspect(service.name, domainId),
     });
   }
 
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -14,6 +14,7 @@
   /** Upstreams that this request has tried already. */
   readonly triedIds: ReadonlySet<UpstreamId>;
   readonly random: Random;
+  isDomainSuspect(domainId: DomainId): boolean;
 }
 
 export interface StreamDemand {
@@ -33,10 +34,22 @@
 const coldPenaltyLoads = 1;
 /** Engines read about this many prompt tokens in a millisecond. */
 const readTokensPerMs = 8;
-/** Delay that one more running request adds to the first event. */
-const runningDelayMs = 30;
-const remoteDelayMs = 120;
+/**
+ * A prompt that is read takes most of the steps of the requests that run
+ * beside it for about a second, and theirs slow down this one later.
+ */
+const runningDelayMs = 400;
+/**
+ * A stream within the own failure domain survives a partition, and a crash of
+ * the domain's engines leaves its copy elsewhere.
+ */
+const remoteDelayMs = 700;
+/** More than any backlog: a suspect domain is used when nothing else is left. */
+const suspectDelayMs = 8_000;
+const suspectPenaltyLoads = 6;
 const coldDelayMs = 1_000;
+/** Spreads copies over the engines that hold the least. */
+const copyTokensPerMs = 20;
 /** A run that does not fit has to wait for others to end. */
 const noMemoryDelayMs = 10_000;
 const failureDelayMs = 4_000;
@@ -89,7 +102,8 @@
     fitting,
     (upstream) =>
       getStreamDelayMs(upstream, demand, context) +
-      upstream.memoryTokens / readTokensPerMs,
+      (upstream.memoryTokens + upstream.others.memoryTokens) /
+        copyTokensPerMs,
     { tolerance: equalDelayMs, random: context.random },
   );
 }
@@ -128,6 +142,7 @@
   const isRemote = info.domainId !== context.ownDomainId;
   return (open + (isRemote ? remotePenaltyPlaces : 0)) / places +
     failureRatio * failurePenaltyLoads +
+    (context.isDomainSuspect(info.domainId) ? suspectPenaltyLoads : 0) +
     (info.isCold ? coldPenaltyLoads : 0);
 }
 
@@ -136,22 +151,25 @@
   demand: StreamDemand,
   context: PlacementContext,
 ): number {
-  const { info, unreadTokens, inFlightCount, failureRatio } = upstream;
+  const { info, unreadTokens, inFlightCount, others, failureRatio } = upstream;
   const running = Math.max(
-    inFlightCount,
+    inFlightCount + others.runningCount,
     getReportedCount(upstream, context.nowMs),
   );
-  return unreadTokens / readTokensPerMs +
+  return (unreadTokens + others.unreadTokens) / readTokensPerMs +
     running * runningDelayMs +
     (info.domainId === context.ownDomainId ? 0 : remoteDelayMs) +
     (info.isCold ? coldDelayMs : 0) +
+    (context.isDomainSuspect(info.domainId) ? suspectDelayMs : 0) +
     (fits(upstream, demand) ? 0 : noMemoryDelayMs) +
     failureRatio * failureDelayMs;
 }
 
 function fits(upstream: Upstream, { traits, totalTokens }: StreamDemand) {
-  return upstream.memoryTokens + totalTokens <= traits.memoryTokens &&
-    upstream.inFlightCount < traits.maxRunning;
+  const { memoryTokens, inFlightCount, others } = upstream;
+  return memoryTokens + others.memoryTokens + totalTokens <=
+      traits.memoryTokens &&
+    inFlightCount + others.runningCount < traits.maxRunning;
 }
 
 /** One of the cheapest, drawn at random among those that are about equal. */
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -29,7 +29,7 @@
 import { decideAfterLoss } from "./stream_decisions.ts";
 import type { StreamWatch, WatchedStream } from "./stream_watch.ts";
 import type { Exchange } from "./upstream_connections.ts";
-import type { Upstream, UpstreamUse } from "./upstream_directory.ts";
+import type { CopyHold, Upstream, UpstreamUse } from "./upstream_directory.ts";
 
 export interface StreamForwarderOptions {
   readonly context: ForwardingContext;
@@ -39,7 +39,7 @@
 interface Run extends WatchedStream {
   lastEventAtMs: number | undefined;
   readonly use: UpstreamUse;
-  readonly copyUse: UpstreamUse | undefined;
+  readonly copy: CopyHold | undefined;
   readonly splitter: EventSplitter;
   exchange: Exchange | undefined;
   head: { readonly status: number; readonly headers: RawHeaders } | undefined;
@@ -82,10 +82,13 @@
   let waitTimer: NodeJS.Timeout | undefined;
   let run: Run | undefined;
   let isOver = false;
+  let firstEventAtMs: number | undefined;
+  let lastEventAtMs = 0;
+  let longestGapMs = 0;
   const endTimer = setTimeout(expire, Math.max(0, endsAtMs - clock.nowMs()));
   caller.onGone(() => {
     if (isOver) return;
-    stop();
+    stop("callerLeft");
     logger.log(logEvents.callerLeft, {
       request: requestId,
       eventCount,
@@ -110,6 +113,8 @@
       ownDomainId: context.domainId,
       triedIds,
       random: context.random,
+      isDomainSuspect: (domainId) =>
+        directory.isDomainSuspect(service.name, domainId),
     };
   }
 
@@ -151,8 +156,8 @@
         getPlacement(),
       )
       : undefined;
-    const copyUse = copyHolder && directory.use(copyHolder.info.upstreamId);
-    copyUse?.addMemory(demand.totalTokens);
+    const copy = copyHolder &&
+      directory.holdCopy(copyHolder.info.upstreamId, demand.totalTokens);
     const started: Run = {
       upstream: engine,
       sinceMs: clock.nowMs(),
@@ -161,7 +166,7 @@
         if (run === started) lose(started, { wasSent: true, reason });
       },
       use,
-      copyUse,
+      copy,
       splitter: createEventSplitter(),
       exchange: undefined,
       head: undefined,
@@ -174,6 +179,7 @@
       domain: info.domainId,
       running: engine.inFlightCount,
       unreadTokens: engine.unreadTokens,
+      others: engine.others,
       memoryTokens: engine.memoryTokens,
       reported: engine.reported && {
         running: engine.reported.load.runningCount,
@@ -264,7 +270,8 @@
       current.use.releaseUnread();
       directory.recordSuccess(current.upstream.info.upstreamId);
     }
-    current.lastEventAtMs = clock.nowMs();
+    noteEventTime();
+    current.lastEventAtMs = lastEventAtMs;
     if (eventId !== undefined && lastEventId !== undefined) {
       if (eventId <= lastEventId) return; // the caller has it already
       if (eventId > lastEventId + 1) {
@@ -284,6 +291,13 @@
     caller.onDrain(() => current.exchange?.resume());
   }
 
+  function noteEventTime(): void {
+    const nowMs = clock.nowMs();
+    if (firstEventAtMs === undefined) firstEventAtMs = nowMs;
+    else longestGapMs = Math.max(longestGapMs, nowMs - lastEventAtMs);
+    lastEventAtMs = nowMs;
+  }
+
   function onEnd(current: Run): void {
     if (run !== current) return;
     if (!isStream(current)) {
@@ -294,7 +308,7 @@
       lose(current, { wasSent: true, reason: "the stream ends in an event" });
       return;
     }
-    stop();
+    stop("complete");
     if (caller.getState() === CallerState.Waiting) {
       const { status, headers } = current.head!;
       caller.startAnswer(status, protocol.buildCallerHeaders(headers));
@@ -312,7 +326,7 @@
       lose(current, { wasSent: true, reason: `status ${status}` });
       return;
     }
-    stop();
+    stop("failed");
     caller.startAnswer(status, protocol.buildCallerHeaders(headers));
     caller.endAnswer(Buffer.concat(current.otherBody));
   }
@@ -329,14 +343,14 @@
       ranCount += 1;
       directory.recordLost(upstreamId, reason);
     }
-    const copyHolder = lost.copyUse?.upstream;
+    const copyHolder = lost.copy?.upstream;
     const decision = decideAfterLoss({
       isResumable: route.isResumable,
       ranCount,
       maxAttempts: route.maxAttempts,
       remainingMs: endsAtMs - clock.nowMs(),
       hasCopy: wasSent && copyHolder !== undefined &&
-        isUsable(copyHolder),
+        lost.lastEventAtMs !== undefined && isUsable(copyHolder),
       wasNotRun: !wasSent,
     });
     logger.log(logEvents.streamResumed, {
@@ -373,14 +387,15 @@
 
   function isUsable({ info, suspendedUntilMs }: Upstream): boolean {
     return directory.get(info.upstreamId) !== undefined &&
-      suspendedUntilMs <= clock.nowMs();
+      suspendedUntilMs <= clock.nowMs() &&
+      !directory.isDomainSuspect(service.name, info.domainId);
   }
 
   function endRun(ended: Run): void {
     watch.remove(ended);
     ended.exchange?.cancel();
     ended.use.release();
-    ended.copyUse?.release();
+    ended.copy?.release();
     run = undefined;
   }
 
@@ -395,7 +410,7 @@
 
   function giveUp(kind: ErrorKind, reason: string): void {
     if (isOver) return;
-    stop();
+    stop("failed");
     logger.log(logEvents.forwardingFailed, {
       request: requestId,
       route: route.name,
@@ -418,12 +433,23 @@
     ));
   }
 
-  function stop(): void {
+  function stop(outcome: string): void {
     if (isOver) return;
     isOver = true;
     clearTimeout(endTimer);
     clearTimeout(waitTimer);
     if (run) endRun(run);
+    logger.log(logEvents.streamEnded, {
+      request: requestId,
+      outcome,
+      firstEventMs: firstEventAtMs === undefined
+        ? undefined
+        : Math.round(firstEventAtMs - caller.arrivedAtMs),
+      longestGapMs: Math.round(longestGapMs),
+      durationMs: Math.round(clock.nowMs() - caller.arrivedAtMs),
+      eventCount,
+      ranCount,
+    });
   }
 }
 
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -5,8 +5,10 @@
 import type { Clock } from "../core/clock.ts";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
-import type { UpstreamId } from "../core/types.ts";
+import type { DomainId, UpstreamId } from "../core/types.ts";
+import type { LoadReport } from "../upstreams/load_board.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
+import { createDomainHealth, type DomainHealth } from "./domain_health.ts";
 import type { ReportedLoad } from "./forwarding_protocol.ts";
 
 export interface Upstream {
@@ -20,6 +22,8 @@
   readonly reported:
     | { readonly load: ReportedLoad; readonly atMs: number }
     | undefined;
+  /** What other entry instances have open there, as control last told. */
+  readonly others: OtherLoad;
   /** Share of failures among its latest answers, 0 to 1. */
   readonly failureRatio: number;
   /** No new work before this time unless nothing else is left. */
@@ -28,6 +32,12 @@
   readonly heardAtMs: number;
 }
 
+export interface OtherLoad {
+  readonly runningCount: number;
+  readonly unreadTokens: number;
+  readonly memoryTokens: number;
+}
+
 export interface UpstreamUse {
   readonly upstream: Upstream;
   addMemory(tokens: number): void;
@@ -37,6 +47,11 @@
   release(): void;
 }
 
+export interface CopyHold {
+  readonly upstream: Upstream;
+  release(): void;
+}
+
 export interface UpstreamDirectory {
   update(listed: readonly ListedUpstream[]): void;
   /** Upstreams of the service that may get new work. */
@@ -44,6 +59,8 @@
   get(upstreamId: UpstreamId): Upstream | undefined;
   /** Counts a request until the use is released. */
   use(upstreamId: UpstreamId): UpstreamUse;
+  /** Counts the memory of a copy until it is released. */
+  holdCopy(upstreamId: UpstreamId, tokens: number): CopyHold;
   recordLoad(upstreamId: UpstreamId, load: ReportedLoad): void;
   /** Any byte from the upstream. */
   recordHeard(upstreamId: UpstreamId): void;
@@ -56,6 +73,12 @@
   recordFull(upstreamId: UpstreamId): void;
   /** Another upstream answers at its address. */
   recordReplaced(upstreamId: UpstreamId): void;
+  /** Most upstreams of the service in the domain seem to be lost. */
+  isDomainSuspect(service: string, domainId: DomainId): boolean;
+  /** Own work at engines, for the other entry instances. */
+  getOwnLoads(): LoadReport;
+  /** Replaces what is known of the other entry instances' work. */
+  setOtherLoads(loads: LoadReport): void;
   count(): number;
 }
 
@@ -77,19 +100,28 @@
 const failureSmoothing = 0.05;
 /** The list still shows an upstream that is gone for some seconds. */
 const replacedSuspensionMs = 30_000;
+/** Control answers twice a second. */
+const maxOthersAgeMs = 2_000;
+const noLoad: OtherLoad = { runningCount: 0, unreadTokens: 0, memoryTokens: 0 };
 
 export function createUpstreamDirectory(
   { clock, logger }: UpstreamDirectoryOptions,
 ): UpstreamDirectory {
   const entries = new Map<UpstreamId, Entry>();
+  /** By service: its upstreams may fail while others in the domain work. */
+  const domains = new Map<string, DomainHealth>();
+  let othersAtMs = -Infinity;
   return {
     update,
-    listUsable: (service) =>
-      [...entries.values()].filter(({ info }) =>
+    listUsable: (service) => {
+      forgetOldLoads();
+      return [...entries.values()].filter(({ info }) =>
         info.service === service && !info.isLeaving
-      ),
+      );
+    },
     get: (upstreamId) => entries.get(upstreamId),
     use,
+    holdCopy,
     recordLoad: (upstreamId, load) => {
       const entry = entries.get(upstreamId);
       if (entry) entry.reported = { load, atMs: clock.nowMs() };
@@ -100,6 +132,8 @@
     },
     recordSuccess: (upstreamId) => recordAnswer(upstreamId, 0),
     recordFailure: (upstreamId) => recordAnswer(upstreamId, 1),
+    isDomainSuspect: (service, domainId) =>
+      getDomains(service).isSuspect(domainId, clock.nowMs()),
     recordLost,
     recordFull: (upstreamId) => {
       const entry = entries.get(upstreamId);
@@ -109,9 +143,44 @@
       const entry = entries.get(upstreamId);
       if (entry) suspend(entry, replacedSuspensionMs);
     },
+    getOwnLoads: () =>
+      [...entries.values()].filter(({ memoryTokens }) => memoryTokens > 0)
+        .map((entry) => [
+          entry.info.upstreamId,
+          entry.inFlightCount,
+          Math.round(entry.unreadTokens),
+          Math.round(entry.memoryTokens),
+        ]),
+    setOtherLoads,
     count: () => entries.size,
   };
 
+  function setOtherLoads(loads: LoadReport): void {
+    othersAtMs = clock.nowMs();
+    for (const entry of entries.values()) entry.others = noLoad;
+    for (
+      const [upstreamId, runningCount, unreadTokens, memoryTokens] of loads
+    ) {
+      const entry = entries.get(upstreamId);
+      if (entry) entry.others = { runningCount, unreadTokens, memoryTokens };
+    }
+  }
+
+  /** Without news for some time nothing is known of the others' work. */
+  function forgetOldLoads(): void {
+    if (clock.nowMs() - othersAtMs < maxOthersAgeMs) return;
+    for (const entry of entries.values()) entry.others = noLoad;
+  }
+
+  function getDomains(service: string): DomainHealth {
+    let health = domains.get(service);
+    if (!health) {
+      health = createDomainHealth();
+      domains.set(service, health);
+    }
+    return health;
+  }
+
   function update(listed: readonly ListedUpstream[]): void {
     const listedIds = new Set(listed.map(({ upstreamId }) => upstreamId));
     for (const upstreamId of entries.keys()) {
@@ -140,8 +209,7 @@
   }
 
   function use(upstreamId: UpstreamId): UpstreamUse {
-    const entry = entries.get(upstreamId);
-    if (!entry) throw new Error(`upstream ${upstreamId} is not listed`);
+    const entry = getListed(upstreamId);
     let memoryTokens = 0;
     let unreadTokens = 0;
     let isReleased = false;
@@ -163,17 +231,36 @@
         if (isReleased) return;
         releaseUnread();
         isReleased = true;
-        entry!.inFlightCount -= 1;
-        entry!.memoryTokens -= memoryTokens;
+        entry.inFlightCount -= 1;
+        entry.memoryTokens -= memoryTokens;
       },
     };
 
     function releaseUnread(): void {
-      entry!.unreadTokens -= unreadTokens;
+      entry.unreadTokens -= unreadTokens;
       unreadTokens = 0;
     }
   }
 
+  function holdCopy(upstreamId: UpstreamId, tokens: number): CopyHold {
+    const entry = getListed(upstreamId);
+    let heldTokens = tokens;
+    entry.memoryTokens += tokens;
+    return {
+      upstream: entry,
+      release: () => {
+        entry.memoryTokens -= heldTokens;
+        heldTokens = 0;
+      },
+    };
+  }
+
+  function getListed(upstreamId: UpstreamId): Entry {
+    const entry = entries.get(upstreamId);
+    if (!entry) throw new Error(`upstream ${upstreamId} is not listed`);
+    return entry;
+  }
+
   function recordAnswer(upstreamId: UpstreamId, failure: 0 | 1): void {
     const entry = entries.get(upstreamId);
     if (!entry) return;
@@ -187,6 +274,8 @@
     const entry = entries.get(upstreamId);
     if (!entry) return;
     const nowMs = clock.nowMs();
+    const { service, domainId } = entry.info;
+    getDomains(service).recordLost(domainId, upstreamId, nowMs);
     entry.failureRatio += (1 - entry.failureRatio) * failureSmoothing;
     // One crash ends many requests; only the first of them counts.
     if (entry.suspendedUntilMs > nowMs) return;
@@ -218,6 +307,7 @@
     memoryTokens: 0,
     unreadTokens: 0,
     reported: undefined,
+    others: noLoad,
     failureRatio: 0,
     suspendedUntilMs: -Infinity,
     heardAtMs: -Infinity,
--- a/src/membership/seed_membership.ts
+++ b/src/membership/seed_membership.ts
@@ -19,6 +19,7 @@
 } from "../core/types.ts";
 import { type Heartbeat, PeerCallKind } from "../peer/messages.ts";
 import type { PeerAddress, PeerClient } from "../peer/peer_client.ts";
+import type { LoadReport } from "../upstreams/load_board.ts";
 import type { MembershipView } from "./membership_view.ts";
 
 export interface SeedMembership extends MembershipView {
@@ -50,6 +51,9 @@
   getRevision(): number;
   getUpstreams(): { readonly revision: number; readonly ageMs: number };
   onHeartbeat(heartbeat: Heartbeat): void;
+  /** What this instance tells another one of the work at engines. */
+  getLoads(to: InstanceId): LoadReport | undefined;
+  onLoads(from: InstanceInfo, loads: LoadReport): void;
 }
 
 interface Member {
@@ -204,7 +208,7 @@
     const reply = await options.getPeers().call(
       instanceId,
       PeerCallKind.Heartbeat,
-      { body: getHeartbeat(), timeoutMs },
+      { body: getHeartbeat(instanceId), timeoutMs },
     );
     member.isHeartbeatPending = false;
     if (reply.isOk()) receive(reply.value);
@@ -220,7 +224,7 @@
 
   function handleHeartbeat(heartbeat: Heartbeat): Heartbeat {
     receive(heartbeat);
-    return getHeartbeat();
+    return getHeartbeat(heartbeat.instanceId);
   }
 
   function receive(heartbeat: Heartbeat): void {
@@ -235,6 +239,7 @@
     member.lastSeenAtMs = clock.nowMs();
     options.onHeartbeat(heartbeat);
     setReachable(member, true);
+    if (heartbeat.loads) options.onLoads(member.info, heartbeat.loads);
     if (!heartbeat.isControl) return;
     for (const controlId of heartbeat.controlIds ?? []) addControl(controlId);
     reportedEntryCount = heartbeat.entryCount ?? reportedEntryCount;
@@ -251,14 +256,16 @@
     );
   }
 
-  function getHeartbeat(): Heartbeat {
+  function getHeartbeat(to: InstanceId): Heartbeat {
     const { revision, ageMs } = options.getUpstreams();
+    const loads = options.getLoads(to);
     return {
       ...self,
       isControl: self.isControl === true,
       revision: options.getRevision(),
       upstreamsRevision: revision,
       upstreamsAgeMs: ageMs,
+      ...(loads ? { loads } : {}),
       ...(self.isControl
         ? {
           controlIds: [self.instanceId, ...listReachableControlIds()]
