--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -141,6 +141,7 @@
   streamResumed: event(7206, Info, "stream goes on at another engine"),
   engineSilent: event(7207, Warn, "engine is silent, its streams move"),
   streamPlaced: event(7208, Info, "stream placed at an engine"),
+  copyRestored: event(7210, Info, "copy of a run's memory made anew"),
   streamEnded: event(7209, Info, "stream ended"),
   retryRefused: event(7103, Info, "retry refused by the retry budget"),
 } as const satisfies Record<string, LogEvent>;
--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -44,7 +44,7 @@
     return errAsync(createError(ErrorKind.InvalidSettings, message));
   }
   const late: { log?: ReplicatedLogService } = {};
-  const loads = createLoadBoard({ getNowMs: clock.nowMs });
+  const board = createLoadBoard({ getNowMs: clock.nowMs });
   const core = createInstanceCore({
     settings,
     adapter,
@@ -55,12 +55,12 @@
     getLeaderTerm: () => late.log!.isLeader() ? late.log!.getTerm() : undefined,
     onConfiguration: () => {},
     onUpstreams: () => {},
-    getLoads: (to) =>
+    getEngineNews: (to) =>
       core.membership.getInstance(to)?.isControl
-        ? loads.getReported()
-        : loads.getOthers(to),
-    onLoads: ({ instanceId, isControl }, report) =>
-      loads.record(instanceId, report, isControl === true),
+        ? board.getReported()
+        : board.getOthers(to),
+    onEngineNews: ({ instanceId, isControl }, news) =>
+      board.record(instanceId, news, isControl === true),
   });
   const { membership, peers, configuration, upstreams } = core;
   const seedIds = settings.seeds.map(({ host }) => host).sort();
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -55,13 +55,13 @@
     onConfiguration: applyConfiguration,
     onUpstreams: directory.update,
     // One control instance is enough, and a near one costs least.
-    getLoads: (to) =>
+    getEngineNews: (to) =>
       core.membership.listReachableControlIds()[0] === to
-        ? directory.getOwnLoads()
+        ? directory.getOwnNews()
         : undefined,
-    onLoads: ({ instanceId }, loads) => {
+    onEngineNews: ({ instanceId }, news) => {
       const homeId = core.membership.listReachableControlIds()[0];
-      if (homeId === instanceId) directory.setOtherLoads(loads);
+      if (homeId === instanceId) directory.setOtherNews(news);
     },
   });
   const { membership, peers, configuration } = core;
--- a/src/daemon/instance_core.ts
+++ b/src/daemon/instance_core.ts
@@ -37,7 +37,7 @@
   createUpstreamViewService,
   type UpstreamViewService,
 } from "../upstreams/upstream_view_service.ts";
-import type { LoadReport } from "../upstreams/load_board.ts";
+import type { EngineNews } from "../upstreams/load_board.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import type { DeploymentAdapter } from "./deployment_adapter.ts";
 
@@ -59,8 +59,8 @@
   getLeaderTerm(): number | undefined;
   onConfiguration(configuration: Configuration): void;
   onUpstreams(upstreams: readonly ListedUpstream[]): void;
-  getLoads(to: InstanceId): LoadReport | undefined;
-  onLoads(from: InstanceInfo, loads: LoadReport): void;
+  getEngineNews(to: InstanceId): EngineNews | undefined;
+  onEngineNews(from: InstanceInfo, news: EngineNews): void;
 }
 
 /** The drain time covers two reads, two heartbeats and the way of a request. */
@@ -129,8 +129,8 @@
       configuration.handleHeartbeat(heartbeat);
       upstreams.handleHeartbeat(heartbeat);
     },
-    getLoads: options.getLoads,
-    onLoads: options.onLoads,
+    getEngineNews: options.getEngineNews,
+    onEngineNews: options.onEngineNews,
   });
   const peers = createPeerClient({
     keys: settings.peerKeys,
--- a/src/forwarding/forwarding_protocol.ts
+++ b/src/forwarding/forwarding_protocol.ts
@@ -83,6 +83,25 @@
   readonly body: string;
 }
 
+export interface CopyDirective {
+  /** Request id of the run. */
+  readonly runId: string;
+  /** Address of the engine that gets the copy. */
+  readonly targetAddress: string;
+}
+
+export interface CopyReply {
+  readonly copyId: string;
+}
+
+export interface ProtocolCall {
+  readonly method: string;
+  readonly path: string;
+  /** Without the host. */
+  readonly headers: RawHeaders;
+  readonly body: Buffer;
+}
+
 /** State that an engine reports about itself. */
 export interface EngineReport {
   /** Milliseconds of the epoch at which the engine started. */
@@ -105,6 +124,11 @@
   /** The upstream's headers as the caller gets them. */
   buildCallerHeaders(upstreamHeaders: RawHeaders): string[];
   encodeOwnAnswer(answer: OwnAnswer): EncodedAnswer;
+  /** Asks an engine to copy a run's memory to another one while it runs. */
+  buildCopyCall(copy: CopyDirective): ProtocolCall;
+  parseCopyReply(body: Buffer): Result<CopyReply, SystemError>;
+  /** Frees a copy that `buildCopyCall` made, at both engines. */
+  buildFreeCall(copyId: string): ProtocolCall;
   readonly reportPath: string;
   parseReport(body: Buffer): Result<EngineReport, SystemError>;
 }
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -18,7 +18,8 @@
   AdmittedRequest,
   ForwardingContext,
 } from "./forwarding_context.ts";
-import type { RawHeaders } from "./forwarding_protocol.ts";
+import { type CopyKeeper, createCopyKeeper } from "./copy_keeper.ts";
+import type { MemoryCopy, RawHeaders } from "./forwarding_protocol.ts";
 import type { EngineTraits } from "./forwarding_table.ts";
 import {
   chooseForCopy,
@@ -29,7 +30,7 @@
 import { decideAfterLoss } from "./stream_decisions.ts";
 import type { StreamWatch, WatchedStream } from "./stream_watch.ts";
 import type { Exchange } from "./upstream_connections.ts";
-import type { CopyHold, Upstream, UpstreamUse } from "./upstream_directory.ts";
+import type { Upstream, UpstreamUse } from "./upstream_directory.ts";
 
 export interface StreamForwarderOptions {
   readonly context: ForwardingContext;
@@ -39,7 +40,7 @@
 interface Run extends WatchedStream {
   lastEventAtMs: number | undefined;
   readonly use: UpstreamUse;
-  readonly copy: CopyHold | undefined;
+  readonly keeper: CopyKeeper;
   readonly splitter: EventSplitter;
   exchange: Exchange | undefined;
   head: { readonly status: number; readonly headers: RawHeaders } | undefined;
@@ -142,22 +143,28 @@
     waitTimer = setTimeout(placeRun, enginePollMs);
   }
 
-  function startRun(engine: Upstream, copyAddress: string | undefined): void {
+  function startRun(engine: Upstream, source: MemoryCopy | undefined): void {
     const { info } = engine;
     const demand = getDemand();
     const use = directory.use(info.upstreamId);
     use.addMemory(demand.totalTokens);
-    if (copyAddress === undefined) use.addUnread(demand.tokensToRead);
-    const copyHolder = traits.canBackUp && route.isResumable
-      ? chooseForCopy(
-        directory.listUsable(service.name),
-        engine,
-        demand,
-        getPlacement(),
-      )
-      : undefined;
-    const copy = copyHolder &&
-      directory.holdCopy(copyHolder.info.upstreamId, demand.totalTokens);
+    if (!source) use.addUnread(demand.tokensToRead);
+    const keeper = createCopyKeeper({
+      context,
+      traits,
+      requestId,
+      running: engine,
+      isResumable: route.isResumable,
+      totalTokens: demand.totalTokens,
+      chooseHolder: () =>
+        chooseForCopy(
+          directory.listUsable(service.name),
+          engine,
+          demand,
+          getPlacement(),
+        ),
+    });
+    const copyHolder = keeper.getFirstHolder();
     const started: Run = {
       upstream: engine,
       sinceMs: clock.nowMs(),
@@ -165,8 +172,9 @@
       onLost: (reason) => {
         if (run === started) lose(started, { wasSent: true, reason });
       },
+      onCheck: () => keeper.check(started.lastEventAtMs !== undefined),
       use,
-      copy,
+      keeper,
       splitter: createEventSplitter(),
       exchange: undefined,
       head: undefined,
@@ -187,7 +195,7 @@
         ageMs: Math.round(clock.nowMs() - engine.reported.atMs),
       },
       copyAt: copyHolder?.info.upstreamId,
-      resumesFrom: copyAddress,
+      resumesFrom: source?.copyId,
       lastEventId,
       revision: admitted.revision,
     });
@@ -203,9 +211,7 @@
         customerId: admitted.customerId,
         lastEventId,
         backupAddress: copyHolder && getAddress(copyHolder),
-        resumeFrom: copyAddress === undefined
-          ? undefined
-          : { address: copyAddress, copyId: requestId },
+        resumeFrom: source,
         enginePriority: undefined,
         bodyBytes: body.length,
       }),
@@ -337,20 +343,21 @@
   ): void {
     if (run !== lost || isOver) return;
     const { upstreamId } = lost.upstream.info;
-    endRun(lost);
+    const copy = wasSent && lost.lastEventAtMs !== undefined
+      ? lost.keeper.getUsable()
+      : undefined;
+    endRun(lost, copy !== undefined);
     triedIds.add(upstreamId);
     if (wasSent) {
       ranCount += 1;
       directory.recordLost(upstreamId, reason);
     }
-    const copyHolder = lost.copy?.upstream;
     const decision = decideAfterLoss({
       isResumable: route.isResumable,
       ranCount,
       maxAttempts: route.maxAttempts,
       remainingMs: endsAtMs - clock.nowMs(),
-      hasCopy: wasSent && copyHolder !== undefined &&
-        lost.lastEventAtMs !== undefined && isUsable(copyHolder),
+      hasCopy: copy !== undefined,
       wasNotRun: !wasSent,
     });
     logger.log(logEvents.streamResumed, {
@@ -361,7 +368,7 @@
       silentMs: Math.round(
         clock.nowMs() - (lost.lastEventAtMs ?? lost.sinceMs),
       ),
-      copyAt: copyHolder?.info.upstreamId,
+      copyAt: copy?.holder.info.upstreamId,
       decision,
       ranCount,
     });
@@ -374,7 +381,7 @@
         return;
       case "resumeFromCopy":
         budget.drawForResume(budgetKey, 1);
-        startRun(copyHolder!, getAddress(copyHolder!));
+        startRun(copy!.holder, copy!.source);
         return;
       case "resume":
         budget.drawForResume(budgetKey, 1);
@@ -385,17 +392,11 @@
     }
   }
 
-  function isUsable({ info, suspendedUntilMs }: Upstream): boolean {
-    return directory.get(info.upstreamId) !== undefined &&
-      suspendedUntilMs <= clock.nowMs() &&
-      !directory.isDomainSuspect(service.name, info.domainId);
-  }
-
-  function endRun(ended: Run): void {
+  function endRun(ended: Run, isCopyUsed: boolean): void {
     watch.remove(ended);
     ended.exchange?.cancel();
     ended.use.release();
-    ended.copy?.release();
+    ended.keeper.end(isCopyUsed);
     run = undefined;
   }
 
@@ -438,7 +439,7 @@
     isOver = true;
     clearTimeout(endTimer);
     clearTimeout(waitTimer);
-    if (run) endRun(run);
+    if (run) endRun(run, false);
     logger.log(logEvents.streamEnded, {
       request: requestId,
       outcome,
--- a/src/forwarding/stream_watch.ts
+++ b/src/forwarding/stream_watch.ts
@@ -17,6 +17,8 @@
   /** Time of the last event; undefined before the first. */
   readonly lastEventAtMs: number | undefined;
   onLost(reason: string): void;
+  /** Called with every check while the stream is open. */
+  onCheck(): void;
 }
 
 export interface StreamWatch {
@@ -68,6 +70,7 @@
     const ownPauseMs = lateMs > pauseLimitMs ? lateMs : 0;
     for (const stream of [...streams]) {
       checkStream(stream, { nowMs, ownPauseMs });
+      if (streams.has(stream)) stream.onCheck();
     }
   }
 
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -6,7 +6,7 @@
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
 import type { DomainId, UpstreamId } from "../core/types.ts";
-import type { LoadReport } from "../upstreams/load_board.ts";
+import type { EngineNews } from "../upstreams/load_board.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import { createDomainHealth, type DomainHealth } from "./domain_health.ts";
 import type { ReportedLoad } from "./forwarding_protocol.ts";
@@ -28,6 +28,8 @@
   readonly failureRatio: number;
   /** No new work before this time unless nothing else is left. */
   readonly suspendedUntilMs: number;
+  /** Last loss that this or another entry instance noticed. */
+  readonly lostAtMs: number;
   /** Time of the last sign of life. */
   readonly heardAtMs: number;
 }
@@ -75,10 +77,10 @@
   recordReplaced(upstreamId: UpstreamId): void;
   /** Most upstreams of the service in the domain seem to be lost. */
   isDomainSuspect(service: string, domainId: DomainId): boolean;
-  /** Own work at engines, for the other entry instances. */
-  getOwnLoads(): LoadReport;
-  /** Replaces what is known of the other entry instances' work. */
-  setOtherLoads(loads: LoadReport): void;
+  /** Own work at engines and losses, for the other entry instances. */
+  getOwnNews(): EngineNews;
+  /** Replaces what is known from the other entry instances. */
+  setOtherNews(news: EngineNews): void;
   count(): number;
 }
 
@@ -90,6 +92,7 @@
 type Mutable<T> = { -readonly [K in keyof T]: T[K] };
 interface Entry extends Mutable<Upstream> {
   consecutiveLosses: number;
+  ownLossAtMs: number;
 }
 
 /** Crashed engines are back within one to two seconds. */
@@ -100,6 +103,8 @@
 const failureSmoothing = 0.05;
 /** The list still shows an upstream that is gone for some seconds. */
 const replacedSuspensionMs = 30_000;
+/** A loss is told to the other instances with two heartbeats. */
+const lossNewsMs = 1_000;
 /** Control answers twice a second. */
 const maxOthersAgeMs = 2_000;
 const noLoad: OtherLoad = { runningCount: 0, unreadTokens: 0, memoryTokens: 0 };
@@ -141,29 +146,47 @@
     },
     recordReplaced: (upstreamId) => {
       const entry = entries.get(upstreamId);
-      if (entry) suspend(entry, replacedSuspensionMs);
+      if (!entry) return;
+      entry.lostAtMs = clock.nowMs();
+      entry.ownLossAtMs = entry.lostAtMs;
+      suspend(entry, replacedSuspensionMs);
     },
-    getOwnLoads: () =>
-      [...entries.values()].filter(({ memoryTokens }) => memoryTokens > 0)
+    getOwnNews,
+    setOtherNews,
+    count: () => entries.size,
+  };
+
+  function getOwnNews(): EngineNews {
+    const all = [...entries.values()];
+    const newestLossMs = clock.nowMs() - lossNewsMs;
+    return {
+      loads: all.filter(({ memoryTokens }) => memoryTokens > 0)
         .map((entry) => [
           entry.info.upstreamId,
           entry.inFlightCount,
           Math.round(entry.unreadTokens),
           Math.round(entry.memoryTokens),
         ]),
-    setOtherLoads,
-    count: () => entries.size,
-  };
+      lostIds: all.filter((entry) => entry.ownLossAtMs >= newestLossMs)
+        .map(({ info }) => info.upstreamId),
+    };
+  }
 
-  function setOtherLoads(loads: LoadReport): void {
-    othersAtMs = clock.nowMs();
+  function setOtherNews({ loads, lostIds }: EngineNews): void {
+    const nowMs = clock.nowMs();
+    othersAtMs = nowMs;
     for (const entry of entries.values()) entry.others = noLoad;
-    for (
-      const [upstreamId, runningCount, unreadTokens, memoryTokens] of loads
-    ) {
-      const entry = entries.get(upstreamId);
+    for (const [id, runningCount, unreadTokens, memoryTokens] of loads) {
+      const entry = entries.get(id);
       if (entry) entry.others = { runningCount, unreadTokens, memoryTokens };
     }
+    for (const upstreamId of lostIds) {
+      const entry = entries.get(upstreamId);
+      // One loss is told several times.
+      if (!entry || nowMs - entry.lostAtMs < 2 * lossNewsMs) continue;
+      entry.lostAtMs = nowMs;
+      suspend(entry, firstSuspensionMs);
+    }
   }
 
   /** Without news for some time nothing is known of the others' work. */
@@ -277,6 +300,8 @@
     const { service, domainId } = entry.info;
     getDomains(service).recordLost(domainId, upstreamId, nowMs);
     entry.failureRatio += (1 - entry.failureRatio) * failureSmoothing;
+    entry.lostAtMs = nowMs;
+    entry.ownLossAtMs = nowMs;
     // One crash ends many requests; only the first of them counts.
     if (entry.suspendedUntilMs > nowMs) return;
     const suspensionMs = Math.min(
@@ -311,6 +336,8 @@
     failureRatio: 0,
     suspendedUntilMs: -Infinity,
     heardAtMs: -Infinity,
+    lostAtMs: -Infinity,
     consecutiveLosses: 0,
+    ownLossAtMs: -Infinity,
   };
 }
--- a/src/membership/seed_membership.ts
+++ b/src/membership/seed_membership.ts
@@ -19,7 +19,7 @@
 } from "../core/types.ts";
 import { type Heartbeat, PeerCallKind } from "../peer/messages.ts";
 import type { PeerAddress, PeerClient } from "../peer/peer_client.ts";
-import type { LoadReport } from "../upstreams/load_board.ts";
+import type { EngineNews } from "../upstreams/load_board.ts";
 import type { MembershipView } from "./membership_view.ts";
 
 export interface SeedMembership extends MembershipView {
@@ -51,9 +51,9 @@
   getRevision(): number;
   getUpstreams(): { readonly revision: number; readonly ageMs: number };
   onHeartbeat(heartbeat: Heartbeat): void;
-  /** What this instance tells another one of the work at engines. */
-  getLoads(to: InstanceId): LoadReport | undefined;
-  onLoads(from: InstanceInfo, loads: LoadReport): void;
+  /** What this instance tells another one about engines. */
+  getEngineNews(to: InstanceId): EngineNews | undefined;
+  onEngineNews(from: InstanceInfo, news: EngineNews): void;
 }
 
 interface Member {
@@ -239,7 +239,8 @@
     member.lastSeenAtMs = clock.nowMs();
     options.onHeartbeat(heartbeat);
     setReachable(member, true);
-    if (heartbeat.loads) options.onLoads(member.info, heartbeat.loads);
+    const { engineNews } = heartbeat;
+    if (engineNews) options.onEngineNews(member.info, engineNews);
     if (!heartbeat.isControl) return;
     for (const controlId of heartbeat.controlIds ?? []) addControl(controlId);
     reportedEntryCount = heartbeat.entryCount ?? reportedEntryCount;
@@ -258,14 +259,14 @@
 
   function getHeartbeat(to: InstanceId): Heartbeat {
     const { revision, ageMs } = options.getUpstreams();
-    const loads = options.getLoads(to);
+    const engineNews = options.getEngineNews(to);
     return {
       ...self,
       isControl: self.isControl === true,
       revision: options.getRevision(),
       upstreamsRevision: revision,
       upstreamsAgeMs: ageMs,
-      ...(loads ? { loads } : {}),
+      ...(engineNews ? { engineNews } : {}),
       ...(self.isControl
         ? {
           controlIds: [self.instanceId, ...listReachableControlIds()]
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -18,7 +18,7 @@
 import { answerRecordSchema } from "../answers/answer_history.ts";
 import { InstanceState } from "../core/types.ts";
 import { FinishReason } from "../core/types.ts";
-import { loadReportSchema } from "../upstreams/load_board.ts";
+import { engineNewsSchema } from "../upstreams/load_board.ts";
 import { upstreamUpdateSchema } from "../upstreams/upstream_view.ts";
 import { logEnvelopeSchema } from "./log_messages.ts";
 
@@ -92,8 +92,8 @@
   controlIds: z.array(idSchema).max(100).optional(),
   /** Entry instances that the sender can reach. */
   entryCount: z.int().min(0).optional(),
-  /** Own work at engines; in a reply, that of all other instances. */
-  loads: loadReportSchema.optional(),
+  /** What the sender knows of engines; in a reply, what all others know. */
+  engineNews: engineNewsSchema.optional(),
 });
 
 /**
--- a/src/upstreams/load_board.ts
+++ b/src/upstreams/load_board.ts
@@ -1,36 +1,43 @@
 /**
- * What entry instances have open at engines, collected by control instances.
+ * What entry instances know of engines, collected by control instances: their
+ * own work there, and which engines they have just lost.
  *
- * Each entry instance reports its own work with its heartbeats to one control
- * instance, which answers with the work of all others. Control instances tell
- * each other the sums of what was reported to them.
+ * Each entry instance reports with its heartbeats to one control instance,
+ * which answers with the knowledge of all others. Control instances tell each
+ * other the sums of what was reported to them.
  */
 import { z } from "zod";
 import type { InstanceId, UpstreamId } from "../core/types.ts";
 
+const upstreamIdSchema = z.string().min(1).max(200);
+
 /** Upstream, running requests, prompt tokens to read, tokens in memory. */
 export const loadEntrySchema = z.tuple([
-  z.string().min(1).max(200),
+  upstreamIdSchema,
   z.int().min(0),
   z.number().min(0),
   z.number().min(0),
 ]);
 
-export const loadReportSchema = z.array(loadEntrySchema).max(10_000);
+export const engineNewsSchema = z.object({
+  loads: z.array(loadEntrySchema).max(10_000),
+  /** Engines that were lost within the last moments. */
+  lostIds: z.array(upstreamIdSchema).max(10_000),
+});
 
 export type LoadEntry = z.output<typeof loadEntrySchema>;
-export type LoadReport = z.output<typeof loadReportSchema>;
+export type EngineNews = z.output<typeof engineNewsSchema>;
 
 export interface LoadBoard {
-  record(fromId: InstanceId, report: LoadReport, isControl: boolean): void;
-  /** The work of all instances but one that reported here. */
-  getOthers(exceptId: InstanceId): LoadReport;
-  /** The work of the entry instances that report here. */
-  getReported(): LoadReport;
+  record(fromId: InstanceId, news: EngineNews, isControl: boolean): void;
+  /** The knowledge of all instances but one that reported here. */
+  getOthers(exceptId: InstanceId): EngineNews;
+  /** The knowledge of the entry instances that report here. */
+  getReported(): EngineNews;
 }
 
 interface Report {
-  readonly entries: LoadReport;
+  readonly news: EngineNews;
   readonly atMs: number;
   readonly isControl: boolean;
 }
@@ -43,29 +50,35 @@
 ): LoadBoard {
   const reports = new Map<InstanceId, Report>();
   return {
-    record: (fromId, entries, isControl) => {
-      reports.set(fromId, { entries, atMs: getNowMs(), isControl });
+    record: (fromId, news, isControl) => {
+      reports.set(fromId, { news, atMs: getNowMs(), isControl });
     },
-    getOthers: (exceptId) => sum(([fromId]) => fromId !== exceptId),
-    getReported: () => sum(([, { isControl }]) => !isControl),
+    getOthers: (exceptId) => collect((fromId) => fromId !== exceptId),
+    getReported: () => collect((_fromId, { isControl }) => !isControl),
   };
 
-  function sum(
-    includes: (entry: readonly [InstanceId, Report]) => boolean,
-  ): LoadReport {
+  function collect(
+    includes: (fromId: InstanceId, report: Report) => boolean,
+  ): EngineNews {
     const oldestMs = getNowMs() - maxAgeMs;
     const totals = new Map<UpstreamId, LoadEntry>();
+    const lostIds = new Set<UpstreamId>();
     for (const [fromId, report] of reports) {
-      if (report.atMs < oldestMs) reports.delete(fromId);
-      else if (includes([fromId, report])) addTo(totals, report.entries);
+      if (report.atMs < oldestMs) {
+        reports.delete(fromId);
+        continue;
+      }
+      if (!includes(fromId, report)) continue;
+      addTo(totals, report.news.loads);
+      for (const upstreamId of report.news.lostIds) lostIds.add(upstreamId);
     }
-    return [...totals.values()];
+    return { loads: [...totals.values()], lostIds: [...lostIds] };
   }
 }
 
 function addTo(
   totals: Map<UpstreamId, LoadEntry>,
-  entries: LoadReport,
+  entries: readonly LoadEntry[],
 ): void {
   for (const [upstreamId, running, unread, memory] of entries) {
     const total = totals.get(upstreamId) ?? [upstreamId, 0, 0, 0];
