--- a/measure/launcher.ts
+++ b/measure/launcher.ts
@@ -139,10 +139,10 @@
   function spawnNode(
     script: string,
     args: readonly string[],
-    stderr: "ignore" | number,
+    output: "pipe" | number,
   ): ChildProcess {
     const child = spawn(process.execPath, [join(distFolder, script), ...args], {
-      stdio: ["ignore", "pipe", stderr],
+      stdio: ["ignore", output, output === "pipe" ? "ignore" : output],
     });
     children.add(child);
     child.once("exit", () => children.delete(child));
@@ -168,9 +168,9 @@
         ? spawnNode(
           "measure/simulated_engine.js",
           [JSON.stringify(engineOptions)],
-          "ignore",
+          "pipe",
         )
-        : spawnNode("measure/simulated_worker.js", ['{"workMs":20}'], "ignore");
+        : spawnNode("measure/simulated_worker.js", ['{"workMs":20}'], "pipe");
       const port = await readPort(child);
       return {
         upstreamId,
--- a/rolldown.config.js
+++ b/rolldown.config.js
@@ -1,11 +1,12 @@
-/** Bundles the daemon of the users' platform into one file. */
+/** Bundles the daemon of the users' platform; each role is a chunk. */
 export default {
   input: "platform/main.ts",
   platform: "node",
   output: {
-    file: "target/apricotyoked.mjs",
+    dir: "target",
+    entryFileNames: "apricotyoked.mjs",
+    chunkFileNames: "chunks/[name].mjs",
     format: "esm",
-    minify: false,
-    codeSplitting: false,
+    minify: true,
   },
 };
--- a/scripts/reference_pages.ts
+++ b/scripts/reference_pages.ts
@@ -1,7 +1,7 @@
 /**
  * Text of the reference pages that come from the code.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { errorAnswers, type ErrorKind } from "../src/core/errors.ts";
 import { logEvents } from "../src/core/log_events.ts";
 import { settingsSchema } from "../src/settings/schema.ts";
--- a/src/answers/answer_history.ts
+++ b/src/answers/answer_history.ts
@@ -1,7 +1,7 @@
 /**
  * What happened to one answer at one instance, for operators.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { Clock } from "../core/clock.ts";
 
 export enum HistoryKind {
--- a/src/answers/answer_id.ts
+++ b/src/answers/answer_id.ts
@@ -4,7 +4,7 @@
  */
 import { Buffer } from "node:buffer";
 import { createHash, randomBytes } from "node:crypto";
-import { Maybe } from "true-myth";
+import { Maybe } from "true-myth/maybe";
 import type { AnswerId, InstanceId } from "../core/types.ts";
 
 export interface AnswerIdParts {
--- a/src/cli/admin_client.ts
+++ b/src/cli/admin_client.ts
@@ -3,7 +3,7 @@
  */
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { getErrorMessage } from "../core/errors.ts";
 
 export enum ExitCode {
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -2,7 +2,7 @@
  * Commands of the control log and their results. Commands carry the time at
  * which they were proposed, so that every replica applies them alike.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { configurationSchema } from "./configuration.ts";
 import { rolloutCommandSchema } from "./rollouts/rollout_commands.ts";
 import { pricesSchema, usageBatchSchema } from "../reports/usage.ts";
--- a/src/control/configuration.ts
+++ b/src/control/configuration.ts
@@ -6,7 +6,7 @@
  * Objects are maps from name to complete state. A change names the objects it
  * replaces; `null` removes one.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { Random } from "../core/random.ts";
 import {
   type ApplicationService,
--- a/src/control/configuration_cache.ts
+++ b/src/control/configuration_cache.ts
@@ -8,7 +8,7 @@
 import { open, rename } from "node:fs/promises";
 import { join } from "node:path";
 import { ok, Result, ResultAsync } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import {
   createError,
   ErrorKind,
--- a/src/control/configuration_node.ts
+++ b/src/control/configuration_node.ts
@@ -2,7 +2,7 @@
  * One instance's part in the propagation: its store and its decisions, as
  * functions from messages to replies and effects. It does no input or output.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { InstanceId } from "../core/types.ts";
 import type { Configuration, ConfigurationChanges } from "./configuration.ts";
 import {
--- a/src/control/configuration_store.ts
+++ b/src/control/configuration_store.ts
@@ -5,7 +5,7 @@
  * An update from `fromRevision` holds the newest state of every object changed
  * since, so it also fits any later revision below its own.
  */
-import { z } from "zod";
+import * as z from "zod";
 import {
   applyChanges,
   type Configuration,
--- a/src/control/orders/order_client.ts
+++ b/src/control/orders/order_client.ts
@@ -4,7 +4,7 @@
  */
 import { ok, ResultAsync } from "neverthrow";
 import { Agent, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import {
   createError,
   ErrorKind,
--- a/src/control/rollouts/evidence.ts
+++ b/src/control/rollouts/evidence.ts
@@ -4,7 +4,7 @@
  * Latencies are counted in logarithmic bins, so that batches of several
  * instances add up and a batch stays small whatever the traffic.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Bin counts as pairs of bin and count; absent bins are zero. */
 const binsSchema = z.array(z.tuple([z.int().min(0).max(255), z.int().min(1)]));
--- a/src/control/rollouts/rollout_commands.ts
+++ b/src/control/rollouts/rollout_commands.ts
@@ -5,7 +5,7 @@
  * of `commands.ts`, and pass these commands to a `RolloutTable` in
  * `state_machine.ts`.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Metric } from "./comparison_state.ts";
 import { evidenceCellSchema } from "./evidence.ts";
 
--- a/src/control/rollouts/rollout_messages.ts
+++ b/src/control/rollouts/rollout_messages.ts
@@ -2,7 +2,7 @@
  * Messages between instances and the control leader about rollouts: instances
  * send evidence and faults, and receive leases to send traffic.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { findingSchema, rolloutBatchSchema } from "./rollout_commands.ts";
 
 const idSchema = z.string().min(1).max(200);
--- a/src/control/ticket.ts
+++ b/src/control/ticket.ts
@@ -4,7 +4,7 @@
  */
 import { createHash } from "node:crypto";
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import {
   type FieldIssue,
   getFieldIssues,
--- a/src/control/ticket_table.ts
+++ b/src/control/ticket_table.ts
@@ -6,7 +6,7 @@
  * still has the state of that ticket, and beyond that for the newest ones; a
  * number at or below the highest one without a record is outdated.
  */
-import { z } from "zod";
+import * as z from "zod";
 import {
   applyChanges,
   type Configuration,
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -5,7 +5,7 @@
  * of these kinds. The table decides the HTTP status, whether the work ran, and
  * whether the sender may try again, so that no module decides this on its own.
  */
-import { Maybe } from "true-myth";
+import { Maybe } from "true-myth/maybe";
 
 export enum ErrorKind {
   InvalidRequest = "invalidRequest",
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -34,6 +34,7 @@
   unexpectedError: event(1006, Failure, "unexpected error"),
   settingsReloaded: event(1008, Info, "settings reloaded"),
   settingsRejected: event(1009, Warn, "changed settings rejected"),
+  logLinesDropped: event(1010, Warn, "log lines dropped, counts by event"),
   drainWaiting: event(1007, Info, "drain waits for open work"),
   // 2xxx: answers
   answerOpened: event(2001, Debug, "answer opened"),
--- a/src/core/logger.ts
+++ b/src/core/logger.ts
@@ -1,10 +1,12 @@
 /**
- * Structured logs: one JSON object per line, or consola's own format for a
- * terminal. Every line carries the number of its event.
+ * Structured logs on standard output: one JSON object per line, or a short text
+ * form for a terminal. Every line carries the number of its event. Writing
+ * never waits for the reader; the writer drops and counts what it cannot hold.
  */
 import process from "node:process";
-import { createConsola } from "consola";
-import { type LogEvent, LogLevel } from "./log_events.ts";
+import { type ConsolaReporter, createConsola } from "consola/core";
+import { createLogWriter } from "./log_writer.ts";
+import { type LogEvent, logEvents, LogLevel } from "./log_events.ts";
 
 export type LogFields = Readonly<Record<string, unknown>>;
 
@@ -12,6 +14,8 @@
   log(event: LogEvent, fields?: LogFields): void;
   /** A logger that adds the fields to every line. */
   with(fields: LogFields): Logger;
+  /** Writes what is still queued, before the process ends. */
+  flush(): void;
 }
 
 export interface LoggerOptions {
@@ -26,46 +30,70 @@
   [LogLevel.Info]: 3,
   [LogLevel.Debug]: 4,
 };
+const standardOutput = 1;
 
 export function createLogger(options: LoggerOptions): Logger {
+  const format = options.isJson ? formatJson : formatText;
+  let dropFields: LogFields = {};
+  const writer = createLogWriter({
+    fileDescriptor: standardOutput,
+    getNowMs: () => performance.now(),
+    formatDropped: (counts) =>
+      format(new Date(), logEvents.logLinesDropped, { ...dropFields, counts }),
+  });
+  const reporter: ConsolaReporter = {
+    log: ({ date, args }) => {
+      const { event, line } = args[0] as { event: LogEvent; line: LogFields };
+      writer.write(event, format(date, event, line));
+    },
+  };
   const output = createConsola({
     level: consolaLevels[options.level],
-    stdout: process.stderr,
-    stderr: process.stderr,
-    ...(options.isJson ? { reporters: [{ log: writeJsonLine }] } : {}),
+    reporters: [reporter],
+    // Repeated lines are told apart by their fields.
+    throttle: 0,
   });
+  process.once("exit", writer.flushNow);
   return createChild({});
 
   function createChild(base: LogFields): Logger {
     return {
       log: (event, fields = {}) => {
         if (consolaLevels[event.level] > output.level) return;
-        const line = { ...base, ...fields };
-        if (options.isJson) {
-          output[event.level]({ event, line });
-        } else output[event.level](`${event.number} ${event.text}`, line);
+        output[event.level]({ event, line: { ...base, ...fields } });
       },
-      with: (fields) => createChild({ ...base, ...fields }),
+      with: (fields) => {
+        dropFields = { ...base, ...fields };
+        return createChild(dropFields);
+      },
+      flush: writer.flushNow,
     };
   }
 }
 
 export function createSilentLogger(): Logger {
-  const logger: Logger = { log: () => {}, with: () => logger };
+  const logger: Logger = {
+    log: () => {},
+    with: () => logger,
+    flush: () => {},
+  };
   return logger;
 }
 
-function writeJsonLine(entry: { date: Date; args: unknown[] }): void {
-  const { event, line } = entry.args[0] as {
-    event: LogEvent;
-    line: LogFields;
-  };
+function formatJson(date: Date, event: LogEvent, line: LogFields): string {
   const record = {
-    time: entry.date.toISOString(),
+    time: date.toISOString(),
     level: event.level,
     event: event.number,
     text: event.text,
     ...line,
   };
-  process.stderr.write(JSON.stringify(record) + "\n");
+  return JSON.stringify(record) + "\n";
+}
+
+function formatText(date: Date, event: LogEvent, line: LogFields): string {
+  const fields = Object.entries(line)
+    .map(([name, value]) => `${name}=${JSON.stringify(value)}`).join(" ");
+  return `${date.toISOString()} ${event.level} ${event.number} ${event.text} ` +
+    `${fields}\n`;
 }
--- a/src/core/strict_fields.ts
+++ b/src/core/strict_fields.ts
@@ -2,7 +2,7 @@
  * Strict objects whose errors say which fields are allowed, and which unit a
  * misnamed field should have had.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 export interface FieldIssue {
   /** Dotted path of the field, empty for the whole document. */
--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -2,8 +2,9 @@
  * A control instance of a forwarding deployment: keeps the control log, serves
  * operators and reads the list of upstreams while it leads.
  */
+import { createServer } from "node:http";
 import { join } from "node:path";
-import { errAsync, ok, okAsync, type ResultAsync } from "neverthrow";
+import { errAsync, ok, type ResultAsync } from "neverthrow";
 import { createControlClient } from "../control/control_client.ts";
 import { createOperatorService } from "../control/operator_service.ts";
 import {
@@ -14,11 +15,11 @@
 import { createStateMachine } from "../control/state_machine.ts";
 import { createTicketService } from "../control/ticket_service.ts";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
+import { listenOn } from "../core/listen_on.ts";
 import { createSupervisor } from "../core/supervisor.ts";
 import { PeerCallKind } from "../peer/messages.ts";
 import { startPeerServer } from "../peer/peer_server.ts";
 import { createLoadBoard } from "../upstreams/load_board.ts";
-import { startHttpServer } from "./http_server.ts";
 import { createInstanceCore } from "./instance_core.ts";
 import type {
   InstanceOptions,
@@ -31,6 +32,8 @@
  * factor, so that an election and a retry fit in.
  */
 const electionTimeoutMs = 600;
+/** Operators' calls that are under way end within this time. */
+const operatorDrainMs = 2_000;
 /** A lost voter is replaced within the time that a loss may last. */
 const replaceVoterAfterMs = 2_500;
 
@@ -115,36 +118,36 @@
         return ok({});
       },
     },
-  }).andThen((peerServer) =>
-    startHttpServer(adapter.createOperatorApi(operators), operatorsAddress)
-      .andThen((http) =>
-        okAsync<RunningInstance, SystemError>({
-          task: createSupervisor({
-            name: "control-instance",
+  }).andThen((peerServer) => {
+    const http = createServer(adapter.createOperatorApi(operators));
+    return listenOn(http, operatorsAddress).map((): RunningInstance => ({
+      task: createSupervisor({
+        name: "control-instance",
+        clock,
+        logger,
+        tasks: [
+          ...core.tasks,
+          createSupervisor({
+            name: "control-log",
             clock,
             logger,
-            tasks: [
-              ...core.tasks,
-              createSupervisor({
-                name: "control-log",
-                clock,
-                logger,
-                tasks: log.tasks,
-              }),
-            ],
+            tasks: log.tasks,
           }),
-          membership,
-          drain: async () => {
-            http.close();
-            http.closeIdleConnections();
-            await clock.sleep(0);
-          },
-          close: async () => {
-            http.closeAllConnections();
-            peers.close();
-            await peerServer.close();
-          },
-        })
-      )
-  );
+        ],
+      }),
+      membership,
+      drain: async () => {
+        const closed = new Promise<void>((resolve) =>
+          http.close(() => resolve())
+        );
+        http.closeIdleConnections();
+        await Promise.race([closed, clock.sleep(operatorDrainMs)]);
+      },
+      close: async () => {
+        http.closeAllConnections();
+        peers.close();
+        await peerServer.close();
+      },
+    }));
+  });
 }
--- a/src/daemon/forwarding_instance.ts
+++ b/src/daemon/forwarding_instance.ts
@@ -14,9 +14,7 @@
   type ForwardingSettings,
   InstanceRole,
 } from "../settings/forwarding_settings.ts";
-import { startControlInstance } from "./control_instance.ts";
 import type { DeploymentAdapter } from "./deployment_adapter.ts";
-import { startEntryInstance } from "./entry_instance.ts";
 
 export interface InstanceOptions {
   readonly settings: ForwardingSettings;
@@ -36,6 +34,7 @@
 }
 
 export interface ForwardingInstance {
+  readonly logger: Logger;
   /** Graceful shutdown. */
   stop(): Promise<void>;
   /** Takes over settings that may change while the instance runs. */
@@ -64,6 +63,7 @@
     });
     const stopping = new AbortController();
     return {
+      logger,
       finished: running.task.run(stopping.signal),
       reload: ({ seeds }) => {
         running.membership.setSeeds(seeds.map(({ host }) => host));
@@ -77,19 +77,23 @@
         stopping.abort();
         await running.close();
         logger.log(logEvents.daemonStopped);
+        logger.flush();
       },
     };
   });
 }
 
+/** Loads only what the role needs: start-up counts after a crash. */
 function startRole(
   options: InstanceOptions,
 ): ResultAsync<RunningInstance, SystemError> {
   switch (options.settings.role) {
     case InstanceRole.Entry:
-      return startEntryInstance(options);
+      return ResultAsync.fromSafePromise(import("./entry_instance.ts"))
+        .andThen(({ startEntryInstance }) => startEntryInstance(options));
     case InstanceRole.Control:
-      return startControlInstance(options);
+      return ResultAsync.fromSafePromise(import("./control_instance.ts"))
+        .andThen(({ startControlInstance }) => startControlInstance(options));
     default:
       return assertNever(options.settings.role);
   }
--- a/src/daemon/instance_core.ts
+++ b/src/daemon/instance_core.ts
@@ -69,11 +69,15 @@
 /** Heartbeats that may get lost before an instance counts as lost. */
 const lostHeartbeats = 2.4;
 const forgetAfterMs = 30_000;
+/** Finds control instances that start at the same time. */
+const startIntervalMs = 100;
+const maxStartMs = 5_000;
 
 export function createInstanceCore(options: InstanceCoreOptions): InstanceCore {
   const { settings, adapter, clock, logger, random } = options;
   const { heartbeatIntervalMs } = settings;
   const isControl = settings.role === InstanceRole.Control;
+  const startedAtMs = clock.nowMs();
   const late: { membership?: SeedMembership; peers?: PeerClient } = {};
   const pollIntervalMs = Math.min(
     maxPollMs,
@@ -120,6 +124,10 @@
     clock,
     logger,
     heartbeatIntervalMs,
+    startIntervalMs,
+    isSettled: () =>
+      clock.nowMs() - startedAtMs > maxStartMs ||
+      (configuration.getRevision() > 0 && upstreams.getState().revision > 0),
     lostAfterMs: heartbeatIntervalMs * lostHeartbeats,
     forgetAfterMs,
     getPeers: () => late.peers!,
--- a/src/entry/completion_request.ts
+++ b/src/entry/completion_request.ts
@@ -2,7 +2,7 @@
  * Parses the body of a completion request.
  */
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import { parseJson } from "../core/parse_json.ts";
 import type { GenerationRequest } from "../core/types.ts";
--- a/src/entry/event_id.ts
+++ b/src/entry/event_id.ts
@@ -2,7 +2,7 @@
  * Event ids of answer streams: `<attempt>.<instance>.<next position>`. They say
  * where a caller goes on, and of which attempt its last token was.
  */
-import { Maybe } from "true-myth";
+import { Maybe } from "true-myth/maybe";
 import type { AttemptId } from "../core/types.ts";
 
 export interface EventPosition {
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -6,10 +6,10 @@
 import {
   createServer,
   type IncomingMessage,
-  type Server,
   type ServerResponse,
 } from "node:http";
-import { ResultAsync } from "neverthrow";
+import type { ResultAsync } from "neverthrow";
+import { type ListenAddress, listenOn } from "../core/listen_on.ts";
 import {
   createError,
   ErrorKind,
@@ -17,7 +17,6 @@
   type SystemError,
 } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
-import type { ListenAddress } from "../settings/forwarding_settings.ts";
 import {
   type CallerExchange,
   CallerState,
@@ -195,19 +194,3 @@
     for (const caller of open) caller.breakOff();
   }
 }
-
-function listenOn(
-  server: Server,
-  { host, port }: ListenAddress,
-): ResultAsync<void, SystemError> {
-  return ResultAsync.fromPromise(
-    new Promise<void>((resolve, reject) => {
-      server.once("error", reject);
-      server.listen({ host, port }, () => {
-        server.off("error", reject);
-        resolve();
-      });
-    }),
-    (cause) => createError(ErrorKind.InvalidSettings, getErrorMessage(cause)),
-  );
-}
--- a/src/forwarding/forwarding_table.ts
+++ b/src/forwarding/forwarding_table.ts
@@ -3,7 +3,7 @@
  * may run, and on whose behalf. It is one object of the configuration, so a
  * change replaces all of it at once.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { intInRange, strictFields } from "../core/strict_fields.ts";
 
 export enum RequestKind {
--- a/src/membership/platform_list.ts
+++ b/src/membership/platform_list.ts
@@ -3,7 +3,7 @@
  */
 import { err, ok, ResultAsync } from "neverthrow";
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import {
   createError,
   ErrorKind,
--- a/src/membership/seed_membership.ts
+++ b/src/membership/seed_membership.ts
@@ -11,7 +11,7 @@
 import type { Clock } from "../core/clock.ts";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
-import { createPeriodicTask, type Task } from "../core/supervisor.ts";
+import type { Task } from "../core/supervisor.ts";
 import {
   type InstanceId,
   type InstanceInfo,
@@ -44,6 +44,9 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly heartbeatIntervalMs: number;
+  /** Interval until the instance has what it needs to serve. */
+  readonly startIntervalMs: number;
+  isSettled(): boolean;
   readonly lostAfterMs: number;
   /** A silent instance that is no seed is forgotten after this time. */
   readonly forgetAfterMs: number;
@@ -77,12 +80,7 @@
   let reportedEntryCount = 0;
   for (const seedId of seedIds) addControl(seedId);
   return {
-    tasks: [createPeriodicTask({
-      name: "heartbeats",
-      clock,
-      intervalMs: heartbeatIntervalMs,
-      action: sendHeartbeats,
-    })],
+    tasks: [{ name: "heartbeats", run: runHeartbeats }],
     getSelf: () => self,
     getInstance: (instanceId) => members.get(instanceId)?.info,
     listInstances: () => [self, ...listMembers().map(({ info }) => info)],
@@ -170,6 +168,16 @@
     };
   }
 
+  async function runHeartbeats(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      sendHeartbeats();
+      const intervalMs = options.isSettled()
+        ? heartbeatIntervalMs
+        : options.startIntervalMs;
+      await clock.sleep(intervalMs, signal);
+    }
+  }
+
   function sendHeartbeats(): void {
     const nowMs = clock.nowMs();
     const pausedMs = nowMs - heartbeatsAtMs - heartbeatIntervalMs;
--- a/src/peer/log_messages.ts
+++ b/src/peer/log_messages.ts
@@ -5,7 +5,7 @@
  * after its next sync. `toId` is empty in a greeting, whose sender does not
  * know the identity of the receiver's data folder yet.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const replicaIdSchema = z.string().min(1).max(200);
 const indexSchema = z.int().min(0);
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -4,7 +4,7 @@
  * Requests are checked against these schemas on arrival. Replies come from a
  * peer that holds the pre-shared key and are checked the same way.
  */
-import { z } from "zod";
+import * as z from "zod";
 import {
   configurationPullReplySchema,
   configurationPullSchema,
--- a/src/reports/usage.ts
+++ b/src/reports/usage.ts
@@ -2,7 +2,7 @@
  * Usage that instances report to control: tokens by customer, service and
  * cause, and how many events met each service-level objective.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Why tokens were spent. */
 export enum TokenCause {
--- a/src/routing/engine_router.ts
+++ b/src/routing/engine_router.ts
@@ -1,7 +1,7 @@
 /**
  * Chooses the engine for an attempt and records what happens to it there.
  */
-import { Maybe } from "true-myth";
+import { Maybe } from "true-myth/maybe";
 import type { Clock } from "../core/clock.ts";
 import type { Random } from "../core/random.ts";
 import {
--- a/src/settings/forwarding_settings.ts
+++ b/src/settings/forwarding_settings.ts
@@ -3,7 +3,8 @@
  * requests and a few control instances keep the configuration. Instances find
  * each other through seeds; routes, services and customers come as tickets.
  */
-import { z } from "zod";
+import * as z from "zod";
+import type { ListenAddress } from "../core/listen_on.ts";
 import { LogLevel } from "../core/log_events.ts";
 import { strictFields } from "../core/strict_fields.ts";
 import { durationMsSchema, peerKeySchema } from "./schema.ts";
@@ -13,11 +14,6 @@
   Control = "control",
 }
 
-export interface ListenAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
 const addressSchema = z.string().regex(
   /^[^:\s]+:\d{1,5}$/,
   "must be an IPv4 address and a port, such as 10.0.0.1:8080",
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -4,7 +4,7 @@
  * Objects are strict: an unknown key is refused, so that a misspelt field is
  * found at start-up.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { pricesSchema } from "../reports/usage.ts";
 import { LogLevel } from "../core/log_events.ts";
 import { strictFields } from "../core/strict_fields.ts";
--- a/src/upstreams/engine_client.ts
+++ b/src/upstreams/engine_client.ts
@@ -6,7 +6,7 @@
 import { createParser } from "eventsource-parser";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import { Agent, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import {
   createError,
   ErrorKind,
--- a/src/upstreams/load_board.ts
+++ b/src/upstreams/load_board.ts
@@ -6,7 +6,7 @@
  * which answers with the knowledge of all others. Control instances tell each
  * other the sums of what was reported to them.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { InstanceId, UpstreamId } from "../core/types.ts";
 
 const upstreamIdSchema = z.string().min(1).max(200);
--- a/src/upstreams/upstream_view.ts
+++ b/src/upstreams/upstream_view.ts
@@ -4,7 +4,7 @@
  * term of the leader that read the list, so that it also increases when another
  * instance becomes the reader.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const idSchema = z.string().min(1).max(200);
 
--- a/src/upstreams/upstream_view_service.ts
+++ b/src/upstreams/upstream_view_service.ts
@@ -78,9 +78,19 @@
   async function poll(): Promise<void> {
     const term = options.getLeaderTerm();
     if (term !== undefined) await readAsLeader(term);
+    // After a restart of all instances there is no view until the list is read.
+    else if (options.isControl && view.getRevision() === 0) await readFirst();
     else if (!options.isControl && isReadDue()) await readForItself();
   }
 
+  /** Any leader's view replaces this one. */
+  async function readFirst(): Promise<void> {
+    const list = await options.readList();
+    if (list.isErr() || view.getRevision() > 0) return;
+    view.recordList(list.value, 0);
+    publish("first read");
+  }
+
   async function readAsLeader(term: number): Promise<void> {
     const list = await options.readList();
     if (list.isErr()) {
