--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -129,7 +129,7 @@
       return;
     }
     const { route, customerId } = checked.value;
-    if (isClosing && route.kind === RequestKind.Streaming) {
+    if (isDraining && route.kind === RequestKind.Streaming) {
       refuse(
         caller,
         createError(ErrorKind.ShuttingDown, "this instance is stopping", {
