--- /dev/null
+++ b/src/forwarding/event_splitter_test.ts
@@ -0,0 +1,55 @@
+import { Buffer } from "node:buffer";
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { createEventSplitter } from "./event_splitter.ts";
+
+const eventText = fc.record({
+  id: fc.option(fc.nat(1_000)),
+  lines: fc.array(fc.stringMatching(/^[a-z0-9 ]{1,20}$/), { maxLength: 3 }),
+  lineEnd: fc.constantFrom("\n", "\r\n"),
+}).map(({ id, lines, lineEnd }) =>
+  [
+    ...(id === null ? [] : [`id: ${id}`]),
+    ...lines.map((line) => `data: ${line}`),
+    "event: token",
+  ].map((line) => line + lineEnd).join("") + lineEnd
+);
+
+test("events come out whole and unchanged, however the bytes arrive", () => {
+  fc.assert(fc.property(
+    fc.array(eventText, { minLength: 1, maxLength: 10 }),
+    fc.array(fc.integer({ min: 1, max: 40 }), { minLength: 1 }),
+    fc.nat(30),
+    (events, sizes, cutBytes) => {
+      const whole = Buffer.from(events.join(""));
+      const bytes = whole.subarray(0, whole.length - cutBytes);
+      const splitter = createEventSplitter();
+      const received: string[] = [];
+      for (let at = 0, turn = 0; at < bytes.length; turn++) {
+        const size = sizes[turn % sizes.length]!;
+        for (const event of splitter.push(bytes.subarray(at, at + size))) {
+          received.push(event.bytes.toString());
+        }
+        at += size;
+      }
+      // Only whole events come out, in order, and the rest is pending.
+      expect(received).toEqual(events.slice(0, received.length));
+      const passed = received.join("").length;
+      expect(splitter.getPendingBytes()).toBe(
+        Math.max(0, bytes.length) - passed,
+      );
+    },
+  ));
+});
+
+test("the id of an event is a whole number or nothing", () => {
+  const splitter = createEventSplitter();
+  const events = splitter.push(
+    Buffer.from("id: 7\ndata: a\n\nid: x\n\ndata: b\n\n"),
+  );
+  expect(events.map(({ eventId }) => eventId)).toEqual([
+    7,
+    undefined,
+    undefined,
+  ]);
+});
--- /dev/null
+++ b/src/forwarding/placement_test.ts
@@ -0,0 +1,169 @@
+import { expect, test } from "vitest";
+import { engineTraits } from "../../measure/forwarding_stand_ins.ts";
+import { createRandom } from "../core/random.ts";
+import {
+  chooseForCall,
+  chooseForCopy,
+  chooseForStream,
+  type PlacementContext,
+} from "./placement.ts";
+import type { Upstream } from "./upstream_directory.ts";
+
+function createUpstream(
+  upstreamId: string,
+  domainId: string,
+  change: Partial<Upstream> = {},
+): Upstream {
+  return {
+    info: {
+      upstreamId,
+      service: "service",
+      host: "10.0.0.1",
+      port: 1,
+      domainId,
+      version: "v1",
+      maxRunning: 6,
+      isLeaving: false,
+      isCold: false,
+    },
+    inFlightCount: 0,
+    memoryTokens: 0,
+    unreadTokens: 0,
+    reported: undefined,
+    others: { runningCount: 0, unreadTokens: 0, memoryTokens: 0 },
+    failureRatio: 0,
+    suspendedUntilMs: -Infinity,
+    lostAtMs: -Infinity,
+    heardAtMs: -Infinity,
+    ...change,
+  };
+}
+
+const context: PlacementContext = {
+  nowMs: 1_000,
+  ownDomainId: "a",
+  triedIds: new Set(),
+  random: createRandom(1),
+  isDomainSuspect: () => false,
+};
+const demand = {
+  traits: engineTraits,
+  tokensToRead: 8_000,
+  totalTokens: 9_500,
+};
+
+function chooseStreams(
+  upstreams: readonly Upstream[],
+  change: Partial<PlacementContext> = {},
+): Set<string | undefined> {
+  const chosen = new Set<string | undefined>();
+  for (let seed = 1; seed <= 30; seed++) {
+    const random = createRandom(seed);
+    const engine = chooseForStream(upstreams, demand, {
+      ...context,
+      random,
+      ...change,
+    });
+    chosen.add(engine?.info.upstreamId);
+  }
+  return chosen;
+}
+
+test("a stream goes to an idle engine of its own domain", () => {
+  const chosen = chooseStreams([
+    createUpstream("a1", "a", { inFlightCount: 1 }),
+    createUpstream("a2", "a"),
+    createUpstream("b1", "b"),
+  ]);
+  expect([...chosen]).toEqual(["a2"]);
+});
+
+// Pattern: three entry instances of one domain place prompts within a second,
+// and each knows the others' work only through control.
+test("the work of other entry instances counts like own work", () => {
+  const chosen = chooseStreams([
+    createUpstream("a1", "a", {
+      others: { runningCount: 2, unreadTokens: 10_000, memoryTokens: 18_000 },
+    }),
+    createUpstream("a2", "a"),
+  ]);
+  expect([...chosen]).toEqual(["a2"]);
+});
+
+test("a busy domain gives streams to another one", () => {
+  const busy = { inFlightCount: 3, unreadTokens: 16_000 };
+  const chosen = chooseStreams([
+    createUpstream("a1", "a", busy),
+    createUpstream("b1", "b"),
+  ]);
+  expect([...chosen]).toEqual(["b1"]);
+});
+
+test("an engine without room for a run is used last", () => {
+  const chosen = chooseStreams([
+    createUpstream("a1", "a", { memoryTokens: 80_000 }),
+    createUpstream("b1", "b", { inFlightCount: 4, unreadTokens: 30_000 }),
+  ]);
+  expect([...chosen]).toEqual(["b1"]);
+});
+
+// Pattern: nine tenths of a domain's engines die, and the streams of its entry
+// instances all look for another engine at the same moment.
+test("streams of a crashed domain spread over the engines of the others", () => {
+  const upstreams = [
+    createUpstream("a1", "a"),
+    ...["b1", "b2", "c1", "c2"].map((id) => createUpstream(id, id[0]!)),
+  ];
+  const chosen = chooseStreams(upstreams, {
+    isDomainSuspect: (domainId) => domainId === "a",
+  });
+  expect([...chosen].sort()).toEqual(["b1", "b2", "c1", "c2"]);
+});
+
+test("a suspect domain is used when there is no other", () => {
+  const chosen = chooseStreams([createUpstream("a1", "a")], {
+    isDomainSuspect: () => true,
+  });
+  expect([...chosen]).toEqual(["a1"]);
+});
+
+test("tried and suspended engines are not chosen", () => {
+  const upstreams = [
+    createUpstream("a1", "a", { suspendedUntilMs: 2_000 }),
+    createUpstream("a2", "a"),
+  ];
+  expect([...chooseStreams(upstreams)]).toEqual(["a2"]);
+  expect([...chooseStreams(upstreams, { triedIds: new Set(["a2"]) })])
+    .toEqual([undefined]);
+});
+
+test("a copy lies in another domain, at an engine that holds little", () => {
+  const running = createUpstream("a1", "a");
+  const upstreams = [
+    running,
+    createUpstream("a2", "a"),
+    createUpstream("b1", "b", { memoryTokens: 40_000 }),
+    createUpstream("c1", "c"),
+  ];
+  expect(chooseForCopy(upstreams, running, demand, context)?.info.upstreamId)
+    .toBe("c1");
+  expect(chooseForCopy(upstreams.slice(0, 2), running, demand, context))
+    .toBeUndefined();
+});
+
+test("a call goes where the share of places in use is least", () => {
+  const reported = {
+    load: { runningCount: 6, waitingCount: 4, maxRunning: 6 },
+    atMs: 990,
+  };
+  const upstreams = [
+    createUpstream("a1", "a", { reported }),
+    createUpstream("b1", "b", { inFlightCount: 1 }),
+  ];
+  expect(chooseForCall(upstreams, context)?.info.upstreamId).toBe("b1");
+  const failing = [
+    createUpstream("a1", "a", { failureRatio: 0.4 }),
+    createUpstream("b1", "b", { inFlightCount: 1 }),
+  ];
+  expect(chooseForCall(failing, context)?.info.upstreamId).toBe("b1");
+});
