--- a/src/membership/seed_membership.ts
+++ b/src/membership/seed_membership.ts
@@ -188,30 +188,23 @@
       for (const member of members.values()) member.lastSeenAtMs = nowMs;
     }
     for (const [instanceId, member] of members) {
-      checkSilence(instanceId, member, nowMs);
+      const silentMs = nowMs - member.lastSeenAtMs;
+      if (silentMs > lostAfterMs) setReachable(member, false);
+      if (silentMs > options.forgetAfterMs && !seedIds.has(instanceId)) {
+        members.delete(instanceId);
+        options.getPeers().drop(instanceId);
+        continue;
+      }
       const mustSend = member.info.isControl && !member.isHeartbeatPending;
-      if (mustSend) void sendHeartbeat(instanceId, lostAfterMs);
+      if (mustSend) void sendHeartbeat(member, lostAfterMs);
     }
   }
 
-  function checkSilence(
-    instanceId: InstanceId,
-    member: Member,
-    nowMs: number,
-  ): void {
-    const silentMs = nowMs - member.lastSeenAtMs;
-    if (silentMs > lostAfterMs) setReachable(member, false);
-    const isSeed = seedIds.has(instanceId);
-    if (silentMs <= options.forgetAfterMs || isSeed) return;
-    members.delete(instanceId);
-    options.getPeers().drop(instanceId);
-  }
-
   async function sendHeartbeat(
-    instanceId: InstanceId,
+    member: Member,
     timeoutMs: number,
   ): Promise<void> {
-    const member = members.get(instanceId)!;
+    const { instanceId } = member.info;
     member.isHeartbeatPending = true;
     const reply = await options.getPeers().call(
       instanceId,
@@ -227,7 +220,7 @@
   function checkNow(instanceId: InstanceId): void {
     const member = members.get(instanceId);
     if (!member?.info.isControl || member.isHeartbeatPending) return;
-    void sendHeartbeat(instanceId, heartbeatIntervalMs);
+    void sendHeartbeat(member, heartbeatIntervalMs);
   }
 
   function handleHeartbeat(heartbeat: Heartbeat): Heartbeat {
--- /dev/null
+++ b/src/membership/seed_membership_test.ts
@@ -0,0 +1,168 @@
+import { okAsync } from "neverthrow";
+import { errAsync, type ResultAsync } from "neverthrow";
+import { expect, test } from "vitest";
+import type { Clock } from "../core/clock.ts";
+import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
+import { createSilentLogger } from "../core/logger.ts";
+import { InstanceState } from "../core/types.ts";
+import type { Heartbeat } from "../peer/messages.ts";
+import type { PeerClient } from "../peer/peer_client.ts";
+import {
+  createSeedMembership,
+  type SeedMembership,
+} from "./seed_membership.ts";
+
+/** Instances whose heartbeats are function calls, over links that can be cut. */
+function createNetwork() {
+  let nowMs = 0;
+  const instances = new Map<string, SeedMembership>();
+  const cutIds = new Set<string>();
+  const dropped: string[] = [];
+  const sleepers: { atMs: number; wake: () => void }[] = [];
+  const clock: Clock = {
+    nowMs: () => nowMs,
+    wallMs: () => nowMs,
+    sleep: (delayMs) =>
+      new Promise((wake) => sleepers.push({ atMs: nowMs + delayMs, wake })),
+  };
+  return { add, advance, cutIds, instances, dropped };
+
+  function add(
+    instanceId: string,
+    { seedIds, isControl = false, domainId = "a" }: {
+      seedIds: readonly string[];
+      isControl?: boolean;
+      domainId?: string;
+    },
+  ): SeedMembership {
+    const peers = {
+      call: (to: string, _kind: unknown, { body }: { body: Heartbeat }) =>
+        deliver(instanceId, to, body),
+      drop: (to: string) => dropped.push(`${instanceId}>${to}`),
+    } as unknown as Pick<PeerClient, "call" | "drop">;
+    const membership = createSeedMembership({
+      self: {
+        instanceId,
+        domainId,
+        host: instanceId,
+        peerPort: 1,
+        state: InstanceState.Live,
+        incarnation: 1,
+        isControl,
+      },
+      seedIds,
+      clock,
+      logger: createSilentLogger(),
+      heartbeatIntervalMs: 500,
+      startIntervalMs: 500,
+      isSettled: () => true,
+      lostAfterMs: 1_200,
+      forgetAfterMs: 30_000,
+      getPeers: () => peers,
+      getRevision: () => 0,
+      getUpstreams: () => ({ revision: 0, ageMs: 0 }),
+      onHeartbeat: () => {},
+      getEngineNews: () => undefined,
+      onEngineNews: () => {},
+    });
+    instances.set(instanceId, membership);
+    for (const task of membership.tasks) {
+      void task.run(new AbortController().signal);
+    }
+    return membership;
+  }
+
+  function deliver(
+    from: string,
+    to: string,
+    heartbeat: Heartbeat,
+  ): ResultAsync<Heartbeat, SystemError> {
+    const receiver = instances.get(to);
+    if (!receiver || cutIds.has(from) || cutIds.has(to)) {
+      return errAsync(createError(ErrorKind.PeerUnreachable, "cut"));
+    }
+    return okAsync(receiver.handleHeartbeat(heartbeat));
+  }
+
+  async function advance(durationMs: number): Promise<void> {
+    const untilMs = nowMs + durationMs;
+    while (true) {
+      sleepers.sort((left, right) => left.atMs - right.atMs);
+      const next = sleepers[0];
+      if (!next || next.atMs > untilMs) break;
+      sleepers.shift();
+      nowMs = Math.max(nowMs, next.atMs);
+      next.wake();
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    nowMs = untilMs;
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+const seedIds = ["c1", "c2", "c3"];
+
+test("instances that know only seeds find all control instances", async () => {
+  const network = createNetwork();
+  for (const id of seedIds) network.add(id, { seedIds, isControl: true });
+  network.add("c4", { seedIds: ["c2"], isControl: true });
+  const entry = network.add("f1", { seedIds: ["c1"] });
+  await network.advance(2_000);
+  expect(entry.listReachableControlIds().sort()).toEqual([
+    "c1",
+    "c2",
+    "c3",
+    "c4",
+  ]);
+  for (const id of [...seedIds, "c4"]) {
+    expect(network.instances.get(id)!.listControlIds()).toHaveLength(4);
+    expect(network.instances.get(id)!.getEntryCount()).toBe(1);
+  }
+});
+
+test("seeds that are gone do no harm once another control instance is known", async () => {
+  const network = createNetwork();
+  network.add("c3", { seedIds, isControl: true });
+  const entry = network.add("f1", { seedIds });
+  await network.advance(2_000);
+  expect(entry.listReachableControlIds()).toEqual(["c3"]);
+  // A replacement at another address announces itself to the one that is left.
+  network.add("c5", { seedIds: ["c3"], isControl: true });
+  await network.advance(2_000);
+  expect(entry.listReachableControlIds().sort()).toEqual(["c3", "c5"]);
+});
+
+test("a silent instance is lost, its connection dropped, and later it is back", async () => {
+  const network = createNetwork();
+  for (const id of seedIds) network.add(id, { seedIds, isControl: true });
+  const entry = network.add("f1", { seedIds });
+  await network.advance(2_000);
+  network.cutIds.add("c2");
+  await network.advance(2_000);
+  expect(entry.isReachable("c2")).toBe(false);
+  expect(network.dropped).toContain("f1>c2");
+  network.cutIds.delete("c2");
+  await network.advance(1_000);
+  expect(entry.isReachable("c2")).toBe(true);
+});
+
+test("control instances of the own failure domain come first", async () => {
+  const network = createNetwork();
+  network.add("c1", { seedIds, isControl: true, domainId: "a" });
+  network.add("c2", { seedIds, isControl: true, domainId: "b" });
+  const entry = network.add("f1", { seedIds, domainId: "b" });
+  await network.advance(1_000);
+  expect(entry.listReachableControlIds()).toEqual(["c2", "c1"]);
+});
+
+test("a control instance that left for good is forgotten", async () => {
+  const network = createNetwork();
+  network.add("c1", { seedIds: ["c1"], isControl: true });
+  network.add("c9", { seedIds: ["c1"], isControl: true });
+  const entry = network.add("f1", { seedIds: ["c1"] });
+  await network.advance(1_500);
+  expect(entry.listControlIds().sort()).toEqual(["c1", "c9"]);
+  network.cutIds.add("c9");
+  await network.advance(35_000);
+  expect(entry.listControlIds()).toEqual(["c1"]);
+});
