--- a/src/upstreams/load_board_test.ts
+++ b/src/upstreams/load_board_test.ts
@@ -2,7 +2,7 @@
 import { createLoadBoard } from "./load_board.ts";
 
 test("each entry instance hears of the work of all others, over control instances too", () => {
-  let nowMs = 0;
+  const nowMs = 0;
   const boardA = createLoadBoard({ getNowMs: () => nowMs });
   const boardB = createLoadBoard({ getNowMs: () => nowMs });
   boardA.record("f1", { loads: [["e1", 1, 8_000, 9_000]], lostIds: [] }, false);
