--- a/measure/forwarding_stand_ins.ts
+++ b/measure/forwarding_stand_ins.ts
@@ -6,6 +6,8 @@
 import http from "node:http";
 import type net from "node:net";
 import { createSystemClock } from "../src/core/clock.ts";
+import { createMetricsRegistry } from "../src/core/metrics_registry.ts";
+import { createForwardingMetrics } from "../src/forwarding/forwarding_metrics.ts";
 import { createSilentLogger } from "../src/core/logger.ts";
 import { createRandom } from "../src/core/random.ts";
 import {
@@ -200,6 +202,7 @@
     protocol,
     connections,
     directory,
+    metrics: createForwardingMetrics(createMetricsRegistry()),
     budget: createRetryBudget({ ratio: 1, initialUnits: 10, maxUnits: 10 }),
   };
   let routes: ReturnType<typeof createRouteTable> | undefined =
@@ -217,7 +220,6 @@
     callers: { host: "127.0.0.1", port },
     readiness: { host: "127.0.0.1", port: readinessPort },
     getRouteTable: () => routes,
-    onAnswered: () => {},
   });
   (await server.listen())._unsafeUnwrap();
   return {
--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -40,7 +40,7 @@
 export function startControlInstance(
   options: InstanceOptions,
 ): ResultAsync<RunningInstance, SystemError> {
-  const { settings, adapter, clock, logger, random } = options;
+  const { settings, adapter, clock, logger, random, registry } = options;
   const { dataFolder, operators: operatorsAddress } = settings;
   if (dataFolder === null || operatorsAddress === null) {
     const message = "a control instance needs a data folder and an address";
@@ -84,6 +84,26 @@
     stateMachine: createStateMachine({ onConfiguration: configuration.record }),
   });
   late.log = log;
+  registry.createGauge(
+    "control_leader",
+    "1 while this instance leads the control log.",
+    () => log.isLeader() ? 1 : 0,
+  );
+  registry.createGauge(
+    "control_term",
+    "Term of the control log.",
+    log.getTerm,
+  );
+  registry.createGauge(
+    "configuration_revision",
+    "Revision of the configuration in force here.",
+    configuration.getRevision,
+  );
+  registry.createGauge(
+    "upstreams",
+    "Upstreams in the view.",
+    () => upstreams.list().length,
+  );
   const control = createControlClient({
     clock,
     peers,
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -5,10 +5,9 @@
 import { errAsync, type ResultAsync } from "neverthrow";
 import type { Configuration } from "../control/configuration.ts";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
-import { logEvents } from "../core/log_events.ts";
 import { createSupervisor } from "../core/supervisor.ts";
-import { type CallerExchange } from "../forwarding/caller_exchange.ts";
 import { createEntryServer } from "../forwarding/entry_server.ts";
+import { createForwardingMetrics } from "../forwarding/forwarding_metrics.ts";
 import type { ForwardingContext } from "../forwarding/forwarding_context.ts";
 import { forwardingTableName } from "../forwarding/forwarding_table.ts";
 import {
@@ -35,7 +34,7 @@
 export function startEntryInstance(
   options: InstanceOptions,
 ): ResultAsync<RunningInstance, SystemError> {
-  const { settings, adapter, clock, logger, random } = options;
+  const { settings, adapter, clock, logger, random, registry } = options;
   const { callers, readiness, bounds } = settings;
   if (callers === null || readiness === null) {
     const message =
@@ -78,6 +77,7 @@
     protocol: adapter.createForwardingProtocol(),
     connections: createUpstreamConnections(),
     directory,
+    metrics: createForwardingMetrics(registry),
     budget: createRetryBudget({
       ratio: bounds.retryRatio * budgetSafety,
       initialUnits: minBudgetUnits,
@@ -85,6 +85,21 @@
     }),
   };
   const { protocol, connections } = context;
+  registry.createGauge(
+    "upstreams",
+    "Upstreams that this instance knows.",
+    directory.count,
+  );
+  registry.createGauge(
+    "open_requests",
+    "Requests that have no final answer yet.",
+    () => server.getOpenCount(),
+  );
+  registry.createGauge(
+    "configuration_revision",
+    "Revision of the configuration in force here.",
+    configuration.getRevision,
+  );
   const server = createEntryServer({
     context,
     watch: createStreamWatch({
@@ -97,7 +112,6 @@
     callers,
     readiness,
     getRouteTable: () => configuration.isKnown() ? routes : undefined,
-    onAnswered: logAnswer,
   });
   return startPeerServer({
     host: settings.host,
@@ -135,12 +149,4 @@
     routes = createRouteTable(table, revision);
     server.setLimits(table.limits);
   }
-
-  function logAnswer(caller: CallerExchange, status: number): void {
-    logger.log(logEvents.requestAnswered, {
-      request: caller.description.requestId,
-      status,
-      durationMs: Math.round(clock.nowMs() - caller.arrivedAtMs),
-    });
-  }
 }
--- a/src/daemon/forwarding_instance.ts
+++ b/src/daemon/forwarding_instance.ts
@@ -1,12 +1,17 @@
 /**
  * Runs one instance of a forwarding deployment until it is told to stop.
  */
-import { ResultAsync } from "neverthrow";
+import { okAsync, ResultAsync } from "neverthrow";
 import { assertNever } from "../core/assert_never.ts";
 import { type Clock, createSystemClock } from "../core/clock.ts";
 import type { SystemError } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
 import { createLogger, type Logger } from "../core/logger.ts";
+import {
+  createMetricsRegistry,
+  type MetricsRegistry,
+} from "../core/metrics_registry.ts";
+import { startMetricsServer } from "../core/metrics_server.ts";
 import { createRandom, type Random } from "../core/random.ts";
 import type { Task } from "../core/supervisor.ts";
 import type { SeedMembership } from "../membership/seed_membership.ts";
@@ -22,6 +27,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly random: Random;
+  readonly registry: MetricsRegistry;
 }
 
 /** What a role starts; the instance runs its task and stops it. */
@@ -53,8 +59,11 @@
     isJson: settings.log.format === "json",
   }).with({ instance: settings.instanceName });
   const random = createRandom(Date.now() ^ (Math.random() * 2 ** 31));
-  const options = { settings, adapter, clock, logger, random };
-  return startRole(options).map((running) => {
+  const registry = createMetricsRegistry();
+  const options = { settings, adapter, clock, logger, random, registry };
+  return startRole(options).andThen((running) =>
+    startMetrics().map(() => running)
+  ).map((running) => {
     logger.log(logEvents.daemonStarted, {
       role: settings.role,
       host: settings.host,
@@ -81,6 +90,12 @@
       },
     };
   });
+
+  function startMetrics(): ResultAsync<void, SystemError> {
+    const { host, metricsPort: port } = settings;
+    if (port === null) return okAsync(undefined);
+    return startMetricsServer(registry, { host, port }).map(() => {});
+  }
 }
 
 /** Loads only what the role needs: start-up counts after a crash. */
--- a/src/forwarding/call_forwarder.ts
+++ b/src/forwarding/call_forwarder.ts
@@ -27,7 +27,8 @@
   context: ForwardingContext,
   admitted: AdmittedRequest,
 ): Promise<void> {
-  const { clock, logger, protocol, directory, budget, random } = context;
+  const { clock, logger, protocol, directory, budget, random, metrics } =
+    context;
   const { caller, route, service, endsAtMs } = admitted;
   const { requestId } = caller.description;
   const budgetKey = { service: service.name, customerId: "" };
@@ -158,6 +159,7 @@
   ): void {
     const isFailure = outcome.kind !== "answered" || outcome.status >= 500;
     if (!isFailure) return;
+    metrics.failedAttempts.add({ outcome: outcome.kind });
     logger.log(logEvents.attemptFailed, {
       request: requestId,
       upstream: info.upstreamId,
--- a/src/forwarding/copy_keeper.ts
+++ b/src/forwarding/copy_keeper.ts
@@ -171,6 +171,7 @@
   }
 
   function logCopy(holder: Upstream, outcome: string): void {
+    context.metrics.copies.add({ outcome });
     logger.log(logEvents.copyRestored, {
       request: requestId,
       engine: running.info.upstreamId,
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -46,7 +46,6 @@
   readonly readiness: ListenAddress;
   /** Undefined until a configuration is known. */
   getRouteTable(): RouteTable | undefined;
-  onAnswered(exchange: CallerExchange, status: number): void;
 }
 
 /** Larger headers never reach the check against the configured limit. */
@@ -107,7 +106,7 @@
       mustClose: () => isDraining,
       onFinished: (exchange, status) => {
         open.delete(exchange);
-        options.onAnswered(exchange, status);
+        recordAnswer(exchange, status);
       },
     });
     open.add(caller);
@@ -121,6 +120,20 @@
     });
   }
 
+  function recordAnswer(caller: CallerExchange, status: number): void {
+    const durationMs = clock.nowMs() - caller.arrivedAtMs;
+    const labels = {
+      status: status === 0 ? "closed" : `${Math.floor(status / 100)}xx`,
+    };
+    context.metrics.answers.add(labels);
+    context.metrics.answerTime.observeMs(durationMs, labels);
+    logger.log(logEvents.requestAnswered, {
+      request: caller.description.requestId,
+      status,
+      durationMs: Math.round(durationMs),
+    });
+  }
+
   async function serve(caller: CallerExchange): Promise<void> {
     const table = options.getRouteTable();
     const checked = checkRequest(table, caller);
@@ -166,6 +179,7 @@
   }
 
   function refuse(caller: CallerExchange, error: SystemError): void {
+    context.metrics.refusals.add({ kind: error.kind });
     logger.log(logEvents.forwardingRefused, {
       request: caller.description.requestId,
       kind: error.kind,
--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -8,6 +8,7 @@
 import type { DomainId } from "../core/types.ts";
 import type { RetryBudget } from "../limits/retry_budget.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
+import type { ForwardingMetrics } from "./forwarding_metrics.ts";
 import type { ForwardingProtocol } from "./forwarding_protocol.ts";
 import type { ForwardingRoute, ForwardingService } from "./forwarding_table.ts";
 import type { UpstreamConnections } from "./upstream_connections.ts";
@@ -22,6 +23,7 @@
   readonly connections: UpstreamConnections;
   readonly directory: UpstreamDirectory;
   readonly budget: RetryBudget;
+  readonly metrics: ForwardingMetrics;
 }
 
 /** A request that passed the checks, under the configuration it arrived at. */
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -69,7 +69,8 @@
   { context, watch }: StreamForwarderOptions,
   admitted: AdmittedRequest,
 ): void {
-  const { clock, logger, protocol, directory, connections, budget } = context;
+  const { clock, logger, protocol, directory, connections, budget, metrics } =
+    context;
   const { caller, route, service, endsAtMs, body } = admitted;
   const { description } = caller;
   const { requestId } = description;
@@ -360,6 +361,7 @@
       hasCopy: copy !== undefined,
       wasNotRun: !wasSent,
     });
+    metrics.lostRuns.add({ decision });
     logger.log(logEvents.streamResumed, {
       request: requestId,
       lost: upstreamId,
@@ -440,6 +442,10 @@
     clearTimeout(endTimer);
     clearTimeout(waitTimer);
     if (run) endRun(run, false);
+    if (firstEventAtMs !== undefined) {
+      metrics.firstEventTime.observeMs(firstEventAtMs - caller.arrivedAtMs);
+      metrics.eventGapTime.observeMs(longestGapMs);
+    }
     logger.log(logEvents.streamEnded, {
       request: requestId,
       outcome,
