--- a/src/control/replicated_log_test.ts
+++ b/src/control/replicated_log_test.ts
@@ -1,6 +1,7 @@
 /**
  * Control logs on real data folders, connected within one process.
  */
+import { closeSync, readdirSync, readlinkSync } from "node:fs";
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -164,3 +165,35 @@
   expect(result._unsafeUnwrapErr())
     .toEqual(createError(ErrorKind.NotLeader, "not the control leader"));
 });
+
+/** Makes the next write to the control log of an instance fail. */
+function breakLogFile(id: string): void {
+  const prefix = join(folder, id, "log-");
+  for (const descriptor of readdirSync("/proc/self/fd")) {
+    try {
+      const path = readlinkSync(`/proc/self/fd/${descriptor}`);
+      if (path.startsWith(prefix)) closeSync(Number(descriptor));
+    } catch {
+      // Descriptors of the listing itself are gone by now.
+    }
+  }
+}
+
+// Guards against a process that has to be restarted after its disk was full.
+test("a log whose disk refused a write takes part again", async () => {
+  ids.forEach(start);
+  expect(await propose(createClaim(1, "first")))
+    .toEqual({ status: ClaimStatus.Granted });
+  const brokenId = await getLeaderId();
+  breakLogFile(brokenId);
+  await running.get(brokenId)!.log.propose(createClaim(2, "first"));
+  expect(await propose(createClaim(3, "first")))
+    .toEqual({ status: ClaimStatus.Granted });
+  await clock.sleep(1_200);
+  // Without another instance the broken one is needed for a majority.
+  await stop(ids.find((id) => id !== brokenId)!);
+  expect(await propose(createClaim(1, "other")))
+    .toEqual({ status: ClaimStatus.Pending });
+  expect(await propose(createClaim(3, "other")))
+    .toEqual({ status: ClaimStatus.Pending });
+});
