Count refusals of streams on the retry budget, and replaced engines as losses of their domain

Change: a stream that was refused draws on the budget, and waits 250 ms without one; an engine that was replaced counts as lost for its failure domain. The new test sent 24 times before and at most 5 times after.

--- a/src/forwarding/entry_server_test.ts
+++ b/src/forwarding/entry_server_test.ts
@@ -337,3 +337,21 @@
   },
   10_000,
 );
+
+// Pattern: the list is late after a crash of a whole domain, and every engine
+// that it names refuses the request as meant for another one.
+test("a stream that is refused everywhere draws on the retry budget", async () => {
+  const misdirect: StandInAnswer = (_request, response) => {
+    response.writeHead(421, { "Instance-Id": "another" });
+    response.end();
+  };
+  const answers = Array.from({ length: 24 }, () => misdirect);
+  // Sends come every 250 ms without a budget; the end falls between two.
+  const entry = await start(answers, { ...streaming, timeoutMs: 625 });
+  const key = { service: "service", customerId: "" };
+  while (entry.context.budget.tryDraw(key, 1));
+  const answer = await callEntry(entry.port);
+  expect(answer.status).toBe(503);
+  // The budget earns one repeat with the request, and one more send is the first.
+  expect(countSeen()).toBeLessThanOrEqual(5);
+});
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -51,6 +51,8 @@
 /** Engines that are down for a moment come back within this time. */
 const engineWaitMs = 1_500;
 const enginePollMs = 50;
+/** Pause of a stream that was refused more often than the budget allows. */
+const refusedPauseMs = 250;
 /** Callers that were refused for want of an engine come back after this. */
 const noEngineRetryMs = 1_000;
 /** Services that do not say what their engines can do. */
@@ -386,7 +388,11 @@
         startRun(copy!.holder, copy!.source);
         return;
       case "resume":
-        budget.drawForResume(budgetKey, 1);
+        if (wasSent) budget.drawForResume(budgetKey, 1);
+        else if (!budget.tryDraw(budgetKey, 1)) {
+          waitTimer = setTimeout(placeRun, refusedPauseMs);
+          return;
+        }
         placeRun();
         return;
       default:
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -147,9 +147,13 @@
     recordReplaced: (upstreamId) => {
       const entry = entries.get(upstreamId);
       if (!entry) return;
-      entry.lostAtMs = clock.nowMs();
-      entry.ownLossAtMs = entry.lostAtMs;
+      const nowMs = clock.nowMs();
+      entry.lostAtMs = nowMs;
+      entry.ownLossAtMs = nowMs;
       suspend(entry, replacedSuspensionMs);
+      // The list is late: others of its domain were replaced at that time, too.
+      const { service, domainId } = entry.info;
+      getDomains(service).recordLost(domainId, upstreamId, nowMs);
     },
     getOwnNews,
     setOtherNews,
