--- a/measure/forwarding_stand_ins.ts
+++ b/measure/forwarding_stand_ins.ts
@@ -203,6 +203,8 @@
     connections,
     directory,
     metrics: createForwardingMetrics(createMetricsRegistry()),
+    recordPlacement: () => {},
+    getUnseenPlacements: () => 0,
     budget: createRetryBudget({ ratio: 1, initialUnits: 10, maxUnits: 10 }),
   };
   let routes: ReturnType<typeof createRouteTable> | undefined =
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -15,6 +15,7 @@
   type RouteTable,
 } from "../forwarding/route_table.ts";
 import { createStreamWatch } from "../forwarding/stream_watch.ts";
+import { createPlacementRate } from "../forwarding/placement_rate.ts";
 import { createUpstreamConnections } from "../forwarding/upstream_connections.ts";
 import { createUpstreamDirectory } from "../forwarding/upstream_directory.ts";
 import { createRetryBudget } from "../limits/retry_budget.ts";
@@ -77,6 +78,13 @@
     protocol: adapter.createForwardingProtocol(),
     connections: createUpstreamConnections(),
     directory,
+    ...createPlacementRate({
+      clock,
+      // Control tells the loads of half a second to a second ago.
+      newsAgeMs: 1.5 * settings.heartbeatIntervalMs,
+      getNeighbourCount: () =>
+        membership.getEntryCount() / directory.countDomains() - 1,
+    }),
     metrics: createForwardingMetrics(registry),
     budget: createRetryBudget({
       ratio: bounds.retryRatio * budgetSafety,
--- a/src/forwarding/call_forwarder.ts
+++ b/src/forwarding/call_forwarder.ts
@@ -86,6 +86,7 @@
       ownDomainId: context.domainId,
       triedIds,
       random,
+      unseenPlacements: 0,
       isDomainSuspect: (domainId) =>
         directory.isDomainSuspect(service.name, domainId),
     });
--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -24,6 +24,10 @@
   readonly directory: UpstreamDirectory;
   readonly budget: RetryBudget;
   readonly metrics: ForwardingMetrics;
+  /** Counts a placed stream. */
+  recordPlacement(): void;
+  /** Streams that others placed here lately and did not tell of yet. */
+  getUnseenPlacements(): number;
 }
 
 /** A request that passed the checks, under the configuration it arrived at. */
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -14,6 +14,11 @@
   /** Upstreams that this request has tried already. */
   readonly triedIds: ReadonlySet<UpstreamId>;
   readonly random: Random;
+  /**
+   * Streams that other entry instances of the own failure domain have placed
+   * since the loads they told of; an estimate.
+   */
+  readonly unseenPlacements: number;
   isDomainSuspect(domainId: DomainId): boolean;
 }
 
@@ -48,6 +53,10 @@
 const suspectDelayMs = 8_000;
 const suspectPenaltyLoads = 6;
 const coldDelayMs = 1_000;
+/** Two random choices avoid most of the collisions of one. */
+const minCandidates = 2;
+/** Engines of other domains that are compared with those of the own one. */
+const remoteCandidates = 4;
 /** Spreads copies over the engines that hold the least. */
 const copyTokensPerMs = 20;
 /** A run that does not fit has to wait for others to end. */
@@ -75,13 +84,51 @@
   demand: StreamDemand,
   context: PlacementContext,
 ): Upstream | undefined {
+  const available = listAvailable(upstreams, context);
+  const isNear = ({ info }: Upstream) =>
+    info.domainId === context.ownDomainId &&
+    !context.isDomainSuspect(info.domainId);
+  const near = available.filter(isNear);
+  const drawn = [
+    ...drawSome(near, getNearCount(near.length, context), context.random),
+    ...drawSome(
+      available.filter((upstream) => !isNear(upstream)),
+      near.length > 0 ? remoteCandidates : available.length,
+      context.random,
+    ),
+  ];
   return chooseLeast(
-    listAvailable(upstreams, context),
+    drawn,
     (upstream) => getStreamDelayMs(upstream, demand, context),
     { tolerance: equalDelayMs, random: context.random },
   );
 }
 
+/**
+ * Instances that see the same old loads would all choose the same engine. The
+ * more of them place streams unseen, the fewer engines each one compares.
+ */
+function getNearCount(
+  count: number,
+  { unseenPlacements }: PlacementContext,
+): number {
+  const share = Math.ceil(count / (1 + unseenPlacements));
+  return Math.min(count, Math.max(minCandidates, share));
+}
+
+function drawSome(
+  upstreams: readonly Upstream[],
+  count: number,
+  random: Random,
+): Upstream[] {
+  const left = [...upstreams];
+  const drawn: Upstream[] = [];
+  while (drawn.length < count && left.length > 0) {
+    drawn.push(...left.splice(random.nextInt(left.length), 1));
+  }
+  return drawn;
+}
+
 /**
  * Chooses the engine that keeps a copy of a run's memory. Crashes take one
  * failure domain at a time, so it lies in another one than the run.
--- a/src/forwarding/placement_test.ts
+++ b/src/forwarding/placement_test.ts
@@ -44,6 +44,7 @@
   ownDomainId: "a",
   triedIds: new Set(),
   random: createRandom(1),
+  unseenPlacements: 0,
   isDomainSuspect: () => false,
 };
 const demand = {
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -117,6 +117,7 @@
       ownDomainId: context.domainId,
       triedIds,
       random: context.random,
+      unseenPlacements: context.getUnseenPlacements(),
       isDomainSuspect: (domainId) =>
         directory.isDomainSuspect(service.name, domainId),
     };
@@ -184,6 +185,7 @@
       otherBody: [],
     };
     run = started;
+    context.recordPlacement();
     logger.log(logEvents.streamPlaced, {
       request: requestId,
       engine: info.upstreamId,
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -82,6 +82,8 @@
   /** Replaces what is known from the other entry instances. */
   setOtherNews(news: EngineNews): void;
   count(): number;
+  /** Failure domains with upstreams; at least one. */
+  countDomains(): number;
 }
 
 export interface UpstreamDirectoryOptions {
@@ -158,6 +160,11 @@
     getOwnNews,
     setOtherNews,
     count: () => entries.size,
+    countDomains: () =>
+      Math.max(
+        1,
+        new Set([...entries.values()].map(({ info }) => info.domainId)).size,
+      ),
   };
 
   function getOwnNews(): EngineNews {
