Spread copies, tell of losses at once, and avoid a domain that others lost

Cause: after a crash of a domain at 90 machines each entry instance tried its dead engines one by one with pauses, the survivor got five prompts at once, and copies met at the engine that held the least in everybody's old view, whose memory was full then (first events of 4 to 9 s). Change: losses are told with an extra heartbeat, count for the domain's health at the receivers, a connection that was refused draws on no budget, and copies are placed by a sample like streams.

--- a/measure/forwarding_stand_ins.ts
+++ b/measure/forwarding_stand_ins.ts
@@ -192,7 +192,11 @@
   const logger = createSilentLogger();
   const protocol = createForwardingProtocol();
   const connections = createUpstreamConnections();
-  const directory = createUpstreamDirectory({ clock, logger });
+  const directory = createUpstreamDirectory({
+    clock,
+    logger,
+    onLost: () => {},
+  });
   directory.update(upstreams.map(({ listed }) => listed));
   const context: ForwardingContext = {
     clock,
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -43,7 +43,11 @@
     return errAsync(createError(ErrorKind.InvalidSettings, message));
   }
   let routes: RouteTable | undefined;
-  const directory = createUpstreamDirectory({ clock, logger });
+  const directory = createUpstreamDirectory({
+    clock,
+    logger,
+    onLost: () => core.membership.tellSoon(),
+  });
   const core = createInstanceCore({
     settings,
     adapter,
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -144,9 +144,15 @@
     info.upstreamId !== running.info.upstreamId &&
     suspendedUntilMs <= context.nowMs
   );
-  const fitting = elsewhere.filter((upstream) => fits(upstream, demand));
+  const fitting = elsewhere.filter((upstream) =>
+    fits(upstream, demand) && !context.isDomainSuspect(upstream.info.domainId)
+  );
   return chooseLeast(
-    fitting,
+    drawSome(
+      fitting,
+      getNearCount(fitting.length, context),
+      context.random,
+    ),
     (upstream) =>
       getStreamDelayMs(upstream, demand, context) +
       (upstream.memoryTokens + upstream.others.memoryTokens) /
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -249,7 +249,11 @@
     }
     if (response.isNotRun || response.isMisdirected) {
       if (!response.isMisdirected) directory.recordFull(upstreamId);
-      lose(current, { wasSent: false, reason: `refused with ${status}` });
+      lose(current, {
+        wasSent: false,
+        isRefusal: true,
+        reason: `refused with ${status}`,
+      });
       return;
     }
     const isSuccess = status >= 200 && status < 300;
@@ -344,7 +348,12 @@
 
   function lose(
     lost: Run,
-    { wasSent, reason }: { wasSent: boolean; reason: string },
+    { wasSent, isRefusal = false, reason }: {
+      wasSent: boolean;
+      /** The engine has seen the request and did not run it. */
+      isRefusal?: boolean;
+      reason: string;
+    },
   ): void {
     if (run !== lost || isOver) return;
     const { upstreamId } = lost.upstream.info;
@@ -353,10 +362,8 @@
       : undefined;
     endRun(lost, copy !== undefined);
     triedIds.add(upstreamId);
-    if (wasSent) {
-      ranCount += 1;
-      directory.recordLost(upstreamId, reason);
-    }
+    if (wasSent) ranCount += 1;
+    if (!isRefusal) directory.recordLost(upstreamId, reason);
     const decision = decideAfterLoss({
       isResumable: route.isResumable,
       ranCount,
@@ -391,11 +398,10 @@
         return;
       case "resume":
         if (wasSent) budget.drawForResume(budgetKey, 1);
-        else if (!budget.tryDraw(budgetKey, 1)) {
+        // What never reached an engine costs nobody anything.
+        if (isRefusal && !budget.tryDraw(budgetKey, 1)) {
           waitTimer = setTimeout(placeRun, refusedPauseMs);
-          return;
-        }
-        placeRun();
+        } else placeRun();
         return;
       default:
         assertNever(decision);
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -89,6 +89,8 @@
 export interface UpstreamDirectoryOptions {
   readonly clock: Clock;
   readonly logger: Logger;
+  /** An upstream was lost that the other instances may not know of yet. */
+  onLost(): void;
 }
 
 type Mutable<T> = { -readonly [K in keyof T]: T[K] };
@@ -112,7 +114,7 @@
 const noLoad: OtherLoad = { runningCount: 0, unreadTokens: 0, memoryTokens: 0 };
 
 export function createUpstreamDirectory(
-  { clock, logger }: UpstreamDirectoryOptions,
+  { clock, logger, onLost }: UpstreamDirectoryOptions,
 ): UpstreamDirectory {
   const entries = new Map<UpstreamId, Entry>();
   /** By service: its upstreams may fail while others in the domain work. */
@@ -197,6 +199,8 @@
       if (!entry || nowMs - entry.lostAtMs < 2 * lossNewsMs) continue;
       entry.lostAtMs = nowMs;
       suspend(entry, firstSuspensionMs);
+      const { service, domainId } = entry.info;
+      getDomains(service).recordLost(domainId, upstreamId, nowMs);
     }
   }
 
@@ -313,6 +317,7 @@
     entry.failureRatio += (1 - entry.failureRatio) * failureSmoothing;
     entry.lostAtMs = nowMs;
     entry.ownLossAtMs = nowMs;
+    onLost();
     // One crash ends many requests; only the first of them counts.
     if (entry.suspendedUntilMs > nowMs) return;
     const suspensionMs = Math.min(
--- a/src/membership/seed_membership.ts
+++ b/src/membership/seed_membership.ts
@@ -36,6 +36,8 @@
   /** Asks at once whether the instance is still there. */
   checkNow(instanceId: InstanceId): void;
   setLeaving(): void;
+  /** Tells the first reachable control instance news before the next turn. */
+  tellSoon(): void;
 }
 
 export interface SeedMembershipOptions {
@@ -68,6 +70,8 @@
 
 /** More are not sent; the planned limit is 16 control instances. */
 const maxControlIds = 32;
+/** A crash is noticed on several connections; they are told of together. */
+const tellDelayMs = 30;
 
 export function createSeedMembership(
   options: SeedMembershipOptions,
@@ -78,6 +82,7 @@
   const members = new Map<InstanceId, Member>();
   let heartbeatsAtMs = clock.nowMs();
   let reportedEntryCount = 0;
+  let isTelling = false;
   for (const seedId of seedIds) addControl(seedId);
   return {
     tasks: [{ name: "heartbeats", run: runHeartbeats }],
@@ -102,6 +107,7 @@
       self = { ...self, state: InstanceState.Leaving };
       sendHeartbeats();
     },
+    tellSoon,
   };
 
   function listMembers(): Member[] {
@@ -200,6 +206,21 @@
     }
   }
 
+  function tellSoon(): void {
+    if (isTelling) return;
+    isTelling = true;
+    setTimeout(() => {
+      isTelling = false;
+      const controlId = listReachableControlIds()[0];
+      const member = controlId === undefined
+        ? undefined
+        : members.get(controlId);
+      if (member && !member.isHeartbeatPending) {
+        void sendHeartbeat(member, lostAfterMs);
+      }
+    }, tellDelayMs).unref();
+  }
+
   async function sendHeartbeat(
     member: Member,
     timeoutMs: number,
