--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -57,6 +57,8 @@
 const minCandidates = 2;
 /** Engines of other domains that are compared with those of the own one. */
 const remoteCandidates = 4;
+/** Few engines are compared with each other even when the domain was lost. */
+const maxKnown = 6;
 /** Spreads copies over the engines that hold the least. */
 const copyTokensPerMs = 20;
 /** A run that does not fit has to wait for others to end. */
@@ -93,7 +95,9 @@
     ...drawSome(near, getNearCount(near.length, context), context.random),
     ...drawSome(
       available.filter((upstream) => !isNear(upstream)),
-      near.length > 0 ? remoteCandidates : available.length,
+      near.length > 0 || available.length > maxKnown
+        ? remoteCandidates
+        : available.length,
       context.random,
     ),
   ];
