Keep using upstreams that lose single answers, and compare more remote engines

A crashed upstream refuses the next connection, which costs nothing, so only upstreams that cannot be reached are suspended for plain calls. Entry instances whose domain was lost compare as many remote engines as few others place unseen.

--- a/src/forwarding/call_attempt.ts
+++ b/src/forwarding/call_attempt.ts
@@ -71,7 +71,10 @@
     onEnd,
     onFailure: ({ wasSent, reason }) => {
       use.release();
-      directory.recordLost(upstreamId, reason);
+      // A lost answer says little of an upstream that answers others; one that
+      // has crashed refuses the next connection, which runs nothing.
+      if (wasSent) directory.recordBroken(upstreamId);
+      else directory.recordLost(upstreamId, reason);
       if (isPassedOn) caller.breakOff();
       settle({ kind: wasSent ? "unknown" : "notRun", reason });
     },
--- a/src/forwarding/entry_server_test.ts
+++ b/src/forwarding/entry_server_test.ts
@@ -355,3 +355,27 @@
   // The budget earns one repeat with the request, and one more send is the first.
   expect(countSeen()).toBeLessThanOrEqual(5);
 });
+
+test("an upstream that loses single answers still gets requests", async () => {
+  let count = 0;
+  const loseFirst: StandInAnswer = (request, response) => {
+    count += 1;
+    if (count === 1) reset(request, response);
+    else answerWhole(request, response);
+  };
+  const entry = await start([loseFirst], { kind: RequestKind.Unsafe });
+  const call = () => callEntry(entry.port, { method: "POST", body: "content" });
+  expect((await call()).status).toBe(502);
+  expect((await call()).status).toBe(200);
+});
+
+test("an upstream that cannot be reached is not tried for each request", async () => {
+  const entry = await start([answerWhole], { kind: RequestKind.Unsafe });
+  await Promise.all(upstreams.map((upstream) => upstream.close()));
+  const call = () => callEntry(entry.port, { method: "POST", body: "content" });
+  expect((await call()).status).toBe(503);
+  const { lostAtMs } = entry.context.directory.listUsable("service")[0]!;
+  expect((await call()).status).toBe(503);
+  expect(entry.context.directory.listUsable("service")[0]!.lostAtMs)
+    .toBe(lostAtMs);
+});
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -57,8 +57,6 @@
 const minCandidates = 2;
 /** Engines of other domains that are compared with those of the own one. */
 const remoteCandidates = 4;
-/** Few engines are compared with each other even when the domain was lost. */
-const maxKnown = 6;
 /** Spreads copies over the engines that hold the least. */
 const copyTokensPerMs = 20;
 /** A run that does not fit has to wait for others to end. */
@@ -91,13 +89,14 @@
     info.domainId === context.ownDomainId &&
     !context.isDomainSuspect(info.domainId);
   const near = available.filter(isNear);
+  const far = available.filter((upstream) => !isNear(upstream));
   const drawn = [
-    ...drawSome(near, getNearCount(near.length, context), context.random),
+    ...drawSome(near, getComparedCount(near.length, context), context.random),
     ...drawSome(
-      available.filter((upstream) => !isNear(upstream)),
-      near.length > 0 || available.length > maxKnown
+      far,
+      near.length > 0
         ? remoteCandidates
-        : available.length,
+        : Math.max(remoteCandidates, getComparedCount(far.length, context)),
       context.random,
     ),
   ];
@@ -112,7 +111,7 @@
  * Instances that see the same old loads would all choose the same engine. The
  * more of them place streams unseen, the fewer engines each one compares.
  */
-function getNearCount(
+function getComparedCount(
   count: number,
   { unseenPlacements }: PlacementContext,
 ): number {
@@ -154,7 +153,7 @@
   return chooseLeast(
     drawSome(
       fitting,
-      getNearCount(fitting.length, context),
+      getComparedCount(fitting.length, context),
       context.random,
     ),
     (upstream) =>
@@ -165,18 +164,14 @@
   );
 }
 
-/** Without any other choice a suspended or tried upstream is better than none. */
+/** One that is suspended could not be reached lately and would cost time. */
 function listAvailable(
   upstreams: readonly Upstream[],
   { nowMs, triedIds }: PlacementContext,
 ): readonly Upstream[] {
-  const untried = upstreams.filter(({ info }) =>
-    !triedIds.has(info.upstreamId)
+  return upstreams.filter(({ info, suspendedUntilMs }) =>
+    !triedIds.has(info.upstreamId) && suspendedUntilMs <= nowMs
   );
-  const available = untried.filter(({ suspendedUntilMs }) =>
-    suspendedUntilMs <= nowMs
-  );
-  return available;
 }
 
 function getReportedCount(
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -77,6 +77,8 @@
   recordFailure(upstreamId: UpstreamId, durationMs: number): void;
   /** Answers by version, of services that have several versions. */
   getVersionAnswers(): VersionAnswers[];
+  /** The connection broke before a plain answer was whole. */
+  recordBroken(upstreamId: UpstreamId): void;
   /** It reset or refused a connection, or is silent. */
   recordLost(upstreamId: UpstreamId, reason: string): void;
   /** It refused work without running it. */
@@ -153,6 +155,10 @@
       recordAnswer(upstreamId, 1, durationMs),
     isDomainSuspect: (service, domainId) =>
       getDomains(service).isSuspect(domainId, clock.nowMs()),
+    recordBroken: (upstreamId) => {
+      const entry = entries.get(upstreamId);
+      if (entry) addFailure(entry, 1);
+    },
     recordLost,
     recordFull: (upstreamId) => {
       const entry = entries.get(upstreamId);
@@ -344,7 +350,7 @@
     });
     entry.heardAtMs = clock.nowMs();
     entry.consecutiveLosses = 0;
-    entry.failureRatio += (failure - entry.failureRatio) * failureSmoothing;
+    addFailure(entry, failure);
     if (failure === 0) entry.suspendedUntilMs = -Infinity;
   }
 
@@ -354,7 +360,7 @@
     const nowMs = clock.nowMs();
     const { service, domainId } = entry.info;
     getDomains(service).recordLost(domainId, upstreamId, nowMs);
-    entry.failureRatio += (1 - entry.failureRatio) * failureSmoothing;
+    addFailure(entry, 1);
     entry.lostAtMs = nowMs;
     entry.ownLossAtMs = nowMs;
     onLost();
@@ -373,6 +379,10 @@
     });
   }
 
+  function addFailure(entry: Entry, failure: 0 | 1): void {
+    entry.failureRatio += (failure - entry.failureRatio) * failureSmoothing;
+  }
+
   function suspend(entry: Entry, durationMs: number): void {
     entry.suspendedUntilMs = Math.max(
       entry.suspendedUntilMs,
