--- /dev/null
+++ b/measure/soak/soak_upstreams.ts
@@ -0,0 +1,301 @@
+/**
+ * Stand-ins of a soak for what lies behind the entry instances: application
+ * upstreams, engines, and the platform's list of them. They record every run,
+ * and crash, lose answers and fail on their own.
+ */
+import { Buffer } from "node:buffer";
+import http from "node:http";
+import type net from "node:net";
+import type { Random } from "../../src/core/random.ts";
+import { type Relay, startRelay } from "../relay.ts";
+import {
+  appService,
+  modelService,
+  type SeenRun,
+  type SoakRecord,
+} from "./soak_types.ts";
+
+export interface SoakUpstreams {
+  readonly relays: readonly Relay[];
+  readonly listPort: number;
+  crashDomain(domainIndex: number, forMs: number): void;
+  /** Announces that one leaves; another one comes for it. */
+  leave(index: number): Promise<void>;
+  addVersion(version: string, isBad: boolean): Promise<void>;
+  removeVersion(version: string): void;
+  close(): void;
+}
+
+interface SoakUpstream {
+  readonly upstreamId: string;
+  readonly service: string;
+  readonly domainId: string;
+  readonly version: string;
+  readonly isBad: boolean;
+  readonly server: http.Server;
+  readonly relay: Relay;
+  readonly incarnationMs: { value: number };
+  isDown: boolean;
+  isLeaving: boolean;
+}
+
+const enginesPerDomain = 2;
+const engineSlots = 8;
+const appSlots = 6;
+const eventIntervalMs = 40;
+const promptMs = 150;
+const maxWorkMs = 30;
+/** Shares of the requests of an application upstream. */
+const failedShare = 0.02;
+const lostShare = 0.02;
+const refusedShare = 0.02;
+const badShare = 0.4;
+const leaveDelayMs = 4_500;
+
+export async function startSoakUpstreams(
+  { host, domainIds, random, record }: {
+    readonly host: string;
+    readonly domainIds: readonly string[];
+    readonly random: Random;
+    readonly record: SoakRecord;
+  },
+): Promise<SoakUpstreams> {
+  const upstreams: SoakUpstream[] = [];
+  let nextId = 1;
+  for (const domainId of domainIds) {
+    await add({ service: appService, domainId });
+    for (let count = 0; count < enginesPerDomain; count++) {
+      await add({ service: modelService, domainId });
+    }
+  }
+  const list = http.createServer((_request, response) => {
+    response.end(JSON.stringify({
+      instances: upstreams.map((upstream) => ({
+        id: upstream.upstreamId,
+        service: upstream.service,
+        addr: `${host}:${upstream.relay.port}`,
+        zone: upstream.domainId,
+        version: upstream.version,
+        slots: upstream.service === appService ? appSlots : engineSlots,
+        state: upstream.isLeaving ? "draining" : "ready",
+        cold_left_ms: 0,
+      })),
+      next: null,
+    }));
+  });
+  const listPort = await listen(list);
+  return {
+    get relays() {
+      return upstreams.map(({ relay }) => relay);
+    },
+    listPort,
+    crashDomain: (domainIndex, forMs) => {
+      const domainId = domainIds[domainIndex % domainIds.length];
+      for (const upstream of upstreams) {
+        if (upstream.domainId !== domainId) continue;
+        if (upstream.service === modelService) crash(upstream, forMs);
+      }
+    },
+    leave: async (index) => {
+      const upstream = upstreams[index % upstreams.length]!;
+      if (upstream.isLeaving) return;
+      const { service, domainId, version, isBad } = upstream;
+      await add({ service, domainId, version, isBad });
+      upstream.isLeaving = true;
+      setTimeout(() => remove(upstream), leaveDelayMs).unref();
+    },
+    addVersion: async (version, isBad) => {
+      for (const domainId of domainIds) {
+        await add({ service: appService, domainId, version, isBad });
+      }
+    },
+    removeVersion: (version) => {
+      for (const upstream of [...upstreams]) {
+        if (upstream.version === version && upstream.service === appService) {
+          remove(upstream);
+        }
+      }
+    },
+    close: () => {
+      for (const upstream of [...upstreams]) remove(upstream);
+      list.close();
+      list.closeAllConnections();
+    },
+  };
+
+  async function listen(server: http.Server): Promise<number> {
+    await new Promise<void>((resolve) => server.listen(0, host, resolve));
+    return (server.address() as net.AddressInfo).port;
+  }
+
+  async function add(
+    { service, domainId, version = "v1", isBad = false }: {
+      readonly service: string;
+      readonly domainId: string;
+      readonly version?: string;
+      readonly isBad?: boolean;
+    },
+  ): Promise<void> {
+    const upstreamId = `i-${nextId++}`;
+    const server = http.createServer();
+    const port = await listen(server);
+    const relay = await startRelay({ host, port }, { host, port: 0 });
+    const upstream: SoakUpstream = {
+      upstreamId,
+      service,
+      domainId,
+      version,
+      isBad,
+      server,
+      relay,
+      incarnationMs: { value: Date.now() },
+      isDown: false,
+      isLeaving: false,
+    };
+    server.on("request", (request, response) => {
+      const chunks: Buffer[] = [];
+      request.on("data", (chunk: Buffer) => chunks.push(chunk));
+      request.on("end", () => answer(upstream, request, response));
+    });
+    upstreams.push(upstream);
+  }
+
+  function remove(upstream: SoakUpstream): void {
+    upstreams.splice(upstreams.indexOf(upstream), 1);
+    upstream.server.close();
+    upstream.server.closeAllConnections();
+    upstream.relay.close();
+  }
+
+  function crash(upstream: SoakUpstream, forMs: number): void {
+    upstream.isDown = true;
+    upstream.relay.reset(1);
+    upstream.server.closeAllConnections();
+    upstream.incarnationMs.value = Date.now();
+    setTimeout(() => upstream.isDown = false, forMs).unref();
+  }
+
+  function answer(
+    upstream: SoakUpstream,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    if (upstream.isDown) {
+      request.socket.resetAndDestroy();
+      return;
+    }
+    const requestId = String(request.headers["request-id"] ?? "");
+    if (request.url === "/report") {
+      response.end(JSON.stringify({ born: upstream.incarnationMs.value }));
+      return;
+    }
+    if (request.url === "/kv-move" || request.url?.startsWith("/kv-handle")) {
+      response.writeHead(404, { "Request-Id": requestId });
+      response.end();
+      return;
+    }
+    if (request.headers["target-instance"] !== upstream.upstreamId) {
+      refuse(response, requestId, 421);
+      return;
+    }
+    // Copies of runs are not modelled: a run that asks for one is refused.
+    const isRefused = request.headers["kv-from"] !== undefined ||
+      random.next() < refusedShare;
+    if (isRefused) {
+      refuse(response, requestId, 503);
+      return;
+    }
+    record.runs.push(describeRun(upstream, request, requestId));
+    if (upstream.service === modelService) {
+      runStream(upstream, request, response);
+    } else runCall(upstream, request, response);
+  }
+
+  function runCall(
+    upstream: SoakUpstream,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    const requestId = String(request.headers["request-id"]);
+    const draw = random.next();
+    setTimeout(() => {
+      if (draw < lostShare) {
+        request.socket.resetAndDestroy();
+        return;
+      }
+      const isFailed = draw < lostShare + failedShare ||
+        (upstream.isBad && random.next() < badShare);
+      const body = getCallBody(requestId);
+      response.writeHead(isFailed ? 500 : 200, {
+        "Request-Id": requestId,
+        "Response-Seal": "seal",
+        "Content-Length": Buffer.byteLength(body),
+      });
+      response.end(body);
+    }, random.next() * maxWorkMs);
+  }
+
+  function runStream(
+    upstream: SoakUpstream,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    const [, , key, count] = request.url!.split("/");
+    let eventId = Number(request.headers["last-event-id"] ?? 0);
+    response.writeHead(200, {
+      "Request-Id": String(request.headers["request-id"]),
+      "Response-Seal": "seal",
+      "Content-Type": "text/event-stream",
+    });
+    let timer = setTimeout(step, promptMs);
+    response.on("close", () => clearTimeout(timer));
+
+    function step(): void {
+      if (upstream.isDown) return;
+      if (eventId >= Number(count)) {
+        response.end();
+        return;
+      }
+      eventId += 1;
+      response.write(formatSoakEvent(key!, eventId));
+      timer = setTimeout(step, eventIntervalMs);
+    }
+  }
+}
+
+function refuse(
+  response: http.ServerResponse,
+  requestId: string,
+  status: number,
+): void {
+  response.writeHead(status, {
+    "Request-Id": requestId,
+    "Not-Executed": "1",
+    "Content-Length": 0,
+  });
+  response.end();
+}
+
+function describeRun(
+  { upstreamId, version, service }: SoakUpstream,
+  { headers }: http.IncomingMessage,
+  requestId: string,
+): SeenRun {
+  return {
+    requestId,
+    upstreamId,
+    version,
+    service,
+    atMs: performance.now(),
+    customer: String(headers["tenant"] ?? ""),
+    hasApiKey: headers["api-key"] !== undefined,
+  };
+}
+
+export function getCallBody(requestId: string): string {
+  return `answer of ${requestId}`;
+}
+
+export function formatSoakEvent(key: string, eventId: number): string {
+  return `id: ${eventId}\ndata: ${key} token ${eventId}\n\n`;
+}
