--- a/measure/soak/soak_deployment.ts
+++ b/measure/soak/soak_deployment.ts
@@ -196,7 +196,7 @@
   function tearDisk(target: SoakProcess): void {
     const logFolder = join(getDataFolder(target), "log");
     const last = readdirSync(logFolder).filter((name) =>
-      name.startsWith("segment-")
+      name.startsWith("log-")
     ).sort().at(-1);
     if (last) appendFileSync(join(logFolder, last), "torn");
   }
