Refuse invalid configurations whose number was overtaken

A number that is not newer is acknowledged without a look at its content, so an invalid document that arrived late got 200. The table is now checked first.

--- a/measure/relay.ts
+++ b/measure/relay.ts
@@ -53,15 +53,16 @@
     const upstream = connect({ port, host, noDelay: true });
     const pair = [caller, upstream] as const;
     pairs.add(pair);
-    // A link that lost bytes of a connection never carries it again.
-    const lost = new Set<Direction>();
     forward(caller, upstream, "toTarget");
     forward(upstream, caller, "toCaller");
 
     function forward(from: Socket, to: Socket, direction: Direction): void {
+      const queue = createOrderedQueue();
+      // A link that lost bytes of a connection never carries it again.
+      let isLost = false;
       const pass = (action: () => void) => {
-        if (isSilent(direction)) lost.add(direction);
-        if (!lost.has(direction)) deliver(action);
+        isLost ||= isSilent(direction);
+        if (!isLost) deliver(action, queue);
       };
       from.on("data", (chunk: Buffer) => pass(() => to.write(chunk)));
       from.on("end", () => pass(() => to.end()));
@@ -91,10 +92,9 @@
       (fault.direction === "both" || fault.direction === direction);
   }
 
-  function deliver(action: () => void): void {
-    if (fault.kind === "cut") held.push(action);
-    else if (fault.kind === "slow") setTimeout(action, fault.delayMs);
-    else action();
+  function deliver(action: () => void, queue: OrderedQueue): void {
+    if (fault.kind === "cut") held.push(() => queue.add(action, 0));
+    else queue.add(action, fault.kind === "slow" ? fault.delayMs : 0);
   }
 
   function setFault(next: LinkFault): void {
@@ -112,3 +112,32 @@
     }
   }
 }
+
+interface OrderedQueue {
+  add(action: () => void, delayMs: number): void;
+}
+
+/** Later actions wait for earlier ones that are delayed. */
+function createOrderedQueue(): OrderedQueue {
+  const waiting: { readonly action: () => void; readonly dueMs: number }[] = [];
+  return {
+    add: (action, delayMs) => {
+      const dueMs = performance.now() + delayMs;
+      if (delayMs === 0 && waiting.length === 0) {
+        action();
+        return;
+      }
+      waiting.push({ action, dueMs });
+      if (waiting.length === 1) setTimeout(pump, delayMs);
+    },
+  };
+
+  function pump(): void {
+    const nowMs = performance.now();
+    while (waiting.length > 0 && waiting[0]!.dueMs <= nowMs) {
+      waiting.shift()!.action();
+    }
+    const next = waiting[0];
+    if (next) setTimeout(pump, Math.max(1, next.dueMs - nowMs));
+  }
+}
--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -2,12 +2,13 @@
  * What operators may do with the forwarding table and with rollouts, from any
  * control instance. An adapter translates the operators' protocol.
  */
-import { errAsync, type ResultAsync } from "neverthrow";
+import { errAsync, okAsync, type ResultAsync } from "neverthrow";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import {
   type ForwardingTable,
   forwardingTableName,
 } from "../forwarding/forwarding_table.ts";
+import { checkForwardingTable } from "../forwarding/forwarding_checks.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import { CommandKind, readMoveResultSchema } from "./commands.ts";
 import type { Configuration } from "./configuration.ts";
@@ -59,12 +60,16 @@
   { tickets, control, listUpstreams, getConfiguration }: OperatorServiceOptions,
 ): OperatorService {
   return {
-    replaceTable: ({ number, table, source }) =>
-      tickets.submit({
+    replaceTable: ({ number, table, source }) => {
+      // Also for a number that was overtaken, which is acknowledged unchecked.
+      const issues = checkForwardingTable(table);
+      if (issues.length > 0) return okAsync({ status: "invalid", issues });
+      return tickets.submit({
         number,
         source,
         forwarding: { [forwardingTableName]: table },
-      }),
+      });
+    },
     readDocument: () =>
       tickets.findInForce(objectPath).map((record) => record?.ticket.source),
     startMove,
--- /dev/null
+++ b/src/control/operator_service_test.ts
@@ -0,0 +1,25 @@
+import { okAsync } from "neverthrow";
+import { expect, test } from "vitest";
+import { createTestTable } from "../../measure/forwarding_stand_ins.ts";
+import { getEmptyConfiguration } from "./configuration.ts";
+import { createOperatorService } from "./operator_service.ts";
+
+test("an invalid table is refused, even if its number was overtaken", async () => {
+  const operators = createOperatorService({
+    tickets: {
+      submit: () =>
+        okAsync({ status: "outdated", inForce: null, lastNumber: 9 }),
+      findInForce: () => okAsync(undefined),
+    },
+    control: { propose: () => okAsync({}) },
+    listUpstreams: () => [],
+    getConfiguration: getEmptyConfiguration,
+  });
+  const targets = [{ service: "unknown", weight: 1 }];
+  const replace = (table: ReturnType<typeof createTestTable>) =>
+    operators.replaceTable({ number: 4, table, source: "{}" });
+  expect((await replace(createTestTable({ targets })))._unsafeUnwrap())
+    .toMatchObject({ status: "invalid" });
+  expect((await replace(createTestTable()))._unsafeUnwrap())
+    .toMatchObject({ status: "outdated" });
+});
