--- a/measure/soak/soak_run.ts
+++ b/measure/soak/soak_run.ts
@@ -5,7 +5,7 @@
 import { rmSync } from "node:fs";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
-import { createRandom } from "../../src/core/random.ts";
+import { createRandom, type Random } from "../../src/core/random.ts";
 import type { LinkFault, Relay } from "../relay.ts";
 import { createSoakCallers } from "./soak_callers.ts";
 import { findViolations } from "./soak_checks.ts";
@@ -55,7 +55,12 @@
 const leaveServingMs = 2_000;
 
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-  const random = createRandom(options.seed);
+  // The faults depend on the seed alone, not on who else draws numbers when.
+  const schedule = drawSchedule(
+    createRandom(options.seed),
+    options.durationMs,
+  );
+  const random = createRandom(~options.seed);
   const record: SoakRecord = {
     runs: [],
     answers: [],
@@ -96,11 +101,13 @@
   let wipedAtMs = -Infinity;
   await operator.configure();
   await waitUntilReady(entries);
-  const schedule = drawSchedule(random, options.durationMs);
   const ending = new AbortController();
   const calling = callers.run(ending.signal);
   const reading = readRegularly();
-  const moving = random.next() < moveShare ? moveVersion() : Promise.resolve();
+  const moveRandom = createRandom(options.seed + 1);
+  const moving = moveRandom.next() < moveShare
+    ? moveVersion(moveRandom)
+    : Promise.resolve();
   const startedAtMs = performance.now();
   for (const { atMs, fault } of schedule) {
     await sleep(Math.max(0, startedAtMs + atMs - performance.now()));
@@ -146,7 +153,7 @@
     }
   }
 
-  async function moveVersion(): Promise<void> {
+  async function moveVersion(random: Random): Promise<void> {
     await sleep(random.next() * options.durationMs / 2);
     const isBad = random.next() < 0.5;
     const target = "v2";
