--- a/measure/soak/soak_deployment.ts
+++ b/measure/soak/soak_deployment.ts
@@ -5,6 +5,7 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import {
   appendFileSync,
+  existsSync,
   mkdirSync,
   mkdtempSync,
   openSync,
@@ -195,6 +196,8 @@
 
   function tearDisk(target: SoakProcess): void {
     const logFolder = join(getDataFolder(target), "log");
+    // It was killed before it wrote anything.
+    if (!existsSync(logFolder)) return;
     const last = readdirSync(logFolder).filter((name) =>
       name.startsWith("log-")
     ).sort().at(-1);
--- a/src/forwarding/call_forwarder.ts
+++ b/src/forwarding/call_forwarder.ts
@@ -18,11 +18,9 @@
 } from "./forwarding_context.ts";
 import { RequestKind } from "./forwarding_table.ts";
 import { chooseForCall } from "./placement.ts";
+import { getReturnDelayMs } from "./return_time.ts";
 import type { Upstream } from "./upstream_directory.ts";
 
-/** Callers that are refused for want of an upstream come back after this. */
-const noUpstreamRetryMs = 300;
-
 export async function forwardCall(
   context: ForwardingContext,
   admitted: AdmittedRequest,
@@ -142,7 +140,14 @@
     caller.fail(createError(
       kind,
       reason,
-      isNoUpstream ? { retryAfterMs: noUpstreamRetryMs } : {},
+      isNoUpstream
+        ? {
+          retryAfterMs: getReturnDelayMs(
+            directory.listUsable(service.name),
+            { nowMs: clock.nowMs(), random },
+          ),
+        }
+        : {},
     ));
   }
 
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -27,6 +27,7 @@
   type PlacementContext,
   type StreamDemand,
 } from "./placement.ts";
+import { getReturnDelayMs } from "./return_time.ts";
 import { decideAfterLoss } from "./stream_decisions.ts";
 import type { StreamWatch, WatchedStream } from "./stream_watch.ts";
 import type { Exchange } from "./upstream_connections.ts";
@@ -53,8 +54,6 @@
 const enginePollMs = 50;
 /** Pause of a stream that was refused more often than the budget allows. */
 const refusedPauseMs = 250;
-/** Callers that were refused for want of an engine come back after this. */
-const noEngineRetryMs = 1_000;
 /** Services that do not say what their engines can do. */
 const unknownEngine: EngineTraits = {
   maxRunning: 1_000,
@@ -455,7 +454,14 @@
     caller.fail(createError(
       kind,
       reason,
-      isNoUpstream ? { retryAfterMs: noEngineRetryMs } : {},
+      isNoUpstream
+        ? {
+          retryAfterMs: getReturnDelayMs(
+            directory.listUsable(service.name),
+            { nowMs: clock.nowMs(), random: context.random },
+          ),
+        }
+        : {},
     ));
   }
 
