--- a/measure/forwarding_startup.ts
+++ b/measure/forwarding_startup.ts
@@ -45,7 +45,7 @@
     metricsPort: 7204,
     dataFolder: isEntry ? null : folder,
     toleratedLosses: 0,
-    upstreamList: { address: `${host}:7205`, rateCallsPerS: 10 },
+    upstreamList: { address: `${host}:7205` },
   };
 }
 
--- a/measure/soak/soak_deployment.ts
+++ b/measure/soak/soak_deployment.ts
@@ -163,7 +163,7 @@
       operators: isControl ? `${host}:${ports.operators}` : null,
       dataFolder: isControl ? getDataFolder(target) : null,
       toleratedLosses: 1,
-      upstreamList: { address: options.upstreamList, rateCallsPerS: 20 },
+      upstreamList: { address: options.upstreamList },
       bounds: { retryRatio: 0.8, retrySlack: 150 },
     };
   }
--- a/scripts/reference_pages.ts
+++ b/scripts/reference_pages.ts
@@ -4,6 +4,7 @@
 import * as z from "zod";
 import { errorAnswers, type ErrorKind } from "../src/core/errors.ts";
 import { logEvents } from "../src/core/log_events.ts";
+import { forwardingSettingsSchema } from "../src/settings/forwarding_settings.ts";
 import { settingsSchema } from "../src/settings/schema.ts";
 
 interface JsonSchema {
@@ -65,11 +66,6 @@
 }
 
 export function getSettingsPage(): string {
-  const schema = z.toJSONSchema(settingsSchema, {
-    io: "input",
-    unrepresentable: "any",
-  }) as JsonSchema;
-  const rows = listFields(schema, "");
   return `# Settings
 
 The daemon reads one JSON file. Unknown keys are rejected, and
@@ -78,7 +74,27 @@
 share between 0 and 1. \`[]\` marks the elements of a list. Generated from
 \`src/settings/schema.ts\` by \`npm run docs\`.
 
-${getTable(["Field", "Type", "Allowed", "Default"], rows)}`;
+${getSettingsTable(settingsSchema)}
+
+## Forwarding deployments
+
+The same rules hold for the settings of an instance that forwards requests, as
+on [the users' platform](platform.md). They are in
+\`src/settings/forwarding_settings.ts\`; times without \`Ms\` end in \`S\`,
+seconds.
+
+${getSettingsTable(forwardingSettingsSchema)}`;
+}
+
+function getSettingsTable(settings: z.ZodType): string {
+  const schema = z.toJSONSchema(settings, {
+    io: "input",
+    unrepresentable: "any",
+  }) as JsonSchema;
+  return getTable(
+    ["Field", "Type", "Allowed", "Default"],
+    listFields(schema, ""),
+  );
 }
 
 export function listFields(schema: JsonSchema, path: string): string[][] {
--- a/src/settings/forwarding_settings.ts
+++ b/src/settings/forwarding_settings.ts
@@ -31,11 +31,8 @@
   graceS: durationSSchema.default(8),
   /** Repeated requests to a service as a share of its requests. */
   retryRatio: z.number().min(0).max(10).default(0.1),
-  retryWindowS: durationSSchema.default(10),
-  /** Repeated requests of a window that are allowed on top of the share. */
+  /** Repeated requests of some seconds that are allowed on top of the share. */
   retrySlack: z.number().min(0).default(0),
-  /** A started instance catches up with the others within this time. */
-  catchUpS: durationSSchema.default(4),
 }).prefault({});
 
 export const forwardingSettingsSchema = strictFields({
@@ -60,8 +57,6 @@
   toleratedLosses: z.int().min(0).max(3).default(1),
   upstreamList: strictFields({
     address: addressSchema,
-    /** Reads of all instances together. */
-    rateCallsPerS: z.number().positive(),
   }),
   heartbeatIntervalMs: durationMsSchema.default(500),
   bounds: boundsSchema,
--- a/src/settings/forwarding_settings_test.ts
+++ b/src/settings/forwarding_settings_test.ts
@@ -20,7 +20,7 @@
   readiness: "10.1.0.24:8749",
   operators: null,
   dataFolder: null,
-  upstreamList: { address: "10.200.0.63:8742", rateCallsPerS: 42 },
+  upstreamList: { address: "10.200.0.63:8742" },
 };
 
 function load(value: unknown) {
