--- a/src/control/moves/move_table_test.ts
+++ b/src/control/moves/move_table_test.ts
@@ -101,6 +101,9 @@
       entry.versionShare
     ),
   ).toEqual([1, 0, 0]);
+  // The known versions are gone, so that the new one is all there is.
+  expect(keepShares(list("v2", "v3"), known).map((entry) => entry.versionShare))
+    .toEqual([0, 1]);
   expect(keepShares(list("v1", "v2"), []).map((entry) => entry.versionShare))
     .toEqual([1, 1]);
 });
--- a/src/control/moves/version_shares.ts
+++ b/src/control/moves/version_shares.ts
@@ -28,22 +28,28 @@
 
 /**
  * For an instance that reads the list itself since it hears nothing from
- * control: a version that it does not know may be one that is on trial.
+ * control: a version that it does not know may be one that is on trial, unless
+ * no version that serves is listed any more.
  */
 export function keepShares(
   upstreams: readonly ListedUpstream[],
   known: readonly ListedUpstream[],
 ): ListedUpstream[] {
-  const shares = new Map<string, number>();
-  const services = new Set<string>();
-  for (const { service, version, versionShare } of known) {
-    shares.set(`${service}/${version}`, versionShare);
-    services.add(service);
-  }
+  const shares = new Map(known.map((entry) => [
+    getVersionKey(entry),
+    entry.versionShare,
+  ]));
+  const served = new Set(
+    upstreams.filter((entry) => shares.get(getVersionKey(entry)) === 1)
+      .map(({ service }) => service),
+  );
   return upstreams.map((upstream) => {
-    const { service, version } = upstream;
-    const share = shares.get(`${service}/${version}`) ??
-      (services.has(service) ? 0 : 1);
+    const share = shares.get(getVersionKey(upstream)) ??
+      (served.has(upstream.service) ? 0 : 1);
     return { ...upstream, versionShare: share < 1 ? 0 : 1 };
   });
 }
+
+function getVersionKey({ service, version }: ListedUpstream): string {
+  return `${service}/${version}`;
+}
