--- a/src/forwarding/entry_server_test.ts
+++ b/src/forwarding/entry_server_test.ts
@@ -379,3 +379,30 @@
   expect(entry.context.directory.listUsable("service")[0]!.lostAtMs)
     .toBe(lostAtMs);
 });
+
+test("a stream whose prompt cannot be read in time is refused at once", async () => {
+  const promptMs = 150;
+  const slowly: StandInAnswer = (request, response) => {
+    setTimeout(() => {
+      startEvents(request, response);
+      response.end(formatEvent(1));
+    }, promptMs);
+  };
+  const entry = await start([slowly], { kind: RequestKind.Streaming });
+  const call = (deadlineMs: number) =>
+    callEntry(entry.port, {
+      method: "POST",
+      headers: {
+        "Token-Count": "8000,1",
+        "Deadline-Ms": String(deadlineMs),
+      },
+    });
+  for (let count = 0; count < 5; count++) {
+    expect((await call(2_000)).status).toBe(200);
+  }
+  const seenCount = countSeen();
+  const refused = await call(promptMs / 3);
+  expect(refused.status).toBe(503);
+  expect(refused.durationMs).toBeLessThan(promptMs / 3);
+  expect(countSeen()).toBe(seenCount);
+});
--- a/src/forwarding/return_time.ts
+++ b/src/forwarding/return_time.ts
@@ -18,12 +18,17 @@
 
 export function getReturnDelayMs(
   upstreams: readonly Pick<Upstream, "suspendedUntilMs">[],
-  { nowMs, random }: { readonly nowMs: number; readonly random: Random },
+  { nowMs, random, backlogMs = 0 }: {
+    readonly nowMs: number;
+    readonly random: Random;
+    /** Work that the upstreams have before anything new. */
+    readonly backlogMs?: number;
+  },
 ): number {
   const earliestMs = Math.min(
     nowMs + mostDelayMs,
     ...upstreams.map(({ suspendedUntilMs }) => suspendedUntilMs),
   );
-  const delayMs = Math.max(leastDelayMs, earliestMs - nowMs);
+  const delayMs = Math.max(leastDelayMs, earliestMs - nowMs, backlogMs);
   return Math.round(delayMs * (1 + random.next() * spreadPart));
 }
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -29,6 +29,7 @@
 } from "./placement.ts";
 import { getReturnDelayMs } from "./return_time.ts";
 import { decideAfterLoss } from "./stream_decisions.ts";
+import { decideStreamAdmission } from "./stream_admission.ts";
 import type { StreamWatch, WatchedStream } from "./stream_watch.ts";
 import type { Exchange } from "./upstream_connections.ts";
 import type { Upstream, UpstreamUse } from "./upstream_directory.ts";
@@ -40,6 +41,8 @@
 
 interface Run extends WatchedStream {
   lastEventAtMs: number | undefined;
+  /** 0 when the run goes on from a copy. */
+  readonly tokensToRead: number;
   readonly use: UpstreamUse;
   readonly keeper: CopyKeeper;
   readonly splitter: EventSplitter;
@@ -131,7 +134,27 @@
       return;
     }
     waitingSinceMs = undefined;
-    startRun(engine, undefined);
+    const admission = decideStreamAdmission({
+      remainingMs: endsAtMs - clock.nowMs(),
+      tokensToRead: getDemand().tokensToRead,
+      backlogTokens: engine.unreadTokens + engine.others.unreadTokens,
+      fastestTokensPerMs: directory.getReadingSpeed(service.name)
+        .getFastestTokensPerMs(),
+    });
+    switch (admission.kind) {
+      case "admit":
+        startRun(engine, undefined);
+        return;
+      case "refuse":
+        giveUp(
+          ranCount > 0 ? ErrorKind.UpstreamFailed : ErrorKind.Overloaded,
+          "the prompt cannot be read in the time that is left",
+          admission.backlogMs,
+        );
+        return;
+      default:
+        assertNever(admission);
+    }
   }
 
   function waitForEngine(listedCount: number): void {
@@ -175,6 +198,7 @@
       upstream: engine,
       sinceMs: clock.nowMs(),
       lastEventAtMs: undefined,
+      tokensToRead: source ? 0 : demand.tokensToRead,
       onLost: (reason) => {
         if (run === started) lose(started, { wasSent: true, reason });
       },
@@ -284,6 +308,10 @@
 
   function takeEvent(current: Run, { bytes, eventId }: StreamEvent): void {
     if (current.lastEventAtMs === undefined) {
+      if (current.tokensToRead > 0) {
+        directory.getReadingSpeed(service.name)
+          .record(current.tokensToRead, clock.nowMs() - current.sinceMs);
+      }
       current.use.releaseUnread();
       directory.recordSuccess(
         current.upstream.info.upstreamId,
@@ -433,7 +461,7 @@
     );
   }
 
-  function giveUp(kind: ErrorKind, reason: string): void {
+  function giveUp(kind: ErrorKind, reason: string, backlogMs = 0): void {
     if (isOver) return;
     stop("failed");
     logger.log(logEvents.forwardingFailed, {
@@ -458,7 +486,7 @@
         ? {
           retryAfterMs: getReturnDelayMs(
             directory.listUsable(service.name),
-            { nowMs: clock.nowMs(), random: context.random },
+            { nowMs: clock.nowMs(), random: context.random, backlogMs },
           ),
         }
         : {},
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -12,6 +12,7 @@
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import { createDomainHealth, type DomainHealth } from "./domain_health.ts";
 import type { ReportedLoad } from "./forwarding_protocol.ts";
+import { createReadingSpeed, type ReadingSpeed } from "./stream_admission.ts";
 import { createVersionAnswerCounter } from "./version_answers.ts";
 
 export interface Upstream {
@@ -85,6 +86,8 @@
   recordFull(upstreamId: UpstreamId): void;
   /** Another upstream answers at its address. */
   recordReplaced(upstreamId: UpstreamId): void;
+  /** How fast engines of the service read prompts, as seen from here. */
+  getReadingSpeed(service: string): ReadingSpeed;
   /** Most upstreams of the service in the domain seem to be lost. */
   isDomainSuspect(service: string, domainId: DomainId): boolean;
   /** Own work at engines and losses, for the other entry instances. */
@@ -133,6 +136,7 @@
   const entries = new Map<UpstreamId, Entry>();
   /** By service: its upstreams may fail while others in the domain work. */
   const domains = new Map<string, DomainHealth>();
+  const speeds = new Map<string, ReadingSpeed>();
   let othersAtMs = -Infinity;
   return {
     update,
@@ -155,6 +159,7 @@
       recordAnswer(upstreamId, 1, durationMs),
     isDomainSuspect: (service, domainId) =>
       getDomains(service).isSuspect(domainId, clock.nowMs()),
+    getReadingSpeed,
     recordBroken: (upstreamId) => {
       const entry = entries.get(upstreamId);
       if (entry) addFailure(entry, 1);
@@ -241,6 +246,15 @@
     for (const entry of entries.values()) entry.others = noLoad;
   }
 
+  function getReadingSpeed(service: string): ReadingSpeed {
+    let speed = speeds.get(service);
+    if (!speed) {
+      speed = createReadingSpeed();
+      speeds.set(service, speed);
+    }
+    return speed;
+  }
+
   function getDomains(service: string): DomainHealth {
     let health = domains.get(service);
     if (!health) {
