Let the claims test follow the leader when an election interrupts a proposal

It failed once beside load (Called _unsafeUnwrap on an Err). Traced on a scratch copy: a pause of the process of 300 ms during a proposal ends the leadership, and the proposal gets notLeader, which the log may answer at any time.

--- a/src/control/replicated_log_test.ts
+++ b/src/control/replicated_log_test.ts
@@ -99,9 +99,21 @@
   };
 }
 
-async function propose(command: Command): Promise<unknown> {
+/** Follows the leader, as the control client does. */
+async function propose(command: Command, stallMs = 0): Promise<unknown> {
   const { log } = running.get(await getLeaderId())!;
-  return (await log.propose(command))._unsafeUnwrap();
+  const pending = log.propose(command);
+  stall(stallMs);
+  const result = await pending;
+  if (result.isOk()) return result.value;
+  expect(result.error.kind).toBe(ErrorKind.NotLeader);
+  return propose(command);
+}
+
+/** Keeps this process busy, so that elections begin. */
+function stall(durationMs: number): void {
+  const endsAtMs = performance.now() + durationMs;
+  while (performance.now() < endsAtMs);
 }
 
 // Guards against losing applied commands over restarts and snapshots, and
@@ -135,6 +147,15 @@
   }
 });
 
+// Guards against granting a claim twice when its leader changes meanwhile.
+test("a claim is granted once through a pause that ends the leadership", async () => {
+  ids.forEach(start);
+  expect(await propose(createClaim(1, "first"), 400))
+    .toEqual({ status: ClaimStatus.Granted });
+  expect(await propose(createClaim(1, "other")))
+    .toEqual({ status: ClaimStatus.Pending });
+});
+
 // Guards against a proposal that never ends, and against a leader that goes on
 // without a majority.
 test("a proposal at an isolated leader ends with an error", async () => {
