Share the settings and the wait for readiness between soak and start-up measurement

Also ends what a soak has started when it fails or is stopped by a signal: soaks that I stopped had left their processes running beside later runs. The body of an answer was kept in the soak's record and never read.

--- a/measure/forwarding_startup.ts
+++ b/measure/forwarding_startup.ts
@@ -9,16 +9,18 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
-import { setTimeout as sleep } from "node:timers/promises";
+import {
+  createForwardingSettings,
+  forwardingPorts,
+  waitUntilOk,
+} from "./forwarding_settings.ts";
 import { getPercentile } from "./statistics.ts";
 
 const program = "target/apricotyoked.mjs";
 const runCount = 9;
-const pollMs = 2;
 const maxStartMs = 10_000;
 /** Linux counts processor time in these. */
 const msPerTick = 10;
-/** The whole loopback network is local, so each run has its own address. */
 const addresses = { entry: "127.0.9.1", control: "127.0.9.2" };
 
 interface Start {
@@ -27,39 +29,31 @@
   readonly residentMb: number;
 }
 
-function getSettings(role: keyof typeof addresses, folder: string) {
+async function measureStart(role: keyof typeof addresses): Promise<Start> {
+  const folder = mkdtempSync(join(tmpdir(), "apricotyoke-start-"));
+  const settingsPath = join(folder, "settings.json");
   const host = addresses[role];
-  const isEntry = role === "entry";
-  return {
+  const settings = createForwardingSettings({
+    name: role,
     role,
-    instanceName: role,
     host,
     domainId: "domain-a",
-    peerPort: 7200,
-    peerKeys: [{ keyId: "measure", keyHex: "00".repeat(16) }],
-    seeds: [`${addresses.control}:7201`],
+    controlHosts: [addresses.control],
     isFirstStart: true,
-    callers: isEntry ? `${host}:7202` : null,
-    readiness: isEntry ? `${host}:7203` : null,
-    operators: isEntry ? null : `${host}:7201`,
-    metricsPort: 7204,
-    dataFolder: isEntry ? null : folder,
+    dataFolder: folder,
     toleratedLosses: 0,
-    upstreamList: { address: `${host}:7205` },
-  };
-}
-
-async function measureStart(role: keyof typeof addresses): Promise<Start> {
-  const folder = mkdtempSync(join(tmpdir(), "apricotyoke-start-"));
-  const settingsPath = join(folder, "settings.json");
-  writeFileSync(settingsPath, JSON.stringify(getSettings(role, folder)));
+    // Nobody answers there; neither role waits for the list to start.
+    upstreamList: `${host}:1`,
+  });
+  writeFileSync(settingsPath, JSON.stringify(settings));
   const startedAtMs = performance.now();
   const child = spawn(process.execPath, [program], {
     env: { ...process.env, APRICOTYOKE_CONFIG: settingsPath },
     stdio: "ignore",
   });
   try {
-    await waitForMetrics(addresses[role]);
+    const url = `http://${host}:${forwardingPorts.metrics}/metrics`;
+    await waitUntilOk(url, maxStartMs);
     return { startMs: performance.now() - startedAtMs, ...readUse(child.pid!) };
   } finally {
     child.kill("SIGKILL");
@@ -67,19 +61,6 @@
   }
 }
 
-async function waitForMetrics(host: string): Promise<void> {
-  const endsAtMs = performance.now() + maxStartMs;
-  while (performance.now() < endsAtMs) {
-    try {
-      const response = await fetch(`http://${host}:7204/metrics`);
-      if (response.ok) return;
-    } catch {
-      await sleep(pollMs); // it does not listen yet
-    }
-  }
-  throw new Error(`${host} did not start within ${maxStartMs} ms`);
-}
-
 function readUse(pid: number): Omit<Start, "startMs"> {
   const status = readFileSync(`/proc/${pid}/status`, "utf8");
   const stat = readFileSync(`/proc/${pid}/stat`, "utf8").split(" ");
--- a/measure/soak/main.ts
+++ b/measure/soak/main.ts
@@ -6,6 +6,11 @@
 import { parseArgs } from "node:util";
 import { runSoak } from "./soak_run.ts";
 
+// What the soak has started ends with it, also when it is stopped.
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.once(signal, () => process.exit(130));
+}
+
 const { values } = parseArgs({
   options: {
     seeds: { type: "string", default: "1-1" },
--- a/measure/soak/soak_callers.ts
+++ b/measure/soak/soak_callers.ts
@@ -168,7 +168,6 @@
           endedAtMs: performance.now(),
           status,
           isComplete,
-          body: isStream ? "" : body,
           lastEventId,
           eventCount,
           isForged,
--- a/measure/soak/soak_checks_test.ts
+++ b/measure/soak/soak_checks_test.ts
@@ -21,7 +21,6 @@
   endedAtMs: 120,
   status: 200,
   isComplete: true,
-  body: "answer of r1",
   eventIds: [],
   isContentRight: true,
   lastEventId: 0,
--- a/measure/soak/soak_deployment.ts
+++ b/measure/soak/soak_deployment.ts
@@ -16,6 +16,10 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
+import {
+  createForwardingSettings,
+  forwardingPorts,
+} from "../forwarding_settings.ts";
 import { type Relay, startRelay } from "../relay.ts";
 
 export interface SoakProcess {
@@ -54,11 +58,7 @@
 }
 
 const program = "dist/platform/main.js";
-const ports = { peer: 7200, operators: 7201, callers: 7202, readiness: 7203 };
 const stopTimeoutMs = 9_500;
-const keyHex = "5a".repeat(16);
-
-export const operatorPort = ports.operators;
 
 export async function startSoakDeployment(
   options: SoakDeploymentOptions,
@@ -74,7 +74,7 @@
   for (const domain of domainIds.keys()) {
     for (let number = 0; number < options.entriesPerDomain; number++) {
       const host = `${network}.${domain}.${10 + number}`;
-      const target = { host, port: ports.callers };
+      const target = { host, port: forwardingPorts.callers };
       const relay = await startRelay(target, { host: "127.0.0.1", port: 0 });
       entries.push(createProcess(`entry-${domain}-${number}`, host, relay));
     }
@@ -149,23 +149,17 @@
   function getSettings(target: SoakProcess): Record<string, unknown> {
     const { name, host, isControl } = target;
     const domain = Number(host.split(".")[2]);
-    return {
+    return createForwardingSettings({
+      name,
       role: isControl ? "control" : "entry",
-      instanceName: name,
       host,
-      domainId: domainIds[domain],
-      peerPort: ports.peer,
-      peerKeys: [{ keyId: "soak", keyHex }],
-      seeds: control.map((entry) => `${entry.host}:${ports.operators}`),
+      domainId: domainIds[domain]!,
+      controlHosts: control.map((entry) => entry.host),
       isFirstStart: !started.has(target),
-      callers: isControl ? null : `${host}:${ports.callers}`,
-      readiness: isControl ? null : `${host}:${ports.readiness}`,
-      operators: isControl ? `${host}:${ports.operators}` : null,
-      dataFolder: isControl ? getDataFolder(target) : null,
+      dataFolder: getDataFolder(target),
       toleratedLosses: 1,
-      upstreamList: { address: options.upstreamList },
-      bounds: { retryRatio: 0.8, retrySlack: 150 },
-    };
+      upstreamList: options.upstreamList,
+    });
   }
 
   async function signal(
--- a/measure/soak/soak_run.ts
+++ b/measure/soak/soak_run.ts
@@ -6,14 +6,11 @@
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createRandom, type Random } from "../../src/core/random.ts";
+import { forwardingPorts, waitUntilOk } from "../forwarding_settings.ts";
 import type { LinkFault, Relay } from "../relay.ts";
 import { createSoakCallers } from "./soak_callers.ts";
 import { findViolations } from "./soak_checks.ts";
-import {
-  operatorPort,
-  type SoakProcess,
-  startSoakDeployment,
-} from "./soak_deployment.ts";
+import { type SoakProcess, startSoakDeployment } from "./soak_deployment.ts";
 import { createSoakOperator } from "./soak_operator.ts";
 import { drawSchedule, type SoakFault } from "./soak_schedule.ts";
 import type { SoakRecord } from "./soak_types.ts";
@@ -89,7 +86,9 @@
   const operator = createSoakOperator({
     random,
     record,
-    operatorUrls: control.map(({ host }) => `http://${host}:${operatorPort}`),
+    operatorUrls: control.map(({ host }) =>
+      `http://${host}:${forwardingPorts.operators}`
+    ),
   });
   const callers = createSoakCallers({
     random,
@@ -99,30 +98,14 @@
   const busy = new Map<SoakProcess, Promise<void>>();
   const pending = new Set<Promise<void>>();
   let wipedAtMs = -Infinity;
-  await operator.configure();
-  await waitUntilReady(entries);
   const ending = new AbortController();
-  const calling = callers.run(ending.signal);
-  const reading = readRegularly();
-  const moveRandom = createRandom(options.seed + 1);
-  const moving = moveRandom.next() < moveShare
-    ? moveVersion(moveRandom)
-    : Promise.resolve();
-  const startedAtMs = performance.now();
-  for (const { atMs, fault } of schedule) {
-    await sleep(Math.max(0, startedAtMs + atMs - performance.now()));
-    track(play(fault));
+  try {
+    await playAll();
+  } finally {
+    ending.abort();
+    await deployment.end();
+    upstreams.close();
   }
-  await Promise.all(pending);
-  await moving;
-  await sleep(settleMs);
-  record.settledAtMs = performance.now();
-  await sleep(quietMs);
-  ending.abort();
-  await Promise.all([calling, reading]);
-  await operator.readOnce(true);
-  await deployment.end();
-  upstreams.close();
   const violations = findViolations(record);
   if (violations.length === 0) {
     rmSync(deployment.folder, { recursive: true, force: true });
@@ -141,6 +124,33 @@
     folder: violations.length > 0 ? deployment.folder : undefined,
   };
 
+  async function playAll(): Promise<void> {
+    await operator.configure();
+    for (const { host } of entries) {
+      const url = `http://${host}:${forwardingPorts.readiness}/ready`;
+      await waitUntilOk(url, startTimeoutMs);
+    }
+    const calling = callers.run(ending.signal);
+    const reading = readRegularly();
+    const moveRandom = createRandom(options.seed + 1);
+    const moving = moveRandom.next() < moveShare
+      ? moveVersion(moveRandom)
+      : Promise.resolve();
+    const startedAtMs = performance.now();
+    for (const { atMs, fault } of schedule) {
+      await sleep(Math.max(0, startedAtMs + atMs - performance.now()));
+      track(play(fault));
+    }
+    await Promise.all(pending);
+    await moving;
+    await sleep(settleMs);
+    record.settledAtMs = performance.now();
+    await sleep(quietMs);
+    ending.abort();
+    await Promise.all([calling, reading]);
+    await operator.readOnce(true);
+  }
+
   function track(work: Promise<void>): void {
     pending.add(work);
     void work.finally(() => pending.delete(work));
@@ -292,24 +302,3 @@
       return { kind: "silent", direction: how };
   }
 }
-
-async function waitUntilReady(entries: readonly SoakProcess[]): Promise<void> {
-  const endsAtMs = performance.now() + startTimeoutMs;
-  for (const { host, name } of entries) {
-    while (!await isReady(host)) {
-      if (performance.now() > endsAtMs) throw new Error(`${name} is not ready`);
-      await sleep(50);
-    }
-  }
-}
-
-async function isReady(host: string): Promise<boolean> {
-  try {
-    const response = await fetch(`http://${host}:7203/ready`, {
-      signal: AbortSignal.timeout(500),
-    });
-    return response.ok;
-  } catch {
-    return false; // it does not listen yet
-  }
-}
--- a/measure/soak/soak_types.ts
+++ b/measure/soak/soak_types.ts
@@ -25,7 +25,6 @@
   readonly status: number;
   /** The response ended as HTTP says that it should. */
   readonly isComplete: boolean;
-  readonly body: string;
   /** The events of this attempt, by id. */
   readonly eventIds: readonly number[];
   readonly isContentRight: boolean;
