Take the steps that calls and streams share into one module

- placement knowledge, the check of a response's head and the answer to a request that is given up were written in both forwarders
- the pause of the own process was detected in three places
- operators' commands are proposed by one function, which checks the result; a result of another form no longer rejects inside the operator service
- the entry server makes its own stream watch, the instance core the gauge that both roles have
- whether a service has several versions is worked out once per list instead of with every answer, and the next upstream of a call only after a failure
- isRunning narrows the phase instead of a cast

--- a/measure/forwarding_stand_ins.ts
+++ b/measure/forwarding_stand_ins.ts
@@ -22,7 +22,6 @@
   RequestKind,
 } from "../src/forwarding/forwarding_table.ts";
 import { createRouteTable } from "../src/forwarding/route_table.ts";
-import { createStreamWatch } from "../src/forwarding/stream_watch.ts";
 import { createUpstreamConnections } from "../src/forwarding/upstream_connections.ts";
 import { createUpstreamDirectory } from "../src/forwarding/upstream_directory.ts";
 import { createRetryBudget } from "../src/limits/retry_budget.ts";
@@ -219,13 +218,6 @@
   const [port, readinessPort] = [await findFreePort(), await findFreePort()];
   const server = createEntryServer({
     context,
-    watch: createStreamWatch({
-      clock,
-      logger,
-      protocol,
-      connections,
-      directory,
-    }),
     callers: { host: "127.0.0.1", port },
     readiness: { host: "127.0.0.1", port: readinessPort },
     getRouteTable: () => routes,
--- a/src/control/control_client.ts
+++ b/src/control/control_client.ts
@@ -3,6 +3,7 @@
  * leader when it changes.
  */
 import { err, ok, type Result, ResultAsync } from "neverthrow";
+import type { z } from "zod";
 import type { Clock } from "../core/clock.ts";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import type { InstanceId } from "../core/types.ts";
@@ -30,6 +31,8 @@
 }
 
 const tryTimeoutMs = 1_000;
+/** Operators' commands; an election and a retry fit in. */
+const commandTimeoutMs = 5_000;
 const retryDelayMs = 50;
 
 export function createControlClient(
@@ -120,3 +123,28 @@
     error.kind === ErrorKind.NoQuorum ||
     error.kind === ErrorKind.PeerUnreachable;
 }
+
+/** Proposes an operator's command and checks the result. */
+export function proposeCommand<T extends z.ZodType>(
+  control: ControlClient,
+  command: Command,
+  schema: T,
+): ResultAsync<z.output<T>, SystemError> {
+  return control.propose(command, commandTimeoutMs)
+    .mapErr((error) =>
+      // A proposal without a reply may have been committed.
+      error.kind === ErrorKind.NoQuorum
+        ? createError(
+          ErrorKind.PeerUnreachable,
+          "no reply from the control leader in time; " +
+            "sending the same command again is safe",
+          { retryAfterMs: 1_000 },
+        )
+        : error
+    )
+    .andThen((value): Result<z.output<T>, SystemError> => {
+      const parsed = schema.safeParse(value);
+      if (parsed.success) return ok(parsed.data);
+      return err(createError(ErrorKind.ProtocolError, parsed.error.message));
+    });
+}
--- a/src/control/moves/move_decisions.ts
+++ b/src/control/moves/move_decisions.ts
@@ -7,7 +7,7 @@
  * one has to be in place in time. Only answers count, so that crashes,
  * partitions and refusals under load say nothing about a version.
  */
-import { MovePhase } from "./move_types.ts";
+import { MovePhase, type RunningPhase } from "./move_types.ts";
 
 export interface Answers {
   readonly answeredCount: number;
@@ -16,7 +16,7 @@
 }
 
 export interface MoveSituation {
-  readonly phase: MovePhase.Watching | MovePhase.Moving;
+  readonly phase: RunningPhase;
   readonly elapsedMs: number;
   readonly durationMs: number;
   readonly stable: Answers;
--- a/src/control/moves/move_decisions_test.ts
+++ b/src/control/moves/move_decisions_test.ts
@@ -60,7 +60,7 @@
     const news = history.findLast(({ atMs }) => atMs <= nowMs - newsDelayMs);
     if (!news || !isRunning(decision)) continue;
     decision = decideMove({
-      phase: decision.phase as MovePhase.Watching | MovePhase.Moving,
+      phase: decision.phase,
       elapsedMs: nowMs,
       durationMs,
       ...news,
--- a/src/control/moves/move_service.ts
+++ b/src/control/moves/move_service.ts
@@ -16,6 +16,7 @@
 import {
   isRunning,
   type MoveProgress,
+  type RunningPhase,
   type VersionMove,
 } from "./move_types.ts";
 
@@ -55,7 +56,9 @@
     },
   });
 
-  async function watch(move: VersionMove): Promise<void> {
+  async function watch(
+    move: VersionMove & { readonly phase: RunningPhase },
+  ): Promise<void> {
     const { service, target, durationMs } = move;
     const nowMs = clock.nowMs();
     let entry = watches.get(service);
@@ -72,7 +75,7 @@
     const elapsedMs = nowMs - entry.startedAtMs;
     const totals = getTotals(move);
     const decision = decideMove({
-      phase: move.phase as Parameters<typeof decideMove>[0]["phase"],
+      phase: move.phase,
       elapsedMs,
       durationMs,
       stable: subtract(totals.stable, entry.before.stable),
--- a/src/control/moves/move_types.ts
+++ b/src/control/moves/move_types.ts
@@ -59,6 +59,10 @@
 
 export type StartMoveResult = z.output<typeof startMoveResultSchema>;
 
-export function isRunning({ phase }: Pick<VersionMove, "phase">): boolean {
-  return phase === MovePhase.Watching || phase === MovePhase.Moving;
+export type RunningPhase = MovePhase.Watching | MovePhase.Moving;
+
+export function isRunning<T extends { readonly phase: MovePhase }>(
+  move: T,
+): move is T & { readonly phase: RunningPhase } {
+  return move.phase === MovePhase.Watching || move.phase === MovePhase.Moving;
 }
--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -12,7 +12,7 @@
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import { CommandKind, readMoveResultSchema } from "./commands.ts";
 import type { Configuration } from "./configuration.ts";
-import type { ControlClient } from "./control_client.ts";
+import { type ControlClient, proposeCommand } from "./control_client.ts";
 import {
   type StartMoveResult,
   startMoveResultSchema,
@@ -52,8 +52,6 @@
   getConfiguration(): Configuration;
 }
 
-const proposeTimeoutMs = 5_000;
-
 const objectPath = `forwarding.${forwardingTableName}`;
 
 export function createOperatorService(
@@ -74,10 +72,11 @@
       tickets.findInForce(objectPath).map((record) => record?.ticket.source),
     startMove,
     readMove: (service) =>
-      control.propose(
+      proposeCommand(
+        control,
         { kind: CommandKind.ReadMove, service },
-        proposeTimeoutMs,
-      ).map((result) => readMoveResultSchema.parse(result).move),
+        readMoveResultSchema,
+      ).map(({ move }) => move),
   };
 
   function startMove(
@@ -96,9 +95,10 @@
         ).map(({ version }) => version),
       ),
     ];
-    return control.propose(
+    return proposeCommand(
+      control,
       { kind: CommandKind.StartMove, order: { ...order, stableVersions } },
-      proposeTimeoutMs,
-    ).map((result) => startMoveResultSchema.parse(result));
+      startMoveResultSchema,
+    );
   }
 }
--- a/src/control/ticket_service.ts
+++ b/src/control/ticket_service.ts
@@ -1,15 +1,7 @@
 /**
  * Submits and reads tickets from any instance, through the control log.
  */
-import {
-  err,
-  errAsync,
-  ok,
-  okAsync,
-  type Result,
-  type ResultAsync,
-} from "neverthrow";
-import type { z } from "zod";
+import { err, ok, okAsync, type ResultAsync } from "neverthrow";
 import type { Clock } from "../core/clock.ts";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
@@ -28,7 +20,7 @@
   objectKinds,
 } from "./configuration.ts";
 import { checkTicket } from "./configuration_checks.ts";
-import type { ControlClient } from "./control_client.ts";
+import { type ControlClient, proposeCommand } from "./control_client.ts";
 import { parseTicket } from "./ticket.ts";
 import {
   type TicketRecord,
@@ -73,8 +65,6 @@
   listBehind(revision: number): InstanceId[];
 }
 
-const proposeTimeoutMs = 5_000;
-
 export function createTicketService(
   options: TicketServiceOptions,
 ): TicketService {
@@ -117,7 +107,7 @@
       ).map(logResult);
 
     function propose(command: Command): ResultAsync<TicketResult, SystemError> {
-      return proposeCommand(command, ticketResultSchema);
+      return proposeCommand(options.control, command, ticketResultSchema);
     }
 
     function logResult(result: TicketResult): TicketResult {
@@ -133,37 +123,14 @@
   function read(
     query: Partial<Omit<ReadTicketsCommand, "kind">>,
   ): ResultAsync<TicketRecord[], SystemError> {
-    return proposeCommand({
+    const command: Command = {
       kind: CommandKind.ReadTickets,
       beforeNumber: Number.MAX_SAFE_INTEGER,
       limit: 100,
       ...query,
-    }, readTicketsResultSchema).map(({ records }) => records);
-  }
-
-  function proposeCommand<T extends z.ZodType>(
-    command: Command,
-    schema: T,
-  ): ResultAsync<z.output<T>, SystemError> {
-    return options.control.propose(command, proposeTimeoutMs)
-      .orElse((error) =>
-        // A proposal without a reply may have been committed.
-        errAsync<unknown, SystemError>(
-          error.kind === ErrorKind.NoQuorum
-            ? createError(
-              ErrorKind.PeerUnreachable,
-              "no reply from the control leader in time; " +
-                "sending the same ticket again is safe",
-              { retryAfterMs: 1_000 },
-            )
-            : error,
-        )
-      )
-      .andThen((value): Result<z.output<T>, SystemError> => {
-        const parsed = schema.safeParse(value);
-        if (parsed.success) return ok(parsed.data);
-        return err(createError(ErrorKind.ProtocolError, parsed.error.message));
-      });
+    };
+    return proposeCommand(options.control, command, readTicketsResultSchema)
+      .map(({ records }) => records);
   }
 
   function compare(value: unknown): TicketDifference {
--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -62,6 +62,7 @@
     clock,
     logger,
     random,
+    registry,
     isLeader: () => late.log!.isLeader(),
     getLeaderTerm: () => late.log!.isLeader() ? late.log!.getTerm() : undefined,
     onConfiguration: () => {},
@@ -109,11 +110,6 @@
     "Term of the control log.",
     log.getTerm,
   );
-  registry.createGauge(
-    "configuration_revision",
-    "Revision of the configuration in force here.",
-    configuration.getRevision,
-  );
   registry.createGauge(
     "upstreams",
     "Upstreams in the view.",
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -14,7 +14,6 @@
   createRouteTable,
   type RouteTable,
 } from "../forwarding/route_table.ts";
-import { createStreamWatch } from "../forwarding/stream_watch.ts";
 import { createPlacementRate } from "../forwarding/placement_rate.ts";
 import { createUpstreamConnections } from "../forwarding/upstream_connections.ts";
 import { createUpstreamDirectory } from "../forwarding/upstream_directory.ts";
@@ -61,6 +60,7 @@
     clock,
     logger,
     random,
+    registry,
     isLeader: () => false,
     getLeaderTerm: () => undefined,
     onConfiguration: applyConfiguration,
@@ -106,7 +106,6 @@
       maxUnits: getMaxRepeats,
     }),
   };
-  const { protocol, connections } = context;
   registry.createGauge(
     "upstreams",
     "Upstreams that this instance knows.",
@@ -117,20 +116,8 @@
     "Requests that have no final answer yet.",
     () => server.getOpenCount(),
   );
-  registry.createGauge(
-    "configuration_revision",
-    "Revision of the configuration in force here.",
-    configuration.getRevision,
-  );
   const server = createEntryServer({
     context,
-    watch: createStreamWatch({
-      clock,
-      logger,
-      protocol,
-      connections,
-      directory,
-    }),
     callers,
     readiness,
     getRouteTable: () => configuration.isKnown() ? routes : undefined,
@@ -158,7 +145,7 @@
         await server.drain(bounds.graceS * 1_000);
       },
       close: async () => {
-        connections.close();
+        context.connections.close();
         peers.close();
         await peerServer.close();
       },
--- a/src/daemon/instance_core.ts
+++ b/src/daemon/instance_core.ts
@@ -17,6 +17,7 @@
 } from "../control/configuration_service.ts";
 import type { Clock } from "../core/clock.ts";
 import type { Logger } from "../core/logger.ts";
+import type { MetricsRegistry } from "../core/metrics_registry.ts";
 import type { Random } from "../core/random.ts";
 import { createSupervisor, type Task } from "../core/supervisor.ts";
 import {
@@ -57,6 +58,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly random: Random;
+  readonly registry: MetricsRegistry;
   isLeader(): boolean;
   getLeaderTerm(): number | undefined;
   onConfiguration(configuration: Configuration): void;
@@ -154,6 +156,11 @@
     getAddress: membership.getAddress,
     onConnectionLost: membership.checkNow,
   });
+  options.registry.createGauge(
+    "configuration_revision",
+    "Revision of the configuration in force here.",
+    configuration.getRevision,
+  );
   late.membership = membership;
   late.peers = peers;
   return {
--- a/src/forwarding/call_attempt.ts
+++ b/src/forwarding/call_attempt.ts
@@ -3,10 +3,12 @@
  * it is whole, so that a broken one can be tried again, unless it is large.
  */
 import { Buffer } from "node:buffer";
+import { assertNever } from "../core/assert_never.ts";
 import type {
   AdmittedRequest,
   ForwardingContext,
 } from "./forwarding_context.ts";
+import { HeadVerdict, judgeHead } from "./forwarding_steps.ts";
 import type { RawHeaders } from "./forwarding_protocol.ts";
 import type { UpstreamUse } from "./upstream_directory.ts";
 
@@ -34,11 +36,12 @@
 const maxHeldBytes = 1024 * 1024;
 
 export function startCallAttempt(
-  { protocol, connections, directory, clock }: ForwardingContext,
+  context: ForwardingContext,
   { caller, customerId, body, endsAtMs }: AdmittedRequest,
   use: UpstreamUse,
   { mayReuseConnection }: { readonly mayReuseConnection: boolean },
 ): CallAttempt {
+  const { protocol, connections, directory, clock } = context;
   const { info } = use.upstream;
   const { upstreamId } = info;
   let settle: (outcome: AttemptOutcome) => void = () => {};
@@ -88,31 +91,32 @@
   };
 
   function onHead(status: number, headers: RawHeaders): void {
-    const description = protocol.describeResponse(status, headers);
-    if (description.load) directory.recordLoad(upstreamId, description.load);
     const { requestId } = caller.description;
-    if (description.requestId !== "" && description.requestId !== requestId) {
-      end({ kind: "unknown", reason: "the response is for another request" });
-      return;
-    }
-    if (description.isMisdirected) {
-      directory.recordReplaced(upstreamId);
-      connections.dropIdle(info.host, info.port);
-      end({ kind: "notRun", reason: "another upstream has the address" });
-      return;
-    }
-    if (description.isNotRun) {
-      directory.recordFull(upstreamId);
-      end({ kind: "notRun", reason: `refused with status ${status}` });
-      return;
-    }
-    const isSuccess = status >= 200 && status < 300;
-    if (isSuccess && (!description.hasReceipt || description.isEncoded)) {
-      directory.recordFailure(upstreamId, clock.nowMs() - sentAtMs);
-      end({ kind: "unknown", reason: "the response is not the upstream's" });
-      return;
+    const verdict = judgeHead(context, use.upstream, {
+      requestId,
+      status,
+      headers,
+    });
+    switch (verdict) {
+      case HeadVerdict.Accepted:
+        head = { status, headers };
+        return;
+      case HeadVerdict.OtherRequest:
+        end({ kind: "unknown", reason: "the response is for another request" });
+        return;
+      case HeadVerdict.Misdirected:
+        end({ kind: "notRun", reason: "another upstream has the address" });
+        return;
+      case HeadVerdict.NotRun:
+        end({ kind: "notRun", reason: `refused with status ${status}` });
+        return;
+      case HeadVerdict.Foreign:
+        directory.recordFailure(upstreamId, clock.nowMs() - sentAtMs);
+        end({ kind: "unknown", reason: "the response is not the upstream's" });
+        return;
+      default:
+        assertNever(verdict);
     }
-    head = { status, headers };
   }
 
   function end(result: AttemptOutcome): void {
--- a/src/forwarding/call_forwarder.ts
+++ b/src/forwarding/call_forwarder.ts
@@ -3,7 +3,7 @@
  * answers, the time is over or the caller leaves.
  */
 import { assertNever } from "../core/assert_never.ts";
-import { createError, ErrorKind } from "../core/errors.ts";
+import { ErrorKind } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
 import {
   type AttemptOutcome,
@@ -11,22 +11,20 @@
   startCallAttempt,
 } from "./call_attempt.ts";
 import { decideAfterAttempt } from "./call_decisions.ts";
-import { CallerState } from "./caller_exchange.ts";
 import type {
   AdmittedRequest,
   ForwardingContext,
 } from "./forwarding_context.ts";
+import { failRequest, getPlacement } from "./forwarding_steps.ts";
 import { RequestKind } from "./forwarding_table.ts";
 import { chooseForCall } from "./placement.ts";
-import { getReturnDelayMs } from "./return_time.ts";
 import type { Upstream } from "./upstream_directory.ts";
 
 export async function forwardCall(
   context: ForwardingContext,
   admitted: AdmittedRequest,
 ): Promise<void> {
-  const { clock, logger, protocol, directory, budget, random, metrics } =
-    context;
+  const { clock, logger, protocol, directory, budget, metrics } = context;
   const { caller, route, service, endsAtMs } = admitted;
   const { requestId } = caller.description;
   const budgetKey = { service: service.name, customerId: "" };
@@ -51,7 +49,7 @@
     if (isOver) break;
     if (outcome.kind === "notRun") notRunCount += 1;
     else ranCount += 1;
-    const next = choose();
+    const next = isFailure(outcome) ? choose() : undefined;
     const decision = decideAfterAttempt(outcome, {
       kind: route.kind,
       ranCount,
@@ -79,15 +77,12 @@
   }
 
   function choose(): Upstream | undefined {
-    return chooseForCall(directory.listUsable(service.name), {
-      nowMs: clock.nowMs(),
-      ownDomainId: context.domainId,
+    const placement = getPlacement(context, {
+      service: service.name,
       triedIds,
-      random,
       unseenPlacements: 0,
-      isDomainSuspect: (domainId) =>
-        directory.isDomainSuspect(service.name, domainId),
     });
+    return chooseForCall(directory.listUsable(service.name), placement);
   }
 
   function attempt({ info }: Upstream): Promise<AttemptOutcome> {
@@ -131,24 +126,7 @@
       notRunCount,
       revision: admitted.revision,
     });
-    if (caller.getState() === CallerState.Answering) {
-      caller.breakOff();
-      return;
-    }
-    const isNoUpstream = kind === ErrorKind.NoUpstream ||
-      kind === ErrorKind.Overloaded;
-    caller.fail(createError(
-      kind,
-      reason,
-      isNoUpstream
-        ? {
-          retryAfterMs: getReturnDelayMs(
-            directory.listUsable(service.name),
-            { nowMs: clock.nowMs(), random },
-          ),
-        }
-        : {},
-    ));
+    failRequest(context, admitted, { kind, reason, backlogMs: 0 });
   }
 
   function stop(): void {
@@ -163,8 +141,7 @@
     outcome: AttemptOutcome,
     decision: string,
   ): void {
-    const isFailure = outcome.kind !== "answered" || outcome.status >= 500;
-    if (!isFailure) return;
+    if (!isFailure(outcome)) return;
     metrics.failedAttempts.add({ outcome: outcome.kind });
     logger.log(logEvents.attemptFailed, {
       request: requestId,
@@ -178,6 +155,10 @@
   }
 }
 
+function isFailure(outcome: AttemptOutcome): boolean {
+  return outcome.kind !== "answered" || outcome.status >= 500;
+}
+
 function getReason(outcome: AttemptOutcome): string {
   switch (outcome.kind) {
     case "answered":
--- a/src/forwarding/copy_keeper.ts
+++ b/src/forwarding/copy_keeper.ts
@@ -9,7 +9,11 @@
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { MemoryCopy, ProtocolCall } from "./forwarding_protocol.ts";
 import type { EngineTraits } from "./forwarding_table.ts";
-import type { CopyHold, Upstream } from "./upstream_directory.ts";
+import {
+  type CopyHold,
+  getAddress,
+  type Upstream,
+} from "./upstream_directory.ts";
 
 export interface CopyKeeper {
   /** The engine that is to keep a copy from the start of the run. */
@@ -228,7 +232,3 @@
     }
   }
 }
-
-function getAddress({ info }: Upstream): string {
-  return `${info.host}:${info.port}`;
-}
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -28,7 +28,7 @@
 import { checkRequest, chooseService } from "./request_checks.ts";
 import type { RouteTable } from "./route_table.ts";
 import { forwardStream } from "./stream_forwarder.ts";
-import type { StreamWatch } from "./stream_watch.ts";
+import { createStreamWatch } from "./stream_watch.ts";
 
 export interface EntryServer {
   listen(): ResultAsync<void, SystemError>;
@@ -41,7 +41,6 @@
 
 export interface EntryServerOptions {
   readonly context: ForwardingContext;
-  readonly watch: StreamWatch;
   readonly callers: ListenAddress;
   readonly readiness: ListenAddress;
   /** Undefined until a configuration is known. */
@@ -66,7 +65,8 @@
 const exitMarginMs = 500;
 
 export function createEntryServer(options: EntryServerOptions): EntryServer {
-  const { context, watch } = options;
+  const { context } = options;
+  const watch = createStreamWatch(context);
   const { clock, logger, random, protocol } = context;
   const open = new Set<CallerExchange>();
   let isDraining = false;
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -5,7 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import { assertNever } from "../core/assert_never.ts";
-import { createError, ErrorKind } from "../core/errors.ts";
+import { ErrorKind } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
 import { CallerState } from "./caller_exchange.ts";
 import {
@@ -18,6 +18,12 @@
   AdmittedRequest,
   ForwardingContext,
 } from "./forwarding_context.ts";
+import {
+  failRequest,
+  getPlacement,
+  HeadVerdict,
+  judgeHead,
+} from "./forwarding_steps.ts";
 import { type CopyKeeper, createCopyKeeper } from "./copy_keeper.ts";
 import type { MemoryCopy, RawHeaders } from "./forwarding_protocol.ts";
 import type { EngineTraits } from "./forwarding_table.ts";
@@ -27,12 +33,15 @@
   type PlacementContext,
   type StreamDemand,
 } from "./placement.ts";
-import { getReturnDelayMs } from "./return_time.ts";
 import { decideAfterLoss } from "./stream_decisions.ts";
 import { decideStreamAdmission } from "./stream_admission.ts";
 import type { StreamWatch, WatchedStream } from "./stream_watch.ts";
 import type { Exchange } from "./upstream_connections.ts";
-import type { Upstream, UpstreamUse } from "./upstream_directory.ts";
+import {
+  getAddress,
+  type Upstream,
+  type UpstreamUse,
+} from "./upstream_directory.ts";
 
 export interface StreamForwarderOptions {
   readonly context: ForwardingContext;
@@ -113,22 +122,18 @@
     };
   }
 
-  function getPlacement(): PlacementContext {
-    return {
-      nowMs: clock.nowMs(),
-      ownDomainId: context.domainId,
+  function getOwnPlacement(): PlacementContext {
+    return getPlacement(context, {
+      service: service.name,
       triedIds,
-      random: context.random,
       unseenPlacements: context.getUnseenPlacements(),
-      isDomainSuspect: (domainId) =>
-        directory.isDomainSuspect(service.name, domainId),
-    };
+    });
   }
 
   function placeRun(): void {
     if (isOver) return;
     const engines = directory.listUsable(service.name);
-    const engine = chooseForStream(engines, getDemand(), getPlacement());
+    const engine = chooseForStream(engines, getDemand(), getOwnPlacement());
     if (!engine) {
       waitForEngine(engines.length);
       return;
@@ -190,7 +195,7 @@
           ),
           engine,
           demand,
-          getPlacement(),
+          getOwnPlacement(),
         ),
     });
     const copyHolder = keeper.getFirstHolder();
@@ -258,37 +263,39 @@
 
   function onHead(current: Run, status: number, headers: RawHeaders): void {
     const { upstreamId } = current.upstream.info;
-    const response = protocol.describeResponse(status, headers);
     directory.recordHeard(upstreamId);
-    if (response.load) directory.recordLoad(upstreamId, response.load);
-    if (response.requestId !== "" && response.requestId !== requestId) {
-      const reason = "the response is for another request";
-      lose(current, { wasSent: true, reason });
-      return;
-    }
-    if (response.isMisdirected) {
-      directory.recordReplaced(upstreamId);
-      connections.dropIdle(
-        current.upstream.info.host,
-        current.upstream.info.port,
-      );
-    }
-    if (response.isNotRun || response.isMisdirected) {
-      if (!response.isMisdirected) directory.recordFull(upstreamId);
-      lose(current, {
-        wasSent: false,
-        isRefusal: true,
-        reason: `refused with ${status}`,
-      });
-      return;
-    }
-    const isSuccess = status >= 200 && status < 300;
-    if (isSuccess && (!response.hasReceipt || response.isEncoded)) {
-      const reason = "the response is not the engine's";
-      lose(current, { wasSent: true, reason });
-      return;
+    const verdict = judgeHead(context, current.upstream, {
+      requestId,
+      status,
+      headers,
+    });
+    switch (verdict) {
+      case HeadVerdict.Accepted:
+        current.head = { status, headers };
+        return;
+      case HeadVerdict.OtherRequest:
+        lose(current, {
+          wasSent: true,
+          reason: "the response is for another request",
+        });
+        return;
+      case HeadVerdict.Misdirected:
+      case HeadVerdict.NotRun:
+        lose(current, {
+          wasSent: false,
+          isRefusal: true,
+          reason: `refused with ${status}`,
+        });
+        return;
+      case HeadVerdict.Foreign:
+        lose(current, {
+          wasSent: true,
+          reason: "the response is not the engine's",
+        });
+        return;
+      default:
+        assertNever(verdict);
     }
-    current.head = { status, headers };
   }
 
   function onData(current: Run, chunk: Buffer): void {
@@ -473,24 +480,7 @@
       ranCount,
       revision: admitted.revision,
     });
-    if (caller.getState() !== CallerState.Waiting) {
-      caller.breakOff();
-      return;
-    }
-    const isNoUpstream = kind === ErrorKind.NoUpstream ||
-      kind === ErrorKind.Overloaded;
-    caller.fail(createError(
-      kind,
-      reason,
-      isNoUpstream
-        ? {
-          retryAfterMs: getReturnDelayMs(
-            directory.listUsable(service.name),
-            { nowMs: clock.nowMs(), random: context.random, backlogMs },
-          ),
-        }
-        : {},
-    ));
+    failRequest(context, admitted, { kind, reason, backlogMs });
   }
 
   function stop(outcome: string): void {
@@ -520,7 +510,3 @@
 function isStream({ head }: Run): boolean {
   return head !== undefined && head.status >= 200 && head.status < 300;
 }
-
-function getAddress({ info }: Upstream): string {
-  return `${info.host}:${info.port}`;
-}
--- a/src/forwarding/stream_watch.ts
+++ b/src/forwarding/stream_watch.ts
@@ -4,6 +4,7 @@
  */
 import { Buffer } from "node:buffer";
 import type { Clock } from "../core/clock.ts";
+import { createPauseDetector } from "../core/pause_detector.ts";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
 import type { ForwardingProtocol } from "./forwarding_protocol.ts";
@@ -46,12 +47,16 @@
   const streams = new Set<WatchedStream>();
   const probing = new Set<string>();
   let timer: NodeJS.Timeout | undefined;
-  let checkedAtMs = 0;
+  const pauses = createPauseDetector({
+    clock,
+    intervalMs: checkIntervalMs,
+    limitMs: pauseLimitMs,
+  });
   return {
     add: (stream) => {
       streams.add(stream);
       if (timer) return;
-      checkedAtMs = clock.nowMs();
+      pauses.restart();
       timer = setInterval(check, checkIntervalMs);
     },
     remove: (stream) => {
@@ -65,9 +70,7 @@
 
   function check(): void {
     const nowMs = clock.nowMs();
-    const lateMs = nowMs - checkedAtMs - checkIntervalMs;
-    checkedAtMs = nowMs;
-    const ownPauseMs = lateMs > pauseLimitMs ? lateMs : 0;
+    const ownPauseMs = pauses.takePauseMs();
     for (const stream of [...streams]) {
       checkStream(stream, { nowMs, ownPauseMs });
       if (streams.has(stream)) stream.onCheck();
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -137,6 +137,8 @@
   /** By service: its upstreams may fail while others in the domain work. */
   const domains = new Map<string, DomainHealth>();
   const speeds = new Map<string, ReadingSpeed>();
+  /** Services that have several versions; known once per list. */
+  let movingServices = new Set<string>();
   let othersAtMs = -Infinity;
   return {
     update,
@@ -272,6 +274,7 @@
       logger.log(logEvents.upstreamRemoved, { upstream: upstreamId });
     }
     for (const info of listed) updateOne(info);
+    movingServices = listServicesWithVersions(listed);
   }
 
   function updateOne(info: ListedUpstream): void {
@@ -344,12 +347,6 @@
     return entry;
   }
 
-  function hasSeveralVersions({ service, version }: ListedUpstream): boolean {
-    return [...entries.values()].some(({ info }) =>
-      info.service === service && info.version !== version
-    );
-  }
-
   function recordAnswer(
     upstreamId: UpstreamId,
     failure: 0 | 1,
@@ -360,7 +357,7 @@
     answers.record(entry.info, {
       isFailure: failure === 1,
       durationMs,
-      isEvidence: hasSeveralVersions(entry.info),
+      isEvidence: movingServices.has(entry.info.service),
     });
     entry.heardAtMs = clock.nowMs();
     entry.consecutiveLosses = 0;
@@ -405,6 +402,22 @@
   }
 }
 
+export function getAddress({ info }: Upstream): string {
+  return `${info.host}:${info.port}`;
+}
+
+function listServicesWithVersions(
+  listed: readonly ListedUpstream[],
+): Set<string> {
+  const versions = new Map<string, string>();
+  const several = new Set<string>();
+  for (const { service, version } of listed) {
+    if ((versions.get(service) ?? version) !== version) several.add(service);
+    versions.set(service, version);
+  }
+  return several;
+}
+
 function createEntry(info: ListedUpstream): Entry {
   return {
     info,
--- a/src/membership/membership_service.ts
+++ b/src/membership/membership_service.ts
@@ -3,6 +3,7 @@
  * heartbeats say which of them can be reached.
  */
 import type { Clock } from "../core/clock.ts";
+import { createPauseDetector } from "../core/pause_detector.ts";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
 import { createPeriodicTask, type Task } from "../core/supervisor.ts";
@@ -55,7 +56,11 @@
   const { clock, logger, heartbeatIntervalMs, lostAfterMs } = options;
   let self = options.self;
   const members = new Map<InstanceId, Member>();
-  let heartbeatsAtMs = clock.nowMs();
+  const pauses = createPauseDetector({
+    clock,
+    intervalMs: heartbeatIntervalMs,
+    limitMs: lostAfterMs / 2,
+  });
   return {
     tasks: [
       createPeriodicTask({
@@ -142,9 +147,8 @@
 
   function sendHeartbeats(): void {
     const nowMs = clock.nowMs();
-    const pausedMs = nowMs - heartbeatsAtMs - heartbeatIntervalMs;
-    heartbeatsAtMs = nowMs;
-    if (pausedMs > lostAfterMs / 2) {
+    const pausedMs = pauses.takePauseMs();
+    if (pausedMs > 0) {
       // This process was paused: the silence says nothing about the others.
       logger.log(logEvents.processPaused, { pausedMs: Math.round(pausedMs) });
       for (const member of members.values()) member.lastSeenAtMs = nowMs;
--- a/src/membership/seed_membership.ts
+++ b/src/membership/seed_membership.ts
@@ -9,6 +9,7 @@
  * the number of control instances.
  */
 import type { Clock } from "../core/clock.ts";
+import { createPauseDetector } from "../core/pause_detector.ts";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Task } from "../core/supervisor.ts";
@@ -83,7 +84,11 @@
   let self = options.self;
   let seedIds = new Set(options.seedIds);
   const members = new Map<InstanceId, Member>();
-  let heartbeatsAtMs = clock.nowMs();
+  const pauses = createPauseDetector({
+    clock,
+    intervalMs: heartbeatIntervalMs,
+    limitMs: lostAfterMs / 2,
+  });
   let reportedEntryCount = 0;
   let isTelling = false;
   for (const seedId of seedIds) addControl(seedId);
@@ -189,9 +194,8 @@
 
   function sendHeartbeats(): void {
     const nowMs = clock.nowMs();
-    const pausedMs = nowMs - heartbeatsAtMs - heartbeatIntervalMs;
-    heartbeatsAtMs = nowMs;
-    if (pausedMs > lostAfterMs / 2) {
+    const pausedMs = pauses.takePauseMs();
+    if (pausedMs > 0) {
       // This process was paused: the silence says nothing about the others.
       logger.log(logEvents.processPaused, { pausedMs: Math.round(pausedMs) });
       for (const member of members.values()) member.lastSeenAtMs = nowMs;
