Show upstreams that a ticket marks as leaving as leaving

Cause: `apricotyoke upstreams` derived the state from the listed state and from what the upstream reports of itself, not from the mark that operators set with a ticket, although instances already obey it.

Change: the rows are built in upstream_rows.ts, which the tool's test can import, and consider the mark.

--- a/src/cli/state_commands.ts
+++ b/src/cli/state_commands.ts
@@ -6,6 +6,7 @@
 import type { Configuration } from "../control/configuration.ts";
 import { type AdminClient, ExitCode } from "./admin_client.ts";
 import { AdminCommand, exitCodeDetails, formatTable } from "./admin_command.ts";
+import { formatUpstreams, type ShownUpstream } from "./upstream_rows.ts";
 
 interface ShownInstance {
   readonly instanceId: string;
@@ -15,17 +16,6 @@
   readonly revision: number;
 }
 
-interface ShownUpstream {
-  readonly upstreamId: string;
-  readonly kind: string;
-  readonly service: string;
-  readonly version: string;
-  readonly domainId: string;
-  readonly state: string;
-  readonly inFlightCount: number;
-  readonly isLeavingReported: boolean;
-}
-
 interface ShownStatus {
   readonly instance: { readonly instanceId: string; readonly state: string };
   readonly answers: Readonly<Record<string, unknown>>;
@@ -105,15 +95,7 @@
               "STATE",
               "OPEN",
             ],
-            (body as { upstreams: ShownUpstream[] }).upstreams.map((entry) => [
-              entry.upstreamId,
-              entry.kind,
-              entry.service,
-              entry.version || "-",
-              entry.domainId,
-              entry.isLeavingReported ? "leaving" : entry.state,
-              entry.inFlightCount,
-            ]),
+            formatUpstreams((body as { upstreams: ShownUpstream[] }).upstreams),
           )),
       (failure) => this.fail(failure),
     );
