--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -289,5 +289,10 @@
     "request for a KV cache copy of a stream ended; see the outcome",
   ),
   streamEnded: event(7209, Info, "stream ended"),
+  streamResumed: event(
+    7211,
+    Info,
+    "first event of a stream after the loss of an attempt",
+  ),
   retryRefused: event(7103, Info, "retry refused by the retry budget"),
 } as const satisfies Record<string, LogEvent>;
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -93,6 +93,7 @@
   let lastEventId = description.lastEventId;
   let eventCount = 0;
   let ranCount = 0;
+  let attemptCount = 0;
   let waitingSinceMs: number | undefined;
   let waitTimer: NodeJS.Timeout | undefined;
   let run: StreamAttempt | undefined;
@@ -222,6 +223,7 @@
       errorBody: [],
     };
     run = started;
+    attemptCount += 1;
     context.recordPlacement();
     logger.log(logEvents.streamPlaced, {
       request: requestId,
@@ -338,6 +340,16 @@
         clock.nowMs() - current.startedAtMs,
       );
     }
+    if (current.lastEventAtMs === undefined && attemptCount > 1) {
+      logger.log(logEvents.streamResumed, {
+        request: requestId,
+        engine: current.upstream.info.upstreamId,
+        hasCopy: current.prefillTokens === 0,
+        attemptMs: Math.round(clock.nowMs() - current.startedAtMs),
+        eventId,
+        lastEventId,
+      });
+    }
     recordEventTime();
     current.lastEventAtMs = lastEventAtMs;
     if (eventId !== undefined && lastEventId !== undefined) {
