Report a stream that ran as failed when no engine is left

Cause: a resumable stream that had run and then found no engine was answered with the status that promises that it has not run.

Change: such a stream is reported as failed at its upstream. Callers may still repeat it, since streams of these routes may be resumed.

--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -172,7 +172,10 @@
     triedIds.clear();
     const isWaitOver = nowMs - waitingSinceMs >= maxEngineWaitMs;
     if (listedCount === 0 || isWaitOver) {
-      failStream(ErrorKind.NoUpstream, "no engine is available");
+      failStream(
+        ranCount > 0 ? ErrorKind.UpstreamFailed : ErrorKind.NoUpstream,
+        "no engine is available",
+      );
       return;
     }
     waitTimer = setTimeout(placeAttempt, enginePollIntervalMs);
