Resume from a copy although its failure domain is suspected

Change: only the holder's own state counts. Trying a lost copy costs a refused connection or at most a connection timeout, while the prefill makes the stream late in any case.

--- a/src/forwarding/copy_manager.ts
+++ b/src/forwarding/copy_manager.ts
@@ -113,11 +113,10 @@
   function getUsableCopy(): UsableCopy | undefined {
     if (!copy || !isCopyAvailable(getCopyState())) return undefined;
     const { upstream: holder } = copy.copyLoad;
-    const { service, domainId } = holder.info;
-    const isSuspended = holder.suspendedUntilMs > clock.nowMs();
-    if (isSuspended || directory.isDomainSuspected(service, domainId)) {
-      return undefined;
-    }
+    // Losses of other engines in the holder's failure domain are no reason to
+    // give up the copy: trying it costs at most a connection timeout, prefilling
+    // the prompt again a second or more.
+    if (holder.suspendedUntilMs > clock.nowMs()) return undefined;
     return { holder, source: copy.source };
   }
 
