Use restarted engines before the list names them

Cause: engines that crash come back after 1.2 s at the same address under another id, and the list says so seconds later.

Change: a refusal of a misdirected request states the id of who answers. That upstream is asked for its report. If it reports models, the service is the only one with engines, and one version is listed, it is used until the list names it or no longer names its predecessor; the predecessor gets no more requests. The instances pass successors on with their load summaries. A refusal alone is no proof: the address may belong to another service.

--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -23,6 +23,7 @@
   RequestKind,
 } from "../src/forwarding/forwarding_table.ts";
 import { createRouteTable } from "../src/forwarding/route_table.ts";
+import { createSuccessorDiscovery } from "../src/forwarding/successor_discovery.ts";
 import { createUpstreamConnections } from "../src/forwarding/upstream_connections.ts";
 import { createUpstreamDirectory } from "../src/forwarding/upstream_directory.ts";
 import { createRetryBudget } from "../src/limits/retry_budget.ts";
@@ -201,6 +202,8 @@
     canRouteToCandidates: () => true,
   });
   directory.update(upstreams.map(({ listed }) => listed));
+  let routes: ReturnType<typeof createRouteTable> | undefined =
+    createRouteTable(table, 1);
   const context: ForwardingContext = {
     clock,
     logger,
@@ -209,13 +212,18 @@
     protocol,
     connections,
     directory,
+    successors: createSuccessorDiscovery({
+      logger,
+      protocol,
+      connections,
+      directory,
+      getSoleEngineService: () => routes?.soleEngineService,
+    }),
     metrics: createForwardingMetrics(createMetricsRegistry()),
     recordPlacement: () => {},
     getUnreportedPlacementCount: () => 0,
     budget: createRetryBudget({ ratio: 1, initialUnits: 10, maxUnits: 10 }),
   };
-  let routes: ReturnType<typeof createRouteTable> | undefined =
-    createRouteTable(table, 1);
   const [port, readinessPort] = [await findFreePort(), await findFreePort()];
   const server = createEntryServer({
     context,
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -143,6 +143,16 @@
     Warn,
     "upstream suspended; it receives no new requests for a time",
   ),
+  upstreamSuccessorFound: event(
+    4205,
+    Info,
+    "engine restarted under another id; used before the list names it",
+  ),
+  successorNotConfirmed: event(
+    4206,
+    Info,
+    "another upstream has the address and is not known to be of the service",
+  ),
   versionMoveChanged: event(4204, Info, "progress of a version move proposed"),
   upstreamViewChanged: event(4201, Info, "upstream view changed"),
   upstreamListReadDirectly: event(
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -16,6 +16,7 @@
   type RouteTable,
 } from "../forwarding/route_table.ts";
 import { createPlacementEstimator } from "../forwarding/placement_estimator.ts";
+import { createSuccessorDiscovery } from "../forwarding/successor_discovery.ts";
 import { createUpstreamConnections } from "../forwarding/upstream_connections.ts";
 import { createUpstreamDirectory } from "../forwarding/upstream_directory.ts";
 import { createRetryBudget } from "../limits/retry_budget.ts";
@@ -91,14 +92,23 @@
       minBudgetUnits,
       bounds.retrySlack * budgetSafetyRatio / membership.getEntryCount(),
     );
+  const protocol = adapter.createForwardingProtocol();
+  const connections = createUpstreamConnections();
   const context: ForwardingContext = {
     clock,
     logger,
     random,
     domainId: settings.domainId,
-    protocol: adapter.createForwardingProtocol(),
-    connections: createUpstreamConnections(),
+    protocol,
+    connections,
     directory,
+    successors: createSuccessorDiscovery({
+      logger,
+      protocol,
+      connections,
+      directory,
+      getSoleEngineService: () => routes?.soleEngineService,
+    }),
     ...createPlacementEstimator({
       clock,
       // A load summary from control is half a second to a second old.
--- a/src/forwarding/domain_health.ts
+++ b/src/forwarding/domain_health.ts
@@ -8,6 +8,8 @@
 
 export interface DomainHealth {
   recordLoss(domainId: DomainId, upstreamId: UpstreamId, nowMs: number): void;
+  /** Records that lost upstreams of the domain are back. */
+  recordRecovery(domainId: DomainId): void;
   isSuspected(domainId: DomainId, nowMs: number): boolean;
 }
 
@@ -28,6 +30,10 @@
   const suspectedUntilMs = new Map<DomainId, number>();
   return {
     recordLoss,
+    recordRecovery: (domainId) => {
+      losses.delete(domainId);
+      suspectedUntilMs.delete(domainId);
+    },
     isSuspected: (domainId, nowMs) =>
       nowMs < (suspectedUntilMs.get(domainId) ?? -Infinity),
   };
--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -6,6 +6,7 @@
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import type { DomainId } from "../core/types.ts";
+import type { SuccessorDiscovery } from "./successor_discovery.ts";
 import type { RetryBudget } from "../limits/retry_budget.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { ForwardingMetrics } from "./forwarding_metrics.ts";
@@ -22,6 +23,7 @@
   readonly protocol: ForwardingProtocol;
   readonly connections: UpstreamConnections;
   readonly directory: UpstreamDirectory;
+  readonly successors: SuccessorDiscovery;
   readonly budget: RetryBudget;
   readonly metrics: ForwardingMetrics;
   /** Counts a stream that this instance has placed. */
--- a/src/forwarding/forwarding_protocol.ts
+++ b/src/forwarding/forwarding_protocol.ts
@@ -69,6 +69,8 @@
   readonly isEncoded: boolean;
   /** Another upstream has taken over the address. */
   readonly isMisdirected: boolean;
+  /** Id of the upstream that responded, if it states one. */
+  readonly responderId: UpstreamId | undefined;
   readonly load: ReportedLoad | undefined;
 }
 
@@ -112,6 +114,8 @@
   readonly usedMemoryTokens: number;
   readonly totalMemoryTokens: number;
   readonly isLeaving: boolean;
+  /** Whether the report names a model; only engines report models. */
+  readonly servesModel: boolean;
 }
 
 export interface ForwardingProtocol {
--- a/src/forwarding/forwarding_steps.ts
+++ b/src/forwarding/forwarding_steps.ts
@@ -45,7 +45,7 @@
 
 /** Classifies a response head and records what it shows about the upstream. */
 export function classifyHead(
-  { protocol, directory, connections }: ForwardingContext,
+  { protocol, directory, connections, successors }: ForwardingContext,
   { info }: Upstream,
   { requestId, status, headers }: {
     readonly requestId: string;
@@ -62,6 +62,7 @@
   if (response.isMisdirected) {
     directory.recordAddressReuse(upstreamId);
     connections.closeIdle(host, port);
+    successors.handleMisdirected(info, response.responderId);
     return HeadClass.Misdirected;
   }
   if (response.isNotRun) {
--- a/src/forwarding/route_table.ts
+++ b/src/forwarding/route_table.ts
@@ -19,6 +19,8 @@
   findRoute(host: string, path: string): ForwardingRoute | undefined;
   findCustomer(apiKey: string): ForwardingCustomer | undefined;
   getService(name: string): ForwardingService | undefined;
+  /** The only service whose upstreams are model engines, if there is one. */
+  readonly soleEngineService: string | undefined;
 }
 
 export function createRouteTable(
@@ -33,6 +35,7 @@
   for (const customer of table.customers) {
     for (const key of customer.apiKeys) customers.set(key, customer);
   }
+  const engineServices = table.services.filter(({ engine }) => engine !== null);
   const services = new Map(table.services.map((entry) => [entry.name, entry]));
   return {
     revision,
@@ -41,6 +44,9 @@
     findRoute,
     findCustomer: (apiKey) => customers.get(apiKey),
     getService: (name) => services.get(name),
+    soleEngineService: engineServices.length === 1
+      ? engineServices[0]!.name
+      : undefined,
   };
 
   function findRoute(host: string, path: string): ForwardingRoute | undefined {
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -61,6 +61,14 @@
   release(): void;
 }
 
+/** An engine that restarted at the address of another id. */
+export interface Successor {
+  readonly predecessorId: UpstreamId;
+  readonly successorId: UpstreamId;
+  /** This instance confirmed it itself, so it tells the others. */
+  readonly isFoundHere: boolean;
+}
+
 export interface UpstreamDirectory {
   update(listed: readonly ListedUpstream[]): void;
   /**
@@ -89,6 +97,13 @@
   recordRefusal(upstreamId: UpstreamId): void;
   /** Records that another upstream has taken over the address. */
   recordAddressReuse(upstreamId: UpstreamId): void;
+  /**
+   * Uses the successor until the list names it or no longer names its
+   * predecessor, which gets no more requests.
+   */
+  addSuccessor(successor: Successor): void;
+  /** Number of versions of the service among its listed upstreams. */
+  countVersions(service: string): number;
   /** Prefill rates that this instance observed at engines of the service. */
   getPrefillRateTracker(service: string): PrefillRateTracker;
   /** Whether most upstreams of the service in the domain are probably lost. */
@@ -114,6 +129,8 @@
 
 type Mutable<T> = { -readonly [K in keyof T]: T[K] };
 interface Entry extends Mutable<Upstream> {
+  /** Set while the list names only the predecessor at this address. */
+  succeeds: Pick<Successor, "predecessorId" | "isFoundHere"> | undefined;
   consecutiveLosses: number;
   localLossAtMs: number;
 }
@@ -187,18 +204,13 @@
       const entry = entries.get(upstreamId);
       if (entry) suspend(entry, refusalSuspensionMs);
     },
-    recordAddressReuse: (upstreamId) => {
-      const entry = entries.get(upstreamId);
-      if (!entry) return;
-      const nowMs = clock.nowMs();
-      entry.lostAtMs = nowMs;
-      entry.localLossAtMs = nowMs;
-      suspend(entry, addressReuseSuspensionMs);
-      // The list is outdated, and other upstreams of the failure domain were
-      // replaced at the same time, so this counts as a loss in the domain.
-      const { service, domainId } = entry.info;
-      getDomainHealth(service).recordLoss(domainId, upstreamId, nowMs);
-    },
+    recordAddressReuse,
+    addSuccessor,
+    countVersions: (service) =>
+      new Set(
+        [...entries.values()].filter(({ info }) => info.service === service)
+          .map(({ info }) => info.version),
+      ).size,
     getLocalLoadSummary,
     setRemoteLoadSummary,
     count: () => entries.size,
@@ -224,9 +236,48 @@
     return isCandidateTurn || fullShare.length === 0 ? candidates : fullShare;
   }
 
+  function recordAddressReuse(upstreamId: UpstreamId): void {
+    const entry = entries.get(upstreamId);
+    if (!entry) return;
+    const nowMs = clock.nowMs();
+    entry.lostAtMs = nowMs;
+    entry.localLossAtMs = nowMs;
+    suspend(entry, addressReuseSuspensionMs);
+    // The list is outdated, and other upstreams of the failure domain were
+    // replaced at the same time, so this counts as a loss in the domain.
+    const { service, domainId } = entry.info;
+    getDomainHealth(service).recordLoss(domainId, upstreamId, nowMs);
+  }
+
+  function addSuccessor(
+    { predecessorId, successorId, isFoundHere }: Successor,
+  ): void {
+    const predecessor = entries.get(predecessorId);
+    if (!predecessor || entries.has(successorId)) return;
+    suspend(predecessor, addressReuseSuspensionMs);
+    const { info } = predecessor;
+    if (info.isLeaving) return;
+    entries.set(successorId, {
+      ...createEntry({ ...info, upstreamId: successorId }),
+      succeeds: { predecessorId, isFoundHere },
+    });
+    // The engines of a failure domain crash together and restart together.
+    getDomainHealth(info.service).recordRecovery(info.domainId);
+    logger.log(logEvents.upstreamSuccessorFound, {
+      upstream: successorId,
+      predecessor: predecessorId,
+      isFoundHere,
+    });
+  }
+
   function getLocalLoadSummary(): EngineLoadSummary {
     const all = [...entries.values()];
     const oldestReportedLossAtMs = clock.nowMs() - lossReportMs;
+    const successors = all.flatMap(({ info, succeeds }) =>
+      succeeds?.isFoundHere
+        ? [[succeeds.predecessorId, info.upstreamId] as const]
+        : []
+    );
     return {
       loads: all.filter(({ memoryTokens }) => memoryTokens > 0)
         .map((entry) => [
@@ -239,10 +290,13 @@
         entry.localLossAtMs >= oldestReportedLossAtMs
       )
         .map(({ info }) => info.upstreamId),
+      ...(successors.length > 0 ? { successors } : {}),
     };
   }
 
-  function setRemoteLoadSummary({ loads, lostIds }: EngineLoadSummary): void {
+  function setRemoteLoadSummary(
+    { loads, lostIds, successors }: EngineLoadSummary,
+  ): void {
     const nowMs = clock.nowMs();
     remoteSummaryAtMs = nowMs;
     for (const entry of entries.values()) entry.others = zeroLoad;
@@ -259,6 +313,9 @@
       const { service, domainId } = entry.info;
       getDomainHealth(service).recordLoss(domainId, upstreamId, nowMs);
     }
+    for (const [predecessorId, successorId] of successors ?? []) {
+      addSuccessor({ predecessorId, successorId, isFoundHere: false });
+    }
   }
 
   /**
@@ -290,8 +347,9 @@
 
   function update(listed: readonly ListedUpstream[]): void {
     const listedIds = new Set(listed.map(({ upstreamId }) => upstreamId));
-    for (const upstreamId of entries.keys()) {
+    for (const [upstreamId, { succeeds }] of entries) {
       if (listedIds.has(upstreamId)) continue;
+      if (succeeds && listedIds.has(succeeds.predecessorId)) continue;
       entries.delete(upstreamId);
       logger.log(logEvents.upstreamRemoved, { upstream: upstreamId });
     }
@@ -314,6 +372,7 @@
       logger.log(logEvents.upstreamLeaving, { upstream: info.upstreamId });
     }
     entry.info = info;
+    entry.succeeds = undefined;
   }
 
   function trackRequest(upstreamId: UpstreamId): RequestLoad {
@@ -444,6 +503,7 @@
 function createEntry(info: ListedUpstream): Entry {
   return {
     info,
+    succeeds: undefined,
     inFlightCount: 0,
     memoryTokens: 0,
     unreadTokens: 0,
--- a/src/upstreams/engine_load_aggregator.ts
+++ b/src/upstreams/engine_load_aggregator.ts
@@ -24,6 +24,13 @@
   loads: z.array(loadEntrySchema).max(10_000),
   /** Engines that were lost recently. */
   lostIds: z.array(upstreamIdSchema).max(10_000),
+  /**
+   * Engines that restarted under another id, as former and new id. Absent in
+   * summaries of earlier builds.
+   */
+  successors: z.array(
+    z.tuple([upstreamIdSchema, upstreamIdSchema]).readonly(),
+  ).max(10_000).optional(),
 });
 
 export type LoadEntry = z.output<typeof loadEntrySchema>;
@@ -69,6 +76,7 @@
     const oldestMs = getNowMs() - maxReportAgeMs;
     const totals = new Map<UpstreamId, LoadEntry>();
     const lostIds = new Set<UpstreamId>();
+    const successors = new Map<UpstreamId, UpstreamId>();
     for (const [fromId, report] of reports) {
       if (report.atMs < oldestMs) {
         reports.delete(fromId);
@@ -77,8 +85,15 @@
       if (!includes(fromId, report)) continue;
       addToTotals(totals, report.summary.loads);
       for (const upstreamId of report.summary.lostIds) lostIds.add(upstreamId);
+      for (const [formerId, newId] of report.summary.successors ?? []) {
+        successors.set(formerId, newId);
+      }
     }
-    return { loads: [...totals.values()], lostIds: [...lostIds] };
+    return {
+      loads: [...totals.values()],
+      lostIds: [...lostIds],
+      ...(successors.size > 0 ? { successors: [...successors] } : {}),
+    };
   }
 }
 
--- a/src/upstreams/engine_load_aggregator_test.ts
+++ b/src/upstreams/engine_load_aggregator_test.ts
@@ -49,3 +49,15 @@
   nowMs = 1_600;
   expect(aggregator.aggregateOthers("f2")).toEqual({ loads: [], lostIds: [] });
 });
+
+test("restarted engines reach all instances, also through another control instance", () => {
+  const aggregatorA = createEngineLoadAggregator({ getNowMs: () => 0 });
+  const aggregatorB = createEngineLoadAggregator({ getNowMs: () => 0 });
+  const summary = { loads: [], lostIds: [] };
+  aggregatorA.record("f1", { ...summary, successors: [["e1", "e9"]] }, false);
+  // An instance of an earlier build reports no successors.
+  aggregatorA.record("f2", summary, false);
+  aggregatorB.record("controlA", aggregatorA.aggregateEntryReports(), true);
+  expect(aggregatorB.aggregateOthers("f3").successors).toEqual([["e1", "e9"]]);
+  expect(aggregatorA.aggregateOthers("f1")).toEqual(summary);
+});
