Compress large frames between instances and send load summaries only where they are read

Cause 1: after a configuration with 1,400 more routes every change sent the whole table, some 300 KB, to each entry instance.

Cause 2: every control instance answered every heartbeat of an entry instance with the loads of all engines, although the entry instance uses the summary of one control instance only.

Change: bodies of 8 KiB and more are deflated if the receiver announced that it accepts that, in the first frame of the connection, which earlier builds ignore. A control instance sends its summary only to instances that report to it.

--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -78,10 +78,16 @@
       }
     },
     assignShares: (listed) => assignShares(listed, stateMachine.moves.get),
-    getEngineLoadSummary: (to) =>
-      core.membership.getInstance(to)?.isControl
-        ? engineLoadAggregator.aggregateEntryReports()
-        : engineLoadAggregator.aggregateOthers(to),
+    getEngineLoadSummary: (to) => {
+      if (core.membership.getInstance(to)?.isControl) {
+        return engineLoadAggregator.aggregateEntryReports();
+      }
+      // An entry instance reports to one control instance and ignores the
+      // summaries of all others, so they send none.
+      return engineLoadAggregator.isReporting(to)
+        ? engineLoadAggregator.aggregateOthers(to)
+        : undefined;
+    },
     onEngineLoadSummary: ({ instanceId, isControl }, summary) =>
       engineLoadAggregator.record(instanceId, summary, isControl === true),
   });
--- a/src/peer/frame_codec_test.ts
+++ b/src/peer/frame_codec_test.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
 import process from "node:process";
+import { deflateRawSync } from "node:zlib";
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import {
@@ -64,4 +65,41 @@
     expect(createFrameDecoder().push(frame).isErr()).toBe(true);
     expect(process.memoryUsage().rss - usedBefore).toBeLessThan(64 << 20);
   });
+
+  it("reads compressed and plain frames in any mixture", () => {
+    const routes = Array.from({ length: 1_400 }, (_, index) => ({
+      name: `route-${index}`,
+      host: `host-${index}.example`,
+      pathPrefix: `/path-${index}/`,
+      timeoutMs: 25_000,
+    }));
+    const plain = encodeFrame({ routes })._unsafeUnwrap();
+    const compressed = encodeFrame({ routes }, { mayCompress: true })
+      ._unsafeUnwrap();
+    expect(compressed.length).toBeLessThan(plain.length / 5);
+    const small = encodeFrame({ small: true }, { mayCompress: true })
+      ._unsafeUnwrap();
+    expect(small).toEqual(encodeFrame({ small: true })._unsafeUnwrap());
+    const bytes = Buffer.concat([compressed, small, plain, compressed]);
+    const decoder = createFrameDecoder();
+    const values = [];
+    for (let at = 0; at < bytes.length; at += 1_000) {
+      const chunk = bytes.subarray(at, at + 1_000);
+      values.push(...decoder.push(chunk)._unsafeUnwrap());
+    }
+    expect(values).toEqual([
+      { routes },
+      { small: true },
+      { routes },
+      { routes },
+    ]);
+  });
+
+  it("rejects a compressed body that would inflate beyond the limit", () => {
+    const bomb = deflateRawSync(Buffer.alloc(maxFrameBytes + 1));
+    const frame = Buffer.alloc(4 + bomb.length);
+    frame.writeUInt32BE(0x8000_0000 + bomb.length);
+    frame.set(bomb, 4);
+    expect(createFrameDecoder().push(frame).isErr()).toBe(true);
+  });
 });
--- a/src/peer/peer_client.ts
+++ b/src/peer/peer_client.ts
@@ -16,7 +16,12 @@
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
 import type { InstanceId } from "../core/types.ts";
-import { createFrameDecoder, encodeFrame } from "./frame_codec.ts";
+import {
+  createFrameDecoder,
+  encodeFrame,
+  helloFrame,
+  isHello,
+} from "./frame_codec.ts";
 import {
   type PeerCallKind,
   peerCalls,
@@ -65,6 +70,8 @@
   readonly socket: tls.TLSSocket;
   readonly address: PeerAddress;
   readonly pending: Map<number, (reply: Result<unknown, SystemError>) => void>;
+  /** The peer announced that it accepts compressed frames. */
+  acceptsCompressedFrames: boolean;
 }
 
 /** Limit of unsent bytes on a slow connection, beyond which calls fail. */
@@ -115,7 +122,9 @@
       );
     }
     const callId = nextCallId++;
-    const frame = encodeFrame({ callId, kind, body });
+    const frame = encodeFrame({ callId, kind, body }, {
+      mayCompress: connection.acceptsCompressedFrames,
+    });
     if (frame.isErr()) return Promise.resolve(err(frame.error));
     if (connection.socket.writableLength > maxUnsentBytes) {
       return Promise.resolve(
@@ -170,7 +179,13 @@
       // The pre-shared key authenticates the server, which has no certificate.
       checkServerIdentity: () => undefined,
     });
-    const connection: Connection = { socket, address, pending: new Map() };
+    const connection: Connection = {
+      socket,
+      address,
+      pending: new Map(),
+      acceptsCompressedFrames: false,
+    };
+    socket.write(encodeFrame(helloFrame)._unsafeUnwrap());
     const decoder = createFrameDecoder();
     let isEstablished = false;
     const connectTimer = setTimeout(() => socket.destroy(), connectTimeoutMs);
@@ -214,6 +229,10 @@
   }
 
   function handleReply(connection: Connection, value: unknown): void {
+    if (isHello(value)) {
+      connection.acceptsCompressedFrames = true;
+      return;
+    }
     const envelope = value as {
       callId?: number;
       reply?: unknown;
--- a/src/peer/peer_client_test.ts
+++ b/src/peer/peer_client_test.ts
@@ -2,12 +2,16 @@
  * Tests of the peer client and the peer server over real TLS connections.
  */
 import { Buffer } from "node:buffer";
-import { connect as connectTls } from "node:tls";
+import type { AddressInfo } from "node:net";
+import {
+  connect as connectTls,
+  createServer as createTlsServer,
+} from "node:tls";
 import { ok, okAsync } from "neverthrow";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { createSilentLogger } from "../core/logger.ts";
 import { InstanceState } from "../core/types.ts";
-import { encodeFrame } from "./frame_codec.ts";
+import { createFrameDecoder, encodeFrame, isHello } from "./frame_codec.ts";
 import { type Heartbeat, PeerCallKind } from "./messages.ts";
 import { createPeerClient, type PeerClient } from "./peer_client.ts";
 import {
@@ -15,7 +19,11 @@
   type PeerServer,
   startPeerServer,
 } from "./peer_server.ts";
-import { commonTlsOptions, getClientPskCallback } from "./peer_tls.ts";
+import {
+  commonTlsOptions,
+  getClientPskCallback,
+  getServerPskCallback,
+} from "./peer_tls.ts";
 
 const keys = [{ keyId: "k", keyHex: "ab".repeat(16) }];
 const logger = createSilentLogger();
@@ -102,17 +110,15 @@
       { callId: NaN, kind: "takeOver", body: null },
     ].map((value) => encodeFrame(value)._unsafeUnwrap());
     for (const frame of [...frames, Buffer.from("GET / HTTP/1.1\r\n\r\n")]) {
-      const socket = connectTls({
-        ...commonTlsOptions,
-        port: server.port,
-        host: "127.0.0.1",
-        pskCallback: getClientPskCallback(keys),
-        checkServerIdentity: () => undefined,
-      });
+      const socket = connectEarlierBuild();
       socket.on("error", () => {});
       await new Promise<void>((resolve) => {
         socket.once("secureConnect", () => socket.write(frame));
-        socket.once("data", () => resolve());
+        const decoder = createFrameDecoder();
+        socket.on("data", (chunk: Buffer) => {
+          const values = decoder.push(chunk)._unsafeUnwrap();
+          if (!values.every(isHello)) resolve();
+        });
         socket.once("close", () => resolve());
       });
       socket.destroy();
@@ -124,4 +130,91 @@
     expect(failed.isErr()).toBe(true);
     expect((await sendHeartbeat(1_000)).isOk()).toBe(true);
   });
+
+  /** A connection of an instance of an earlier build, which sends no hello. */
+  function connectEarlierBuild() {
+    return connectTls({
+      ...commonTlsOptions,
+      port: server.port,
+      host: "127.0.0.1",
+      pskCallback: getClientPskCallback(keys),
+      checkServerIdentity: () => undefined,
+    });
+  }
+
+  const largeHeartbeat = {
+    ...heartbeat,
+    controlIds: Array.from({ length: 100 }, () => "c".repeat(200)),
+  };
+
+  it("compresses large frames in both directions after the hello", async () => {
+    await sendHeartbeat(1_000);
+    const before = client.getTraffic();
+    const reply = await client.call("b", PeerCallKind.Heartbeat, {
+      body: largeHeartbeat,
+      timeoutMs: 1_000,
+    });
+    expect(reply._unsafeUnwrap()).toEqual(largeHeartbeat);
+    const after = client.getTraffic();
+    expect(after.sentBytes - before.sentBytes).toBeLessThan(2_000);
+    expect(after.receivedBytes - before.receivedBytes).toBeLessThan(2_000);
+  });
+
+  it("sends plain frames to a client of an earlier build", async () => {
+    const socket = connectEarlierBuild();
+    const request = { callId: 1, kind: "heartbeat", body: largeHeartbeat };
+    socket.write(encodeFrame(request)._unsafeUnwrap());
+    let received = Buffer.alloc(0);
+    const decoder = createFrameDecoder();
+    const reply = await new Promise((resolve) => {
+      socket.on("data", (chunk: Buffer) => {
+        received = Buffer.concat([received, chunk]);
+        const values = decoder.push(chunk)._unsafeUnwrap();
+        const value = values.find((entry) => !isHello(entry));
+        if (value) resolve(value);
+      });
+    });
+    socket.destroy();
+    expect(reply).toEqual({ callId: 1, reply: largeHeartbeat });
+    expect(received.length).toBeGreaterThan(20_000);
+  });
+
+  it("sends plain frames to a server of an earlier build", async () => {
+    let receivedBytes = 0;
+    const earlier = createTlsServer({
+      ...commonTlsOptions,
+      pskCallback: getServerPskCallback(keys),
+    }, (socket) => {
+      const decoder = createFrameDecoder();
+      socket.on("error", () => {});
+      socket.on("data", (chunk: Buffer) => {
+        receivedBytes += chunk.length;
+        for (const value of decoder.push(chunk)._unsafeUnwrap()) {
+          const { callId, kind, body } = value as Record<string, unknown>;
+          const reply = kind === "heartbeat"
+            ? { callId, reply: body }
+            : { callId, error: { kind: "protocolError", message: "unknown" } };
+          socket.write(encodeFrame(reply)._unsafeUnwrap());
+        }
+      });
+    });
+    await new Promise<void>((done) => earlier.listen(0, "127.0.0.1", done));
+    const { port } = earlier.address() as AddressInfo;
+    const newer = createPeerClient({
+      keys,
+      logger,
+      getAddress: () => ({ host: "127.0.0.1", port }),
+      onConnectionLost: () => {},
+    });
+    for (let count = 0; count < 2; count++) {
+      const reply = await newer.call("b", PeerCallKind.Heartbeat, {
+        body: largeHeartbeat,
+        timeoutMs: 1_000,
+      });
+      expect(reply._unsafeUnwrap()).toEqual(largeHeartbeat);
+    }
+    expect(receivedBytes).toBeGreaterThan(40_000);
+    newer.close();
+    await new Promise((done) => earlier.close(done));
+  });
 });
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -13,7 +13,13 @@
 } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
-import { createFrameDecoder, encodeFrame } from "./frame_codec.ts";
+import {
+  createFrameDecoder,
+  encodeFrame,
+  type FrameOptions,
+  helloFrame,
+  isHello,
+} from "./frame_codec.ts";
 import {
   PeerCallKind,
   peerCalls,
@@ -89,6 +95,8 @@
     sockets.add(socket);
     socket.setNoDelay(true);
     const decoder = createFrameDecoder();
+    let mayCompress = false;
+    socket.write(encodeFrame(helloFrame)._unsafeUnwrap());
     socket.on("close", () => sockets.delete(socket));
     socket.on("error", () => socket.destroy());
     socket.on("data", (chunk: Buffer) => {
@@ -98,13 +106,17 @@
         socket.destroy();
         return;
       }
-      for (const value of decoded.value) void handleRequest(socket, value);
+      for (const value of decoded.value) {
+        if (isHello(value)) mayCompress = true;
+        else void handleRequest(socket, value, { mayCompress });
+      }
     });
   }
 
   async function handleRequest(
     socket: tls.TLSSocket,
     value: unknown,
+    frameOptions: FrameOptions,
   ): Promise<void> {
     const envelope = value as { callId?: unknown; kind?: unknown } | null;
     const callId = envelope?.callId;
@@ -121,7 +133,7 @@
     const body = reply.isOk()
       ? { callId, reply: reply.value }
       : { callId, error: toErrorRecord(reply.error) };
-    const frame = encodeFrame(body).orElse((error) =>
+    const frame = encodeFrame(body, frameOptions).orElse((error) =>
       encodeFrame({ callId, error: toErrorRecord(error) })
     );
     if (frame.isOk()) socket.write(frame.value);
--- a/src/upstreams/engine_load_aggregator.ts
+++ b/src/upstreams/engine_load_aggregator.ts
@@ -42,6 +42,8 @@
     summary: EngineLoadSummary,
     isControl: boolean,
   ): void;
+  /** Whether the instance has recently reported to this control instance. */
+  isReporting(instanceId: InstanceId): boolean;
   /** The sum of the reports of all instances but one. */
   aggregateOthers(exceptId: InstanceId): EngineLoadSummary;
   /** The sum of what entry instances reported to this control instance. */
@@ -65,6 +67,11 @@
     record: (fromId, summary, isControl) => {
       reports.set(fromId, { summary, atMs: getNowMs(), isControl });
     },
+    isReporting: (instanceId) => {
+      const report = reports.get(instanceId);
+      return report !== undefined &&
+        getNowMs() - report.atMs <= maxReportAgeMs;
+    },
     aggregateOthers: (exceptId) => aggregate((fromId) => fromId !== exceptId),
     aggregateEntryReports: () =>
       aggregate((_fromId, { isControl }) => !isControl),
--- a/src/upstreams/engine_load_aggregator_test.ts
+++ b/src/upstreams/engine_load_aggregator_test.ts
@@ -61,3 +61,13 @@
   expect(aggregatorB.aggregateOthers("f3").successors).toEqual([["e1", "e9"]]);
   expect(aggregatorA.aggregateOthers("f1")).toEqual(summary);
 });
+
+test("an entry instance counts as reporting only at the control instance it reports to", () => {
+  let nowMs = 0;
+  const aggregator = createEngineLoadAggregator({ getNowMs: () => nowMs });
+  aggregator.record("f1", { loads: [], lostIds: [] }, false);
+  expect(aggregator.isReporting("f1")).toBe(true);
+  expect(aggregator.isReporting("f2")).toBe(false);
+  nowMs = 10_000;
+  expect(aggregator.isReporting("f1")).toBe(false);
+});
