Keep the sums of load summaries up to date instead of adding them up for each reply

Cause: a control instance added up the reports of all entry instances for each heartbeat of each of them, so its work grew with the square of the fleet.

Change: the sums are kept while reports arrive and expire; a reply subtracts the receiver's own report. A property test compares them with the plain sums. The existing test of the exchange compared the entries in the order of their arrival, which has no meaning; it now compares all of them, sorted.

--- a/src/upstreams/engine_load_aggregator.ts
+++ b/src/upstreams/engine_load_aggregator.ts
@@ -6,9 +6,13 @@
  * Each entry instance reports its summary with its heartbeats to one control
  * instance, which replies with the sum of all others. Control instances
  * exchange the sums of the summaries that entry instances reported to them.
+ *
+ * The sums are kept up to date with each report, so that a reply does not cost
+ * more with every instance.
  */
 import * as z from "zod";
-import type { InstanceId, UpstreamId } from "../core/types.ts";
+import type { InstanceId } from "../core/types.ts";
+import { createLoadTotals } from "./load_totals.ts";
 
 const upstreamIdSchema = z.string().min(1).max(200);
 
@@ -62,62 +66,44 @@
 export function createEngineLoadAggregator(
   { getNowMs }: { getNowMs(): number },
 ): EngineLoadAggregator {
+  /** Oldest first, because a new report is inserted at the end. */
   const reports = new Map<InstanceId, Report>();
+  const allTotals = createLoadTotals();
+  const entryTotals = createLoadTotals();
   return {
     record: (fromId, summary, isControl) => {
+      remove(fromId);
       reports.set(fromId, { summary, atMs: getNowMs(), isControl });
+      allTotals.add(summary);
+      if (!isControl) entryTotals.add(summary);
     },
     isReporting: (instanceId) => {
-      const report = reports.get(instanceId);
-      return report !== undefined &&
-        getNowMs() - report.atMs <= maxReportAgeMs;
+      removeOutdated();
+      return reports.has(instanceId);
+    },
+    aggregateOthers: (exceptId) => {
+      removeOutdated();
+      return allTotals.getSummaryWithout(reports.get(exceptId)?.summary);
+    },
+    aggregateEntryReports: () => {
+      removeOutdated();
+      return entryTotals.getSummaryWithout(undefined);
     },
-    aggregateOthers: (exceptId) => aggregate((fromId) => fromId !== exceptId),
-    aggregateEntryReports: () =>
-      aggregate((_fromId, { isControl }) => !isControl),
   };
 
-  function aggregate(
-    includes: (fromId: InstanceId, report: Report) => boolean,
-  ): EngineLoadSummary {
+  function removeOutdated(): void {
     const oldestMs = getNowMs() - maxReportAgeMs;
-    const totals = new Map<UpstreamId, LoadEntry>();
-    const lostIds = new Set<UpstreamId>();
-    const successors = new Map<UpstreamId, UpstreamId>();
-    for (const [fromId, report] of reports) {
-      if (report.atMs < oldestMs) {
-        reports.delete(fromId);
-        continue;
-      }
-      if (!includes(fromId, report)) continue;
-      addToTotals(totals, report.summary.loads);
-      for (const upstreamId of report.summary.lostIds) lostIds.add(upstreamId);
-      for (const [formerId, newId] of report.summary.successors ?? []) {
-        successors.set(formerId, newId);
-      }
+    for (const [fromId, { atMs }] of reports) {
+      if (atMs >= oldestMs) return;
+      remove(fromId);
     }
-    return {
-      loads: [...totals.values()],
-      lostIds: [...lostIds],
-      ...(successors.size > 0 ? { successors: [...successors] } : {}),
-    };
   }
-}
 
-function addToTotals(
-  totals: Map<UpstreamId, LoadEntry>,
-  entries: readonly LoadEntry[],
-): void {
-  for (
-    const [upstreamId, running, uncachedPromptTokens, memoryTokenCount]
-      of entries
-  ) {
-    const total = totals.get(upstreamId) ?? [upstreamId, 0, 0, 0];
-    totals.set(upstreamId, [
-      upstreamId,
-      total[1] + running,
-      total[2] + uncachedPromptTokens,
-      total[3] + memoryTokenCount,
-    ]);
+  function remove(fromId: InstanceId): void {
+    const report = reports.get(fromId);
+    if (!report) return;
+    reports.delete(fromId);
+    allTotals.subtract(report.summary);
+    if (!report.isControl) entryTotals.subtract(report.summary);
   }
 }
--- a/src/upstreams/engine_load_aggregator_test.ts
+++ b/src/upstreams/engine_load_aggregator_test.ts
@@ -1,5 +1,9 @@
+import fc from "fast-check";
 import { expect, test } from "vitest";
-import { createEngineLoadAggregator } from "./engine_load_aggregator.ts";
+import {
+  createEngineLoadAggregator,
+  type EngineLoadSummary,
+} from "./engine_load_aggregator.ts";
 
 test("each entry instance receives the load of all others, also of those at other control instances", () => {
   const nowMs = 0;
@@ -25,7 +29,8 @@
     loads: [["e1", 2, 0, 18_000], ["e2", 2, 500, 18_000]],
     lostIds: ["e7"],
   });
-  expect(aggregatorB.aggregateOthers("f3").loads).toEqual([
+  // The order of the entries has no meaning.
+  expect([...aggregatorB.aggregateOthers("f3").loads].sort()).toEqual([
     ["e1", 3, 8_000, 27_000],
     ["e2", 1, 0, 9_000],
   ]);
@@ -71,3 +76,62 @@
   nowMs = 10_000;
   expect(aggregator.isReporting("f1")).toBe(false);
 });
+
+const idArbitrary = fc.constantFrom("e1", "e2", "e3");
+const summaryArbitrary = fc.record({
+  loads: fc.uniqueArray(
+    fc.tuple(idArbitrary, fc.nat(9), fc.nat(90_000), fc.nat(90_000)),
+    { selector: ([upstreamId]) => upstreamId },
+  ),
+  lostIds: fc.uniqueArray(idArbitrary),
+});
+const stepArbitrary = fc.record({
+  fromId: fc.constantFrom("f1", "f2", "f3", "c2"),
+  summary: summaryArbitrary,
+  passedMs: fc.nat(900),
+});
+
+/** Adds up all reports anew, which is what the kept sums must equal. */
+function addUp(summaries: readonly EngineLoadSummary[]) {
+  const loads = new Map<string, number[]>();
+  for (const [upstreamId, ...values] of summaries.flatMap((one) => one.loads)) {
+    const sums = loads.get(upstreamId) ?? [0, 0, 0];
+    loads.set(upstreamId, sums.map((sum, index) => sum + values[index]!));
+  }
+  const lostIds = new Set(summaries.flatMap((one) => one.lostIds));
+  return {
+    loads: [...loads].map(([upstreamId, sums]) => [upstreamId, ...sums]).sort(),
+    lostIds: [...lostIds].sort(),
+  };
+}
+
+test("the kept sums equal the sums of all reports after any order of reports and pauses", () => {
+  fc.assert(fc.property(fc.array(stepArbitrary), (steps) => {
+    let nowMs = 0;
+    const aggregator = createEngineLoadAggregator({ getNowMs: () => nowMs });
+    const reports = new Map<
+      string,
+      { summary: EngineLoadSummary; atMs: number }
+    >();
+    for (const { fromId, summary, passedMs } of steps) {
+      nowMs += passedMs;
+      aggregator.record(fromId, summary, fromId === "c2");
+      reports.set(fromId, { summary, atMs: nowMs });
+      const recent = [...reports].filter(([, { atMs }]) =>
+        nowMs - atMs <= 1_500
+      );
+      const select = (isIncluded: (id: string) => boolean) =>
+        addUp(
+          recent.filter(([id]) => isIncluded(id)).map(([, one]) => one.summary),
+        );
+      const sort = ({ loads, lostIds }: EngineLoadSummary) => ({
+        loads: [...loads].sort(),
+        lostIds: [...lostIds].sort(),
+      });
+      expect(sort(aggregator.aggregateOthers("f1")))
+        .toEqual(select((id) => id !== "f1"));
+      expect(sort(aggregator.aggregateEntryReports()))
+        .toEqual(select((id) => id !== "c2"));
+    }
+  }));
+});
--- /dev/null
+++ b/src/upstreams/load_totals.ts
@@ -0,0 +1,123 @@
+/**
+ * Sums of load summaries that are kept up to date while summaries are added and
+ * subtracted. Every summary that is subtracted must have been added before.
+ */
+import type { UpstreamId } from "../core/types.ts";
+import type { EngineLoadSummary, LoadEntry } from "./engine_load_aggregator.ts";
+
+export interface LoadTotals {
+  add(summary: EngineLoadSummary): void;
+  subtract(summary: EngineLoadSummary): void;
+  /** The sum of all added summaries, without the given one of them. */
+  getSummaryWithout(excepted: EngineLoadSummary | undefined): EngineLoadSummary;
+}
+
+interface LoadTotal {
+  /** Number of summaries that contain the upstream. */
+  summaryCount: number;
+  runningCount: number;
+  uncachedTokens: number;
+  memoryTokens: number;
+}
+
+interface SuccessorTotal {
+  readonly formerId: UpstreamId;
+  readonly newId: UpstreamId;
+  summaryCount: number;
+}
+
+export function createLoadTotals(): LoadTotals {
+  const loads = new Map<UpstreamId, LoadTotal>();
+  const lossCounts = new Map<UpstreamId, number>();
+  const successors = new Map<string, SuccessorTotal>();
+  return {
+    add: (summary) => apply(summary, 1),
+    subtract: (summary) => apply(summary, -1),
+    getSummaryWithout,
+  };
+
+  function apply(summary: EngineLoadSummary, sign: 1 | -1): void {
+    for (const entry of summary.loads) applyLoad(entry, sign);
+    for (const upstreamId of summary.lostIds) {
+      const count = (lossCounts.get(upstreamId) ?? 0) + sign;
+      if (count > 0) lossCounts.set(upstreamId, count);
+      else lossCounts.delete(upstreamId);
+    }
+    for (const [formerId, newId] of summary.successors ?? []) {
+      const key = getSuccessorKey(formerId, newId);
+      const total = successors.get(key) ??
+        { formerId, newId, summaryCount: 0 };
+      total.summaryCount += sign;
+      if (total.summaryCount > 0) successors.set(key, total);
+      else successors.delete(key);
+    }
+  }
+
+  function applyLoad(
+    [upstreamId, runningCount, uncachedTokens, memoryTokens]: LoadEntry,
+    sign: 1 | -1,
+  ): void {
+    const total = loads.get(upstreamId) ?? {
+      summaryCount: 0,
+      runningCount: 0,
+      uncachedTokens: 0,
+      memoryTokens: 0,
+    };
+    total.summaryCount += sign;
+    total.runningCount += sign * runningCount;
+    // Whole tokens, so that the sum of all added and subtracted values is exact.
+    total.uncachedTokens += sign * Math.round(uncachedTokens);
+    total.memoryTokens += sign * Math.round(memoryTokens);
+    if (total.summaryCount > 0) loads.set(upstreamId, total);
+    else loads.delete(upstreamId);
+  }
+
+  function getSummaryWithout(
+    excepted: EngineLoadSummary | undefined,
+  ): EngineLoadSummary {
+    const without = createIndex(excepted);
+    const remainingLoads: LoadEntry[] = [];
+    for (const [upstreamId, total] of loads) {
+      const own = without.loads.get(upstreamId);
+      if (own && total.summaryCount === 1) continue;
+      remainingLoads.push([
+        upstreamId,
+        total.runningCount - (own?.[1] ?? 0),
+        total.uncachedTokens - Math.round(own?.[2] ?? 0),
+        total.memoryTokens - Math.round(own?.[3] ?? 0),
+      ]);
+    }
+    const remainingSuccessors = [...successors].filter(([key, total]) =>
+      total.summaryCount > 1 || !without.successorKeys.has(key)
+    );
+    return {
+      loads: remainingLoads,
+      lostIds: [...lossCounts].filter(([upstreamId, count]) =>
+        count > 1 || !without.lostIds.has(upstreamId)
+      ).map(([upstreamId]) => upstreamId),
+      ...(remainingSuccessors.length > 0
+        ? {
+          successors: remainingSuccessors.map((
+            [, { formerId, newId }],
+          ): [UpstreamId, UpstreamId] => [formerId, newId]),
+        }
+        : {}),
+    };
+  }
+}
+
+function createIndex(summary: EngineLoadSummary | undefined) {
+  return {
+    loads: new Map(summary?.loads.map((entry) => [entry[0], entry])),
+    lostIds: new Set(summary?.lostIds),
+    successorKeys: new Set(
+      summary?.successors?.map(([formerId, newId]) =>
+        getSuccessorKey(formerId, newId)
+      ),
+    ),
+  };
+}
+
+function getSuccessorKey(formerId: UpstreamId, newId: UpstreamId): string {
+  return `${formerId}\n${newId}`;
+}
