Read what has arrived before a timeout counts as a loss

Cause: the event loop runs timers before it reads sockets. On a busy instance the timeout of a probe fired although the engine's report was already in the socket's buffer, and all streams of a sound engine were moved. The same holds for connection timeouts and for the check of silent streams.

Change: these timeouts act after the sockets were read.

Measured: the new test fails before ("no report in 120 ms") and passes after; an engine that sends no report is still considered lost.

--- a/src/forwarding/copy_manager.ts
+++ b/src/forwarding/copy_manager.ts
@@ -6,6 +6,7 @@
  */
 import { Buffer } from "node:buffer";
 import { logEvents } from "../core/log_events.ts";
+import { setTimeoutAfterReads } from "../core/timeout_after_reads.ts";
 import { decideCopy, isCopyAvailable } from "./copy_decisions.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { KvCacheCopy, ProtocolCall } from "./forwarding_protocol.ts";
@@ -225,7 +226,7 @@
       onEnd: () => answer(status),
       onFailure: () => answer(0),
     });
-    const timer = setTimeout(() => {
+    const cancelTimeout = setTimeoutAfterReads(() => {
       exchange.cancel();
       answer(0);
     }, copyTimeoutMs);
@@ -233,7 +234,7 @@
     function answer(finalStatus: number): void {
       if (isFinished) return;
       isFinished = true;
-      clearTimeout(timer);
+      cancelTimeout();
       onResponse(finalStatus, Buffer.concat(chunks));
     }
   }
--- a/src/forwarding/stream_monitor.ts
+++ b/src/forwarding/stream_monitor.ts
@@ -7,6 +7,7 @@
 import { createPauseDetector } from "../core/pause_detector.ts";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
+import { setTimeoutAfterReads } from "../core/timeout_after_reads.ts";
 import type { ForwardingProtocol } from "./forwarding_protocol.ts";
 import { decideOnSilence, SilenceDecision } from "./stream_decisions.ts";
 import type { UpstreamConnections } from "./upstream_connections.ts";
@@ -49,6 +50,7 @@
   const streams = new Set<MonitoredStream>();
   const probing = new Set<string>();
   let timer: NodeJS.Timeout | undefined;
+  let scheduledCheck: NodeJS.Immediate | undefined;
   const pauseDetector = createPauseDetector({
     clock,
     intervalMs: checkIntervalMs,
@@ -59,17 +61,23 @@
       streams.add(stream);
       if (timer) return;
       pauseDetector.reset();
-      timer = setInterval(check, checkIntervalMs);
+      timer = setInterval(scheduleCheck, checkIntervalMs);
     },
     remove: (stream) => {
       streams.delete(stream);
       if (streams.size > 0) return;
       clearInterval(timer);
+      clearImmediate(scheduledCheck);
       timer = undefined;
     },
     count: () => streams.size,
   };
 
+  /** Checks after the events that have already arrived were read. */
+  function scheduleCheck(): void {
+    scheduledCheck = setImmediate(check);
+  }
+
   function check(): void {
     const nowMs = clock.nowMs();
     const processPauseMs = pauseDetector.measurePauseMs();
@@ -123,7 +131,7 @@
       onEnd: () => end(undefined),
       onFailure: ({ reason }) => end(reason),
     });
-    const timeout = setTimeout(() => {
+    const cancelTimeout = setTimeoutAfterReads(() => {
       exchange.cancel();
       end(`no report in ${probeTimeoutMs} ms`);
     }, probeTimeoutMs);
@@ -131,7 +139,7 @@
     function end(failure: string | undefined): void {
       if (isEnded) return;
       isEnded = true;
-      clearTimeout(timeout);
+      cancelTimeout();
       probing.delete(upstreamId);
       const isLate = clock.nowMs() - startedAtMs >
         probeTimeoutMs + pauseLimitMs;
--- a/src/forwarding/successor_discovery.ts
+++ b/src/forwarding/successor_discovery.ts
@@ -12,6 +12,7 @@
 import { Buffer } from "node:buffer";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
+import { setTimeoutAfterReads } from "../core/timeout_after_reads.ts";
 import type { UpstreamId } from "../core/types.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import type {
@@ -135,7 +136,7 @@
       },
       onFailure: () => finish(undefined),
     });
-    const timer = setTimeout(abort, reportTimeoutMs);
+    const cancelTimeout = setTimeoutAfterReads(abort, reportTimeoutMs);
 
     function abort(): void {
       exchange.cancel();
@@ -145,7 +146,7 @@
     function finish(report: EngineReport | undefined): void {
       if (isFinished) return;
       isFinished = true;
-      clearTimeout(timer);
+      cancelTimeout();
       onReport(report);
     }
   }
--- a/src/forwarding/upstream_connections.ts
+++ b/src/forwarding/upstream_connections.ts
@@ -9,6 +9,7 @@
 import { Agent, type IncomingMessage, request as httpRequest } from "node:http";
 import net from "node:net";
 import { getErrorMessage } from "../core/errors.ts";
+import { setTimeoutAfterReads } from "../core/timeout_after_reads.ts";
 import type { RawHeaders } from "./forwarding_protocol.ts";
 
 export interface UpstreamRequest {
@@ -107,12 +108,12 @@
       noDelay: true,
       allowHalfOpen: true,
     });
-    const timer = setTimeout(
+    const cancelTimeout = setTimeoutAfterReads(
       () => socket.destroy(new Error("connecting timed out")),
       connectTimeoutMs,
     );
-    socket.once("connect", () => clearTimeout(timer));
-    socket.once("close", () => clearTimeout(timer));
+    socket.once("connect", cancelTimeout);
+    socket.once("close", cancelTimeout);
     // Registered before Node's handlers, so that a close-delimited response
     // does not look complete when its connection is reset.
     socket.on("error", () => getSocketState(socket).hasFailed = true);
