Send a repeatable request again when its reused connection was closed while idle

Cause: upstreams may close idle connections without notice, and the request that is sent next is reset. It counted as the loss of the upstream: a stream gave up its copy, and a sound engine was suspended, also after a probe that met such a connection.

Change: if a reused connection is reset before any byte of the response, the request is sent once more over a new connection to the same upstream. Requests that must not run twice never use a reused connection. The tool for causes reads lines that a process wrote at once, and tells attempts with events from others.

--- a/measure/request_losses.ts
+++ b/measure/request_losses.ts
@@ -113,7 +113,6 @@
   const lostMs = new Map<string, number>();
   let lostAtS: number | undefined;
   let placed: RunLogLine | undefined;
-  let hasEvents = false;
   for (const line of lines) {
     switch (line.event) {
       case logEvents.streamPlaced.number:
@@ -123,10 +122,11 @@
         break;
       case logEvents.streamAttemptFailed.number: {
         const reason = classifyReason(getText(line, "reason"));
-        const phase = hasEvents ? "silence before" : "no event, then";
+        const hadEvents = getNumber(line, "lastEventId") >
+          (placed ? getNumber(placed, "lastEventId") : 0);
+        const phase = hadEvents ? "silence before" : "no event, then";
         addMs(`${phase} ${reason}`, getNumber(line, "silentMs"));
         lostAtS = line.atS;
-        hasEvents = false;
         placed = undefined;
         break;
       }
@@ -137,7 +137,6 @@
             : "prefill after a loss",
           getNumber(line, "attemptMs"),
         );
-        hasEvents = true;
         break;
       case logEvents.forwardingFailed.number:
         if (lostAtS !== undefined) add("wait for an engine", lostAtS, line.atS);
@@ -154,7 +153,6 @@
         break;
       }
     }
-    if (getNumber(line, "lastEventId") > 0) hasEvents = true;
   }
   return lostMs;
 
@@ -201,7 +199,8 @@
     lines.filter(({ event }) => event === logEvents.streamPlaced.number)
       .map((line) => getText(line, "request")),
   );
-  const lastFailure = new Map<string, string>();
+  /** Consecutive attempts that failed in the same way count once. */
+  const failures = new Map<string, string[]>();
   const rows = new Map<string, CauseRow>();
   for (const line of lines) {
     const requestId = getText(line, "request");
@@ -211,12 +210,9 @@
       case logEvents.forwardingFailed.number:
       case logEvents.forwardingRefused.number: {
         const reason = classifyReason(getText(line, "reason"));
-        const previous = lastFailure.get(requestId);
-        const isNew = previous !== reason;
-        lastFailure.set(
-          requestId,
-          previous && isNew ? `${previous}, then ${reason}` : reason,
-        );
+        const reasons = failures.get(requestId) ?? [];
+        if (reasons.at(-1) !== reason) reasons.push(reason);
+        failures.set(requestId, reasons);
         break;
       }
       case logEvents.requestEnded.number: {
@@ -224,7 +220,7 @@
         if (status !== 0 && status < 500) break;
         addRow(rows, {
           outcome: `status ${status}`,
-          cause: lastFailure.get(requestId) ?? "none logged",
+          cause: failures.get(requestId)?.join(", then ") ?? "none logged",
           requests: 1,
           lostMs: getNumber(line, "durationMs"),
         });
--- a/measure/run_log.ts
+++ b/measure/run_log.ts
@@ -11,20 +11,26 @@
   readonly fields: Readonly<Record<string, unknown>>;
 }
 
-const linePattern = /^\s*(-?\d+(?:\.\d+)?) (\S+) (\{.*\})$/;
+const prefixPattern = /^\s*(-?\d+(?:\.\d+)?) (\S+) (?=\{)/;
 
-/** Lines of other programs, and lines that were cut off, are left out. */
+/**
+ * Lines of other programs, and lines that were cut off, are left out. A process
+ * may write several lines at once; only the first of them has the time and the
+ * machine, which hold for all of them.
+ */
 export function parseRunLog(text: string): RunLogLine[] {
-  return text.split("\n").flatMap((line) => parseLine(line) ?? []);
-}
-
-function parseLine(line: string): RunLogLine | undefined {
-  const match = linePattern.exec(line);
-  if (!match) return undefined;
-  const [, atS, machine, json] = match;
-  const fields = tryParseObject(json!);
-  if (typeof fields?.event !== "number") return undefined;
-  return { atS: Number(atS), machine: machine!, event: fields.event, fields };
+  const lines: RunLogLine[] = [];
+  let origin: { atS: number; machine: string } | undefined;
+  for (const line of text.split("\n")) {
+    const prefix = prefixPattern.exec(line);
+    if (prefix) origin = { atS: Number(prefix[1]), machine: prefix[2]! };
+    else if (!line.startsWith("{")) origin = undefined;
+    if (!origin) continue;
+    const fields = tryParseObject(line.slice(prefix?.[0].length ?? 0));
+    if (typeof fields?.event !== "number") continue;
+    lines.push({ ...origin, event: fields.event, fields });
+  }
+  return lines;
 }
 
 function tryParseObject(json: string): Record<string, unknown> | undefined {
--- a/src/forwarding/upstream_connections.ts
+++ b/src/forwarding/upstream_connections.ts
@@ -3,10 +3,16 @@
  *
  * Connections are reused, except for requests that must not run twice: if the
  * upstream closes a reused connection while a request is sent, it is unknown
- * whether the request ran.
+ * whether the request ran. A request that may run twice is then sent again to
+ * the same upstream.
  */
 import type { Buffer } from "node:buffer";
-import { Agent, type IncomingMessage, request as httpRequest } from "node:http";
+import {
+  Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request as httpRequest,
+} from "node:http";
 import net from "node:net";
 import { getErrorMessage } from "../core/errors.ts";
 import { setTimeoutAfterReads } from "../core/timeout_after_reads.ts";
@@ -60,6 +66,11 @@
 /** Detects a peer that disappeared without closing the connection. */
 const keepAliveProbeMs = 1_000;
 const maxIdleSocketsPerUpstream = 16;
+/**
+ * A closed connection is noticed within a round trip. Later, the remaining time
+ * that the request states would be wrong.
+ */
+const maxResendAgeMs = 200;
 
 interface SocketState {
   isInUse: boolean;
@@ -92,9 +103,7 @@
   }) as unknown as Agent["keepSocketAlive"];
   return {
     send,
-    closeIdle: (host, port) => {
-      for (const socket of listIdle(host, port)) socket.destroy();
-    },
+    closeIdle,
     getOpenedCount: () => openedCount,
     close: () => agent.destroy(),
   };
@@ -152,6 +161,10 @@
     return entry;
   }
 
+  function closeIdle(host: string, port: number): void {
+    for (const socket of listIdle(host, port)) socket.destroy();
+  }
+
   function listIdle(host: string, port: number): net.Socket[] {
     const name = agent.getName({ host, port });
     return [...(agent.freeSockets[name] ?? [])];
@@ -179,24 +192,68 @@
     if (mayReuseConnection) closeUnusable(host, port);
     let isSettled = false;
     let wasSent = false;
-    let socket: net.Socket | undefined;
     let received: IncomingMessage | undefined;
+    /** Bytes of earlier responses on the connection. */
+    let earlierBytes = 0;
+    let socket: net.Socket | undefined;
     const connection = mayReuseConnection ? "keep-alive" : "close";
-    const request = httpRequest({
-      host,
-      port,
-      method: upstreamRequest.method,
-      path: upstreamRequest.path,
-      headers: [...upstreamRequest.headers, "Connection", connection],
-      agent: mayReuseConnection ? agent : singleUseAgent,
-    });
-    request.on("socket", (assigned: net.Socket) => {
-      socket = assigned;
-      getSocketState(assigned).isInUse = true;
-      if (!assigned.connecting) wasSent = true;
-      else assigned.once("connect", () => wasSent = true);
-    });
-    request.on("response", (response) => {
+    const startedAtMs = performance.now();
+    let request = sendRequest();
+    return {
+      cancel: () => {
+        isSettled = true;
+        request.destroy();
+      },
+      pause: () => socket?.pause(),
+      resume: () => socket?.resume(),
+    };
+
+    function sendRequest(): ClientRequest {
+      const sent = httpRequest({
+        host,
+        port,
+        method: upstreamRequest.method,
+        path: upstreamRequest.path,
+        headers: [...upstreamRequest.headers, "Connection", connection],
+        agent: mayReuseConnection ? agent : singleUseAgent,
+      });
+      sent.on("socket", (assigned: net.Socket) => {
+        socket = assigned;
+        earlierBytes = assigned.bytesRead;
+        getSocketState(assigned).isInUse = true;
+        if (!assigned.connecting) wasSent = true;
+        else assigned.once("connect", () => wasSent = true);
+      });
+      sent.on("response", receiveResponse);
+      sent.on("error", (cause) => handleRequestFailure(sent, cause));
+      sent.on("close", () => {
+        if (sent !== request || received?.complete) return;
+        fail("the connection was closed");
+      });
+      sent.end(upstreamRequest.body);
+      return sent;
+    }
+
+    /**
+     * An upstream may close a connection while it is idle, without notice. The
+     * request that is sent next fails, which says nothing about the upstream, so
+     * it is sent again over a new connection.
+     */
+    function handleRequestFailure(failed: ClientRequest, cause: Error): void {
+      if (failed !== request) return;
+      const mayResend = failed.reusedSocket && isReset(cause) &&
+        socket?.bytesRead === earlierBytes && !isSettled &&
+        performance.now() - startedAtMs < maxResendAgeMs;
+      if (!mayResend) {
+        fail(getErrorMessage(cause));
+        return;
+      }
+      // The other idle connections are as old as this one.
+      closeIdle(host, port);
+      request = sendRequest();
+    }
+
+    function receiveResponse(response: IncomingMessage): void {
       received = response;
       response.on("data", (chunk: Buffer) => {
         if (!isSettled) handlers.onData(chunk);
@@ -217,20 +274,7 @@
       if (!isSettled) {
         handlers.onHead(response.statusCode ?? 0, response.rawHeaders);
       }
-    });
-    request.on("error", (cause) => fail(getErrorMessage(cause)));
-    request.on("close", () => {
-      if (!received?.complete) fail("the connection was closed");
-    });
-    request.end(upstreamRequest.body);
-    return {
-      cancel: () => {
-        isSettled = true;
-        request.destroy();
-      },
-      pause: () => socket?.pause(),
-      resume: () => socket?.resume(),
-    };
+    }
 
     function finish(): void {
       const hasFailed = socket !== undefined &&
@@ -253,3 +297,7 @@
     }
   }
 }
+
+function isReset(cause: NodeJS.ErrnoException): boolean {
+  return cause.code === "ECONNRESET" || cause.code === "EPIPE";
+}
--- a/src/forwarding/upstream_connections_test.ts
+++ b/src/forwarding/upstream_connections_test.ts
@@ -130,3 +130,41 @@
   const port = await startServer((socket) => socket.write("garbage\r\n\r\n"));
   expect(await send(port)).toMatchObject({ kind: "failed", wasSent: true });
 });
+
+const wholeResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+test("a request on a connection that was closed while idle is sent again over a new one", async () => {
+  const port = await startServer((socket, requestNumber) => {
+    if (requestNumber === 2) socket.resetAndDestroy();
+    else socket.write(wholeResponse);
+  });
+  expect(await send(port)).toMatchObject({ kind: "answered", body: "ok" });
+  const openedCount = connections.getOpenedCount();
+  expect(await send(port)).toMatchObject({ kind: "answered", body: "ok" });
+  expect(connections.getOpenedCount()).toBe(openedCount + 1);
+});
+
+test("a request is not sent again after a part of its response", async () => {
+  let count = 0;
+  const port = await startServer((socket, requestNumber) => {
+    count = requestNumber;
+    if (requestNumber === 1) socket.write(wholeResponse);
+    else socket.write("HTTP/1.1 200", () => socket.resetAndDestroy());
+  });
+  await send(port);
+  expect(await send(port)).toMatchObject({ kind: "failed", wasSent: true });
+  expect(count).toBe(2);
+});
+
+test("a request whose connection was closed counts as sent although the upstream is gone", async () => {
+  const port = await startServer((socket, requestNumber) => {
+    if (requestNumber === 1) {
+      socket.write(wholeResponse);
+      return;
+    }
+    servers[0]!.close();
+    socket.resetAndDestroy();
+  });
+  await send(port);
+  expect(await send(port)).toMatchObject({ kind: "failed", wasSent: true });
+});
