--- a/src/forwarding/copy_manager.ts
+++ b/src/forwarding/copy_manager.ts
@@ -58,6 +58,8 @@
  * copies may be queued before this one.
  */
 const copyTimeoutMs = 1_500;
+/** A reply names a copy; more bytes are no reply. */
+const maxReplyBytes = 64 * 1024;
 
 export function createCopyManager(options: CopyManagerOptions): CopyManager {
   const { context, traits, requestId, running, totalTokens } = options;
@@ -210,6 +212,7 @@
   ): void {
     const { host, port } = running.info;
     const chunks: Buffer[] = [];
+    let receivedBytes = 0;
     let status = 0;
     let isFinished = false;
     const exchange = connections.send({
@@ -222,14 +225,20 @@
       mayReuseConnection: true,
     }, {
       onHead: (value) => status = value,
-      onData: (chunk) => chunks.push(chunk),
+      onData: (chunk) => {
+        receivedBytes += chunk.length;
+        if (receivedBytes <= maxReplyBytes) chunks.push(chunk);
+        else abort();
+      },
       onEnd: () => answer(status),
       onFailure: () => answer(0),
     });
-    const cancelTimeout = setTimeoutAfterReads(() => {
+    const cancelTimeout = setTimeoutAfterReads(abort, copyTimeoutMs);
+
+    function abort(): void {
       exchange.cancel();
       answer(0);
-    }, copyTimeoutMs);
+    }
 
     function answer(finalStatus: number): void {
       if (isFinished) return;
--- a/src/forwarding/event_splitter.ts
+++ b/src/forwarding/event_splitter.ts
@@ -9,6 +9,11 @@
   readonly bytes: Buffer;
   /** Undefined if the event has no integer id. */
   readonly eventId: number | undefined;
+  /**
+   * Whether the event has a field. Comments and empty lines have none; they
+   * keep a connection open and are no progress of the stream.
+   */
+  readonly hasField: boolean;
 }
 
 export interface EventSplitter {
@@ -38,7 +43,7 @@
       const end = findEventEnd(bytes, start);
       if (end < 0) break;
       const event = bytes.subarray(start, end);
-      events.push({ bytes: event, eventId: findEventId(event) });
+      events.push(describeEvent(event));
       start = end;
     }
     pending = bytes.subarray(start);
@@ -58,11 +63,15 @@
   return -1;
 }
 
-function findEventId(event: Buffer): number | undefined {
-  for (const line of event.toString("latin1").split(/\r?\n/)) {
-    if (!line.startsWith("id:")) continue;
+function describeEvent(bytes: Buffer): StreamEvent {
+  let eventId: number | undefined;
+  let hasField = false;
+  for (const line of bytes.toString("latin1").split(/\r?\n/)) {
+    if (line === "" || line.startsWith(":")) continue;
+    hasField = true;
+    if (!line.startsWith("id:") || eventId !== undefined) continue;
     const value = Number(line.slice(3).trim());
-    return Number.isSafeInteger(value) ? value : undefined;
+    if (Number.isSafeInteger(value)) eventId = value;
   }
-  return undefined;
+  return { bytes, eventId, hasField };
 }
--- a/src/forwarding/event_splitter_test.ts
+++ b/src/forwarding/event_splitter_test.ts
@@ -53,3 +53,16 @@
     undefined,
   ]);
 });
+
+test("comments and empty lines are relayed but are no progress", () => {
+  const splitter = createEventSplitter();
+  const events = splitter.push(
+    Buffer.from(": alive\n\n\n\ndata: a\n\n: b\r\n\r\n"),
+  );
+  expect(events.map(({ hasField }) => hasField)).toEqual([
+    false,
+    false,
+    true,
+    false,
+  ]);
+});
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -59,6 +59,7 @@
   head: { readonly status: number; readonly headers: RawHeaders } | undefined;
   /** Body of a response that is not a stream. */
   readonly errorBody: Buffer[];
+  errorBytes: number;
 }
 
 /** Engines that fail briefly are available again within this time. */
@@ -66,6 +67,8 @@
 const enginePollIntervalMs = 50;
 /** Delay before a retry that the retry budget does not cover. */
 const refusalDelayMs = 250;
+/** An engine's error has some hundred bytes; more is no error response. */
+const maxErrorBytes = 64 * 1024;
 /** Used for services whose engines are not described in the configuration. */
 const defaultEngineTraits: EngineTraits = {
   maxRunning: 1_000,
@@ -224,6 +227,7 @@
       exchange: undefined,
       head: undefined,
       errorBody: [],
+      errorBytes: 0,
     };
     run = started;
     attemptCount += 1;
@@ -316,7 +320,7 @@
   function onData(current: StreamAttempt, chunk: Buffer): void {
     directory.recordActivity(current.upstream.info.upstreamId);
     if (!isStream(current)) {
-      current.errorBody.push(chunk);
+      keepErrorBody(current, chunk);
       return;
     }
     for (const event of current.splitter.push(chunk)) {
@@ -328,10 +332,25 @@
     }
   }
 
+  function keepErrorBody(current: StreamAttempt, chunk: Buffer): void {
+    current.errorBody.push(chunk);
+    current.errorBytes += chunk.length;
+    if (current.errorBytes <= maxErrorBytes) return;
+    directory.recordFailure(
+      current.upstream.info.upstreamId,
+      clock.nowMs() - current.startedAtMs,
+    );
+    handleLoss(current, { wasSent: true, reason: "the error is too large" });
+  }
+
   function forwardEvent(
     current: StreamAttempt,
-    { bytes, eventId }: StreamEvent,
+    { bytes, eventId, hasField }: StreamEvent,
   ): void {
+    if (!hasField) {
+      relay(current, bytes);
+      return;
+    }
     if (current.lastEventAtMs === undefined) {
       if (current.prefillTokens > 0) {
         directory.getPrefillRateTracker(service.name)
@@ -365,6 +384,10 @@
     }
     lastEventId = eventId ?? lastEventId;
     eventCount += 1;
+    relay(current, bytes);
+  }
+
+  function relay(current: StreamAttempt, bytes: Buffer): void {
     if (caller.getState() === CallerState.Waiting) {
       const { status, headers } = current.head!;
       caller.startResponse(status, protocol.buildCallerHeaders(headers));
