Keep an engine that sends events while its report is delayed

Cause: a probe without a report within 120 ms counted as the loss of its engine also if the engine had sent events meanwhile, and all its streams were moved.

Change: a failed probe counts only if nothing has arrived from the engine since the probe began.

Measured: the new test fails before and passes after.

--- a/src/forwarding/stream_monitor.ts
+++ b/src/forwarding/stream_monitor.ts
@@ -112,7 +112,8 @@
     }
   }
 
-  function probe({ info }: Upstream): void {
+  function probe(upstream: Upstream): void {
+    const { info } = upstream;
     const { upstreamId } = info;
     probing.add(upstreamId);
     const startedAtMs = clock.nowMs();
@@ -143,7 +144,9 @@
       probing.delete(upstreamId);
       const isLate = clock.nowMs() - startedAtMs >
         probeTimeoutMs + pauseLimitMs;
-      if (failure === undefined || isLate) return;
+      // The report alone may be delayed, such as by a lost packet.
+      const hasSentSince = upstream.lastActivityAtMs >= startedAtMs;
+      if (failure === undefined || isLate || hasSentSince) return;
       handleEngineLoss(upstreamId, failure);
     }
   }
--- a/src/forwarding/stream_monitor_test.ts
+++ b/src/forwarding/stream_monitor_test.ts
@@ -57,6 +57,7 @@
   };
   monitor.add(stream);
   return {
+    directory,
     losses,
     stop: () => {
       monitor.remove(stream);
@@ -83,3 +84,15 @@
   monitored.stop();
   expect(monitored.losses).toEqual(["no report in 120 ms"]);
 });
+
+test("an engine that sends events while its report is delayed is not lost", async () => {
+  let markProbed: () => void = () => {};
+  const probed = new Promise<void>((resolve) => markProbed = resolve);
+  const monitored = await monitorSilentStream(() => markProbed());
+  await probed;
+  // An event of another stream arrives while the probe is in flight.
+  monitored.directory.recordActivity(upstream!.listed.upstreamId);
+  await new Promise((resolve) => setTimeout(resolve, 150));
+  monitored.stop();
+  expect(monitored.losses).toEqual([]);
+});
