--- a/src/forwarding/call_attempt.ts
+++ b/src/forwarding/call_attempt.ts
@@ -12,7 +12,7 @@
 } from "./forwarding_context.ts";
 import { classifyHead, HeadClass } from "./forwarding_steps.ts";
 import type { RawHeaders } from "./forwarding_protocol.ts";
-import type { RequestLoad } from "./upstream_directory.ts";
+import type { RequestLoad } from "./upstream_types.ts";
 
 export interface CompleteResponse {
   readonly status: number;
--- a/src/forwarding/call_forwarder.ts
+++ b/src/forwarding/call_forwarder.ts
@@ -18,7 +18,7 @@
 import { createPlacementContext, failRequest } from "./forwarding_steps.ts";
 import { RequestKind } from "./forwarding_table.ts";
 import { chooseForCall } from "./placement.ts";
-import type { Upstream } from "./upstream_directory.ts";
+import type { Upstream } from "./upstream_types.ts";
 
 export async function forwardCall(
   context: ForwardingContext,
--- a/src/forwarding/copy_manager.ts
+++ b/src/forwarding/copy_manager.ts
@@ -11,11 +11,8 @@
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { KvCacheCopy, ProtocolCall } from "./forwarding_protocol.ts";
 import type { EngineTraits } from "./forwarding_table.ts";
-import {
-  type CopyLoad,
-  getAddress,
-  type Upstream,
-} from "./upstream_directory.ts";
+import { getAddress } from "./upstream_directory.ts";
+import type { CopyLoad, Upstream } from "./upstream_types.ts";
 
 export interface CopyManager {
   /** The engine that holds a copy from the start of the attempt, if any. */
--- a/src/forwarding/forwarding_steps.ts
+++ b/src/forwarding/forwarding_steps.ts
@@ -12,7 +12,7 @@
 import type { RawHeaders } from "./forwarding_protocol.ts";
 import type { PlacementContext } from "./placement.ts";
 import { getRetryAfterMs } from "./retry_after.ts";
-import type { Upstream } from "./upstream_directory.ts";
+import type { Upstream } from "./upstream_types.ts";
 
 export function createPlacementContext(
   { clock, domainId, random, directory }: ForwardingContext,
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -9,7 +9,7 @@
 import type { DomainId, UpstreamId } from "../core/types.ts";
 import type { EngineTraits } from "./forwarding_table.ts";
 import { chooseSpread } from "./spread_choice.ts";
-import type { Upstream } from "./upstream_directory.ts";
+import type { Upstream } from "./upstream_types.ts";
 
 export interface PlacementContext {
   readonly nowMs: number;
--- a/src/forwarding/placement_herd_test.ts
+++ b/src/forwarding/placement_herd_test.ts
@@ -8,7 +8,7 @@
 import { engineTraits } from "../../measure/forwarding_fakes.ts";
 import { createRandom } from "../core/random.ts";
 import { chooseForStream } from "./placement.ts";
-import type { Upstream } from "./upstream_directory.ts";
+import type { Upstream } from "./upstream_types.ts";
 
 interface Engine {
   readonly upstreamId: string;
--- a/src/forwarding/placement_test.ts
+++ b/src/forwarding/placement_test.ts
@@ -7,7 +7,7 @@
   chooseForStream,
   type PlacementContext,
 } from "./placement.ts";
-import type { Upstream } from "./upstream_directory.ts";
+import type { Upstream } from "./upstream_types.ts";
 
 function createUpstream(
   upstreamId: string,
--- a/src/forwarding/retry_after.ts
+++ b/src/forwarding/retry_after.ts
@@ -8,7 +8,7 @@
  * arriving together.
  */
 import type { Random } from "../core/random.ts";
-import type { Upstream } from "./upstream_directory.ts";
+import type { Upstream } from "./upstream_types.ts";
 
 /** An upstream may accept work again at any time, and a retry is cheap. */
 const minDelayMs = 200;
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -37,11 +37,8 @@
 import { decideStreamAdmission } from "./stream_admission.ts";
 import type { MonitoredStream, StreamMonitor } from "./stream_monitor.ts";
 import type { Exchange } from "./upstream_connections.ts";
-import {
-  getAddress,
-  type RequestLoad,
-  type Upstream,
-} from "./upstream_directory.ts";
+import { getAddress } from "./upstream_directory.ts";
+import type { RequestLoad, Upstream } from "./upstream_types.ts";
 
 export interface StreamForwarderOptions {
   readonly context: ForwardingContext;
--- a/src/forwarding/stream_monitor.ts
+++ b/src/forwarding/stream_monitor.ts
@@ -11,7 +11,8 @@
 import type { ForwardingProtocol } from "./forwarding_protocol.ts";
 import { decideOnSilence, SilenceDecision } from "./stream_decisions.ts";
 import type { UpstreamConnections } from "./upstream_connections.ts";
-import type { Upstream, UpstreamDirectory } from "./upstream_directory.ts";
+import type { UpstreamDirectory } from "./upstream_directory.ts";
+import type { Upstream } from "./upstream_types.ts";
 
 export interface MonitoredStream {
   readonly upstream: Upstream;
