Break the circles of the load summaries and of the daemon's roles

The summary's schema and the types that roles are started with have modules of their own, below those that use them.

--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -24,10 +24,7 @@
 import { startPeerServer } from "../peer/peer_server.ts";
 import { createEngineLoadAggregator } from "../upstreams/engine_load_aggregator.ts";
 import { createInstanceCore } from "./instance_core.ts";
-import type {
-  InstanceOptions,
-  RunningInstance,
-} from "./forwarding_instance.ts";
+import type { InstanceOptions, RunningInstance } from "./instance_types.ts";
 import { createProposeHandler } from "./peer_handlers.ts";
 
 /**
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -23,10 +23,7 @@
 import { PeerCallKind } from "../peer/messages.ts";
 import { startPeerServer } from "../peer/peer_server.ts";
 import { createInstanceCore } from "./instance_core.ts";
-import type {
-  InstanceOptions,
-  RunningInstance,
-} from "./forwarding_instance.ts";
+import type { InstanceOptions, RunningInstance } from "./instance_types.ts";
 
 /** Part of the permitted retries that is budgeted; the rest is a margin. */
 const budgetSafetyRatio = 0.6;
--- a/src/daemon/forwarding_instance.ts
+++ b/src/daemon/forwarding_instance.ts
@@ -3,41 +3,19 @@
  */
 import { okAsync, ResultAsync } from "neverthrow";
 import { assertNever } from "../core/assert_never.ts";
-import { type Clock, createSystemClock } from "../core/clock.ts";
+import { createSystemClock } from "../core/clock.ts";
 import type { SystemError } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
 import { createLogger, type Logger } from "../core/logger.ts";
-import {
-  createMetricsRegistry,
-  type MetricsRegistry,
-} from "../core/metrics_registry.ts";
+import { createMetricsRegistry } from "../core/metrics_registry.ts";
 import { startMetricsServer } from "../core/metrics_server.ts";
-import { createRandom, type Random } from "../core/random.ts";
-import type { Task } from "../core/supervisor.ts";
-import type { SeedMembership } from "../membership/seed_membership.ts";
+import { createRandom } from "../core/random.ts";
 import {
   type ForwardingSettings,
   InstanceRole,
 } from "../settings/forwarding_settings.ts";
 import type { DeploymentAdapter } from "./deployment_adapter.ts";
-
-export interface InstanceOptions {
-  readonly settings: ForwardingSettings;
-  readonly adapter: DeploymentAdapter;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly random: Random;
-  readonly registry: MetricsRegistry;
-}
-
-/** Result of starting a role; `startForwardingInstance` runs its task. */
-export interface RunningInstance {
-  readonly task: Task;
-  readonly membership: SeedMembership;
-  /** Finishes open requests within a limited time. */
-  drain(): Promise<void>;
-  close(): Promise<void>;
-}
+import type { InstanceOptions, RunningInstance } from "./instance_types.ts";
 
 export interface ForwardingInstance {
   readonly logger: Logger;
--- a/src/daemon/instance_core.ts
+++ b/src/daemon/instance_core.ts
@@ -40,7 +40,7 @@
   createUpstreamViewService,
   type UpstreamViewService,
 } from "../upstreams/upstream_view_service.ts";
-import type { EngineLoadSummary } from "../upstreams/engine_load_aggregator.ts";
+import type { EngineLoadSummary } from "../upstreams/engine_load_summary.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import type { DeploymentAdapter } from "./deployment_adapter.ts";
 
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -8,7 +8,7 @@
 import type { DomainId, UpstreamId } from "../core/types.ts";
 import type { VersionAnswers } from "../control/moves/answer_count_aggregator.ts";
 import type { Random } from "../core/random.ts";
-import type { EngineLoadSummary } from "../upstreams/engine_load_aggregator.ts";
+import type { EngineLoadSummary } from "../upstreams/engine_load_summary.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import { createDomainHealth, type DomainHealth } from "./domain_health.ts";
 import type { ReportedLoad } from "./forwarding_protocol.ts";
--- a/src/membership/seed_membership.ts
+++ b/src/membership/seed_membership.ts
@@ -21,7 +21,7 @@
 import { type Heartbeat, PeerCallKind } from "../peer/messages.ts";
 import type { PeerAddress, PeerClient } from "../peer/peer_client.ts";
 import type { VersionAnswers } from "../control/moves/answer_count_aggregator.ts";
-import type { EngineLoadSummary } from "../upstreams/engine_load_aggregator.ts";
+import type { EngineLoadSummary } from "../upstreams/engine_load_summary.ts";
 import type { MembershipView } from "./membership_view.ts";
 
 export interface SeedMembership extends MembershipView {
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -19,7 +19,7 @@
 import { InstanceState } from "../core/types.ts";
 import { FinishReason } from "../core/types.ts";
 import { versionAnswersSchema } from "../control/moves/answer_count_aggregator.ts";
-import { engineLoadSummarySchema } from "../upstreams/engine_load_aggregator.ts";
+import { engineLoadSummarySchema } from "../upstreams/engine_load_summary.ts";
 import { upstreamUpdateSchema } from "../upstreams/upstream_view.ts";
 import { logEnvelopeSchema } from "./control_log_messages.ts";
 
--- a/src/upstreams/engine_load_aggregator_test.ts
+++ b/src/upstreams/engine_load_aggregator_test.ts
@@ -1,9 +1,7 @@
 import fc from "fast-check";
 import { expect, test } from "vitest";
-import {
-  createEngineLoadAggregator,
-  type EngineLoadSummary,
-} from "./engine_load_aggregator.ts";
+import { createEngineLoadAggregator } from "./engine_load_aggregator.ts";
+import type { EngineLoadSummary } from "./engine_load_summary.ts";
 
 test("each entry instance receives the load of all others, also of those at other control instances", () => {
   const nowMs = 0;
--- a/src/upstreams/load_totals.ts
+++ b/src/upstreams/load_totals.ts
@@ -3,7 +3,7 @@
  * subtracted. Every summary that is subtracted must have been added before.
  */
 import type { UpstreamId } from "../core/types.ts";
-import type { EngineLoadSummary, LoadEntry } from "./engine_load_aggregator.ts";
+import type { EngineLoadSummary, LoadEntry } from "./engine_load_summary.ts";
 
 export interface LoadTotals {
   add(summary: EngineLoadSummary): void;
