Share the calls that an instance itself makes to upstreams

The copy manager and the discovery of restarted engines had the same code for a short call with a bound and a timeout. Behaviour is unchanged but for the bound of a copy reply, which is now that of a report.

--- a/src/forwarding/copy_manager.ts
+++ b/src/forwarding/copy_manager.ts
@@ -4,13 +4,12 @@
  * names the holder of the initial copy. A lost copy is replaced by asking the
  * engine that runs the stream for a new one.
  */
-import { Buffer } from "node:buffer";
 import { logEvents } from "../core/log_events.ts";
-import { setTimeoutAfterReads } from "../core/timeout_after_reads.ts";
 import { decideCopy, isCopyAvailable } from "./copy_decisions.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import type { KvCacheCopy, ProtocolCall } from "./forwarding_protocol.ts";
 import type { EngineTraits } from "./forwarding_table.ts";
+import { type CallResponse, callUpstream } from "./upstream_call.ts";
 import { getAddress } from "./upstream_directory.ts";
 import type { CopyLoad, Upstream } from "./upstream_types.ts";
 
@@ -55,8 +54,6 @@
  * copies may be queued before this one.
  */
 const copyTimeoutMs = 1_500;
-/** A reply names a copy; more bytes are no reply. */
-const maxReplyBytes = 64 * 1024;
 
 export function createCopyManager(options: CopyManagerOptions): CopyManager {
   const { context, traits, requestId, running, totalTokens } = options;
@@ -149,7 +146,7 @@
         runId: requestId,
         targetAddress: getAddress(holder),
       }),
-      (status, body) => {
+      ({ status, body }) => {
         isCopying = false;
         const reply = status === 200
           ? protocol.parseCopyReply(body)
@@ -202,46 +199,15 @@
     callRunningEngine(protocol.buildFreeCopyCall(copyId), () => {});
   }
 
-  /** Calls the engine that runs the stream; status 0 means no response. */
   function callRunningEngine(
-    { method, path, headers, body }: ProtocolCall,
-    onResponse: (status: number, body: Buffer) => void,
+    call: ProtocolCall,
+    onResponse: (response: CallResponse) => void,
   ): void {
     const { host, port } = running.info;
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
-    let status = 0;
-    let isFinished = false;
-    const exchange = connections.send({
-      host,
-      port,
-      method,
-      path,
-      headers: ["Host", `${host}:${port}`, ...headers],
-      body,
-      mayReuseConnection: true,
-    }, {
-      onHead: (value) => status = value,
-      onData: (chunk) => {
-        receivedBytes += chunk.length;
-        if (receivedBytes <= maxReplyBytes) chunks.push(chunk);
-        else abort();
-      },
-      onEnd: () => answer(status),
-      onFailure: () => answer(0),
-    });
-    const cancelTimeout = setTimeoutAfterReads(abort, copyTimeoutMs);
-
-    function abort(): void {
-      exchange.cancel();
-      answer(0);
-    }
-
-    function answer(finalStatus: number): void {
-      if (isFinished) return;
-      isFinished = true;
-      cancelTimeout();
-      onResponse(finalStatus, Buffer.concat(chunks));
-    }
+    callUpstream(
+      connections,
+      { ...call, host, port, timeoutMs: copyTimeoutMs },
+      onResponse,
+    );
   }
 }
--- a/src/forwarding/successor_discovery.ts
+++ b/src/forwarding/successor_discovery.ts
@@ -12,13 +12,13 @@
 import { Buffer } from "node:buffer";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
-import { setTimeoutAfterReads } from "../core/timeout_after_reads.ts";
 import type { UpstreamId } from "../core/types.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import type {
   EngineReport,
   ForwardingProtocol,
 } from "./forwarding_protocol.ts";
+import { callUpstream } from "./upstream_call.ts";
 import type { UpstreamConnections } from "./upstream_connections.ts";
 import type { UpstreamDirectory } from "./upstream_directory.ts";
 
@@ -49,8 +49,6 @@
 
 /** Longer than a round trip between failure domains, also under load. */
 const reportTimeoutMs = 250;
-/** A report has some hundred bytes; more is not a report. */
-const maxReportBytes = 256 * 1024;
 const maxIdChars = 200;
 
 /**
@@ -109,45 +107,17 @@
     { host, port }: ListedUpstream,
     onReport: (report: EngineReport | undefined) => void,
   ): void {
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
-    let status = 0;
-    let isFinished = false;
-    const exchange = connections.send({
+    callUpstream(connections, {
       host,
       port,
       method: "GET",
       path: protocol.reportPath,
-      headers: ["Host", `${host}:${port}`],
+      headers: [],
       body: Buffer.alloc(0),
-      mayReuseConnection: true,
-    }, {
-      onHead: (value) => status = value,
-      onData: (chunk) => {
-        receivedBytes += chunk.length;
-        if (receivedBytes > maxReportBytes) abort();
-        else chunks.push(chunk);
-      },
-      onEnd: () => {
-        const report = status === 200
-          ? protocol.parseReport(Buffer.concat(chunks))
-          : undefined;
-        finish(report?.unwrapOr(undefined));
-      },
-      onFailure: () => finish(undefined),
+      timeoutMs: reportTimeoutMs,
+    }, ({ status, body }) => {
+      const report = status === 200 ? protocol.parseReport(body) : undefined;
+      onReport(report?.unwrapOr(undefined));
     });
-    const cancelTimeout = setTimeoutAfterReads(abort, reportTimeoutMs);
-
-    function abort(): void {
-      exchange.cancel();
-      finish(undefined);
-    }
-
-    function finish(report: EngineReport | undefined): void {
-      if (isFinished) return;
-      isFinished = true;
-      cancelTimeout();
-      onReport(report);
-    }
   }
 }
