Log the prompt parts of a placed stream and how far a lost one had got

The logs could not tell a crash by load from one by a property of the request. A placed stream now logs the ids of its prompt parts, a lost attempt the time since its first event.

--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -46,6 +46,7 @@
 }
 
 interface StreamAttempt extends MonitoredStream {
+  firstEventAtMs: number | undefined;
   lastEventAtMs: number | undefined;
   /** 0 if the attempt resumes from a copy. */
   readonly prefillTokens: number;
@@ -214,6 +215,7 @@
     const started: StreamAttempt = {
       upstream: engine,
       startedAtMs: clock.nowMs(),
+      firstEventAtMs: undefined,
       lastEventAtMs: undefined,
       prefillTokens: source ? 0 : demand.prefillTokens,
       onLost: (reason) => {
@@ -244,6 +246,7 @@
         waiting: engine.reported.load.waitingCount,
         ageMs: Math.round(clock.nowMs() - engine.reported.atMs),
       },
+      parts: description.promptParts.map(({ partId }) => partId),
       copyAt: copyHolder?.info.upstreamId,
       resumesFrom: source?.copyId,
       lastEventId,
@@ -372,6 +375,7 @@
       });
     }
     recordEventTime();
+    current.firstEventAtMs ??= lastEventAtMs;
     current.lastEventAtMs = lastEventAtMs;
     if (eventId !== undefined && lastEventId !== undefined) {
       if (eventId <= lastEventId) return; // the caller already has this event
@@ -477,6 +481,7 @@
       silentMs: Math.round(
         clock.nowMs() - (lost.lastEventAtMs ?? lost.startedAtMs),
       ),
+      writingMs: getWritingMs(lost, clock.nowMs()),
       copyAt: copy?.holder.info.upstreamId,
       decision,
       ranCount,
@@ -564,3 +569,13 @@
 function isStream({ head }: StreamAttempt): boolean {
   return head !== undefined && head.status >= 200 && head.status < 300;
 }
+
+/** Time since the attempt's first event; undefined before it. */
+function getWritingMs(
+  { firstEventAtMs }: StreamAttempt,
+  nowMs: number,
+): number | undefined {
+  return firstEventAtMs === undefined
+    ? undefined
+    : Math.round(nowMs - firstEventAtMs);
+}
