Resume a stream without framing that ends before its first event

Callers got an empty stream that looked complete when an engine answered with neither a length nor chunks and ended before it had written an event: the end of the connection counted as the end of the stream.

Such a stream is now a lost attempt, as one that ends inside an event has been before. A stream with chunks may still end without events, since its engine says so.

Evidence: of the 15 tests in platform/unframed_responses_test.ts, the two for a stream that ends before its first event fail on the parent commit; the others, about streams that end inside an event, an id or a header, passed before.

--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -38,6 +38,7 @@
 import { decideAfterLoss } from "./stream_decisions.ts";
 import { decideStreamAdmission } from "./stream_admission.ts";
 import type { MonitoredStream, StreamMonitor } from "./stream_monitor.ts";
+import { isCloseDelimited } from "./response_framing.ts";
 import type { Exchange } from "./upstream_connections.ts";
 import { getAddress } from "./upstream_directory.ts";
 import type { RequestLoad, Upstream } from "./upstream_types.ts";
@@ -447,11 +448,12 @@
       endWithError(current);
       return;
     }
-    if (current.splitter.getPendingBytes() > 0) {
+    const breakReason = findBreak(current);
+    if (breakReason !== undefined) {
       handleLoss(current, {
         wasSent: true,
         hasEngineEnded: true,
-        reason: "the stream ended inside an event",
+        reason: breakReason,
       });
       return;
     }
@@ -630,6 +632,16 @@
   return head !== undefined && head.status >= 200 && head.status < 300;
 }
 
+/** Returns why a stream that ended is not complete, if it is not. */
+function findBreak(
+  { splitter, head, firstEventAtMs }: StreamAttempt,
+): string | undefined {
+  if (splitter.getPendingBytes() > 0) return "the stream ended inside an event";
+  return firstEventAtMs === undefined && isCloseDelimited(head!.headers)
+    ? "the stream ended before its first event"
+    : undefined;
+}
+
 /** Time since the attempt's first event; undefined before it. */
 function getWritingMs(
   { firstEventAtMs }: StreamAttempt,
