Treat an unframed JSON response that ends early as broken off

A call whose upstream answered with neither a length nor chunks and ended inside its JSON body reached the caller as a complete success, and an engine's error in the same way as a complete failure.

Such a body is now parsed before it is relayed. If that fails, the call counts as lost with an unknown outcome: a safe one is sent again, an unsafe one ends with 502. Bodies of other types, and those over 1 MiB, which are relayed as they arrive, are not checked.

--- a/src/forwarding/call_attempt.ts
+++ b/src/forwarding/call_attempt.ts
@@ -12,6 +12,7 @@
 } from "./forwarding_context.ts";
 import { classifyHead, HeadClass } from "./forwarding_steps.ts";
 import type { RawHeaders } from "./forwarding_protocol.ts";
+import { isBrokenOff } from "./response_framing.ts";
 import type { RequestLoad } from "./upstream_types.ts";
 
 export interface CompleteResponse {
@@ -158,6 +159,12 @@
 
   function onEnd(): void {
     requestLoad.release();
+    const response = { ...head!, body: Buffer.concat(chunks) };
+    if (!isRelaying && isBrokenOff(caller.method, response)) {
+      directory.recordIncompleteResponse(upstreamId);
+      settle({ kind: "unknown", reason: "the response was broken off" });
+      return;
+    }
     const durationMs = clock.nowMs() - sentAtMs;
     if (head!.status >= 500) directory.recordFailure(upstreamId, durationMs);
     else directory.recordSuccess(upstreamId, durationMs);
@@ -166,6 +173,6 @@
       settle({ kind: "passedOn" });
       return;
     }
-    settle({ kind: "answered", ...head!, body: Buffer.concat(chunks) });
+    settle({ kind: "answered", ...response });
   }
 }
--- a/src/forwarding/response_framing.ts
+++ b/src/forwarding/response_framing.ts
@@ -3,14 +3,42 @@
  * show it: without a length or chunks, a response ends with its connection,
  * whether it is complete or not.
  */
+import type { Buffer } from "node:buffer";
+import { parseJson } from "../core/parse_json.ts";
 import type { RawHeaders } from "./forwarding_protocol.ts";
 
+/** Responses with these statuses have no body. */
+const bodilessStatuses = new Set([204, 304]);
+
 /** Whether the response has neither a length nor chunks. */
 export function isCloseDelimited(headers: RawHeaders): boolean {
   return findValue(headers, "content-length") === undefined &&
     findValue(headers, "transfer-encoding") === undefined;
 }
 
+/**
+ * Whether a response was broken off although it was received without an error.
+ * Only JSON shows that; other bodies are complete as far as can be known.
+ */
+export function isBrokenOff(
+  method: string,
+  { status, headers, body }: {
+    readonly status: number;
+    readonly headers: RawHeaders;
+    readonly body: Buffer;
+  },
+): boolean {
+  const hasBody = method !== "HEAD" && !bodilessStatuses.has(status);
+  if (!hasBody || !isCloseDelimited(headers)) return false;
+  return isJson(findValue(headers, "content-type") ?? "") &&
+    parseJson(body.toString("utf8")).isErr();
+}
+
+function isJson(contentType: string): boolean {
+  const mediaType = contentType.split(";")[0]!.trim().toLowerCase();
+  return mediaType === "application/json" || mediaType.endsWith("+json");
+}
+
 function findValue(headers: RawHeaders, name: string): string | undefined {
   for (let index = 0; index + 1 < headers.length; index += 2) {
     if (headers[index]!.toLowerCase() === name) return headers[index + 1];
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -38,7 +38,7 @@
 import { decideAfterLoss } from "./stream_decisions.ts";
 import { decideStreamAdmission } from "./stream_admission.ts";
 import type { MonitoredStream, StreamMonitor } from "./stream_monitor.ts";
-import { isCloseDelimited } from "./response_framing.ts";
+import { isBrokenOff, isCloseDelimited } from "./response_framing.ts";
 import type { Exchange } from "./upstream_connections.ts";
 import { getAddress } from "./upstream_directory.ts";
 import type { RequestLoad, Upstream } from "./upstream_types.ts";
@@ -473,15 +473,23 @@
       current.upstream.info.upstreamId,
       clock.nowMs() - current.startedAtMs,
     );
+    const errorBody = Buffer.concat(current.errorBody);
     const mayResume = status >= 500 && route.isResumable &&
       ranCount + 1 < route.maxAttempts;
+    if (isBrokenOff(caller.method, { status, headers, body: errorBody })) {
+      handleLoss(current, {
+        wasSent: true,
+        reason: "the error response was broken off",
+      });
+      return;
+    }
     if (mayResume || caller.getState() !== CallerState.Waiting) {
       handleLoss(current, { wasSent: true, reason: `status ${status}` });
       return;
     }
     stop("failed");
     caller.startResponse(status, protocol.buildCallerHeaders(headers));
-    caller.endResponse(Buffer.concat(current.errorBody));
+    caller.endResponse(errorBody);
   }
 
   function handleLoss(
