Keep the request limits that upstreams state, on all instances together

Nothing read the limit.

Each instance now reads it from the responses, uses its share for all attempts, sends the rest to other upstreams, and lets requests wait or refuses them at once where all are at their limits.

--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -26,6 +26,12 @@
 import { createSuccessorDiscovery } from "../src/forwarding/successor_discovery.ts";
 import { createUpstreamConnections } from "../src/forwarding/upstream_connections.ts";
 import { createUpstreamDirectory } from "../src/forwarding/upstream_directory.ts";
+import {
+  createDemandShare,
+  type DemandShare,
+} from "../src/limits/demand_share.ts";
+import { createLimitQueue } from "../src/limits/limit_queue.ts";
+import { createUpstreamLimits } from "../src/limits/upstream_limits.ts";
 import { createRetryBudget } from "../src/limits/retry_budget.ts";
 import { createPromptQuarantine } from "../src/quarantine/prompt_quarantine.ts";
 import type { ListedUpstream } from "../src/upstreams/upstream_view.ts";
@@ -184,12 +190,16 @@
   readonly readinessPort: number;
   readonly server: EntryServer;
   readonly context: ForwardingContext;
+  /** Exchanges its demand with other test entries. */
+  readonly demand: DemandShare;
   setTable(table: ForwardingTable | undefined): void;
 }
 
 export async function startTestEntry(
   upstreams: readonly FakeUpstream[],
   table: ForwardingTable,
+  /** Instances that share the limits of upstreams. */
+  { instanceCount = 1 } = {},
 ): Promise<TestEntry> {
   const clock = createSystemClock();
   const logger = createSilentLogger();
@@ -203,6 +213,16 @@
     canRouteToCandidates: () => true,
   });
   directory.update(upstreams.map(({ listed }) => listed));
+  const demand = createDemandShare({
+    clock,
+    getInstanceCount: () => instanceCount,
+  });
+  const limits = createUpstreamLimits({
+    clock,
+    logger,
+    random: { next: () => 0, nextInt: () => 0 },
+    getShare: demand.getShare,
+  });
   let routes: ReturnType<typeof createRouteTable> | undefined =
     createRouteTable(table, 1);
   const context: ForwardingContext = {
@@ -219,6 +239,17 @@
       isControlReachable: () => false,
       onCrash: () => {},
     }),
+    limits,
+    limitQueue: createLimitQueue({
+      clock,
+      getRatePerS: (service) =>
+        directory.listUsable(service).reduce(
+          (sum, { info }) =>
+            sum + (limits.getRatePerS(info.upstreamId) ?? Infinity),
+          0,
+        ),
+    }),
+    demand,
     successors: createSuccessorDiscovery({
       logger,
       protocol,
@@ -244,6 +275,7 @@
     readinessPort,
     server,
     context,
+    demand,
     setTable: (next) => {
       routes = next && createRouteTable(next, 2);
     },
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -160,6 +160,16 @@
     Warn,
     "upstream view not confirmed by a control instance; list read directly",
   ),
+  upstreamLimited: event(
+    4207,
+    Warn,
+    "upstream states a limit of its requests; this instance uses its share",
+  ),
+  upstreamLimitEnded: event(
+    4208,
+    Info,
+    "upstream states no limit any more; see how many requests it got here",
+  ),
   // 5xxx: peers and membership
   peerConnected: event(5001, Debug, "peer connection established"),
   peerLost: event(5002, Warn, "peer connection lost"),
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -19,6 +19,9 @@
 import { createSuccessorDiscovery } from "../forwarding/successor_discovery.ts";
 import { createUpstreamConnections } from "../forwarding/upstream_connections.ts";
 import { createUpstreamDirectory } from "../forwarding/upstream_directory.ts";
+import { createDemandShare } from "../limits/demand_share.ts";
+import { createLimitQueue } from "../limits/limit_queue.ts";
+import { createUpstreamLimits } from "../limits/upstream_limits.ts";
 import { createRetryBudget } from "../limits/retry_budget.ts";
 import { PeerCallKind } from "../peer/messages.ts";
 import { startPeerServer } from "../peer/peer_server.ts";
@@ -59,6 +62,16 @@
     canRouteToCandidates: () =>
       core.upstreams.getState().ageMs < maxCandidateViewAgeMs,
   });
+  const demand = createDemandShare({
+    clock,
+    getInstanceCount: () => core.membership.getEntryCount(),
+  });
+  const limits = createUpstreamLimits({
+    clock,
+    logger,
+    random,
+    getShare: demand.getShare,
+  });
   const quarantine = createPromptQuarantine({
     clock,
     logger,
@@ -94,11 +107,16 @@
     // failure domain if possible, where the traffic costs least.
     getEngineLoadSummary: (to) =>
       core.membership.listReachableControlIds()[0] === to
-        ? directory.getLocalLoadSummary()
+        ? {
+          ...directory.getLocalLoadSummary(),
+          demands: demand.getDemands(),
+        }
         : undefined,
     onEngineLoadSummary: ({ instanceId }, summary) => {
       const preferredId = core.membership.listReachableControlIds()[0];
-      if (preferredId === instanceId) directory.setRemoteLoadSummary(summary);
+      if (preferredId !== instanceId) return;
+      directory.setRemoteLoadSummary(summary);
+      demand.setRemoteDemands(summary.demands ?? []);
     },
   });
   const { membership, peers, configuration } = core;
@@ -107,6 +125,15 @@
       minBudgetUnits,
       bounds.retrySlack * budgetSafetyRatio / membership.getEntryCount(),
     );
+  const limitQueue = createLimitQueue({
+    clock,
+    getRatePerS: (service) =>
+      directory.listUsable(service).reduce(
+        (sum, { info }) =>
+          sum + (limits.getRatePerS(info.upstreamId) ?? Infinity),
+        0,
+      ),
+  });
   const protocol = adapter.createForwardingProtocol();
   const connections = createUpstreamConnections();
   const context: ForwardingContext = {
@@ -118,6 +145,9 @@
     connections,
     directory,
     quarantine,
+    limits,
+    limitQueue,
+    demand,
     successors: createSuccessorDiscovery({
       logger,
       protocol,
@@ -149,6 +179,16 @@
     "Prompt parts whose requests are refused.",
     quarantine.countQuarantined,
   );
+  registry.createGauge(
+    "limited_upstreams",
+    "Upstreams that state a limit of their requests.",
+    limits.count,
+  );
+  registry.createGauge(
+    "waiting_for_limits",
+    "Requests that wait until the limit of an upstream allows them.",
+    limitQueue.count,
+  );
   registry.createGauge(
     "open_requests",
     "Requests that have no final answer yet.",
--- a/src/forwarding/call_attempt.ts
+++ b/src/forwarding/call_attempt.ts
@@ -44,7 +44,7 @@
   requestLoad: RequestLoad,
   { mayReuseConnection }: { readonly mayReuseConnection: boolean },
 ): CallAttempt {
-  const { protocol, connections, directory, clock } = context;
+  const { protocol, connections, directory, clock, limits } = context;
   const { info } = requestLoad.upstream;
   const { upstreamId } = info;
   let settle: (outcome: AttemptOutcome) => void = () => {};
@@ -54,6 +54,7 @@
   let heldBytes = 0;
   let isRelaying = false;
   const sentAtMs = clock.nowMs();
+  limits.recordSend(upstreamId);
   const exchange = connections.send({
     host: info.host,
     port: info.port,
--- a/src/forwarding/call_forwarder.ts
+++ b/src/forwarding/call_forwarder.ts
@@ -15,23 +15,35 @@
   AdmittedRequest,
   ForwardingContext,
 } from "./forwarding_context.ts";
-import { createPlacementContext, failRequest } from "./forwarding_steps.ts";
+import {
+  createPlacementContext,
+  failRequest,
+  limitReason,
+} from "./forwarding_steps.ts";
 import { RequestKind } from "./forwarding_table.ts";
-import { chooseForCall } from "./placement.ts";
+import {
+  chooseForCall,
+  listReachable,
+  type PlacementContext,
+} from "./placement.ts";
 import type { Upstream } from "./upstream_types.ts";
 
+/** An attempt takes about this part of the route's objective. */
+const attemptTimeRatio = 0.5;
+
 export async function forwardCall(
   context: ForwardingContext,
   admitted: AdmittedRequest,
 ): Promise<void> {
   const { clock, logger, protocol, directory, budget, metrics } = context;
-  const { caller, route, service, deadlineAtMs } = admitted;
+  const { caller, route, service, deadlineAtMs, priority } = admitted;
   const { requestId } = caller.description;
   const budgetKey = { service: service.name, customerId: "" };
   const triedIds = new Set<string>();
   let ranCount = 0;
   let notRunCount = 0;
   let currentAttempt: CallAttempt | undefined;
+  let endWaiting: (() => void) | undefined;
   let isFinished = false;
   caller.onDisconnect(() => {
     stop();
@@ -42,13 +54,17 @@
     Math.max(0, deadlineAtMs - clock.nowMs()),
   );
   budget.recordUseful(budgetKey, 1);
+  context.demand.recordRequest(service.name);
   let upstream = chooseUpstream();
+  let started: Promise<AttemptOutcome> | undefined;
+  if (!upstream && isAtLimit()) ({ upstream, started } = await waitForRoom());
   while (!isFinished) {
     if (!upstream) {
       failCall(ErrorKind.NoUpstream, "no upstream is available");
       break;
     }
-    const outcome = await startAttempt(upstream);
+    const outcome = await (started ?? startAttempt(upstream));
+    started = undefined;
     if (isFinished) break;
     if (outcome.kind === "notRun") notRunCount += 1;
     else ranCount += 1;
@@ -80,12 +96,53 @@
   }
 
   function chooseUpstream(): Upstream | undefined {
-    const placement = createPlacementContext(context, {
+    return chooseForCall(
+      directory.listUsable(service.name),
+      getPlacementContext(),
+    );
+  }
+
+  function getPlacementContext(): PlacementContext {
+    return createPlacementContext(context, {
       service: service.name,
       triedIds,
       unreportedPlacementCount: 0,
     });
-    return chooseForCall(directory.listUsable(service.name), placement);
+  }
+
+  /** Whether only the limits of upstreams prevent an attempt. */
+  function isAtLimit(): boolean {
+    const usable = directory.listUsable(service.name);
+    return listReachable(usable, getPlacementContext()).length > 0;
+  }
+
+  /** Waits until a limit has room, and starts the attempt in that moment. */
+  function waitForRoom(): Promise<{
+    upstream: Upstream | undefined;
+    started: Promise<AttemptOutcome> | undefined;
+  }> {
+    return new Promise((resolve) => {
+      endWaiting = () => resolve({ upstream: undefined, started: undefined });
+      const remove = context.limitQueue.add(service.name, {
+        priority,
+        sendBeforeMs: deadlineAtMs - route.objectiveMs * attemptTimeRatio,
+        send: () => {
+          const next = chooseUpstream();
+          if (!next) return false;
+          resolve({ upstream: next, started: startAttempt(next) });
+          return true;
+        },
+        refuse: (backlogMs) =>
+          failCall(ErrorKind.Overloaded, limitReason, backlogMs),
+      });
+      if (isFinished) remove();
+      else {
+        endWaiting = () => {
+          remove();
+          resolve({ upstream: undefined, started: undefined });
+        };
+      }
+    });
   }
 
   function startAttempt({ info }: Upstream): Promise<AttemptOutcome> {
@@ -117,7 +174,7 @@
     );
   }
 
-  function failCall(kind: ErrorKind, reason: string): void {
+  function failCall(kind: ErrorKind, reason: string, backlogMs = 0): void {
     currentAttempt?.cancel();
     stop();
     logger.log(logEvents.forwardingFailed, {
@@ -129,13 +186,14 @@
       notRunCount,
       revision: admitted.revision,
     });
-    failRequest(context, admitted, { kind, reason, backlogMs: 0 });
+    failRequest(context, admitted, { kind, reason, backlogMs });
   }
 
   function stop(): void {
     if (isFinished) return;
     isFinished = true;
     clearTimeout(timer);
+    endWaiting?.();
     currentAttempt?.cancel();
   }
 
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -146,7 +146,7 @@
       refuseRequest(caller, checked.error);
       return;
     }
-    const { route, customerId } = checked.value;
+    const { route, customerId, priority } = checked.value;
     if (isDraining && route.kind === RequestKind.Streaming) {
       refuseRequest(
         caller,
@@ -178,6 +178,7 @@
       customerId,
       body,
       revision: table!.revision,
+      priority,
       deadlineAtMs: caller.arrivedAtMs +
         Math.min(deadlineMs ?? Infinity, route.timeoutMs),
     };
--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -7,6 +7,9 @@
 import type { Random } from "../core/random.ts";
 import type { DomainId } from "../core/types.ts";
 import type { SuccessorDiscovery } from "./successor_discovery.ts";
+import type { DemandShare } from "../limits/demand_share.ts";
+import type { LimitQueue } from "../limits/limit_queue.ts";
+import type { UpstreamLimits } from "../limits/upstream_limits.ts";
 import type { RetryBudget } from "../limits/retry_budget.ts";
 import type { PromptQuarantine } from "../quarantine/prompt_quarantine.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
@@ -27,6 +30,9 @@
   readonly successors: SuccessorDiscovery;
   readonly budget: RetryBudget;
   readonly quarantine: PromptQuarantine;
+  readonly limits: UpstreamLimits;
+  readonly limitQueue: LimitQueue;
+  readonly demand: Pick<DemandShare, "recordRequest">;
   readonly metrics: ForwardingMetrics;
   /** Counts a stream that this instance has placed. */
   recordPlacement(): void;
@@ -48,6 +54,8 @@
   readonly customerId: string | undefined;
   readonly body: Buffer;
   readonly revision: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
   /** The earlier of the caller's deadline and the route's timeout. */
   readonly deadlineAtMs: number;
 }
--- a/src/forwarding/forwarding_protocol.ts
+++ b/src/forwarding/forwarding_protocol.ts
@@ -58,6 +58,13 @@
   readonly maxRunning: number;
 }
 
+/** What a response states about the requests that its upstream takes. */
+export type StatedLimit =
+  | { readonly kind: "none" }
+  /** Requests per second of all instances together; 0 or more. */
+  | { readonly kind: "limited"; readonly requestsPerS: number }
+  | { readonly kind: "unreadable" };
+
 export interface ResponseDescription {
   /** The upstream states that it did not run the request. */
   readonly isNotRun: boolean;
@@ -72,6 +79,7 @@
   /** Id of the upstream that responded, if it states one. */
   readonly responderId: UpstreamId | undefined;
   readonly load: ReportedLoad | undefined;
+  readonly limit: StatedLimit;
 }
 
 /** A final error response that the entry instance itself sends. */
--- a/src/forwarding/forwarding_steps.ts
+++ b/src/forwarding/forwarding_steps.ts
@@ -2,6 +2,7 @@
  * Steps that non-streaming calls and streams share: building the placement
  * context, classifying the head of a response, and failing a request.
  */
+import { assertNever } from "../core/assert_never.ts";
 import { createError, ErrorKind } from "../core/errors.ts";
 import type { UpstreamId } from "../core/types.ts";
 import { CallerState } from "./caller_exchange.ts";
@@ -15,7 +16,7 @@
 import type { Upstream } from "./upstream_types.ts";
 
 export function createPlacementContext(
-  { clock, domainId, random, directory }: ForwardingContext,
+  { clock, domainId, random, directory, limits }: ForwardingContext,
   { service, triedIds, unreportedPlacementCount }: {
     readonly service: string;
     readonly triedIds: ReadonlySet<UpstreamId>;
@@ -28,10 +29,14 @@
     triedIds,
     random,
     unreportedPlacementCount,
+    hasRoom: limits.hasRoom,
     isDomainSuspected: (id) => directory.isDomainSuspected(service, id),
   };
 }
 
+export const limitReason =
+  "the limits that the upstreams state do not allow the request in time";
+
 export enum HeadClass {
   Accepted = "accepted",
   OtherRequest = "otherRequest",
@@ -45,7 +50,7 @@
 
 /** Classifies a response head and records what it shows about the upstream. */
 export function classifyHead(
-  { protocol, directory, connections, successors }: ForwardingContext,
+  { protocol, directory, connections, successors, limits }: ForwardingContext,
   { info }: Upstream,
   { requestId, status, headers }: {
     readonly requestId: string;
@@ -65,6 +70,7 @@
     successors.handleMisdirected(info, response.responderId);
     return HeadClass.Misdirected;
   }
+  recordLimit();
   if (response.isNotRun) {
     directory.recordRefusal(upstreamId);
     return HeadClass.NotRun;
@@ -73,6 +79,23 @@
   return isSuccess && (!response.isAttested || response.isEncoded)
     ? HeadClass.Unattested
     : HeadClass.Accepted;
+
+  function recordLimit(): void {
+    const { limit, isAttested, isNotRun } = response;
+    switch (limit.kind) {
+      case "limited":
+        limits.recordResponse(info, limit.requestsPerS);
+        return;
+      case "none":
+        // Only a response that is the upstream's own ends its limit.
+        if (isAttested || isNotRun) limits.recordResponse(info, undefined);
+        return;
+      case "unreadable":
+        return;
+      default:
+        assertNever(limit);
+    }
+  }
 }
 
 /** Aborts the response if it was started; otherwise sends an error response. */
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -23,6 +23,8 @@
    */
   readonly unreportedPlacementCount: number;
   isDomainSuspected(domainId: DomainId): boolean;
+  /** Whether the limit that the upstream states allows one more request. */
+  hasRoom(upstreamId: UpstreamId): boolean;
 }
 
 export interface StreamDemand {
@@ -159,13 +161,23 @@
   );
 }
 
+/** Lists the upstreams that can be tried and whose limits have room. */
+function listAvailable(
+  upstreams: readonly Upstream[],
+  context: PlacementContext,
+): readonly Upstream[] {
+  return listReachable(upstreams, context).filter(({ info }) =>
+    context.hasRoom(info.upstreamId)
+  );
+}
+
 /**
  * Lists the upstreams that are neither tried nor suspended. A suspended one
  * was recently unreachable, so trying it would cost time.
  */
-function listAvailable(
+export function listReachable(
   upstreams: readonly Upstream[],
-  { nowMs, triedIds }: PlacementContext,
+  { nowMs, triedIds }: Pick<PlacementContext, "nowMs" | "triedIds">,
 ): readonly Upstream[] {
   return upstreams.filter(({ info, suspendedUntilMs }) =>
     !triedIds.has(info.upstreamId) && suspendedUntilMs <= nowMs
--- a/src/forwarding/placement_herd_test.ts
+++ b/src/forwarding/placement_herd_test.ts
@@ -102,6 +102,7 @@
       random,
       unreportedPlacementCount,
       isDomainSuspected: () => false,
+      hasRoom: () => true,
     })!;
     return engines.find(({ upstreamId }) =>
       upstreamId === chosen.info.upstreamId
--- a/src/forwarding/placement_test.ts
+++ b/src/forwarding/placement_test.ts
@@ -47,6 +47,7 @@
   random: createRandom(1),
   unreportedPlacementCount: 0,
   isDomainSuspected: () => false,
+  hasRoom: () => true,
 };
 const demand = {
   traits: engineTraits,
--- a/src/forwarding/request_checks.ts
+++ b/src/forwarding/request_checks.ts
@@ -19,6 +19,8 @@
   readonly route: ForwardingRoute;
   /** Undefined on a public route. */
   readonly customerId: string | undefined;
+  /** The customer's priority if it has one, else the route's. */
+  readonly priority: number;
 }
 
 /**
@@ -49,7 +51,7 @@
     return err(createError(ErrorKind.NotFound, "no route for this request"));
   }
   if (route.isPublic || !table.requiresApiKey) {
-    return ok({ route, customerId: undefined });
+    return ok({ route, customerId: undefined, priority: route.priority });
   }
   const { apiKey } = request.description;
   const customer = apiKey === undefined
@@ -60,7 +62,11 @@
       createError(ErrorKind.Unauthenticated, "the API key is unknown"),
     );
   }
-  return ok({ route, customerId: customer.customerId });
+  return ok({
+    route,
+    customerId: customer.customerId,
+    priority: customer.priority ?? route.priority,
+  });
 }
 
 /** Chooses one of a route's targets by weight; `randomValue` is in [0, 1). */
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -23,6 +23,7 @@
   createPlacementContext,
   failRequest,
   HeadClass,
+  limitReason,
 } from "./forwarding_steps.ts";
 import type { CrashDecision } from "../quarantine/crash_decisions.ts";
 import { createCrashGuard, isPastStart } from "./crash_guard.ts";
@@ -32,6 +33,7 @@
 import {
   chooseForCopy,
   chooseForStream,
+  listReachable,
   type PlacementContext,
   type StreamDemand,
 } from "./placement.ts";
@@ -106,6 +108,7 @@
   let attemptCount = 0;
   let waitingSinceMs: number | undefined;
   let waitTimer: NodeJS.Timeout | undefined;
+  let endWaiting: (() => void) | undefined;
   let run: StreamAttempt | undefined;
   let isFinished = false;
   let firstEventAtMs: number | undefined;
@@ -128,6 +131,7 @@
     if (!run?.isPastStart) refuseQuarantined(partId);
   });
   budget.recordUseful(budgetKey, 1);
+  context.demand.recordRequest(service.name);
   placeAttempt();
 
   function getDemand(): StreamDemand {
@@ -157,11 +161,14 @@
       return;
     }
     const engines = directory.listUsable(service.name);
-    const engine = chooseForStream(engines, getDemand(), getPlacementContext());
-    if (!engine) {
-      waitForEngine(engines.length);
-      return;
-    }
+    const placement = getPlacementContext();
+    const engine = chooseForStream(engines, getDemand(), placement);
+    if (engine) placeAt(engine);
+    else if (listReachable(engines, placement).length > 0) waitForRoom();
+    else waitForEngine(engines.length);
+  }
+
+  function placeAt(engine: Upstream): void {
     waitingSinceMs = undefined;
     const admission = decideStreamAdmission({
       remainingMs: deadlineAtMs - clock.nowMs(),
@@ -186,6 +193,34 @@
     }
   }
 
+  /** Waits until a limit that an engine states has room. */
+  function waitForRoom(): void {
+    endWaiting?.();
+    const remove = context.limitQueue.add(service.name, {
+      // The caller of a stream that has begun waits for its next event.
+      priority: eventCount > 0 ? -1 : admitted.priority,
+      sendBeforeMs: deadlineAtMs - route.objectiveMs,
+      send: () => {
+        const engine = chooseForStream(
+          directory.listUsable(service.name),
+          getDemand(),
+          getPlacementContext(),
+        );
+        if (!engine) return false;
+        endWaiting = undefined;
+        placeAt(engine);
+        return true;
+      },
+      refuse: (backlogMs) =>
+        failStream(
+          ranCount > 0 ? ErrorKind.UpstreamFailed : ErrorKind.Overloaded,
+          limitReason,
+          backlogMs,
+        ),
+    });
+    if (!isFinished) endWaiting = remove;
+  }
+
   /** Repeating the request is useless, so the error says that. */
   function refuseQuarantined(partId: string): void {
     const mayHaveRun = ranCount > 0 || run !== undefined;
@@ -260,6 +295,7 @@
     run = started;
     attemptCount += 1;
     context.recordPlacement();
+    context.limits.recordSend(info.upstreamId);
     logger.log(logEvents.streamPlaced, {
       request: requestId,
       engine: info.upstreamId,
@@ -506,7 +542,7 @@
     if (run !== lost || isFinished) return;
     const { upstreamId } = lost.upstream.info;
     const copy = wasSent && lost.lastEventAtMs !== undefined
-      ? lost.copyManager.getUsableCopy()
+      ? findUsableCopy(lost)
       : undefined;
     endAttempt(lost, copy !== undefined);
     triedIds.add(upstreamId);
@@ -565,6 +601,14 @@
     }
   }
 
+  /** A holder whose limit has no room is of no use. */
+  function findUsableCopy({ copyManager }: StreamAttempt) {
+    const copy = copyManager.getUsableCopy();
+    return copy && context.limits.hasRoom(copy.holder.info.upstreamId)
+      ? copy
+      : undefined;
+  }
+
   function resumeAfterCrashes(
     decision: Exclude<CrashDecision, { readonly kind: "resume" }>,
   ): void {
@@ -615,6 +659,7 @@
     if (isFinished) return;
     isFinished = true;
     crashGuard.end();
+    endWaiting?.();
     clearTimeout(deadlineTimer);
     clearTimeout(waitTimer);
     if (run) endAttempt(run, false);
--- a/src/upstreams/engine_load_summary.ts
+++ b/src/upstreams/engine_load_summary.ts
@@ -24,6 +24,13 @@
   successors: z.array(
     z.tuple([upstreamIdSchema, upstreamIdSchema]).readonly(),
   ).max(10_000).optional(),
+  /**
+   * Requests for a service, in thousandths per second. Absent in summaries of
+   * earlier builds.
+   */
+  demands: z.array(
+    z.tuple([z.string().min(1).max(200), z.int().min(0)]).readonly(),
+  ).max(10_000).optional(),
 });
 
 export type LoadEntry = z.output<typeof loadEntrySchema>;
--- a/src/upstreams/load_totals.ts
+++ b/src/upstreams/load_totals.ts
@@ -30,6 +30,8 @@
   const loads = new Map<UpstreamId, LoadTotal>();
   const lossCounts = new Map<UpstreamId, number>();
   const successors = new Map<string, SuccessorTotal>();
+  /** In thousandths per second, so that sums are exact. */
+  const demands = new Map<string, number>();
   return {
     add: (summary) => apply(summary, 1),
     subtract: (summary) => apply(summary, -1),
@@ -43,6 +45,11 @@
       if (count > 0) lossCounts.set(upstreamId, count);
       else lossCounts.delete(upstreamId);
     }
+    for (const [service, milliPerS] of summary.demands ?? []) {
+      const sum = (demands.get(service) ?? 0) + sign * milliPerS;
+      if (sum > 0) demands.set(service, sum);
+      else demands.delete(service);
+    }
     for (const [formerId, newId] of summary.successors ?? []) {
       const key = getSuccessorKey(formerId, newId);
       const total = successors.get(key) ??
@@ -90,7 +97,14 @@
     const remainingSuccessors = [...successors].filter(([key, total]) =>
       total.summaryCount > 1 || !without.successorKeys.has(key)
     );
+    const remainingDemands = [...demands].map((
+      [service, milliPerS],
+    ): [string, number] => [
+      service,
+      milliPerS - (without.demands.get(service) ?? 0),
+    ]).filter(([, milliPerS]) => milliPerS > 0);
     return {
+      ...(remainingDemands.length > 0 ? { demands: remainingDemands } : {}),
       loads: remainingLoads,
       lostIds: [...lossCounts].filter(([upstreamId, count]) =>
         count > 1 || !without.lostIds.has(upstreamId)
@@ -110,6 +124,7 @@
   return {
     loads: new Map(summary?.loads.map((entry) => [entry[0], entry])),
     lostIds: new Set(summary?.lostIds),
+    demands: new Map(summary?.demands),
     successorKeys: new Set(
       summary?.successors?.map(([formerId, newId]) =>
         getSuccessorKey(formerId, newId)
