--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -114,6 +114,7 @@
   let firstEventAtMs: number | undefined;
   let lastEventAtMs = 0;
   let longestGapMs = 0;
+  const usedVersions = new Set<string>();
   const deadlineTimer = setTimeout(
     handleDeadline,
     Math.max(0, deadlineAtMs - clock.nowMs()),
@@ -293,6 +294,7 @@
       errorBytes: 0,
     };
     run = started;
+    usedVersions.add(info.version);
     attemptCount += 1;
     context.recordPlacement();
     context.limits.recordSend(info.upstreamId);
@@ -674,6 +676,7 @@
         ? undefined
         : Math.round(firstEventAtMs - caller.arrivedAtMs),
       longestGapMs: Math.round(longestGapMs),
+      versions: [...usedVersions],
       durationMs: Math.round(clock.nowMs() - caller.arrivedAtMs),
       eventCount,
       ranCount,
