Judge a version by the pace of its events and by streams that still wait

Control decided from the answers that had arrived, which are the fast ones. An instance recognized a slow one only after 20 answers of its own, 30 s here, and the time between events was in no count.

Instances now report latencies as histograms, with streams that wait or were given up, and control compares both versions by what is typical at all instances together. A target is kept only if its answers would look so good with a chance of at most a tenth, were every second of them bad.

--- a/src/control/moves/move_decisions.ts
+++ b/src/control/moves/move_decisions.ts
@@ -7,11 +7,12 @@
  * good one must be in place in time. Only answers count, so that crashes,
  * partitions and refusals under load are no evidence against a version.
  */
+import type { LatencyComparison } from "./latency_comparison.ts";
 import { MovePhase, type RunningPhase } from "./move_types.ts";
 
 export interface AnswerCounts {
   readonly answeredCount: number;
-  /** Failures, and answers that took several times as long as usual. */
+  /** Failures, or in a latency comparison slow answers. */
   readonly badCount: number;
 }
 
@@ -21,6 +22,7 @@
   readonly durationMs: number;
   readonly stable: AnswerCounts;
   readonly target: AnswerCounts;
+  readonly latencies: readonly LatencyComparison[];
 }
 
 export interface MoveDecision {
@@ -64,22 +66,33 @@
  */
 const finalDeviations = 1.5;
 const minBadCount = 3;
+/** A version is kept if a bad one would look as good with at most this chance. */
+const maxChanceOfBad = 0.1;
+const minGoodLoss = 0.5;
 const minAnsweredCount = 3;
 
 export function decideMove(evidence: MoveEvidence): MoveDecision {
-  const { phase, elapsedMs, durationMs, stable, target } = evidence;
+  const { phase, elapsedMs, durationMs, stable, target, latencies } = evidence;
   const decideAtMs = durationMs * decisionTimeRatio;
   const isFinal = elapsedMs >= decideAtMs;
   const deviations = isFinal ? finalDeviations : maxDeviations;
-  if (isWorse(target, stable, deviations)) {
-    const reason = `${target.badCount} of ${target.answeredCount} answers ` +
-      `bad, ${stable.badCount} of ${stable.answeredCount} before`;
+  const failures = { name: "failed", isProofRequired: true, stable, target };
+  const worse = [failures, ...latencies].find((comparison) =>
+    isWorse(comparison.target, comparison.stable, deviations)
+  );
+  if (worse) {
+    const reason = describeComparison(worse);
     return { phase: MovePhase.RolledBack, share: 0, reason };
   }
   const hasEnoughAnswers = target.answeredCount >= minAnsweredCount;
   if (isFinal) {
-    const reason = `${target.answeredCount} answers`;
-    return hasEnoughAnswers
+    const comparisons = [failures, ...latencies];
+    const reason = comparisons.map(describeComparison).join("; ");
+    const isAcceptable = hasEnoughAnswers &&
+      comparisons.every((comparison) =>
+        !comparison.isProofRequired || !mayBeBad(comparison)
+      );
+    return isAcceptable
       ? { phase: MovePhase.Complete, share: 1, reason }
       : { phase: MovePhase.RolledBack, share: 0, reason };
   }
@@ -99,6 +112,34 @@
   };
 }
 
+/**
+ * Whether chance alone may have kept the bad answers so few although half of the
+ * answers that would be good at the stable version are bad.
+ */
+function mayBeBad({ stable, target }: LatencyComparison): boolean {
+  const { answeredCount, badCount } = target;
+  const badRatio = 1 - (1 - getBadRatio(stable)) * minGoodLoss;
+  let logTerm = answeredCount * Math.log(1 - badRatio);
+  let chance = 0;
+  for (let bad = 0; bad <= badCount; bad++) {
+    chance += Math.exp(logTerm);
+    logTerm += Math.log((answeredCount - bad) / (bad + 1)) +
+      Math.log(badRatio / (1 - badRatio));
+  }
+  return chance > maxChanceOfBad;
+}
+
+function getBadRatio({ answeredCount, badCount }: AnswerCounts): number {
+  return badCount / Math.max(1, answeredCount);
+}
+
+function describeComparison(
+  { name, stable, target }: LatencyComparison,
+): string {
+  return `${name}: ${target.badCount} of ${target.answeredCount} answers, ` +
+    `${stable.badCount} of ${stable.answeredCount} of the stable version`;
+}
+
 function getWatchShare(expectedCount: number, elapsedMs: number): number {
   if (elapsedMs < minRateMs || expectedCount === 0) return watchShare;
   const share = watchShare + extraWatchCount / expectedCount;
@@ -111,7 +152,7 @@
   deviations: number,
 ): boolean {
   if (target.badCount < minBadCount) return false;
-  const stableBadRatio = stable.badCount / Math.max(1, stable.answeredCount);
+  const stableBadRatio = getBadRatio(stable);
   const share = Math.max(
     normalBadRatio,
     Math.min(1, stableBadRatio * stableBadRatioFactor),
--- a/src/control/moves/move_decisions_test.ts
+++ b/src/control/moves/move_decisions_test.ts
@@ -79,6 +79,7 @@
       elapsedMs: nowMs,
       durationMs,
       ...counts,
+      latencies: [],
     });
     shares.push({ atMs: nowMs + orderDelayMs, share: decision.share });
     if (!isRunning(decision)) endedAtMs = nowMs;
@@ -150,6 +151,7 @@
     durationMs: 12_000,
     stable: { answeredCount: 500, badCount: 5 },
     target: { answeredCount: 0, badCount: 0 },
+    latencies: [],
   });
   expect(decision.phase).toBe(MovePhase.RolledBack);
 });
--- a/src/control/moves/move_table_test.ts
+++ b/src/control/moves/move_table_test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from "vitest";
 import type { ListedUpstream } from "../../upstreams/upstream_view.ts";
 import { createAnswerCountAggregator } from "./answer_count_aggregator.ts";
+import type { AnswerReport } from "./answer_reports.ts";
 import { createMoveTable } from "./move_table.ts";
 import { MovePhase, type MoveProgress } from "./move_types.ts";
 import { assignFallbackShares, assignShares } from "./version_shares.ts";
@@ -117,13 +118,32 @@
 });
 
 test("totals survive a restart of an instance and are not counted twice", () => {
-  const aggregator = createAnswerCountAggregator();
+  const aggregator = createAnswerCountAggregator({ getNowMs: () => 0 });
   const instance = { instanceId: "10.0.0.1", incarnation: 1 };
-  aggregator.record(instance, [["app", "v2", 4, 1]]);
-  aggregator.record(instance, [["app", "v2", 6, 1], ["app", "v1", 90, 2]]);
-  aggregator.record({ ...instance, incarnation: 2 }, [["app", "v2", 1, 1]]);
-  expect(aggregator.getTotal("app", ["v2"])).toEqual({
+  const report = (...answers: AnswerReport["answers"]): AnswerReport => ({
+    answers,
+    latencies: answers.map(([service, version, answered]) => ({
+      service,
+      version,
+      durations: [[10, answered]],
+      paces: [],
+      abandoned: [],
+      waiting: [],
+    })),
+    typical: [],
+  });
+  aggregator.record(instance, report(["app", "v2", 4, 1]));
+  aggregator.record(
+    instance,
+    report(["app", "v2", 6, 1], ["app", "v1", 90, 2]),
+  );
+  aggregator.record(
+    { ...instance, incarnation: 2 },
+    report(["app", "v2", 1, 1]),
+  );
+  expect(aggregator.getTotal("app", ["v2"])).toMatchObject({
     answeredCount: 7,
     badCount: 2,
+    durations: [[10, 7]],
   });
 });
--- a/src/control/moves/move_task.ts
+++ b/src/control/moves/move_task.ts
@@ -10,8 +10,13 @@
 import type { Logger } from "../../core/logger.ts";
 import { createPeriodicTask, type Task } from "../../core/supervisor.ts";
 import { type Command, CommandKind } from "../commands.ts";
-import type { AnswerCountAggregator } from "./answer_count_aggregator.ts";
-import { type AnswerCounts, decideMove } from "./move_decisions.ts";
+import {
+  type AnswerCountAggregator,
+  type AnswerTotals,
+  subtractTotals,
+} from "./answer_count_aggregator.ts";
+import { compareLatencies } from "./latency_comparison.ts";
+import { decideMove } from "./move_decisions.ts";
 import type { MoveTable } from "./move_table.ts";
 import {
   isRunning,
@@ -38,8 +43,8 @@
   startedAtMs: number;
   /** Answers that were counted before the order. */
   readonly before: {
-    readonly stable: AnswerCounts;
-    readonly target: AnswerCounts;
+    readonly stable: AnswerTotals;
+    readonly target: AnswerTotals;
   };
 }
 
@@ -82,12 +87,19 @@
     if (!options.isLeader()) return;
     const elapsedMs = nowMs - entry.startedAtMs;
     const totals = getTotals(move);
+    const counted = {
+      stable: subtractTotals(totals.stable, entry.before.stable),
+      target: subtractTotals(totals.target, entry.before.target),
+    };
     const decision = decideMove({
       phase: move.phase,
       elapsedMs,
       durationMs,
-      stable: subtractCounts(totals.stable, entry.before.stable),
-      target: subtractCounts(totals.target, entry.before.target),
+      ...counted,
+      latencies: compareLatencies({
+        ...counted,
+        typical: answerCounts.getTypical(service),
+      }),
     });
     const isChanged = decision.phase !== move.phase ||
       decision.share !== move.share;
@@ -118,13 +130,3 @@
     };
   }
 }
-
-function subtractCounts(
-  total: AnswerCounts,
-  before: AnswerCounts,
-): AnswerCounts {
-  return {
-    answeredCount: total.answeredCount - before.answeredCount,
-    badCount: total.badCount - before.badCount,
-  };
-}
--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -53,7 +53,7 @@
   const engineLoadAggregator = createEngineLoadAggregator({
     getNowMs: clock.nowMs,
   });
-  const answerCounts = createAnswerCountAggregator();
+  const answerCounts = createAnswerCountAggregator({ getNowMs: clock.nowMs });
   const stateMachine = createStateMachine({
     onQuarantineChange: (change) => quarantine.handleChange(change),
     onConfiguration: (table, changes) =>
@@ -77,10 +77,10 @@
     getLeaderTerm: () => late.log!.isLeader() ? late.log!.getTerm() : undefined,
     onConfiguration: () => {},
     onUpstreams: () => {},
-    getVersionAnswers: () => [],
+    getAnswerReport: () => undefined,
     onHeartbeat: (heartbeat) => {
-      const { instanceId, versionAnswers, crashReport } = heartbeat;
-      if (versionAnswers) answerCounts.record(heartbeat, versionAnswers);
+      const { instanceId, answerReport, crashReport } = heartbeat;
+      if (answerReport) answerCounts.record(heartbeat, answerReport);
       if (crashReport) quarantine.recordReport(instanceId, crashReport);
     },
     getQuarantineFields: (received) => {
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -90,7 +90,7 @@
     getLeaderTerm: () => undefined,
     onConfiguration: applyConfiguration,
     onUpstreams: directory.update,
-    getVersionAnswers: directory.getVersionAnswers,
+    getAnswerReport: directory.getAnswerReport,
     onHeartbeat: (heartbeat) => {
       if (!heartbeat.isControl) return;
       quarantine.applyNotice(heartbeat.instanceId, heartbeat.quarantine);
--- a/src/daemon/instance_core.ts
+++ b/src/daemon/instance_core.ts
@@ -29,7 +29,7 @@
   createSeedMembership,
   type SeedMembership,
 } from "../membership/seed_membership.ts";
-import type { VersionAnswers } from "../control/moves/answer_count_aggregator.ts";
+import type { AnswerReport } from "../control/moves/answer_reports.ts";
 import type { Heartbeat } from "../peer/messages.ts";
 import { createPeerClient, type PeerClient } from "../peer/peer_client.ts";
 import {
@@ -65,7 +65,7 @@
   onUpstreams(upstreams: readonly ListedUpstream[]): void;
   getEngineLoadSummary(to: InstanceId): EngineLoadSummary | undefined;
   onEngineLoadSummary(from: InstanceInfo, summary: EngineLoadSummary): void;
-  getVersionAnswers(): readonly VersionAnswers[];
+  getAnswerReport(): AnswerReport | undefined;
   /** `received` is the heartbeat that is replied to, if any. */
   getQuarantineFields(
     received: Heartbeat | undefined,
@@ -157,7 +157,7 @@
     },
     getEngineLoadSummary: options.getEngineLoadSummary,
     onEngineLoadSummary: options.onEngineLoadSummary,
-    getVersionAnswers: options.getVersionAnswers,
+    getAnswerReport: options.getAnswerReport,
     getQuarantineFields: options.getQuarantineFields,
   });
   const peers = createPeerClient({
--- a/src/forwarding/call_attempt.ts
+++ b/src/forwarding/call_attempt.ts
@@ -117,7 +117,7 @@
         end({ kind: "notRun", reason: `refused with status ${status}` });
         return;
       case HeadClass.Unattested:
-        directory.recordFailure(upstreamId, clock.nowMs() - sentAtMs);
+        directory.recordFailure(upstreamId);
         end({
           kind: "unknown",
           reason: "the response is not from the upstream",
@@ -167,7 +167,7 @@
       return;
     }
     const durationMs = clock.nowMs() - sentAtMs;
-    if (head!.status >= 500) directory.recordFailure(upstreamId, durationMs);
+    if (head!.status >= 500) directory.recordFailure(upstreamId);
     else directory.recordSuccess(upstreamId, durationMs);
     if (isRelaying) {
       caller.endResponse();
--- a/src/forwarding/candidate_routing_test.ts
+++ b/src/forwarding/candidate_routing_test.ts
@@ -4,7 +4,6 @@
 import { createRandom } from "../core/random.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import { createUpstreamDirectory } from "./upstream_directory.ts";
-import { createVersionAnswerCounter } from "./version_answers.ts";
 
 function createListed(version: string, versionShare: number): ListedUpstream {
   return {
@@ -54,18 +53,3 @@
   const listed = [createListed("v1", 1), createListed("v2", 0)];
   expect(countCandidateChoices(listed, true)).toBe(0);
 });
-
-test("answers that take much longer than is typical count as bad", () => {
-  const counter = createVersionAnswerCounter();
-  const stable = createListed("v1", 1);
-  const target = createListed("v2", 0.1);
-  const answer = { isFailure: false, durationMs: 20, isEvidence: true };
-  for (let count = 0; count < 50; count++) counter.record(stable, answer);
-  counter.record(target, { ...answer, durationMs: 25 });
-  counter.record(target, { ...answer, durationMs: 200 });
-  counter.record(target, { ...answer, isFailure: true });
-  expect(counter.getTotals()).toEqual([
-    ["app", "v1", 50, 0],
-    ["app", "v2", 3, 2],
-  ]);
-});
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -41,6 +41,8 @@
 import { decideStreamAdmission } from "./stream_admission.ts";
 import type { MonitoredStream, StreamMonitor } from "./stream_monitor.ts";
 import { isBrokenOff, isCloseDelimited } from "./response_framing.ts";
+import { createPaceMeter, type PaceMeter } from "./pace_meter.ts";
+import { type AnswerWait, WaitEnd } from "./version_answers.ts";
 import type { Exchange } from "./upstream_connections.ts";
 import { getAddress } from "./upstream_directory.ts";
 import type { RequestLoad, Upstream } from "./upstream_types.ts";
@@ -58,6 +60,8 @@
   readonly prefillTokens: number;
   readonly requestLoad: RequestLoad;
   readonly copyManager: CopyManager;
+  readonly wait: AnswerWait;
+  readonly pace: PaceMeter;
   readonly splitter: EventSplitter;
   exchange: Exchange | undefined;
   head: { readonly status: number; readonly headers: RawHeaders } | undefined;
@@ -287,6 +291,10 @@
       onCheck: () => copyManager.check(started.lastEventAtMs !== undefined),
       requestLoad,
       copyManager,
+      wait: directory.trackWait(info.upstreamId),
+      pace: createPaceMeter((paceMs) =>
+        directory.recordPace(info.upstreamId, paceMs)
+      ),
       splitter: createEventSplitter(),
       exchange: undefined,
       head: undefined,
@@ -404,10 +412,7 @@
     current.errorBody.push(chunk);
     current.errorBytes += chunk.length;
     if (current.errorBytes <= maxErrorBytes) return;
-    directory.recordFailure(
-      current.upstream.info.upstreamId,
-      clock.nowMs() - current.startedAtMs,
-    );
+    directory.recordFailure(current.upstream.info.upstreamId);
     handleLoss(current, { wasSent: true, reason: "the error is too large" });
   }
 
@@ -425,9 +430,13 @@
           .record(current.prefillTokens, clock.nowMs() - current.startedAtMs);
       }
       current.requestLoad.releaseUncachedTokens();
+      current.wait.end(WaitEnd.Answered);
       directory.recordSuccess(
         current.upstream.info.upstreamId,
-        clock.nowMs() - current.startedAtMs,
+        // A stream that resumes from a copy does not wait for its prefill.
+        current.prefillTokens > 0
+          ? clock.nowMs() - current.startedAtMs
+          : undefined,
       );
     }
     if (current.lastEventAtMs === undefined && attemptCount > 1) {
@@ -443,6 +452,7 @@
     recordEventTime();
     current.firstEventAtMs ??= lastEventAtMs;
     current.lastEventAtMs = lastEventAtMs;
+    current.pace.recordEvent(lastEventAtMs);
     if (isPastStart(current, lastEventAtMs)) recordSoundRun(current);
     if (eventId !== undefined && lastEventId !== undefined) {
       if (eventId <= lastEventId) return; // the caller already has this event
@@ -507,10 +517,7 @@
   /** Handles a complete response that is an error instead of a stream. */
   function endWithError(current: StreamAttempt): void {
     const { status, headers } = current.head!;
-    directory.recordFailure(
-      current.upstream.info.upstreamId,
-      clock.nowMs() - current.startedAtMs,
-    );
+    directory.recordFailure(current.upstream.info.upstreamId);
     const errorBody = Buffer.concat(current.errorBody);
     const mayResume = status >= 500 && route.isResumable &&
       ranCount + 1 < route.maxAttempts;
@@ -546,6 +553,9 @@
     const copy = wasSent && lost.lastEventAtMs !== undefined
       ? findUsableCopy(lost)
       : undefined;
+    const saysNothing = hasEngineEnded || isRefused || !wasSent;
+    lost.wait.end(saysNothing ? WaitEnd.Cancelled : WaitEnd.Abandoned);
+    if (!saysNothing) lost.pace.recordSilence(clock.nowMs());
     endAttempt(lost, copy !== undefined);
     triedIds.add(upstreamId);
     if (wasSent) ranCount += 1;
@@ -626,6 +636,7 @@
   }
 
   function endAttempt(ended: StreamAttempt, isCopyUsed: boolean): void {
+    ended.wait.end(WaitEnd.Abandoned);
     monitor.remove(ended);
     ended.exchange?.cancel();
     ended.requestLoad.release();
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -6,7 +6,7 @@
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
 import type { DomainId, UpstreamId } from "../core/types.ts";
-import type { VersionAnswers } from "../control/moves/answer_count_aggregator.ts";
+import type { AnswerReport } from "../control/moves/answer_reports.ts";
 import type { Random } from "../core/random.ts";
 import type { EngineLoadSummary } from "../upstreams/engine_load_summary.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
@@ -23,7 +23,10 @@
   Successor,
   Upstream,
 } from "./upstream_types.ts";
-import { createVersionAnswerCounter } from "./version_answers.ts";
+import {
+  type AnswerWait,
+  createVersionAnswerCounter,
+} from "./version_answers.ts";
 
 export interface UpstreamDirectory {
   update(listed: readonly ListedUpstream[]): void;
@@ -40,11 +43,16 @@
   recordLoad(upstreamId: UpstreamId, load: ReportedLoad): void;
   /** Records that any bytes were received from the upstream. */
   recordActivity(upstreamId: UpstreamId): void;
-  recordSuccess(upstreamId: UpstreamId, durationMs: number): void;
+  /** `durationMs` is undefined if it says nothing about the upstream. */
+  recordSuccess(upstreamId: UpstreamId, durationMs: number | undefined): void;
   /** Records an error response of the upstream. */
-  recordFailure(upstreamId: UpstreamId, durationMs: number): void;
-  /** Answer counts by version, for services that have several versions. */
-  getVersionAnswers(): VersionAnswers[];
+  recordFailure(upstreamId: UpstreamId): void;
+  /** Records the time per event at the beginning of a stream. */
+  recordPace(upstreamId: UpstreamId, paceMs: number): void;
+  /** Counts a stream that waits for its first event, until the wait ends. */
+  trackWait(upstreamId: UpstreamId): AnswerWait;
+  /** Answers by version, if a service has several versions. */
+  getAnswerReport(): AnswerReport | undefined;
   /** Records that the response to a non-streaming call was incomplete. */
   recordIncompleteResponse(upstreamId: UpstreamId): void;
   /** Records that the upstream reset or refused a connection, or is silent. */
@@ -118,7 +126,10 @@
     canRouteToCandidates,
   }: UpstreamDirectoryOptions,
 ): UpstreamDirectory {
-  const answers = createVersionAnswerCounter();
+  const answers = createVersionAnswerCounter({
+    clock,
+    hasSeveralVersions: (service) => multiVersionServices.has(service),
+  });
   const entries = new Map<UpstreamId, Entry>();
   /**
    * By service, because the upstreams of one service may fail in a domain while
@@ -132,7 +143,7 @@
   return {
     update,
     listUsable,
-    getVersionAnswers: answers.getTotals,
+    getAnswerReport: answers.getReport,
     get: (upstreamId) => entries.get(upstreamId),
     trackRequest,
     trackCopy,
@@ -146,8 +157,13 @@
     },
     recordSuccess: (upstreamId, durationMs) =>
       recordResponse(upstreamId, 0, durationMs),
-    recordFailure: (upstreamId, durationMs) =>
-      recordResponse(upstreamId, 1, durationMs),
+    recordFailure: (upstreamId) => recordResponse(upstreamId, 1, undefined),
+    recordPace: (upstreamId, paceMs) => {
+      const entry = entries.get(upstreamId);
+      if (entry && !entry.info.isCold) answers.recordPace(entry.info, paceMs);
+    },
+    trackWait: (upstreamId) =>
+      answers.trackWait(getListedEntry(upstreamId).info),
     isDomainSuspected: (service, domainId) =>
       getDomainHealth(service).isSuspected(domainId, clock.nowMs()),
     getPrefillRateTracker,
@@ -387,14 +403,14 @@
   function recordResponse(
     upstreamId: UpstreamId,
     failure: 0 | 1,
-    durationMs: number,
+    durationMs: number | undefined,
   ): void {
     const entry = entries.get(upstreamId);
     if (!entry) return;
     answers.record(entry.info, {
       isFailure: failure === 1,
-      durationMs,
-      isEvidence: multiVersionServices.has(entry.info.service),
+      // A cold upstream is slow whatever its version.
+      durationMs: entry.info.isCold ? undefined : durationMs,
     });
     entry.lastActivityAtMs = clock.nowMs();
     entry.consecutiveLosses = 0;
--- a/src/membership/seed_membership.ts
+++ b/src/membership/seed_membership.ts
@@ -20,7 +20,7 @@
 } from "../core/types.ts";
 import { type Heartbeat, PeerCallKind } from "../peer/messages.ts";
 import type { PeerAddress, PeerClient } from "../peer/peer_client.ts";
-import type { VersionAnswers } from "../control/moves/answer_count_aggregator.ts";
+import type { AnswerReport } from "../control/moves/answer_reports.ts";
 import type { EngineLoadSummary } from "../upstreams/engine_load_summary.ts";
 import type { MembershipView } from "./membership_view.ts";
 
@@ -65,7 +65,7 @@
   getEngineLoadSummary(to: InstanceId): EngineLoadSummary | undefined;
   onEngineLoadSummary(from: InstanceInfo, loadSummary: EngineLoadSummary): void;
   /** Answers by version since the start of this instance. */
-  getVersionAnswers(): readonly VersionAnswers[];
+  getAnswerReport(): AnswerReport | undefined;
   /** `received` is the heartbeat that is replied to, if any. */
   getQuarantineFields(received: Heartbeat | undefined): QuarantineFields;
 }
@@ -307,7 +307,7 @@
   function getHeartbeat(to: InstanceId, received?: Heartbeat): Heartbeat {
     const { revision, ageMs } = options.getUpstreams();
     const engineNews = options.getEngineLoadSummary(to);
-    const versionAnswers = [...options.getVersionAnswers()];
+    const answerReport = options.getAnswerReport();
     return {
       ...self,
       isControl: self.isControl === true,
@@ -315,7 +315,7 @@
       upstreamsRevision: revision,
       upstreamsAgeMs: ageMs,
       ...(engineNews ? { engineNews } : {}),
-      ...(versionAnswers.length > 0 ? { versionAnswers } : {}),
+      ...(answerReport ? { answerReport } : {}),
       ...options.getQuarantineFields(received),
       ...(self.isControl
         ? {
--- a/src/membership/seed_membership_test.ts
+++ b/src/membership/seed_membership_test.ts
@@ -63,7 +63,7 @@
       getUpstreams: () => ({ revision: 0, ageMs: 0 }),
       onHeartbeat: () => {},
       getEngineLoadSummary: () => undefined,
-      getVersionAnswers: () => [],
+      getAnswerReport: () => undefined,
       getQuarantineFields: () => ({}),
       onEngineLoadSummary: () => {},
     });
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -18,7 +18,7 @@
 import { answerRecordSchema } from "../answers/answer_history.ts";
 import { InstanceState } from "../core/types.ts";
 import { FinishReason } from "../core/types.ts";
-import { versionAnswersSchema } from "../control/moves/answer_count_aggregator.ts";
+import { answerReportSchema } from "../control/moves/answer_reports.ts";
 import {
   crashReportSchema,
   quarantineNoticeSchema,
@@ -99,8 +99,8 @@
   entryCount: z.int().min(0).optional(),
   /** The sender's load summary; in a reply, the sum of all other instances. */
   engineNews: engineLoadSummarySchema.optional(),
-  /** Number of answers by version since the sender's start. */
-  versionAnswers: z.array(versionAnswersSchema).max(10_000).optional(),
+  /** Answers by version, while a service has several versions. */
+  answerReport: answerReportSchema.optional(),
   /** Crashes of engines that an entry instance observed. */
   crashReport: crashReportSchema.optional(),
   /** Revision of the prompt quarantine at an entry instance. */
