Remember quarantined prompt parts over a restart of all processes

After a restart of all processes, requests with a quarantined prompt part ran again and crashed engines for about a second.

Entry instances are ready as soon as a control instance gives them the cached configuration.

Control instances now store the parts in their data folder, as they do with the configuration, and pass them on until the log knows at least as much.

--- a/measure/soak/soak_upstreams.ts
+++ b/measure/soak/soak_upstreams.ts
@@ -40,6 +40,9 @@
   isLeaving: boolean;
 }
 
+/** An engine crashes when it starts to run a request with this prompt part. */
+export const crashingPart = "crashing";
+const crashDowntimeMs = 700;
 const enginesPerDomain = 2;
 const engineSlots = 8;
 const appSlots = 6;
@@ -255,6 +258,12 @@
     let timer = setTimeout(writeNextEvent, prefillMs);
     response.on("close", () => clearTimeout(timer));
 
+    const prompt = String(request.headers["prompt-prefix"] ?? "");
+    if (prompt.includes(crashingPart)) {
+      clearTimeout(timer);
+      timer = setTimeout(() => crash(upstream, crashDowntimeMs), prefillMs);
+    }
+
     function writeNextEvent(): void {
       if (upstream.isDown) return;
       if (eventId >= Number(count)) {
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -260,6 +260,11 @@
     Info,
     "change of the prompt quarantine committed",
   ),
+  quarantineCacheFailed: event(
+    6503,
+    Warn,
+    "prompt quarantine could not be stored for the next start",
+  ),
   // 7xxx: callers
   requestAnsweredWithError: event(
     7001,
--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -22,6 +22,7 @@
 import { createSupervisor } from "../core/supervisor.ts";
 import { PeerCallKind } from "../peer/messages.ts";
 import { startPeerServer } from "../peer/peer_server.ts";
+import { createQuarantineCache } from "../quarantine/quarantine_cache.ts";
 import { createQuarantineControl } from "../quarantine/quarantine_task.ts";
 import { createEngineLoadAggregator } from "../upstreams/engine_load_aggregator.ts";
 import { createInstanceCore } from "./instance_core.ts";
@@ -63,6 +64,12 @@
     clock,
     logger,
     table: stateMachine.quarantine,
+    cache: createQuarantineCache({
+      clock,
+      logger,
+      dataFolder,
+      table: stateMachine.quarantine,
+    }),
     isLeader: () => late.log!.isLeader(),
     propose: (command) => late.log!.propose(command),
   });
--- a/src/quarantine/quarantine_task.ts
+++ b/src/quarantine/quarantine_task.ts
@@ -13,6 +13,7 @@
 import { createPeriodicTask, type Task } from "../core/supervisor.ts";
 import type { InstanceId } from "../core/types.ts";
 import { PartStatus } from "./crash_decisions.ts";
+import type { QuarantineCache } from "./quarantine_cache.ts";
 import { createCrashEvidenceCollector } from "./crash_evidence_collector.ts";
 import { getEndWallMs, type QuarantineTable } from "./quarantine_table.ts";
 import {
@@ -41,6 +42,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly table: QuarantineTable;
+  readonly cache: QuarantineCache;
   isLeader(): boolean;
   propose(command: Command): ResultAsync<unknown, SystemError>;
 }
@@ -51,7 +53,7 @@
 export function createQuarantineControl(
   options: QuarantineControlOptions,
 ): QuarantineControl {
-  const { clock, logger, table } = options;
+  const { clock, logger, table, cache } = options;
   const provisional = new Map<string, PartKey>();
   const collector = createCrashEvidenceCollector({ clock, getStatus });
   let watched: readonly PartKey[] = [];
@@ -123,6 +125,7 @@
     const { kind, service, partId, reason } = change;
     provisional.delete(formatPartKey(service, partId));
     if (kind !== QuarantineChangeKind.Add) collector.forget([service, partId]);
+    cache.save();
     logger.log(logEvents.promptQuarantineChanged, {
       change: kind,
       service,
@@ -135,13 +138,14 @@
   function getNotice(knownRevision: number): QuarantineNotice | undefined {
     const revision = table.getRevision();
     const isKnown = revision === knownRevision;
-    if (isKnown && provisional.size === 0 && watched.length === 0) {
+    const uncommitted = [...provisional.values(), ...cache.listRemembered()];
+    if (isKnown && uncommitted.length === 0 && watched.length === 0) {
       return undefined;
     }
     return {
       revision,
       ...(isKnown ? {} : { parts: table.listQuarantined() }),
-      provisional: [...provisional.values()],
+      provisional: uncommitted,
       watched: [...watched],
     };
   }
--- a/src/quarantine/quarantine_test.ts
+++ b/src/quarantine/quarantine_test.ts
@@ -2,6 +2,9 @@
  * Entry and control instances that exchange crash reports and notices by
  * function calls, on simulated time.
  */
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { okAsync } from "neverthrow";
 import { expect, test } from "vitest";
 import { CommandKind } from "../control/commands.ts";
@@ -9,6 +12,7 @@
 import type { Clock } from "../core/clock.ts";
 import { createSilentLogger } from "../core/logger.ts";
 import { createPromptQuarantine } from "./prompt_quarantine.ts";
+import { createQuarantineCache } from "./quarantine_cache.ts";
 import { createQuarantineTable, getEndWallMs } from "./quarantine_table.ts";
 import { createQuarantineControl } from "./quarantine_task.ts";
 import {
@@ -34,6 +38,7 @@
     clock,
     logger,
     table: state.quarantine,
+    cache: { listRemembered: () => [], save: () => {} },
     isLeader: () => hasLeader,
     propose: (command) => okAsync(state.apply(command)),
   });
@@ -220,3 +225,38 @@
   await deployment.advance(2);
   expect(deployment.state.quarantine.list()).toEqual([]);
 });
+
+test("a restarted control instance remembers the parts until its log has them", async () => {
+  const dataFolder = mkdtempSync(join(tmpdir(), "quarantine-test-"));
+  try {
+    const start = () => {
+      const table = createQuarantineTable();
+      const cache = createQuarantineCache({
+        clock: { nowMs: () => 0 },
+        logger: createSilentLogger(),
+        dataFolder,
+        table,
+      });
+      return { table, cache };
+    };
+    const before = start();
+    expect(before.cache.listRemembered()).toEqual([]);
+    before.table.apply(change(QuarantineChangeKind.Add, "bad-1"));
+    before.table.apply(change(QuarantineChangeKind.Add, "bad-2"));
+    before.cache.save();
+    await expect.poll(() => start().cache.listRemembered())
+      .toEqual([[service, "bad-1"], [service, "bad-2"]]);
+    const after = start();
+    after.table.apply(change(QuarantineChangeKind.Add, "bad-1"));
+    after.cache.save();
+    expect(after.cache.listRemembered()).toHaveLength(2);
+    after.table.apply(change(QuarantineChangeKind.Add, "bad-2"));
+    expect(after.cache.listRemembered()).toEqual([]);
+    after.table.apply(change(QuarantineChangeKind.Lift, "bad-1"));
+    after.cache.save();
+    await expect.poll(() => start().cache.listRemembered())
+      .toEqual([[service, "bad-2"]]);
+  } finally {
+    rmSync(dataFolder, { recursive: true });
+  }
+});
