Move the state of a stream attempt out of its forwarder, and decide framing once

Whether a response has a length was decided in two places, and the rate of a service's limits computed in two.

--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -242,12 +242,9 @@
     limits,
     limitQueue: createLimitQueue({
       clock,
-      getRatePerS: (service) =>
-        directory.listUsable(service).reduce(
-          (sum, { info }) =>
-            sum + (limits.getRatePerS(info.upstreamId) ?? Infinity),
-          0,
-        ),
+      listUpstreamIds: (service) =>
+        directory.listUsable(service).map(({ info }) => info.upstreamId),
+      getRatePerS: limits.getRatePerS,
     }),
     demand,
     successors: createSuccessorDiscovery({
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -127,12 +127,9 @@
     );
   const limitQueue = createLimitQueue({
     clock,
-    getRatePerS: (service) =>
-      directory.listUsable(service).reduce(
-        (sum, { info }) =>
-          sum + (limits.getRatePerS(info.upstreamId) ?? Infinity),
-        0,
-      ),
+    listUpstreamIds: (service) =>
+      directory.listUsable(service).map(({ info }) => info.upstreamId),
+    getRatePerS: limits.getRatePerS,
   });
   const protocol = adapter.createForwardingProtocol();
   const connections = createUpstreamConnections();
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -10,7 +10,6 @@
 import { CallerState } from "./caller_exchange.ts";
 import {
   createEventSplitter,
-  type EventSplitter,
   maxEventBytes,
   type StreamEvent,
 } from "./event_splitter.ts";
@@ -27,7 +26,6 @@
 } from "./forwarding_steps.ts";
 import type { CrashDecision } from "../quarantine/crash_decisions.ts";
 import { createCrashGuard, isPastStart } from "./crash_guard.ts";
-import { type CopyManager, createCopyManager } from "./copy_manager.ts";
 import type { KvCacheCopy, RawHeaders } from "./forwarding_protocol.ts";
 import type { EngineTraits } from "./forwarding_table.ts";
 import {
@@ -39,37 +37,26 @@
 } from "./placement.ts";
 import { decideAfterLoss } from "./stream_decisions.ts";
 import { decideStreamAdmission } from "./stream_admission.ts";
-import type { MonitoredStream, StreamMonitor } from "./stream_monitor.ts";
-import { isBrokenOff, isCloseDelimited } from "./response_framing.ts";
-import { createPaceMeter, type PaceMeter } from "./pace_meter.ts";
-import { type AnswerWait, WaitEnd } from "./version_answers.ts";
-import type { Exchange } from "./upstream_connections.ts";
+import { createCopyManager } from "./copy_manager.ts";
+import { createPaceMeter } from "./pace_meter.ts";
+import { isBrokenOff } from "./response_framing.ts";
+import {
+  describePlacement,
+  findBreak,
+  getWritingMs,
+  isStream,
+  type StreamAttempt,
+} from "./stream_attempt.ts";
+import type { StreamMonitor } from "./stream_monitor.ts";
 import { getAddress } from "./upstream_directory.ts";
-import type { RequestLoad, Upstream } from "./upstream_types.ts";
+import type { Upstream } from "./upstream_types.ts";
+import { WaitEnd } from "./version_answers.ts";
 
 export interface StreamForwarderOptions {
   readonly context: ForwardingContext;
   readonly monitor: StreamMonitor;
 }
 
-interface StreamAttempt extends MonitoredStream {
-  firstEventAtMs: number | undefined;
-  isPastStart: boolean;
-  lastEventAtMs: number | undefined;
-  /** 0 if the attempt resumes from a copy. */
-  readonly prefillTokens: number;
-  readonly requestLoad: RequestLoad;
-  readonly copyManager: CopyManager;
-  readonly wait: AnswerWait;
-  readonly pace: PaceMeter;
-  readonly splitter: EventSplitter;
-  exchange: Exchange | undefined;
-  head: { readonly status: number; readonly headers: RawHeaders } | undefined;
-  /** Body of a response that is not a stream. */
-  readonly errorBody: Buffer[];
-  errorBytes: number;
-}
-
 /** Engines that fail briefly are available again within this time. */
 const maxEngineWaitMs = 1_500;
 const enginePollIntervalMs = 50;
@@ -307,19 +294,11 @@
     context.recordPlacement();
     context.limits.recordSend(info.upstreamId);
     logger.log(logEvents.streamPlaced, {
+      ...describePlacement(started, {
+        nowMs: clock.nowMs(),
+        promptParts: description.promptParts,
+      }),
       request: requestId,
-      engine: info.upstreamId,
-      domain: info.domainId,
-      running: engine.inFlightCount,
-      unreadTokens: engine.unreadTokens,
-      others: engine.others,
-      memoryTokens: engine.memoryTokens,
-      reported: engine.reported && {
-        running: engine.reported.load.runningCount,
-        waiting: engine.reported.load.waitingCount,
-        ageMs: Math.round(clock.nowMs() - engine.reported.atMs),
-      },
-      parts: description.promptParts.map(({ partId }) => partId),
       copyAt: copyHolder?.info.upstreamId,
       resumesFrom: source?.copyId,
       lastEventId,
@@ -694,27 +673,3 @@
     });
   }
 }
-
-function isStream({ head }: StreamAttempt): boolean {
-  return head !== undefined && head.status >= 200 && head.status < 300;
-}
-
-/** Returns why a stream that ended is not complete, if it is not. */
-function findBreak(
-  { splitter, head, firstEventAtMs }: StreamAttempt,
-): string | undefined {
-  if (splitter.getPendingBytes() > 0) return "the stream ended inside an event";
-  return firstEventAtMs === undefined && isCloseDelimited(head!.headers)
-    ? "the stream ended before its first event"
-    : undefined;
-}
-
-/** Time since the attempt's first event; undefined before it. */
-function getWritingMs(
-  { firstEventAtMs }: StreamAttempt,
-  nowMs: number,
-): number | undefined {
-  return firstEventAtMs === undefined
-    ? undefined
-    : Math.round(nowMs - firstEventAtMs);
-}
--- a/src/forwarding/upstream_connections.ts
+++ b/src/forwarding/upstream_connections.ts
@@ -17,6 +17,7 @@
 import { getErrorMessage } from "../core/errors.ts";
 import { setTimeoutAfterReads } from "../core/timeout_after_reads.ts";
 import type { RawHeaders } from "./forwarding_protocol.ts";
+import { isCloseDelimited } from "./response_framing.ts";
 
 export interface UpstreamRequest {
   readonly host: string;
@@ -258,13 +259,11 @@
       response.on("data", (chunk: Buffer) => {
         if (!isSettled) handlers.onData(chunk);
       });
-      const { headers } = response;
-      const isCloseDelimited = headers["content-length"] === undefined &&
-        headers["transfer-encoding"] === undefined;
-      if (socket) getSocketState(socket).isCloseDelimited = isCloseDelimited;
+      const hasNoFraming = isCloseDelimited(response.rawHeaders);
+      if (socket) getSocketState(socket).isCloseDelimited = hasNoFraming;
       response.on("end", () => {
         // A connection failure is reported only after the response has ended.
-        if (isCloseDelimited) setImmediate(finish);
+        if (hasNoFraming) setImmediate(finish);
         else finish();
       });
       response.on("error", (cause) => fail(getErrorMessage(cause)));
--- a/src/limits/limit_queue.ts
+++ b/src/limits/limit_queue.ts
@@ -4,6 +4,7 @@
  * cannot be sent in time is refused as soon as that is known.
  */
 import type { Clock } from "../core/clock.ts";
+import type { UpstreamId } from "../core/types.ts";
 
 export interface WaitingRequest {
   /** 0 is the most urgent. */
@@ -24,14 +25,18 @@
 
 export interface LimitQueueOptions {
   readonly clock: Pick<Clock, "nowMs">;
-  /** Requests per second that the usable upstreams take from this instance. */
-  getRatePerS(service: string): number;
+  listUpstreamIds(service: string): readonly UpstreamId[];
+  /**
+   * Requests per second that an upstream takes from this instance; undefined
+   * without a limit.
+   */
+  getRatePerS(upstreamId: UpstreamId): number | undefined;
 }
 
 const checkIntervalMs = 10;
 
 export function createLimitQueue(
-  { clock, getRatePerS }: LimitQueueOptions,
+  { clock, listUpstreamIds, getRatePerS }: LimitQueueOptions,
 ): LimitQueue {
   const queues = new Map<string, WaitingRequest[]>();
   let timer: NodeJS.Timeout | undefined;
@@ -66,7 +71,11 @@
   }
 
   function refuseHopeless(service: string, queue: WaitingRequest[]): void {
-    const intervalMs = 1_000 / Math.max(getRatePerS(service), Number.EPSILON);
+    const ratePerS = listUpstreamIds(service).reduce(
+      (sum, upstreamId) => sum + (getRatePerS(upstreamId) ?? Infinity),
+      0,
+    );
+    const intervalMs = 1_000 / Math.max(ratePerS, Number.EPSILON);
     const nowMs = clock.nowMs();
     let position = 0;
     while (position < queue.length) {
--- a/src/limits/limit_queue_test.ts
+++ b/src/limits/limit_queue_test.ts
@@ -14,6 +14,7 @@
   const refused: string[] = [];
   const queue = createLimitQueue({
     clock: { nowMs: () => Date.now() },
+    listUpstreamIds: () => ["upstream-1"],
     getRatePerS: () => ratePerS,
   });
   return {
