Let a refused stream wait for retry budget after two retries without it

Streams that were refused with 421, because the list still named the former ids of crashed engines, were sent again every 250 ms for as long as that lasted.

Without budget, a refused stream still waited only for the next timer and was then sent without drawing. It now draws when the timer fires, and after two retries without budget it waits until there is some.

--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -62,6 +62,7 @@
 const enginePollIntervalMs = 50;
 /** Delay before a retry that the retry budget does not cover. */
 const refusalDelayMs = 250;
+const maxUnbudgetedRetries = 2;
 /** An engine's error has some hundred bytes; more is no error response. */
 const maxErrorBytes = 64 * 1024;
 /** Used for services whose engines are not described in the configuration. */
@@ -97,6 +98,7 @@
   let eventCount = 0;
   let ranCount = 0;
   let attemptCount = 0;
+  let unbudgetedCount = 0;
   let waitingSinceMs: number | undefined;
   let waitTimer: NodeJS.Timeout | undefined;
   let endWaiting: (() => void) | undefined;
@@ -583,15 +585,25 @@
         if (wasSent) budget.drawForResume(budgetKey, 1);
         // A request that never reached an engine has caused no work there, so
         // it does not draw on the budget.
-        if (isRefused && !budget.tryDraw(budgetKey, 1)) {
-          waitTimer = setTimeout(placeAttempt, refusalDelayMs);
-        } else placeAttempt();
+        if (isRefused && !budget.tryDraw(budgetKey, 1)) waitForBudget();
+        else placeAttempt();
         return;
       default:
         assertNever(decision);
     }
   }
 
+  /** The first refusals may be chance, so they are retried without budget. */
+  function waitForBudget(): void {
+    waitTimer = setTimeout(() => {
+      if (budget.tryDraw(budgetKey, 1)) placeAttempt();
+      else if (unbudgetedCount < maxUnbudgetedRetries) {
+        unbudgetedCount += 1;
+        placeAttempt();
+      } else waitForBudget();
+    }, refusalDelayMs);
+  }
+
   /** A holder whose limit has no room is of no use. */
   function findUsableCopy({ copyManager }: StreamAttempt) {
     const copy = copyManager.getUsableCopy();
