Report a crash to control only until its requests have run elsewhere

Entry instances repeated each crash of an engine with every heartbeat to every control instance for a minute. After a burst that ends most engines of a failure domain, all crashes have harmless causes, and with 16 control instances the reports of an instance would exceed the 27 KB a second that control may cost (computed, not measured: ten crashes of 150 bytes twice a second).

Requests of sound parts run elsewhere within seconds, which clears the crash. The empty report that follows is repeated for 5 s, since it replaces the last one at control. The new test in quarantine_test.ts failed before.

--- a/src/quarantine/crash_recorder.ts
+++ b/src/quarantine/crash_recorder.ts
@@ -27,7 +27,10 @@
   getSoundRuns(key: PartKey): SoundRuns | undefined;
   /** Forgets all crashes so far that the part was present in. */
   forget(key: PartKey): void;
-  /** Undefined if there is nothing to report. */
+  /**
+   * Undefined if there is nothing to report. A crash is reported until all that
+   * was suspected of it has run past its start.
+   */
   getReport(watched: readonly PartKey[]): CrashReport | undefined;
 }
 
@@ -39,6 +42,8 @@
 /** Losses of one engine within this time are from the same crash. */
 const sameCrashMs = 1_000;
 const rateWindowMs = 30_000;
+/** An empty report is repeated for this long, since it replaces the last one. */
+const emptyReportMs = 5_000;
 
 interface PartRuns {
   lastAtMs: number;
@@ -56,6 +61,7 @@
   let crashes: RecordedCrash[] = [];
   /** Least recently run first. */
   const partRuns = new Map<string, PartRuns>();
+  let lastReportAtMs = -Infinity;
   return {
     recordCrash: ({ service, upstreamId, domainId }, suspect) => {
       removeOutdated();
@@ -123,7 +129,8 @@
     const nowMs = clock.nowMs();
     const keys = new Map<string, PartKey>();
     for (const key of watched) keys.set(formatPartKey(...key), key);
-    for (const { service, suspects } of crashes) {
+    const open = crashes.filter((crash) => !isCleared(crash));
+    for (const { service, suspects } of open) {
       for (const partId of suspects.flatMap(({ partIds }) => partIds)) {
         keys.set(formatPartKey(service, partId), [service, partId]);
       }
@@ -134,13 +141,23 @@
         ? [{ key, ageMs: nowMs - runs.lastAtMs, ratePerS: runs.ratePerS }]
         : [];
     });
-    if (crashes.length === 0 && soundParts.length === 0) return undefined;
+    if (open.length > 0 || soundParts.length > 0) lastReportAtMs = nowMs;
+    if (nowMs - lastReportAtMs > emptyReportMs) return undefined;
     return {
-      crashes: crashes.map(({ atMs, ...crash }) => ({
+      crashes: open.map(({ atMs, ...crash }) => ({
         ...crash,
         ageMs: nowMs - atMs,
       })),
       soundParts: soundParts.slice(0, 512),
     };
   }
+
+  function isCleared({ service, atMs, suspects }: Crash): boolean {
+    return suspects.every(({ requestKey, partIds }) =>
+      [requestKey, ...partIds].every((partId) => {
+        const runs = partRuns.get(formatPartKey(service, partId));
+        return runs !== undefined && runs.lastAtMs > atMs;
+      })
+    );
+  }
 }
--- a/src/quarantine/quarantine_test.ts
+++ b/src/quarantine/quarantine_test.ts
@@ -164,6 +164,21 @@
   expect(deployment.isRefused(0)).toBe(true);
 });
 
+test("a crash is reported until its requests have run elsewhere", async () => {
+  const deployment = createDeployment();
+  const entry = deployment.entries[0]!;
+  deployment.crash(0, "engine-1", "request-1");
+  deployment.crash(0, "engine-2", "request-2");
+  await deployment.advance(1);
+  entry.recordSoundRun(service, ["shared", "bad", "request-1"]);
+  expect(entry.getReport()!.crashes).toHaveLength(1);
+  entry.recordSoundRun(service, ["shared", "bad", "request-2"]);
+  expect(entry.getReport()!.crashes).toEqual([]);
+  deployment.setControlReachable(false);
+  await deployment.advance(20);
+  expect(entry.getReport()).toBeUndefined();
+});
+
 test("an instance that waits for an engine learns of the quarantine at once", async () => {
   const deployment = createDeployment();
   let callCount = 0;
