--- a/src/control/moves/answer_count_aggregator.ts
+++ b/src/control/moves/answer_count_aggregator.ts
@@ -8,7 +8,7 @@
 import type { InstanceId } from "../../core/types.ts";
 import type { AnswerReport, TypicalLatencies } from "./answer_reports.ts";
 import { addHistogram, type LatencyHistogram } from "./latency_histogram.ts";
-import type { AnswerCounts } from "./move_decisions.ts";
+import type { AnswerCounts } from "./answer_counts.ts";
 
 export interface AnswerTotals extends AnswerCounts {
   readonly durations: LatencyHistogram;
--- a/src/control/moves/latency_comparison.ts
+++ b/src/control/moves/latency_comparison.ts
@@ -8,19 +8,7 @@
  */
 import type { AnswerTotals, TypicalMeans } from "./answer_count_aggregator.ts";
 import { countAbove, countAll } from "./latency_histogram.ts";
-import type { AnswerCounts } from "./move_decisions.ts";
-
-/** Both versions by one kind of latency. */
-export interface LatencyComparison {
-  readonly name: string;
-  /**
-   * Whether the target is kept only if this shows that it is good. Paces are
-   * known late, so a good target may have too few of them.
-   */
-  readonly isProofRequired: boolean;
-  readonly stable: AnswerCounts;
-  readonly target: AnswerCounts;
-}
+import type { AnswerComparison, AnswerCounts } from "./answer_counts.ts";
 
 const slowFactor = 3;
 /**
@@ -38,9 +26,9 @@
     readonly target: AnswerTotals;
     readonly typical: TypicalMeans;
   },
-): LatencyComparison[] {
+): AnswerComparison[] {
   const { durationMs, paceMs } = typical;
-  const comparisons: LatencyComparison[] = [];
+  const comparisons: AnswerComparison[] = [];
   if (durationMs !== undefined) {
     comparisons.push({
       name: "failed or slow to answer",
--- a/src/control/moves/move_decisions.ts
+++ b/src/control/moves/move_decisions.ts
@@ -7,22 +7,16 @@
  * good one must be in place in time. Only answers count, so that crashes,
  * partitions and refusals under load are no evidence against a version.
  */
-import type { LatencyComparison } from "./latency_comparison.ts";
+import type { AnswerComparison, AnswerCounts } from "./answer_counts.ts";
 import { MovePhase, type RunningPhase } from "./move_types.ts";
 
-export interface AnswerCounts {
-  readonly answeredCount: number;
-  /** Failures, or in a latency comparison slow answers. */
-  readonly badCount: number;
-}
-
 export interface MoveEvidence {
   readonly phase: RunningPhase;
   readonly elapsedMs: number;
   readonly durationMs: number;
   readonly stable: AnswerCounts;
   readonly target: AnswerCounts;
-  readonly latencies: readonly LatencyComparison[];
+  readonly latencies: readonly AnswerComparison[];
 }
 
 export interface MoveDecision {
@@ -116,7 +110,7 @@
  * Whether chance alone may have kept the bad answers so few although half of the
  * answers that would be good at the stable version are bad.
  */
-function mayBeBad({ stable, target }: LatencyComparison): boolean {
+function mayBeBad({ stable, target }: AnswerComparison): boolean {
   const { answeredCount, badCount } = target;
   const badRatio = 1 - (1 - getBadRatio(stable)) * minGoodLoss;
   let logTerm = answeredCount * Math.log(1 - badRatio);
@@ -134,7 +128,7 @@
 }
 
 function describeComparison(
-  { name, stable, target }: LatencyComparison,
+  { name, stable, target }: AnswerComparison,
 ): string {
   return `${name}: ${target.badCount} of ${target.answeredCount} answers, ` +
     `${stable.badCount} of ${stable.answeredCount} of the stable version`;
--- a/src/control/moves/move_decisions_test.ts
+++ b/src/control/moves/move_decisions_test.ts
@@ -4,11 +4,8 @@
  */
 import { expect, test } from "vitest";
 import { createRandom } from "../../core/random.ts";
-import {
-  type AnswerCounts,
-  decideMove,
-  type MoveDecision,
-} from "./move_decisions.ts";
+import type { AnswerCounts } from "./answer_counts.ts";
+import { decideMove, type MoveDecision } from "./move_decisions.ts";
 import { isRunning, MovePhase } from "./move_types.ts";
 
 interface Replay {
--- a/src/quarantine/crash_recorder.ts
+++ b/src/quarantine/crash_recorder.ts
@@ -39,6 +39,7 @@
 const maxCrashes = 64;
 const maxSuspectsPerCrash = 16;
 const maxParts = 4_096;
+const maxReportedParts = 512;
 /** Losses of one engine within this time are from the same crash. */
 const sameCrashMs = 1_000;
 const rateWindowMs = 30_000;
@@ -148,7 +149,7 @@
         ...crash,
         ageMs: nowMs - atMs,
       })),
-      soundParts: soundParts.slice(0, 512),
+      soundParts: soundParts.slice(0, maxReportedParts),
     };
   }
 
