Say that repeating is useless when the last attempt crashed an engine

A request that crashed its third engine with its last attempt ended as upstreamFailed, which tells the caller that it may repeat it; the attempts were checked before the crashes. A copy was also counted as used when the stream was then delayed or stopped.

The decision after a crash is now made first.

--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -531,9 +531,12 @@
   ): void {
     if (run !== lost || isFinished) return;
     const { upstreamId } = lost.upstream.info;
-    const copy = wasSent && lost.lastEventAtMs !== undefined
-      ? findUsableCopy(lost)
-      : undefined;
+    const afterCrash: CrashDecision = hasEngineEnded && !lost.isPastStart
+      ? crashGuard.recordCrash(lost.upstream.info)
+      : { kind: "resume" };
+    const mayUseCopy = wasSent && lost.lastEventAtMs !== undefined &&
+      afterCrash.kind === "resume";
+    const copy = mayUseCopy ? findUsableCopy(lost) : undefined;
     const saysNothing = hasEngineEnded || isRefused || !wasSent;
     lost.wait.end(saysNothing ? WaitEnd.Cancelled : WaitEnd.Abandoned);
     if (!saysNothing) lost.pace.recordSilence(clock.nowMs());
@@ -541,9 +544,6 @@
     triedIds.add(upstreamId);
     if (wasSent) ranCount += 1;
     if (!isRefused) directory.recordLoss(upstreamId, reason);
-    const afterCrash: CrashDecision = hasEngineEnded && !lost.isPastStart
-      ? crashGuard.recordCrash(lost.upstream.info)
-      : { kind: "resume" };
     const decision = decideAfterLoss({
       isResumable: route.isResumable,
       ranCount,
@@ -566,8 +566,11 @@
       decision,
       ranCount,
     });
-    if (decision !== "fail" && afterCrash.kind !== "resume") {
-      resumeAfterCrashes(afterCrash);
+    if (afterCrash.kind === "stop") {
+      failStream(
+        ErrorKind.EnginesCrashed,
+        "engines crashed each time that they started to run the request",
+      );
       return;
     }
     switch (decision) {
@@ -585,7 +588,9 @@
         if (wasSent) budget.drawForResume(budgetKey, 1);
         // A request that never reached an engine has caused no work there, so
         // it does not draw on the budget.
-        if (isRefused && !budget.tryDraw(budgetKey, 1)) waitForBudget();
+        if (afterCrash.kind === "delay") {
+          waitTimer = setTimeout(placeAttempt, afterCrash.delayMs);
+        } else if (isRefused && !budget.tryDraw(budgetKey, 1)) waitForBudget();
         else placeAttempt();
         return;
       default:
@@ -612,20 +617,6 @@
       : undefined;
   }
 
-  function resumeAfterCrashes(
-    decision: Exclude<CrashDecision, { readonly kind: "resume" }>,
-  ): void {
-    if (decision.kind === "stop") {
-      failStream(
-        ErrorKind.EnginesCrashed,
-        "engines crashed each time that they started to run the request",
-      );
-      return;
-    }
-    budget.drawForResume(budgetKey, 1);
-    waitTimer = setTimeout(placeAttempt, decision.delayMs);
-  }
-
   function endAttempt(ended: StreamAttempt, isCopyUsed: boolean): void {
     ended.wait.end(WaitEnd.Abandoned);
     monitor.remove(ended);
