Choose other ports in tests when another process has taken them

One run of platform/crashing_prompt_part_test.ts failed within 8 ms, before its first request can have had an answer, and 32 further runs did not. Its output was not kept.

--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -58,6 +58,7 @@
   response: http.ServerResponse,
 ) => void;
 
+const maxListenAttempts = 5;
 let nextUpstreamNumber = 1;
 
 export async function startFakeUpstream(
@@ -259,18 +260,15 @@
     getUnreportedPlacementCount: () => 0,
     budget: createRetryBudget({ ratio: 1, initialUnits: 10, maxUnits: 10 }),
   };
-  const [port, readinessPort] = [await findFreePort(), await findFreePort()];
-  const server = createEntryServer({
-    context,
-    callers: { host: "127.0.0.1", port },
-    readiness: { host: "127.0.0.1", port: readinessPort },
-    getRouteTable: () => routes,
-  });
-  (await server.listen())._unsafeUnwrap();
   return {
-    port,
-    readinessPort,
-    server,
+    ...await listenOnFreePorts(({ port, readinessPort }) =>
+      createEntryServer({
+        context,
+        callers: { host: "127.0.0.1", port },
+        readiness: { host: "127.0.0.1", port: readinessPort },
+        getRouteTable: () => routes,
+      })
+    ),
     context,
     demand,
     setTable: (next) => {
@@ -279,6 +277,22 @@
   };
 }
 
+/** Another process may take a port between its choice and its use. */
+async function listenOnFreePorts(
+  create: (ports: { port: number; readinessPort: number }) => EntryServer,
+): Promise<Pick<TestEntry, "port" | "readinessPort" | "server">> {
+  for (let attempt = 1;; attempt++) {
+    const ports = {
+      port: await findFreePort(),
+      readinessPort: await findFreePort(),
+    };
+    const server = create(ports);
+    const listening = await server.listen();
+    if (listening.isOk()) return { ...ports, server };
+    if (attempt === maxListenAttempts) throw new Error(listening.error.message);
+  }
+}
+
 async function findFreePort(): Promise<number> {
   const server = http.createServer();
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
