--- a/src/upstreams/engine_load_aggregator_test.ts
+++ b/src/upstreams/engine_load_aggregator_test.ts
@@ -39,6 +39,28 @@
   ]);
 });
 
+test("each entry instance receives the demand of all others, until it expires", () => {
+  let nowMs = 0;
+  const aggregator = createEngineLoadAggregator({ getNowMs: () => nowMs });
+  const report = (...demands: [string, number][]): EngineLoadSummary => ({
+    loads: [],
+    lostIds: [],
+    demands,
+  });
+  const getOthers = (exceptId: string) =>
+    aggregator.aggregateOthers(exceptId).demands;
+  aggregator.record("f1", report(["app", 1_500], ["model", 200]), false);
+  aggregator.record("f2", report(["app", 500]), false);
+  aggregator.record("controlB", report(["app", 7_000]), true);
+  expect(getOthers("f1")).toEqual([["app", 7_500]]);
+  expect(getOthers("f2")).toEqual([["app", 8_500], ["model", 200]]);
+  aggregator.record("f1", report(["app", 100]), false);
+  expect(getOthers("f2")).toEqual([["app", 7_100]]);
+  nowMs = 2_000;
+  aggregator.record("f2", report(["app", 500]), false);
+  expect(getOthers("f2")).toBeUndefined();
+});
+
 test("load that is no longer reported expires", () => {
   let nowMs = 0;
   const aggregator = createEngineLoadAggregator({ getNowMs: () => nowMs });
