Look for quarantined parts in the whole prompt

A request evaded the quarantine if more than 64 parts followed the quarantined one: the bound on the parts that are recorded also bounded those that are looked up. The bound now holds where it is meant to, for the parts of a sound run: all of a long prompt were recorded there.

--- a/src/forwarding/crash_guard.ts
+++ b/src/forwarding/crash_guard.ts
@@ -36,6 +36,10 @@
 const startMs = 500;
 /** Longer ids are compared by their beginning. */
 const maxIdChars = 200;
+/**
+ * Parts of a prompt that are recorded: with all of a long one, few requests
+ * would replace what is known of other callers' parts.
+ */
 const maxSharedParts = 64;
 
 export function isPastStart(
@@ -68,7 +72,8 @@
         isOfSoundParts: quarantine.areSound(service, sharedIds),
       });
     },
-    recordSoundRun: () => quarantine.recordSoundRun(service, partIds),
+    recordSoundRun: () =>
+      quarantine.recordSoundRun(service, [...sharedIds, requestKey]),
     onQuarantined: (callback) => {
       if (sharedIds.length === 0) return;
       unsubscribe = quarantine.subscribe(() => {
@@ -82,6 +87,6 @@
   function findQuarantinedPart(): string | undefined {
     return sharedIds.length === 0
       ? undefined
-      : quarantine.findQuarantined(service, [...sharedIds, requestKey]);
+      : quarantine.findQuarantined(service, partIds);
   }
 }
