Find a rare prompt part that was sound until now and crashes engines

A part with few runs, such as 0.05 a second, that starts to crash engines was never quarantined: a part that had been sound needs five missing runs, which takes 100 s, and crashes are evidence for 60 s.

Five crashes in four requests, none of which ran, are now enough: a sound request that was present at a crash runs elsewhere within seconds, which clears its parts.

--- a/src/quarantine/crash_decisions.ts
+++ b/src/quarantine/crash_decisions.ts
@@ -54,6 +54,12 @@
  */
 const minCrashCountOfSoundPart = 4;
 const minMissingRuns = 5;
+/**
+ * The usual runs of a rare part are missed too late. Instead, none of several
+ * requests may have run: a sound one runs elsewhere soon after a crash.
+ */
+const minCrashCountOfRarePart = 5;
+const minRequestCountOfRarePart = 4;
 
 interface Candidate {
   readonly key: PartKey;
@@ -197,8 +203,11 @@
   const sound = evidence.getSoundRuns(key);
   if (!sound) return crashCount >= minCrashCount;
   const silentMs = nowMs - minEvidenceAgeMs - firstAtMs;
-  return crashCount >= minCrashCountOfSoundPart &&
+  const areRunsMissing = crashCount >= minCrashCountOfSoundPart &&
     sound.ratePerS * silentMs / 1_000 >= minMissingRuns;
+  const hasNoRequestRun = crashCount >= minCrashCountOfRarePart &&
+    requestKeys.size >= minRequestCountOfRarePart;
+  return areRunsMissing || hasNoRequestRun;
 }
 
 /** Counts crashes, those of a failure domain at the same moment only once. */
--- a/src/quarantine/crash_decisions_test.ts
+++ b/src/quarantine/crash_decisions_test.ts
@@ -129,6 +129,36 @@
   expect(find(crashes.slice(1), { sound: sound(2) })).toEqual([]);
 });
 
+test("a rare part that was sound until now is found by its requests, none of which ran", () => {
+  const crashes = [2_000, 3_000, 4_000, 5_000, 6_000].map((atMs) =>
+    crash(atMs, { parts: [["shared", "known"]] })
+  );
+  const sound = {
+    shared: { lastAtMs: 9_000, ratePerS: 5 },
+    known: { lastAtMs: 1_000, ratePerS: 0.05 },
+  };
+  expect(find(crashes, { sound })).toEqual(["known"]);
+  expect(find(crashes.slice(1), { sound })).toEqual([]);
+  const ofFewRequests = crashes.map((entry, index) => ({
+    ...entry,
+    suspects: [{
+      requestKey: `request-${index % 3}`,
+      partIds: ["shared", "known"],
+    }],
+  }));
+  expect(find(ofFewRequests, { sound })).toEqual([]);
+  expect(find(crashes, { sound }, 7_000)).toEqual(["known"]);
+  expect(find(crashes, {
+    sound: {
+      ...sound,
+      known: {
+        lastAtMs: 4_500,
+        ratePerS: 0.05,
+      },
+    },
+  })).toEqual([]);
+});
+
 test("neighbours of requests with a found part are not suspected", () => {
   const crashes = [2_000, 3_000, 4_000].map((atMs) =>
     crash(atMs, { parts: [deadly, ["rare"]] })
