Log and count who ended a connection before its response was complete

A request that ended without a response left event 7204 with status 0, which is the same for a caller that leaves, an abort of the forwarder, a parse error and a connection that the HTTP server closes by itself. So the hypotheses on lost requests could not be told apart.

Event 7212 and the metric incomplete_responses now name the end: aborted (with the reason), callerClosed, callerReset, connectionFailed, or closedHere for a connection that this instance closed without aborting the response.

--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -329,5 +329,10 @@
     Info,
     "first event of a stream after the loss of an attempt",
   ),
+  responseIncomplete: event(
+    7212,
+    Info,
+    "connection ended before its response was complete; see who ended it",
+  ),
   retryRefused: event(7103, Info, "retry refused by the retry budget"),
 } as const satisfies Record<string, LogEvent>;
--- a/src/forwarding/call_attempt.ts
+++ b/src/forwarding/call_attempt.ts
@@ -84,7 +84,7 @@
       // run.
       if (wasSent) directory.recordIncompleteResponse(upstreamId);
       else directory.recordLoss(upstreamId, reason);
-      if (isRelaying) caller.abort();
+      if (isRelaying) caller.abort(reason);
       settle({ kind: wasSent ? "unknown" : "notRun", reason });
     },
   });
--- a/src/forwarding/caller_exchange.ts
+++ b/src/forwarding/caller_exchange.ts
@@ -4,7 +4,11 @@
  */
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { ErrorKind, type SystemError } from "../core/errors.ts";
+import {
+  ErrorKind,
+  getErrorMessage,
+  type SystemError,
+} from "../core/errors.ts";
 import type {
   ForwardingProtocol,
   RawHeaders,
@@ -22,6 +26,26 @@
   Closed = "closed",
 }
 
+/** How a connection ended before its response was complete. */
+export enum IncompleteEnd {
+  /** This instance aborted the response. */
+  Aborted = "aborted",
+  CallerClosed = "callerClosed",
+  CallerReset = "callerReset",
+  /** The connection failed, such as by an HTTP parse error or a timeout. */
+  ConnectionFailed = "connectionFailed",
+  /** This instance closed the connection without aborting the response. */
+  ClosedHere = "closedHere",
+}
+
+export interface IncompleteResponse {
+  readonly end: IncompleteEnd;
+  readonly reason: string;
+  /** Whether the head of the response was written. */
+  readonly wasStarted: boolean;
+  readonly wasRequestRead: boolean;
+}
+
 export interface CallerExchange {
   readonly description: RequestDescription;
   readonly method: string;
@@ -48,7 +72,7 @@
   /** Sends an error response of this instance, if no response was started. */
   fail(error: SystemError): void;
   /** Destroys the connection so that the response does not look complete. */
-  abort(): void;
+  abort(reason: string): void;
 }
 
 export interface CallerExchangeOptions {
@@ -59,16 +83,19 @@
   /** Whether the connection is closed after this response. */
   shouldCloseConnection(): boolean;
   onFinished(exchange: CallerExchange, status: number): void;
+  onIncomplete(exchange: CallerExchange, details: IncompleteResponse): void;
 }
 
 export function createCallerExchange(
   options: CallerExchangeOptions,
 ): CallerExchange {
   const { request, response, protocol } = options;
+  const { socket } = request;
   const description = protocol.describeRequest(request.headers);
   let state = CallerState.Waiting;
   let status = 0;
   let disconnectCallback: (() => void) | undefined;
+  let abortReason: string | undefined;
   response.on("finish", () => finish(CallerState.Completed));
   response.on("close", () => {
     if (!response.writableFinished) finish(CallerState.Closed);
@@ -96,17 +123,45 @@
       else response.end();
     },
     fail,
-    abort: () => {
-      if (state !== CallerState.Completed) response.destroy();
+    abort: (reason) => {
+      if (state === CallerState.Completed) return;
+      abortReason ??= reason;
+      response.destroy();
     },
   };
   return exchange;
 
   function finish(next: CallerState.Completed | CallerState.Closed): void {
     if (state === CallerState.Completed || state === CallerState.Closed) return;
+    const wasStarted = state === CallerState.Responding;
     state = next;
     options.onFinished(exchange, next === CallerState.Completed ? status : 0);
-    if (next === CallerState.Closed) disconnectCallback?.();
+    if (next === CallerState.Completed) return;
+    options.onIncomplete(exchange, {
+      ...describeEnd(),
+      wasStarted,
+      wasRequestRead: request.complete,
+    });
+    disconnectCallback?.();
+  }
+
+  function describeEnd(): Pick<IncompleteResponse, "end" | "reason"> {
+    if (abortReason !== undefined) {
+      return { end: IncompleteEnd.Aborted, reason: abortReason };
+    }
+    const failure = socket.errored as NodeJS.ErrnoException | null;
+    if (failure) {
+      const isReset = failure.code === "ECONNRESET" || failure.code === "EPIPE";
+      return {
+        end: isReset
+          ? IncompleteEnd.CallerReset
+          : IncompleteEnd.ConnectionFailed,
+        reason: getErrorMessage(failure),
+      };
+    }
+    return socket.readableEnded
+      ? { end: IncompleteEnd.CallerClosed, reason: "the caller disconnected" }
+      : { end: IncompleteEnd.ClosedHere, reason: "the connection was closed" };
   }
 
   function readBody(maxBytes: number): Promise<Buffer | undefined> {
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -21,6 +21,7 @@
   type CallerExchange,
   CallerState,
   createCallerExchange,
+  type IncompleteResponse,
 } from "./caller_exchange.ts";
 import { forwardCall } from "./call_forwarder.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
@@ -113,6 +114,7 @@
         openExchanges.delete(exchange);
         recordResponse(exchange, status);
       },
+      onIncomplete: recordIncomplete,
     });
     openExchanges.add(caller);
     void processRequest(caller).catch((cause) => {
@@ -121,7 +123,7 @@
         reason: getErrorMessage(cause),
       });
       caller.fail(createError(ErrorKind.Internal, "unexpected error"));
-      caller.abort();
+      caller.abort("unexpected error");
     });
   }
 
@@ -139,6 +141,19 @@
     });
   }
 
+  function recordIncomplete(
+    caller: CallerExchange,
+    details: IncompleteResponse,
+  ): void {
+    context.metrics.incompleteResponses.add({ end: details.end });
+    logger.log(logEvents.responseIncomplete, {
+      request: caller.description.requestId,
+      ...details,
+      isDraining,
+      revision: options.getRouteTable()?.revision,
+    });
+  }
+
   async function processRequest(caller: CallerExchange): Promise<void> {
     const table = options.getRouteTable();
     const checked = checkRequest(table, caller);
@@ -214,6 +229,6 @@
       await clock.sleep(drainPollIntervalMs);
     }
     readinessServer.close();
-    for (const caller of openExchanges) caller.abort();
+    for (const caller of openExchanges) caller.abort("the grace time is over");
   }
 }
--- a/src/forwarding/forwarding_metrics.ts
+++ b/src/forwarding/forwarding_metrics.ts
@@ -10,6 +10,8 @@
 export interface ForwardingMetrics {
   /** By status class; "closed" for responses that were not completed. */
   readonly answers: MetricCounter;
+  /** Responses that were not completed, by how their connection ended. */
+  readonly incompleteResponses: MetricCounter;
   /** Requests refused before an attempt, by kind of error. */
   readonly refusals: MetricCounter;
   /** Failed attempts of non-streaming calls, by outcome. */
@@ -33,6 +35,11 @@
       "Requests by the class of their final status.",
       ["status"],
     ),
+    incompleteResponses: registry.createCounter(
+      "incomplete_responses",
+      "Responses that were not completed, by how their connection ended.",
+      ["end"],
+    ),
     refusals: registry.createCounter(
       "refusals",
       "Requests that were refused before an attempt, by kind of error.",
--- a/src/forwarding/forwarding_steps.ts
+++ b/src/forwarding/forwarding_steps.ts
@@ -110,7 +110,7 @@
   },
 ): void {
   if (caller.getState() !== CallerState.Waiting) {
-    caller.abort();
+    caller.abort(reason);
     return;
   }
   const isNoUpstream = kind === ErrorKind.NoUpstream ||
