Keep a stream at its silent engine unless another engine takes it

Callers saw a stream end in the middle, or got 502, while its engine was sound: an engine that sent nothing for 340 to 450 ms was taken for lost, and its streams were ended there. A stream that can't be resumed was cut at the first such silence; one that can was cut once every attempt had met a silence, or when no other engine took it.

Cause: a suspicion was handled as a loss. The run was ended before it was known whether the stream could go on anywhere else.

Now a run at a silent engine is ended only if the stream can be resumed, an attempt is left in reserve for an engine that does end, and another engine or the holder of its copy takes it; after three seconds of silence of the whole engine the reserve is used too. Otherwise the stream waits until the engine goes on, its connection ends, or the deadline. Event 7213 says that a stream waits. Probes of an engine that does not reply are half a second apart.

A stream still moves within 450 ms while it has attempts to spare.

--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -315,7 +315,7 @@
   engineLost: event(
     7207,
     Warn,
-    "engine considered lost; its streams resume on other engines if they can",
+    "engine is silent; its streams resume on other engines if they can",
   ),
   streamPlaced: event(7208, Info, "stream placed on an engine"),
   copyRequestEnded: event(
@@ -329,6 +329,11 @@
     Info,
     "first event of a stream after the loss of an attempt",
   ),
+  streamStaysAtSilentEngine: event(
+    7213,
+    Info,
+    "stream waits at its silent engine, since no other can take it",
+  ),
   responseIncomplete: event(
     7212,
     Info,
--- a/src/forwarding/stream_attempt.ts
+++ b/src/forwarding/stream_attempt.ts
@@ -18,6 +18,8 @@
   firstEventAtMs: number | undefined;
   isPastStart: boolean;
   lastEventAtMs: number | undefined;
+  /** Whether the current silence of the engine was logged. */
+  isSilenceLogged: boolean;
   /** 0 if the attempt resumes from a copy. */
   readonly prefillTokens: number;
   readonly requestLoad: RequestLoad;
--- a/src/forwarding/stream_decisions.ts
+++ b/src/forwarding/stream_decisions.ts
@@ -19,14 +19,15 @@
   Wait = "wait",
   /** Request the engine's report. */
   Probe = "probe",
-  Lost = "lost",
+  /** The engine may be lost. */
+  Suspect = "suspect",
 }
 
 /** Two engine steps that each prefill a chunk of a prompt take about 180 ms. */
 const probeAfterMs = 220;
 /** An engine sends nothing for about a second while it prefills a prompt. */
 const firstEventProbeAfterMs = 450;
-/** A live engine leaves no gap of this length between events of a stream. */
+/** A live engine rarely leaves such a gap between two events of a stream. */
 const maxStreamSilenceMs = 450;
 const maxFirstEventSilenceMs = 8_000;
 
@@ -36,7 +37,7 @@
   const lostAfterMs = silence.hasEvents
     ? maxStreamSilenceMs
     : maxFirstEventSilenceMs;
-  if (silence.streamSilentMs >= lostAfterMs) return SilenceDecision.Lost;
+  if (silence.streamSilentMs >= lostAfterMs) return SilenceDecision.Suspect;
   if (silence.isProbing) return SilenceDecision.Wait;
   const silenceLimitMs = silence.hasEvents
     ? probeAfterMs
@@ -46,6 +47,34 @@
   return isSilent ? SilenceDecision.Probe : SilenceDecision.Wait;
 }
 
+export interface SilentRun {
+  readonly isResumable: boolean;
+  /** Attempts that ran or may have run, including the silent one. */
+  readonly ranCount: number;
+  readonly maxAttempts: number;
+  /** Time since the engine last sent anything on any connection. */
+  readonly engineSilentMs: number;
+}
+
+/** A sound engine that falls silent goes on after a second or so. */
+const soundSilenceMs = 3_000;
+/** Attempts that are kept for engines that end. */
+const reservedAttempts = 1;
+
+/**
+ * Whether a run may be ended because its engine is silent. The engine may be
+ * sound: ending the run is then a loss, unless another one takes the stream.
+ */
+export function mayLeaveSilentRun(
+  { isResumable, ranCount, maxAttempts, engineSilentMs }: SilentRun,
+): boolean {
+  if (!isResumable) return false;
+  const remainingAttempts = maxAttempts - ranCount;
+  return engineSilentMs < soundSilenceMs
+    ? remainingAttempts > reservedAttempts
+    : remainingAttempts > 0;
+}
+
 export interface LossState {
   readonly isResumable: boolean;
   /** Attempts that ran or may have run. */
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -35,8 +35,11 @@
   type PlacementContext,
   type StreamDemand,
 } from "./placement.ts";
-import { decideAfterLoss } from "./stream_decisions.ts";
-import { decideStreamAdmission } from "./stream_admission.ts";
+import { decideAfterLoss, mayLeaveSilentRun } from "./stream_decisions.ts";
+import {
+  type AdmissionDecision,
+  decideStreamAdmission,
+} from "./stream_admission.ts";
 import { createCopyManager } from "./copy_manager.ts";
 import { createPaceMeter } from "./pace_meter.ts";
 import { isBrokenOff } from "./response_framing.ts";
@@ -164,13 +167,7 @@
 
   function placeAt(engine: Upstream): void {
     waitingSinceMs = undefined;
-    const admission = decideStreamAdmission({
-      remainingMs: deadlineAtMs - clock.nowMs(),
-      prefillTokens: getDemand().prefillTokens,
-      backlogTokens: engine.unreadTokens + engine.others.unreadTokens,
-      fastestTokensPerMs: directory.getPrefillRateTracker(service.name)
-        .getFastestTokensPerMs(),
-    });
+    const admission = decideAdmission(engine);
     switch (admission.kind) {
       case "admit":
         startAttempt(engine, undefined);
@@ -187,6 +184,16 @@
     }
   }
 
+  function decideAdmission(engine: Upstream): AdmissionDecision {
+    return decideStreamAdmission({
+      remainingMs: deadlineAtMs - clock.nowMs(),
+      prefillTokens: getDemand().prefillTokens,
+      backlogTokens: engine.unreadTokens + engine.others.unreadTokens,
+      fastestTokensPerMs: directory.getPrefillRateTracker(service.name)
+        .getFastestTokensPerMs(),
+    });
+  }
+
   /** Waits until a limit that an engine states has room. */
   function waitForRoom(): void {
     endWaiting?.();
@@ -273,10 +280,9 @@
       firstEventAtMs: undefined,
       isPastStart: false,
       lastEventAtMs: undefined,
+      isSilenceLogged: false,
       prefillTokens: source ? 0 : demand.prefillTokens,
-      onLost: (reason) => {
-        if (run === started) handleLoss(started, { wasSent: true, reason });
-      },
+      onSuspected: (reason) => handleSilence(started, reason),
       onCheck: () => copyManager.check(started.lastEventAtMs !== undefined),
       requestLoad,
       copyManager,
@@ -432,6 +438,7 @@
     }
     recordEventTime();
     current.firstEventAtMs ??= lastEventAtMs;
+    current.isSilenceLogged = false;
     current.lastEventAtMs = lastEventAtMs;
     current.pace.recordEvent(lastEventAtMs);
     if (isPastStart(current, lastEventAtMs)) recordSoundRun(current);
@@ -518,6 +525,52 @@
     caller.endResponse(errorBody);
   }
 
+  /**
+   * Ends a run at a silent engine only if the stream can go on elsewhere, since
+   * a sound engine goes on as well.
+   */
+  function handleSilence(current: StreamAttempt, reason: string): void {
+    if (run !== current || isFinished) return;
+    const { upstream } = current;
+    const engineSilentMs = clock.nowMs() -
+      Math.max(upstream.lastActivityAtMs, current.startedAtMs);
+    const mayLeave = mayLeaveSilentRun({
+      isResumable: route.isResumable,
+      ranCount: ranCount + 1,
+      maxAttempts: route.maxAttempts,
+      engineSilentMs,
+    });
+    if (mayLeave && canGoOnElsewhere(current)) {
+      handleLoss(current, { wasSent: true, reason });
+      return;
+    }
+    if (current.isSilenceLogged) return;
+    current.isSilenceLogged = true;
+    logger.log(logEvents.streamStaysAtSilentEngine, {
+      request: requestId,
+      engine: upstream.info.upstreamId,
+      reason,
+      lastEventId,
+      ranCount,
+      mayLeave,
+    });
+  }
+
+  function canGoOnElsewhere(current: StreamAttempt): boolean {
+    if (current.lastEventAtMs !== undefined && findUsableCopy(current)) {
+      return true;
+    }
+    const { upstreamId } = current.upstream.info;
+    const engine = chooseForStream(
+      directory.listUsable(service.name).filter(({ info }) =>
+        info.upstreamId !== upstreamId
+      ),
+      getDemand(),
+      getPlacementContext(),
+    );
+    return engine !== undefined && decideAdmission(engine).kind === "admit";
+  }
+
   function handleLoss(
     lost: StreamAttempt,
     { wasSent, isRefused = false, hasEngineEnded = false, reason }: {
--- a/src/forwarding/stream_monitor.ts
+++ b/src/forwarding/stream_monitor.ts
@@ -19,7 +19,8 @@
   readonly startedAtMs: number;
   /** Time of the last event; undefined before the first event. */
   readonly lastEventAtMs: number | undefined;
-  onLost(reason: string): void;
+  /** The engine is silent and may be lost; called until the stream leaves it. */
+  onSuspected(reason: string): void;
   /** Called at every check while the stream is open. */
   onCheck(): void;
 }
@@ -43,6 +44,8 @@
 const pauseLimitMs = 150;
 /** A report takes one round trip and no slot at the engine. */
 const probeTimeoutMs = 120;
+/** Streams may stay at a silent engine, which is then probed less often. */
+const repeatedProbeDelayMs = 500;
 
 export function createStreamMonitor(
   options: StreamMonitorOptions,
@@ -50,6 +53,8 @@
   const { clock, logger, directory } = options;
   const streams = new Set<MonitoredStream>();
   const probing = new Set<string>();
+  /** By engine, since its last probe failed. */
+  const nextProbeAtMs = new Map<string, number>();
   let timer: NodeJS.Timeout | undefined;
   let scheduledCheck: NodeJS.Immediate | undefined;
   const pauseDetector = createPauseDetector({
@@ -70,6 +75,7 @@
       clearInterval(timer);
       clearImmediate(scheduledCheck);
       timer = undefined;
+      nextProbeAtMs.clear();
     },
     count: () => streams.size,
   };
@@ -99,7 +105,8 @@
       streamSilentMs,
       engineSilentMs: nowMs - upstream.lastActivityAtMs,
       hasEvents: lastEventAtMs !== undefined,
-      isProbing: probing.has(upstreamId),
+      isProbing: probing.has(upstreamId) ||
+        nowMs < (nextProbeAtMs.get(upstreamId) ?? -Infinity),
       processPauseMs,
     });
     switch (decision) {
@@ -108,8 +115,8 @@
       case SilenceDecision.Probe:
         probe(upstream);
         return;
-      case SilenceDecision.Lost:
-        stream.onLost(`no event for ${Math.round(streamSilentMs)} ms`);
+      case SilenceDecision.Suspect:
+        stream.onSuspected(`no event for ${Math.round(streamSilentMs)} ms`);
     }
   }
 
@@ -147,13 +154,17 @@
         probeTimeoutMs + pauseLimitMs;
       // The report alone may be delayed, such as by a lost packet.
       const hasSentSince = upstream.lastActivityAtMs >= startedAtMs;
-      if (failure === undefined || isLate || hasSentSince) return;
-      handleEngineLoss(upstreamId, failure);
+      if (failure === undefined || isLate || hasSentSince) {
+        nextProbeAtMs.delete(upstreamId);
+        return;
+      }
+      nextProbeAtMs.set(upstreamId, clock.nowMs() + repeatedProbeDelayMs);
+      handleSilentEngine(upstreamId, failure);
     }
   }
 
-  /** Reports the loss to all streams of the engine: all resume at once. */
-  function handleEngineLoss(upstreamId: string, reason: string): void {
+  /** Reports the suspicion to all streams of the engine at once. */
+  function handleSilentEngine(upstreamId: string, reason: string): void {
     const affected = [...streams].filter(({ upstream }) =>
       upstream.info.upstreamId === upstreamId
     );
@@ -163,7 +174,7 @@
       streams: affected.length,
     });
     directory.recordLoss(upstreamId, reason);
-    for (const stream of affected) stream.onLost(reason);
+    for (const stream of affected) stream.onSuspected(reason);
   }
 }
 
