Do not cut a response in a shutdown before its bytes are sent

Callers that read slowly saw the end of a response missing when the instance was stopped: of 16 MB, 3.9 MB arrived, then the connection was closed.

Cause: closeIdleConnections of Node.js, which Server.close calls too, counts a connection as idle as soon as its response has been ended, and destroys it with the bytes that are still buffered.

The entry and the operators' servers now decide themselves which connections are idle: all responses sent, all requests read, no byte since.

--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -17,6 +17,7 @@
 } from "../control/replicated_log.ts";
 import { createStateMachine } from "../control/state_machine.ts";
 import { createTicketService } from "../control/ticket_service.ts";
+import { closeOnlyIdleConnections } from "../core/idle_connections.ts";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import { listenOn } from "../core/listen_on.ts";
 import { createSupervisor } from "../core/supervisor.ts";
@@ -192,6 +193,7 @@
     },
   }).andThen((peerServer) => {
     const http = createServer(adapter.createOperatorApi(operators));
+    closeOnlyIdleConnections(http);
     return listenOn(http, operatorsAddress).map((): RunningInstance => ({
       task: createSupervisor({
         name: "control-instance",
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -9,6 +9,7 @@
   type ServerResponse,
 } from "node:http";
 import type { ResultAsync } from "neverthrow";
+import { closeOnlyIdleConnections } from "../core/idle_connections.ts";
 import { type ListenAddress, listenOn } from "../core/listen_on.ts";
 import {
   createError,
@@ -83,6 +84,7 @@
     headersTimeout: defaultIdleTimeoutMs,
     noDelay: true,
   }, accept);
+  closeOnlyIdleConnections(server);
   const readinessServer = createServer((_request, response) => {
     const isReady = !isDraining && options.getRouteTable() !== undefined;
     response.writeHead(isReady ? 200 : 503);
