Read the body of a request that a stopping instance refuses

A caller that still sends its request when a stopping instance refuses it lost the refusal: the instance closes the connection after the response, and the bytes that it had not read reset it. Streams carry some thousand bytes, so a rolling stop of busy instances meets this.

--- a/src/forwarding/caller_exchange.ts
+++ b/src/forwarding/caller_exchange.ts
@@ -66,6 +66,8 @@
    * the caller disconnects.
    */
   readBody(maxBytes: number): Promise<Buffer | undefined>;
+  /** Reads the body without keeping it. */
+  discardBody(): Promise<void>;
   startResponse(status: number, headers: RawHeaders): void;
   /**
    * Returns false if the caller reads more slowly than data is written; wait
@@ -132,6 +134,7 @@
     onShutdown: (callback) => shutdownCallback = callback,
     shutDown,
     readBody,
+    discardBody,
     startResponse,
     write: (bytes) => response.write(bytes),
     onDrain: (callback) => response.once("drain", callback),
@@ -206,6 +209,14 @@
     });
   }
 
+  function discardBody(): Promise<void> {
+    if (request.complete) return Promise.resolve();
+    return new Promise((resolve) => {
+      request.on("close", resolve);
+      request.resume();
+    });
+  }
+
   function startResponse(nextStatus: number, headers: RawHeaders): void {
     if (state !== CallerState.Waiting) return;
     state = CallerState.Responding;
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -161,17 +161,17 @@
     const table = options.getRouteTable();
     const checked = checkRequest(table, caller);
     if (checked.isErr()) {
-      refuseRequest(caller, checked.error);
+      await refuseRequest(caller, checked.error);
       return;
     }
     const { route, customerId, priority } = checked.value;
     if (isDraining && route.kind === RequestKind.Streaming) {
-      refuseRequest(caller, createShutdownError());
+      await refuseRequest(caller, createShutdownError());
       return;
     }
     const service = chooseService(route, table!, random.next());
     if (!service) {
-      refuseRequest(
+      await refuseRequest(
         caller,
         createError(ErrorKind.Internal, "unknown service"),
       );
@@ -179,7 +179,7 @@
     }
     const body = await caller.readBody(table!.limits.maxBodyBytes);
     if (!body) {
-      refuseRequest(
+      await refuseRequest(
         caller,
         createError(ErrorKind.PayloadTooLarge, "body too large"),
       );
@@ -203,7 +203,10 @@
     } else await forwardCall(context, admitted);
   }
 
-  function refuseRequest(caller: CallerExchange, error: SystemError): void {
+  async function refuseRequest(
+    caller: CallerExchange,
+    error: SystemError,
+  ): Promise<void> {
     context.metrics.refusals.add({ kind: error.kind });
     logger.log(logEvents.forwardingRefused, {
       request: caller.description.requestId,
@@ -211,6 +214,12 @@
       reason: error.message,
       revision: options.getRouteTable()?.revision,
     });
+    // A draining instance closes the connection after the response. Bytes of
+    // the request that are not read by then reset it, and the caller may lose
+    // the response.
+    if (isDraining && error.kind !== ErrorKind.PayloadTooLarge) {
+      await caller.discardBody();
+    }
     caller.fail(error);
   }
 
