Stop reading a response that its caller does not read

A caller that reads slowly made the instance buffer the whole response: of 50 MB, all were taken from the upstream while the caller had read almost nothing. An instance has as little as 178 MB, and one that runs out of it loses every open request.

Cause: the exchange paused the upstream's socket. Each read of the response resumes that socket, so the pause had no effect. Now the response itself is paused. A stream's silence is not counted while it is paused, which would otherwise look like a silent engine.

--- a/src/forwarding/stream_attempt.ts
+++ b/src/forwarding/stream_attempt.ts
@@ -18,6 +18,9 @@
   firstEventAtMs: number | undefined;
   isPastStart: boolean;
   lastEventAtMs: number | undefined;
+  /** Whether its events wait until the caller has read earlier ones. */
+  isPaused: boolean;
+  resumedAtMs: number;
   /** Whether the current silence of the engine was logged. */
   isSilenceLogged: boolean;
   /** 0 if the attempt resumes from a copy. */
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -288,6 +288,8 @@
       firstEventAtMs: undefined,
       isPastStart: false,
       lastEventAtMs: undefined,
+      isPaused: false,
+      resumedAtMs: -Infinity,
       isSilenceLogged: false,
       prefillTokens: source ? 0 : demand.prefillTokens,
       onSuspected: (reason) => handleSilence(started, reason),
@@ -474,9 +476,14 @@
       const { status, headers } = current.head!;
       caller.startResponse(status, protocol.buildCallerHeaders(headers));
     }
-    if (caller.write(bytes)) return;
+    if (caller.write(bytes) || current.isPaused) return;
+    current.isPaused = true;
     current.exchange?.pause();
-    caller.onDrain(() => current.exchange?.resume());
+    caller.onDrain(() => {
+      current.isPaused = false;
+      current.resumedAtMs = clock.nowMs();
+      current.exchange?.resume();
+    });
   }
 
   function recordEventTime(): void {
--- a/src/forwarding/stream_monitor.ts
+++ b/src/forwarding/stream_monitor.ts
@@ -19,6 +19,10 @@
   readonly startedAtMs: number;
   /** Time of the last event; undefined before the first event. */
   readonly lastEventAtMs: number | undefined;
+  /** No events are read because the caller has not read earlier ones. */
+  readonly isPaused: boolean;
+  /** When events were read again; -Infinity if they always were. */
+  readonly resumedAtMs: number;
   /** The engine is silent and may be lost; called until the stream leaves it. */
   onSuspected(reason: string): void;
   /** Called at every check while the stream is open. */
@@ -98,9 +102,11 @@
     stream: MonitoredStream,
     { nowMs, processPauseMs }: { nowMs: number; processPauseMs: number },
   ): void {
-    const { upstream, startedAtMs, lastEventAtMs } = stream;
+    const { upstream, startedAtMs, lastEventAtMs, resumedAtMs } = stream;
+    if (stream.isPaused) return;
     const { upstreamId } = upstream.info;
-    const streamSilentMs = nowMs - (lastEventAtMs ?? startedAtMs);
+    const streamSilentMs = nowMs -
+      Math.max(lastEventAtMs ?? startedAtMs, resumedAtMs);
     const decision = decideOnSilence({
       streamSilentMs,
       engineSilentMs: nowMs - upstream.lastActivityAtMs,
--- a/src/forwarding/stream_monitor_test.ts
+++ b/src/forwarding/stream_monitor_test.ts
@@ -52,6 +52,8 @@
     upstream: directory.listUsable("service")[0]!,
     startedAtMs: clock.nowMs() - 250,
     lastEventAtMs: clock.nowMs() - 250,
+    isPaused: false,
+    resumedAtMs: -Infinity,
     onSuspected: (reason: string) => losses.push(reason),
     onCheck: () => {},
   };
--- a/src/forwarding/upstream_connections.ts
+++ b/src/forwarding/upstream_connections.ts
@@ -205,8 +205,9 @@
         isSettled = true;
         request.destroy();
       },
-      pause: () => socket?.pause(),
-      resume: () => socket?.resume(),
+      // Pausing the socket has no effect: each read of the response resumes it.
+      pause: () => received?.pause(),
+      resume: () => received?.resume(),
     };
 
     function sendRequest(): ClientRequest {
