Read the body of any refused request before its connection is closed

A refusal of a stopping instance was already sent after the body was read; the same loss hit callers that ask to close the connection after their request, and those whose body is too large: unread bytes reset the connection, and the caller may lose the response. The body of a refused request is now read whenever the connection is closed after it, for a second at most.

--- a/src/forwarding/caller_exchange.ts
+++ b/src/forwarding/caller_exchange.ts
@@ -66,6 +66,8 @@
    * the caller disconnects.
    */
   readBody(maxBytes: number): Promise<Buffer | undefined>;
+  /** Whether the connection is closed after the response. */
+  willClose(): boolean;
   /** Reads the body without keeping it. */
   discardBody(): Promise<void>;
   startResponse(status: number, headers: RawHeaders): void;
@@ -133,6 +135,8 @@
     },
     onShutdown: (callback) => shutdownCallback = callback,
     shutDown,
+    willClose: () =>
+      !response.shouldKeepAlive || options.shouldCloseConnection(),
     readBody,
     discardBody,
     startResponse,
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -66,6 +66,8 @@
  */
 const loadBalancerDelayMs = 2_800;
 const drainPollIntervalMs = 50;
+/** Time for which the body of a refused request is read. */
+const maxDiscardMs = 1_000;
 /** Part of the grace time that remains after open requests are ended. */
 const exitMarginMs = 500;
 /** Part of the grace time that remains after their responses are sent. */
@@ -214,11 +216,10 @@
       reason: error.message,
       revision: options.getRouteTable()?.revision,
     });
-    // A draining instance closes the connection after the response. Bytes of
-    // the request that are not read by then reset it, and the caller may lose
-    // the response.
-    if (isDraining && error.kind !== ErrorKind.PayloadTooLarge) {
-      await caller.discardBody();
+    // Bytes of the request that are not read when the connection is closed
+    // reset it, and the caller may lose the response.
+    if (caller.willClose() || error.kind === ErrorKind.PayloadTooLarge) {
+      await Promise.race([caller.discardBody(), clock.sleep(maxDiscardMs)]);
     }
     caller.fail(error);
   }
