Start a pipelined request only after the response ahead of it

A caller that sends requests without waiting for responses lost requests that had run: the instance started all of them at once, and when the first response broke off or closed the connection, as in a shutdown, no response to the others could be delivered. When the caller left, the requests behind the first one went on at their upstreams.

A request now starts after the response ahead of it was sent, and is dropped without having run if the connection ends before.

--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -25,6 +25,7 @@
   createShutdownError,
   type IncompleteResponse,
 } from "./caller_exchange.ts";
+import { createCallerConnections } from "./caller_connections.ts";
 import { forwardCall } from "./call_forwarder.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import { RequestKind } from "./forwarding_table.ts";
@@ -87,6 +88,7 @@
     headersTimeout: defaultIdleTimeoutMs,
     noDelay: true,
   }, accept);
+  const connections = createCallerConnections(server);
   closeOnlyIdleConnections(server);
   const readinessServer = createServer((_request, response) => {
     const isReady = !isDraining && options.getRouteTable() !== undefined;
@@ -109,11 +111,24 @@
   };
 
   function accept(request: IncomingMessage, response: ServerResponse): void {
+    const arrivedAtMs = clock.nowMs();
+    connections.add(
+      request,
+      response,
+      () => startExchange(request, response, arrivedAtMs),
+    );
+  }
+
+  function startExchange(
+    request: IncomingMessage,
+    response: ServerResponse,
+    arrivedAtMs: number,
+  ): void {
     const caller = createCallerExchange({
       request,
       response,
       protocol,
-      arrivedAtMs: clock.nowMs(),
+      arrivedAtMs,
       shouldCloseConnection: () => isDraining,
       onFinished: (exchange, status) => {
         openExchanges.delete(exchange);
