Finish a response although its connection sends no valid request after it

A response in progress was destroyed, or answered with 408 or 400 in its place, when the bytes that followed its request on the connection were invalid or when a started request head timed out. A configuration change that lowers the header or idle timeout makes the second more likely.

Cause: without a handler of the clientError event, Node.js ends the connection at once. The instance now sends the response of the request that it has read, and closes the connection after it. Event 7214 names the reason.

measure/kept_connections/connection_ends_test.ts ("a partial next head that times out does not end the response before it") fails on the parent commit.

--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -334,6 +334,11 @@
     Info,
     "stream waits at its silent engine, since no other can take it",
   ),
+  callerConnectionFailed: event(
+    7214,
+    Info,
+    "caller's connection sent no valid request, or too slowly",
+  ),
   responseIncomplete: event(
     7212,
     Info,
--- a/src/forwarding/caller_connections.ts
+++ b/src/forwarding/caller_connections.ts
@@ -8,6 +8,9 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
+import { getErrorMessage } from "../core/errors.ts";
+import { logEvents } from "../core/log_events.ts";
+import type { Logger } from "../core/logger.ts";
 
 export interface CallerConnections {
   /** Starts the request now, or after those ahead of it on its connection. */
@@ -28,22 +31,32 @@
   /** The request whose response is next. */
   current: Exchange | undefined;
   waiting: Exchange[];
+  /** Bytes have arrived that are no request, so no other one can follow. */
+  isBroken: boolean;
 }
 
+const errorStatusLines: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+const defaultErrorStatusLine = "400 Bad Request";
 /** Requests that one connection may have waiting; more are not answered. */
 const maxWaitingCount = 100;
 
 export function createCallerConnections(
   server: Server,
+  { logger }: { readonly logger: Logger },
 ): CallerConnections {
   const connections = new Map<Duplex, Connection>();
   server.on("connection", (socket) => {
     connections.set(socket, {
       current: undefined,
       waiting: [],
+      isBroken: false,
     });
     socket.once("close", () => connections.delete(socket));
   });
+  server.on("clientError", handleClientError);
   return { add };
 
   function add(
@@ -72,5 +85,42 @@
     if (socket.destroyed || !response.shouldKeepAlive) return;
     connection.current = connection.waiting.shift();
     if (connection.current) connection.current.start();
+    else if (connection.isBroken) socket.end();
+  }
+
+  /**
+   * Replaces the handling of Node.js, which destroys the connection also under
+   * a response in progress.
+   */
+  function handleClientError(
+    failure: NodeJS.ErrnoException,
+    socket: Duplex,
+  ): void {
+    if (!socket.writable || failure.code === "ECONNRESET") {
+      socket.destroy(failure);
+      return;
+    }
+    const connection = connections.get(socket);
+    logger.log(logEvents.callerConnectionFailed, {
+      reason: getErrorMessage(failure),
+      hasOpenRequest: connection?.current !== undefined,
+    });
+    if (connection?.current?.request.complete) {
+      connection.isBroken = true;
+      connection.waiting = connection.waiting.filter(({ request }) =>
+        request.complete
+      );
+      return;
+    }
+    if (connection?.current?.response.headersSent) {
+      socket.destroy(failure);
+      return;
+    }
+    const status = errorStatusLines[failure.code ?? ""] ??
+      defaultErrorStatusLine;
+    socket.end(
+      `HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`,
+      () => socket.destroy(failure),
+    );
   }
 }
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -88,7 +88,7 @@
     headersTimeout: defaultIdleTimeoutMs,
     noDelay: true,
   }, accept);
-  const connections = createCallerConnections(server);
+  const connections = createCallerConnections(server, { logger });
   closeOnlyIdleConnections(server);
   const readinessServer = createServer((_request, response) => {
     const isReady = !isDraining && options.getRouteTable() !== undefined;
