Refuse requests that arrive after the drain

A request whose head was still arriving when the drain ended was passed on to an upstream and lost at the exit of the process a moment later. It is now refused as not run.

measure/kept_connections/connection_ends_test.ts ("does not leave a partial head open whose request would be lost at the exit") fails on the parent commit.

--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -81,6 +81,7 @@
   const openExchanges = new Set<CallerExchange>();
   let isDraining = false;
   let isClosing = false;
+  let isStopped = false;
   const server = createServer({
     maxHeaderSize: maxHeaderBytes,
     connectionsCheckingInterval: timeoutCheckIntervalMs,
@@ -182,7 +183,9 @@
       return;
     }
     const { route, customerId, priority } = checked.value;
-    if (isDraining && route.kind === RequestKind.Streaming) {
+    const isRefused = isStopped ||
+      (isDraining && route.kind === RequestKind.Streaming);
+    if (isRefused) {
       await refuseRequest(caller, createShutdownError());
       return;
     }
@@ -254,6 +257,7 @@
       }
       await clock.sleep(drainPollIntervalMs);
     }
+    isStopped = true;
     readinessServer.close();
     for (const caller of openExchanges) caller.shutDown();
     while (openExchanges.size > 0 && getElapsedMs() < graceMs - flushMarginMs) {
