Choose where a stream goes on before it leaves a silent engine

Its engine was working: at 28.632 s the stream stayed there, since none of the others could prefill its prompt in time; 0.16 s later one could, the run was ended, and the placement that followed chose another engine, for which admission refused the stream.

Cause: whether the stream could go on, and where, were two decisions, and instances that don't know each other's placements choose at random. The engine that was checked is now the one that is used. If it refuses the stream, later engines are tried without admission, because this instance ended a run that might have been in time. A silent run is not left in the last 50 ms.

--- a/src/forwarding/decisions_test.ts
+++ b/src/forwarding/decisions_test.ts
@@ -113,6 +113,7 @@
 
 test("a silent run is left only with attempts to spare, or when its engine is surely lost", () => {
   const silent = {
+    remainingMs: 5_000,
     isResumable: true,
     ranCount: 1,
     maxAttempts: 3,
@@ -125,6 +126,7 @@
   expect(mayLeaveSilentRun({ ...silent, ranCount: 3, engineSilentMs: 4_000 }))
     .toBe(false);
   expect(mayLeaveSilentRun({ ...silent, isResumable: false })).toBe(false);
+  expect(mayLeaveSilentRun({ ...silent, remainingMs: 20 })).toBe(false);
 });
 
 const loss: LossState = {
--- a/src/forwarding/stream_decisions.ts
+++ b/src/forwarding/stream_decisions.ts
@@ -48,6 +48,7 @@
 }
 
 export interface SilentRun {
+  readonly remainingMs: number;
   readonly isResumable: boolean;
   /** Attempts that ran or may have run, including the silent one. */
   readonly ranCount: number;
@@ -58,6 +59,8 @@
 
 /** A sound engine that falls silent goes on after a second or so. */
 const soundSilenceMs = 3_000;
+/** With less time left, no event would arrive before the deadline. */
+const minResumeMs = 50;
 /** Attempts that are kept for engines that end. */
 const reservedAttempts = 1;
 
@@ -66,9 +69,10 @@
  * sound: ending the run is then a loss, unless another one takes the stream.
  */
 export function mayLeaveSilentRun(
-  { isResumable, ranCount, maxAttempts, engineSilentMs }: SilentRun,
+  { remainingMs, isResumable, ranCount, maxAttempts, engineSilentMs }:
+    SilentRun,
 ): boolean {
-  if (!isResumable) return false;
+  if (!isResumable || remainingMs < minResumeMs) return false;
   const remainingAttempts = maxAttempts - ranCount;
   return engineSilentMs < soundSilenceMs
     ? remainingAttempts > reservedAttempts
@@ -88,9 +92,6 @@
 
 export type LossDecision = "resumeFromCopy" | "resume" | "fail";
 
-/** With less time left, no event would arrive before the deadline. */
-const minResumeMs = 50;
-
 export function decideAfterLoss(state: LossState): LossDecision {
   if (state.remainingMs < minResumeMs) return "fail";
   if (state.ranCount >= state.maxAttempts) return "fail";
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -107,6 +107,8 @@
   let endWaiting: (() => void) | undefined;
   let run: StreamAttempt | undefined;
   let isFinished = false;
+  /** Whether a run was ended because its engine was silent. */
+  let hasLeftRun = false;
   let firstEventAtMs: number | undefined;
   let lastEventAtMs = 0;
   let longestGapMs = 0;
@@ -181,6 +183,11 @@
         startAttempt(engine, undefined);
         return;
       case "refuse":
+        // The run that this instance ended might have been in time.
+        if (hasLeftRun) {
+          startAttempt(engine, undefined);
+          return;
+        }
         failStream(
           ranCount > 0 ? ErrorKind.UpstreamFailed : ErrorKind.Overloaded,
           "the prompt cannot be prefilled before the deadline",
@@ -550,13 +557,16 @@
     const engineSilentMs = clock.nowMs() -
       Math.max(upstream.lastActivityAtMs, current.startedAtMs);
     const mayLeave = mayLeaveSilentRun({
+      remainingMs: deadlineAtMs - clock.nowMs(),
       isResumable: route.isResumable,
       ranCount: ranCount + 1,
       maxAttempts: route.maxAttempts,
       engineSilentMs,
     });
-    if (mayLeave && canGoOnElsewhere(current)) {
-      handleLoss(current, { wasSent: true, reason });
+    const target = mayLeave ? findTarget(current) : undefined;
+    if (target) {
+      hasLeftRun = true;
+      handleLoss(current, { wasSent: true, reason, nextEngine: target });
       return;
     }
     if (current.isSilenceLogged) return;
@@ -571,10 +581,12 @@
     });
   }
 
-  function canGoOnElsewhere(current: StreamAttempt): boolean {
-    if (current.lastEventAtMs !== undefined && findUsableCopy(current)) {
-      return true;
-    }
+  /** Returns an engine at which the stream can go on instead. */
+  function findTarget(current: StreamAttempt): Upstream | undefined {
+    const copy = current.lastEventAtMs === undefined
+      ? undefined
+      : findUsableCopy(current);
+    if (copy) return copy.holder;
     const { upstreamId } = current.upstream.info;
     const engine = chooseForStream(
       directory.listUsable(service.name).filter(({ info }) =>
@@ -583,19 +595,24 @@
       getDemand(),
       getPlacementContext(),
     );
-    return engine !== undefined && decideAdmission(engine).kind === "admit";
+    return engine && decideAdmission(engine).kind === "admit"
+      ? engine
+      : undefined;
   }
 
   function handleLoss(
     lost: StreamAttempt,
-    { wasSent, isRefused = false, hasEngineEnded = false, reason }: {
-      wasSent: boolean;
-      /** The connection ended, as it does when an engine crashes. */
-      hasEngineEnded?: boolean;
-      /** The engine received the request and did not run it. */
-      isRefused?: boolean;
-      reason: string;
-    },
+    { wasSent, isRefused = false, hasEngineEnded = false, reason, nextEngine }:
+      {
+        wasSent: boolean;
+        /** Where the stream goes on without a copy; chosen now by default. */
+        nextEngine?: Upstream;
+        /** The connection ended, as it does when an engine crashes. */
+        hasEngineEnded?: boolean;
+        /** The engine received the request and did not run it. */
+        isRefused?: boolean;
+        reason: string;
+      },
   ): void {
     if (run !== lost || isFinished) return;
     const { upstreamId } = lost.upstream.info;
@@ -659,6 +676,7 @@
         if (afterCrash.kind === "delay") {
           waitTimer = setTimeout(placeAttempt, afterCrash.delayMs);
         } else if (isRefused && !budget.tryDraw(budgetKey, 1)) waitForBudget();
+        else if (nextEngine) startAttempt(nextEngine, undefined);
         else placeAttempt();
         return;
       default:
