Keep streams at a leaving engine that accepts no new connection

During a scale-in, all streams of a leaving engine were taken away from it while it was still generating: after 220 ms without an event the engine was probed, it refused the new connection, and it counted as lost.

Cause: an engine that leaves closes its listener first and finishes what it runs, so a refused connection says nothing about the requests in progress. A leaving engine is no longer probed; silence of the stream itself still counts.

"a stream stays at a leaving engine that refuses new connections" fails on the parent commit with a second attempt.

--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -5,7 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import http from "node:http";
-import type net from "node:net";
+import net from "node:net";
 import { createSystemClock } from "../src/core/clock.ts";
 import { createMetricsRegistry } from "../src/core/metrics_registry.ts";
 import { createForwardingMetrics } from "../src/forwarding/forwarding_metrics.ts";
@@ -50,6 +50,8 @@
   readonly received: ReceivedRequest[];
   /** Ids of requests whose connection closed before the response ended. */
   readonly cancelled: string[];
+  /** Refuses new connections; the responses in progress go on. */
+  stopListening(): void;
   close(): Promise<void>;
 }
 
@@ -103,6 +105,8 @@
     },
     received,
     cancelled,
+    // Not that of an HTTP server, which also closes idle connections.
+    stopListening: () => void net.Server.prototype.close.call(server),
     close: () => {
       server.closeAllConnections();
       return new Promise((resolve) => server.close(() => resolve()));
--- a/src/forwarding/stream_monitor.ts
+++ b/src/forwarding/stream_monitor.ts
@@ -119,7 +119,8 @@
       case SilenceDecision.Wait:
         return;
       case SilenceDecision.Probe:
-        probe(upstream);
+        // A leaving engine may refuse new connections while it still serves.
+        if (!upstream.info.isLeaving) probe(upstream);
         return;
       case SilenceDecision.Suspect:
         stream.onSuspected(`no event for ${Math.round(streamSilentMs)} ms`);
