Treat a response head that cannot be written to a caller as a failure

A response with status 000 or 099, or with a header name that is empty or has a space, ended the entry process: Node reads such a head and throws when it is told to write it, in the handler of a socket event for streams and for calls with a large body. All requests open on the instance ended with it. A small response to a call closed its caller's connection, and a final status 101, which is not a response to the request, was passed on.

The heads are now checked where they are received, with Node's own checks of header names and values, and fail the attempt, so a stream or a safe call goes on at another upstream.

--- a/src/forwarding/upstream_connections.ts
+++ b/src/forwarding/upstream_connections.ts
@@ -12,6 +12,8 @@
   type ClientRequest,
   type IncomingMessage,
   request as httpRequest,
+  validateHeaderName,
+  validateHeaderValue,
 } from "node:http";
 import net from "node:net";
 import { getErrorMessage } from "../core/errors.ts";
@@ -257,6 +259,10 @@
 
     function receiveResponse(response: IncomingMessage): void {
       received = response;
+      if (!hasValidHead(response)) {
+        fail("the response head is invalid");
+        return;
+      }
       response.on("data", (chunk: Buffer) => {
         if (!isSettled) handlers.onData(chunk);
       });
@@ -298,6 +304,25 @@
   }
 }
 
+/**
+ * Whether the head can be written to a caller. Node reads heads that it throws
+ * on when it writes them, and a status below 200 ends no response.
+ */
+function hasValidHead(
+  { statusCode = 0, rawHeaders }: IncomingMessage,
+): boolean {
+  if (statusCode < 200) return false;
+  try {
+    for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+      validateHeaderName(rawHeaders[index]!);
+      validateHeaderValue(rawHeaders[index]!, rawHeaders[index + 1]!);
+    }
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 function isReset(cause: NodeJS.ErrnoException): boolean {
   return cause.code === "ECONNRESET" || cause.code === "EPIPE";
 }
