Announce no length for a stream, which may be resumed with other bytes

If an engine stated a length for its stream and broke off, the caller got that length with the events of two engines. With more bytes than stated, the caller saw a complete response without its last bytes, and the rest arrived where the next response on the connection is expected. With fewer bytes it waited for bytes that never came. The length was passed on with the other headers of the first engine, and Node does not compare it with what is written.

The length is now left out of a stream's headers, so that Node frames the stream in chunks, whose end is written only when the stream is complete.

--- a/src/forwarding/forwarding_protocol.ts
+++ b/src/forwarding/forwarding_protocol.ts
@@ -136,6 +136,11 @@
   describeResponse(status: number, headers: RawHeaders): ResponseDescription;
   /** Converts an upstream's headers to those sent to the caller. */
   buildCallerHeaders(upstreamHeaders: RawHeaders): string[];
+  /**
+   * Like `buildCallerHeaders`, without the length: if the stream is resumed
+   * elsewhere, it may have another one.
+   */
+  buildStreamHeaders(upstreamHeaders: RawHeaders): string[];
   encodeLocalResponse(answer: LocalResponse): EncodedResponse;
   /** Asks an engine to copy the KV cache of a running stream to another one. */
   buildCopyCall(copy: CopyDirective): ProtocolCall;
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -474,7 +474,7 @@
   function relay(current: StreamAttempt, bytes: Buffer): void {
     if (caller.getState() === CallerState.Waiting) {
       const { status, headers } = current.head!;
-      caller.startResponse(status, protocol.buildCallerHeaders(headers));
+      caller.startResponse(status, protocol.buildStreamHeaders(headers));
     }
     if (caller.write(bytes) || current.isPaused) return;
     current.isPaused = true;
