Let only the next events of the stream enter a response that has begun

When a stream had broken off and its next engine answered with an attested 200 that was an error, the caller found the error in the middle of its stream: the text of a JSON document, an error event without an id, or a whole HTTP head with the body after it. Events of a 206 or of another content type were passed on as well. Each block up to an empty line was relayed if it had no id, and the head of an engine that resumes a stream was not compared with the one that the caller had received.

An engine that resumes a stream now must answer with the status and media type that the caller has received, and each of its events must have the next id; anything else fails the attempt, so a sound engine goes on or the response is broken off. An event without an id cannot be placed in a stream of increasing ids: it may be an error, or the caller may already have it. The first engine's events are passed on unchanged as before.

--- a/src/forwarding/response_framing.ts
+++ b/src/forwarding/response_framing.ts
@@ -30,12 +30,17 @@
 ): boolean {
   const hasBody = method !== "HEAD" && !bodilessStatuses.has(status);
   if (!hasBody || !isCloseDelimited(headers)) return false;
-  return isJson(findValue(headers, "content-type") ?? "") &&
+  return isJson(getMediaType(headers)) &&
     parseJson(body.toString("utf8")).isErr();
 }
 
-function isJson(contentType: string): boolean {
-  const mediaType = contentType.split(";")[0]!.trim().toLowerCase();
+/** Content type in lower case without parameters; empty if not stated. */
+export function getMediaType(headers: RawHeaders): string {
+  const contentType = findValue(headers, "content-type") ?? "";
+  return contentType.split(";")[0]!.trim().toLowerCase();
+}
+
+function isJson(mediaType: string): boolean {
   return mediaType === "application/json" || mediaType.endsWith("+json");
 }
 
--- a/src/forwarding/stream_attempt.ts
+++ b/src/forwarding/stream_attempt.ts
@@ -5,9 +5,10 @@
 import type { Buffer } from "node:buffer";
 import type { CopyManager } from "./copy_manager.ts";
 import type { EventSplitter } from "./event_splitter.ts";
-import type { PromptPart, RawHeaders } from "./forwarding_protocol.ts";
+import type { PromptPart } from "./forwarding_protocol.ts";
 import type { PaceMeter } from "./pace_meter.ts";
 import { isCloseDelimited } from "./response_framing.ts";
+import type { ResponseHead } from "./stream_continuation.ts";
 import type { MonitoredStream } from "./stream_monitor.ts";
 import type { Exchange } from "./upstream_connections.ts";
 import type { RequestLoad } from "./upstream_types.ts";
@@ -31,7 +32,7 @@
   readonly pace: PaceMeter;
   readonly splitter: EventSplitter;
   exchange: Exchange | undefined;
-  head: { readonly status: number; readonly headers: RawHeaders } | undefined;
+  head: ResponseHead | undefined;
   /** Body of a response that is not a stream. */
   readonly errorBody: Buffer[];
   errorBytes: number;
--- /dev/null
+++ b/src/forwarding/stream_continuation.ts
@@ -0,0 +1,53 @@
+/**
+ * Decides what may enter a response that the caller already receives. An engine
+ * that is to resume the stream may answer with an error instead, also in a
+ * response that succeeds and is attested; no part of one belongs to the stream.
+ */
+import { getMediaType } from "./response_framing.ts";
+import type { RawHeaders } from "./forwarding_protocol.ts";
+import type { StreamEvent } from "./event_splitter.ts";
+
+export interface ResponseHead {
+  readonly status: number;
+  readonly headers: RawHeaders;
+}
+
+/** Returns why a response cannot continue the one with the first head. */
+export function findForeignHead(
+  first: ResponseHead,
+  { status, headers }: ResponseHead,
+): string | undefined {
+  if (status !== first.status) return `status ${status}`;
+  const mediaType = getMediaType(headers);
+  return mediaType === getMediaType(first.headers)
+    ? undefined
+    : `content type "${mediaType}"`;
+}
+
+export type EventDecision =
+  | { readonly kind: "relay" }
+  /** The caller already has the event. */
+  | { readonly kind: "skip" }
+  | { readonly kind: "break"; readonly reason: string };
+
+export function decideOnEvent(
+  { eventId, hasField }: Pick<StreamEvent, "eventId" | "hasField">,
+  { lastEventId, isResumed }: {
+    readonly lastEventId: number | undefined;
+    /** The caller received events of an earlier attempt. */
+    readonly isResumed: boolean;
+  },
+): EventDecision {
+  if (!hasField || lastEventId === undefined) return { kind: "relay" };
+  if (eventId === undefined) {
+    // It may be an error, or the caller may already have it.
+    return isResumed
+      ? { kind: "break", reason: "an event of a resumed stream has no id" }
+      : { kind: "relay" };
+  }
+  if (eventId <= lastEventId) return { kind: "skip" };
+  return eventId === lastEventId + 1 ? { kind: "relay" } : {
+    kind: "break",
+    reason: `event ${eventId} arrived after event ${lastEventId}`,
+  };
+}
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -50,6 +50,11 @@
   isStream,
   type StreamAttempt,
 } from "./stream_attempt.ts";
+import {
+  decideOnEvent,
+  findForeignHead,
+  type ResponseHead,
+} from "./stream_continuation.ts";
 import type { StreamMonitor } from "./stream_monitor.ts";
 import { getAddress } from "./upstream_directory.ts";
 import type { Upstream } from "./upstream_types.ts";
@@ -106,6 +111,8 @@
   let waitTimer: NodeJS.Timeout | undefined;
   let endWaiting: (() => void) | undefined;
   let run: StreamAttempt | undefined;
+  /** The attempt whose head the caller received. */
+  let responder: StreamAttempt | undefined;
   let isFinished = false;
   let firstEventAtMs: number | undefined;
   let lastEventAtMs = 0;
@@ -363,7 +370,7 @@
     });
     switch (headClass) {
       case HeadClass.Accepted:
-        current.head = { status, headers };
+        receiveHead(current, { status, headers });
         return;
       case HeadClass.OtherRequest:
         handleLoss(current, {
@@ -390,6 +397,17 @@
     }
   }
 
+  function receiveHead(current: StreamAttempt, head: ResponseHead): void {
+    current.head = head;
+    if (!responder || !isStream(current)) return;
+    const reason = findForeignHead(responder.head!, head);
+    if (reason === undefined) return;
+    handleLoss(current, {
+      wasSent: true,
+      reason: `the stream cannot go on with ${reason}`,
+    });
+  }
+
   function onData(current: StreamAttempt, chunk: Buffer): void {
     directory.recordActivity(current.upstream.info.upstreamId);
     if (!isStream(current)) {
@@ -413,10 +431,16 @@
     handleLoss(current, { wasSent: true, reason: "the error is too large" });
   }
 
-  function forwardEvent(
-    current: StreamAttempt,
-    { bytes, eventId, hasField }: StreamEvent,
-  ): void {
+  function forwardEvent(current: StreamAttempt, event: StreamEvent): void {
+    const { bytes, eventId, hasField } = event;
+    const decision = decideOnEvent(event, {
+      lastEventId,
+      isResumed: responder !== undefined && responder !== current,
+    });
+    if (decision.kind === "break") {
+      handleLoss(current, { wasSent: true, reason: decision.reason });
+      return;
+    }
     if (!hasField) {
       relay(current, bytes);
       return;
@@ -452,14 +476,7 @@
     current.lastEventAtMs = lastEventAtMs;
     current.pace.recordEvent(lastEventAtMs);
     if (isPastStart(current, lastEventAtMs)) recordSoundRun(current);
-    if (eventId !== undefined && lastEventId !== undefined) {
-      if (eventId <= lastEventId) return; // the caller already has this event
-      if (eventId > lastEventId + 1) {
-        const reason = `event ${eventId} arrived after event ${lastEventId}`;
-        handleLoss(current, { wasSent: true, reason });
-        return;
-      }
-    }
+    if (decision.kind === "skip") return;
     lastEventId = eventId ?? lastEventId;
     eventCount += 1;
     relay(current, bytes);
@@ -474,6 +491,7 @@
   function relay(current: StreamAttempt, bytes: Buffer): void {
     if (caller.getState() === CallerState.Waiting) {
       const { status, headers } = current.head!;
+      responder = current;
       caller.startResponse(status, protocol.buildStreamHeaders(headers));
     }
     if (caller.write(bytes) || current.isPaused) return;
