Do not end a stream on the word of one engine that adds nothing to it

When a stream had broken off and its next engine answered with an empty 200 that was framed by a length or by chunks, the caller got a proper end of its response while events were missing. The same held for a response with a comment alone, and, also without framing, for one whose only events had ids that the caller had already: such events were dropped, then the end of the response was taken for the end of the stream. A caller that resumed a stream itself got a 200 without events if the engine repeated earlier ones.

No event is marked as the last one, so an empty answer is right if the first engine broke off between its last event and the end, and wrong otherwise. The stream is now complete only if another engine, asked after the same event, ends it there as well. A first empty answer counts as an attempt but not against its engine, which may be right. Earlier events alone are never an end. If no attempt or no other engine is left, the response is broken off and the caller can resume it. An empty answer to the first attempt is passed on as before.

--- a/src/forwarding/stream_attempt.ts
+++ b/src/forwarding/stream_attempt.ts
@@ -22,6 +22,8 @@
   /** Whether its events wait until the caller has read earlier ones. */
   isPaused: boolean;
   resumedAtMs: number;
+  /** Whether the caller received events of the attempt. */
+  hasAddedEvents: boolean;
   /** Whether the current silence of the engine was logged. */
   isSilenceLogged: boolean;
   /** 0 if the attempt resumes from a copy. */
--- a/src/forwarding/stream_continuation.ts
+++ b/src/forwarding/stream_continuation.ts
@@ -51,3 +51,37 @@
     reason: `event ${eventId} arrived after event ${lastEventId}`,
   };
 }
+
+/** How a response ended whose framing shows no break. */
+export interface StreamEnd {
+  readonly isResumed: boolean;
+  /** Whether the attempt sent events, also ones that the caller had. */
+  readonly hasSentEvents: boolean;
+  readonly hasAddedEvents: boolean;
+  /** Another engine ended the stream after the same event. */
+  readonly isConfirmed: boolean;
+}
+
+export type EndDecision =
+  | { readonly kind: "complete" }
+  /** The stream is complete if another engine ends it here as well. */
+  | { readonly kind: "unconfirmed"; readonly reason: string }
+  | { readonly kind: "break"; readonly reason: string };
+
+/**
+ * No event is marked as the last one. If an engine that resumes a stream adds
+ * nothing, either the first one broke off after the last event, or this one
+ * failed, and only a second engine can show which.
+ */
+export function decideOnEnd(
+  { isResumed, hasSentEvents, hasAddedEvents, isConfirmed }: StreamEnd,
+): EndDecision {
+  if (hasAddedEvents) return { kind: "complete" };
+  if (hasSentEvents) {
+    return { kind: "break", reason: "the engine only sent earlier events" };
+  }
+  return !isResumed || isConfirmed ? { kind: "complete" } : {
+    kind: "unconfirmed",
+    reason: "the engine ended the stream without a further event",
+  };
+}
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -51,6 +51,7 @@
   type StreamAttempt,
 } from "./stream_attempt.ts";
 import {
+  decideOnEnd,
   decideOnEvent,
   findForeignHead,
   type ResponseHead,
@@ -113,6 +114,10 @@
   let run: StreamAttempt | undefined;
   /** The attempt whose head the caller received. */
   let responder: StreamAttempt | undefined;
+  /** Where an engine that resumed the stream ended it without adding to it. */
+  let emptyEnd:
+    | { readonly lastEventId: number | undefined; readonly upstreamId: string }
+    | undefined;
   let isFinished = false;
   let firstEventAtMs: number | undefined;
   let lastEventAtMs = 0;
@@ -297,6 +302,7 @@
       lastEventAtMs: undefined,
       isPaused: false,
       resumedAtMs: -Infinity,
+      hasAddedEvents: false,
       isSilenceLogged: false,
       prefillTokens: source ? 0 : demand.prefillTokens,
       onSuspected: (reason) => handleSilence(started, reason),
@@ -435,7 +441,7 @@
     const { bytes, eventId, hasField } = event;
     const decision = decideOnEvent(event, {
       lastEventId,
-      isResumed: responder !== undefined && responder !== current,
+      isResumed: isResumed(current),
     });
     if (decision.kind === "break") {
       handleLoss(current, { wasSent: true, reason: decision.reason });
@@ -479,6 +485,7 @@
     if (decision.kind === "skip") return;
     lastEventId = eventId ?? lastEventId;
     eventCount += 1;
+    current.hasAddedEvents = true;
     relay(current, bytes);
   }
 
@@ -526,6 +533,38 @@
       });
       return;
     }
+    const decision = decideOnEnd({
+      isResumed: isResumed(current),
+      hasSentEvents: current.firstEventAtMs !== undefined,
+      hasAddedEvents: current.hasAddedEvents,
+      isConfirmed: emptyEnd !== undefined &&
+        emptyEnd.lastEventId === lastEventId &&
+        emptyEnd.upstreamId !== current.upstream.info.upstreamId,
+    });
+    switch (decision.kind) {
+      case "complete":
+        complete(current);
+        return;
+      case "unconfirmed":
+        emptyEnd = {
+          lastEventId,
+          upstreamId: current.upstream.info.upstreamId,
+        };
+        handleLoss(current, {
+          wasSent: true,
+          mayBeSound: true,
+          reason: decision.reason,
+        });
+        return;
+      case "break":
+        handleLoss(current, { wasSent: true, reason: decision.reason });
+        return;
+      default:
+        assertNever(decision);
+    }
+  }
+
+  function complete(current: StreamAttempt): void {
     if (current.firstEventAtMs !== undefined) recordSoundRun(current);
     stop("complete");
     if (caller.getState() === CallerState.Waiting) {
@@ -535,6 +574,10 @@
     caller.endResponse();
   }
 
+  function isResumed(current: StreamAttempt): boolean {
+    return responder !== undefined && responder !== current;
+  }
+
   /** Handles a complete response that is an error instead of a stream. */
   function endWithError(current: StreamAttempt): void {
     const { status, headers } = current.head!;
@@ -606,12 +649,20 @@
 
   function handleLoss(
     lost: StreamAttempt,
-    { wasSent, isRefused = false, hasEngineEnded = false, reason }: {
+    {
+      wasSent,
+      isRefused = false,
+      hasEngineEnded = false,
+      mayBeSound = false,
+      reason,
+    }: {
       wasSent: boolean;
       /** The connection ended, as it does when an engine crashes. */
       hasEngineEnded?: boolean;
       /** The engine received the request and did not run it. */
       isRefused?: boolean;
+      /** The response may be right, so it says nothing about the engine. */
+      mayBeSound?: boolean;
       reason: string;
     },
   ): void {
@@ -623,13 +674,13 @@
     const mayUseCopy = wasSent && lost.lastEventAtMs !== undefined &&
       afterCrash.kind === "resume";
     const copy = mayUseCopy ? findUsableCopy(lost) : undefined;
-    const saysNothing = hasEngineEnded || isRefused || !wasSent;
+    const saysNothing = hasEngineEnded || isRefused || mayBeSound || !wasSent;
     lost.wait.end(saysNothing ? WaitEnd.Cancelled : WaitEnd.Abandoned);
     if (!saysNothing) lost.pace.recordSilence(clock.nowMs());
     endAttempt(lost, copy !== undefined);
     triedIds.add(upstreamId);
     if (wasSent) ranCount += 1;
-    if (!isRefused) directory.recordLoss(upstreamId, reason);
+    if (!isRefused && !mayBeSound) directory.recordLoss(upstreamId, reason);
     const decision = decideAfterLoss({
       isResumable: route.isResumable,
       ranCount,
