Break off a stream whose events have no ids instead of repeating it

A stream whose events have no ids was sent to another engine without a last event id after a break, so the caller got the first events twice: there was no id to resume after, and the decision looked at the route alone. Such a stream is now treated like one that cannot be resumed, and its response is broken off.

The new test in platform/stream_error_after_break_test.ts failed before, with "data: a" twice in a response that looked complete.

--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -574,6 +574,12 @@
     caller.endResponse();
   }
 
+  /** A stream that began without ids would be repeated from its start. */
+  function isResumable(): boolean {
+    return route.isResumable &&
+      (eventCount === 0 || lastEventId !== undefined);
+  }
+
   function isResumed(current: StreamAttempt): boolean {
     return responder !== undefined && responder !== current;
   }
@@ -611,7 +617,7 @@
     const engineSilentMs = clock.nowMs() -
       Math.max(upstream.lastActivityAtMs, current.startedAtMs);
     const mayLeave = mayLeaveSilentRun({
-      isResumable: route.isResumable,
+      isResumable: isResumable(),
       ranCount: ranCount + 1,
       maxAttempts: route.maxAttempts,
       engineSilentMs,
@@ -682,7 +688,7 @@
     if (wasSent) ranCount += 1;
     if (!isRefused && !mayBeSound) directory.recordLoss(upstreamId, reason);
     const decision = decideAfterLoss({
-      isResumable: route.isResumable,
+      isResumable: isResumable(),
       ranCount,
       maxAttempts: route.maxAttempts,
       remainingMs: deadlineAtMs - clock.nowMs(),
