Keep another response out of a stream that has no framing

Bytes of another response that followed inside a stream without a length or chunks were relayed up to each empty line: the caller found the whole head of an error among its events, or an event that ended in the head if the engine had stopped inside it. An event was whatever ends with an empty line.

Once the caller has events, a block without any field of an event, or with lines that end in different ways, fails the attempt, and the stream goes on after the last sound event. Other fields beside known ones, such as the version of the weights, are passed on as before, and so is a first response that is no stream at all.

--- a/src/forwarding/event_splitter.ts
+++ b/src/forwarding/event_splitter.ts
@@ -14,6 +14,11 @@
    * keep a connection open and are no progress of the stream.
    */
   readonly hasField: boolean;
+  /**
+   * Whether it has fields but none of an event, or lines that end in different
+   * ways, as when the head of a response follows inside a stream.
+   */
+  readonly isForeign: boolean;
 }
 
 export interface EventSplitter {
@@ -26,6 +31,7 @@
 /** The caller of `push` treats a larger event as a broken stream. */
 export const maxEventBytes = 1024 * 1024;
 
+const knownField = /^(data|event|id|retry)(:|$)/;
 const lineFeed = 10;
 const carriageReturn = 13;
 
@@ -66,12 +72,18 @@
 function describeEvent(bytes: Buffer): StreamEvent {
   let eventId: number | undefined;
   let hasField = false;
-  for (const line of bytes.toString("latin1").split(/\r?\n/)) {
-    if (line === "" || line.startsWith(":")) continue;
+  let hasKnownField = false;
+  const lineEnds = new Set<string>();
+  for (const line of bytes.toString("latin1").split("\n")) {
+    const text = line.endsWith("\r") ? line.slice(0, -1) : line;
+    if (text === "" || text.startsWith(":")) continue;
     hasField = true;
-    if (!line.startsWith("id:") || eventId !== undefined) continue;
-    const value = Number(line.slice(3).trim());
+    lineEnds.add(line.slice(text.length));
+    if (knownField.test(text)) hasKnownField = true;
+    if (!text.startsWith("id:") || eventId !== undefined) continue;
+    const value = Number(text.slice(3).trim());
     if (Number.isSafeInteger(value)) eventId = value;
   }
-  return { bytes, eventId, hasField };
+  const isForeign = hasField && (!hasKnownField || lineEnds.size > 1);
+  return { bytes, eventId, hasField, isForeign };
 }
--- a/src/forwarding/event_splitter_test.ts
+++ b/src/forwarding/event_splitter_test.ts
@@ -66,3 +66,17 @@
     false,
   ]);
 });
+
+test("bytes that are no event are recognized", () => {
+  const splitter = createEventSplitter();
+  const head = "HTTP/1.1 503 Service Unavailable\r\nServer: a\r\n\r\n";
+  const events = splitter.push(Buffer.from(
+    "weight-versions: 2\nid: 7\ndata: a\n\n" +
+      "data: a\r\nid\r\n\r\nretry: 3\n\n: alive\n\nevent: a\n\r\n" +
+      `${head}id: 8\nda${head}{"error": 1}\n\n`,
+  ));
+  expect(events.map(({ isForeign }) => isForeign)).toEqual([
+    ...[false, false, false, false, false],
+    ...[true, true, true],
+  ]);
+});
--- a/src/forwarding/stream_continuation.ts
+++ b/src/forwarding/stream_continuation.ts
@@ -31,13 +31,18 @@
   | { readonly kind: "break"; readonly reason: string };
 
 export function decideOnEvent(
-  { eventId, hasField }: Pick<StreamEvent, "eventId" | "hasField">,
-  { lastEventId, isResumed }: {
+  { eventId, hasField, isForeign }: StreamEvent,
+  { hasEvents, lastEventId, isResumed }: {
+    /** The caller received events. */
+    readonly hasEvents: boolean;
     readonly lastEventId: number | undefined;
     /** The caller received events of an earlier attempt. */
     readonly isResumed: boolean;
   },
 ): EventDecision {
+  if (isForeign && hasEvents) {
+    return { kind: "break", reason: "bytes that are no event" };
+  }
   if (!hasField || lastEventId === undefined) return { kind: "relay" };
   if (eventId === undefined) {
     // It may be an error, or the caller may already have it.
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -440,6 +440,7 @@
   function forwardEvent(current: StreamAttempt, event: StreamEvent): void {
     const { bytes, eventId, hasField } = event;
     const decision = decideOnEvent(event, {
+      hasEvents: eventCount > 0,
       lastEventId,
       isResumed: isResumed(current),
     });
