Take only decimal numbers as the ids of events

An event whose id is empty, negative, hexadecimal or fractional counted as a numbered one: "id:" was event 0, "0x1" event 1. The caller then did not get it, since it seemed to have it already, or the stream would be resumed after a number that no engine had sent. Number() reads such texts.

The ids are now decimal numbers of at most 15 digits, as in the header that resumes a stream; any other event is one without an id.

--- a/src/forwarding/event_splitter.ts
+++ b/src/forwarding/event_splitter.ts
@@ -7,7 +7,7 @@
 
 export interface StreamEvent {
   readonly bytes: Buffer;
-  /** Undefined if the event has no integer id. */
+  /** Undefined if the event has no decimal id. */
   readonly eventId: number | undefined;
   /**
    * Whether the event has a field. Comments and empty lines have none; they
@@ -81,8 +81,8 @@
     lineEnds.add(line.slice(text.length));
     if (knownField.test(text)) hasKnownField = true;
     if (!text.startsWith("id:") || eventId !== undefined) continue;
-    const value = Number(text.slice(3).trim());
-    if (Number.isSafeInteger(value)) eventId = value;
+    const value = text.slice(3).trim();
+    if (/^\d{1,15}$/.test(value)) eventId = Number(value);
   }
   const isForeign = hasField && (!hasKnownField || lineEnds.size > 1);
   return { bytes, eventId, hasField, isForeign };
--- a/src/forwarding/event_splitter_test.ts
+++ b/src/forwarding/event_splitter_test.ts
@@ -67,6 +67,16 @@
   ]);
 });
 
+test.each(["", " ", "-1", "1e3", "0x10", "1.0", "1234567890123456"])(
+  "the id %j is not a number",
+  (id) => {
+    const [event] = createEventSplitter().push(
+      Buffer.from(`id: ${id}\ndata: a\n\n`),
+    );
+    expect(event!.eventId).toBeUndefined();
+  },
+);
+
 test("bytes that are no event are recognized", () => {
   const splitter = createEventSplitter();
   const head = "HTTP/1.1 503 Service Unavailable\r\nServer: a\r\n\r\n";
