Reset the connection of an aborted response that has no framing

A caller that uses HTTP/1.0 gets neither chunks nor, since a stream has no length any more, a length: its response ends with the connection. When such a response was broken off, the connection was closed in order, and the caller saw a complete response that lacked its last part. It is now reset. A response in chunks or one that was not begun is still aborted by closing its connection.

The new test in caller_exchange_test.ts failed before: the connection of the HTTP/1.0 caller was closed instead of reset.

--- a/src/forwarding/caller_exchange.ts
+++ b/src/forwarding/caller_exchange.ts
@@ -151,7 +151,11 @@
     abort: (reason) => {
       if (state === CallerState.Completed) return;
       abortReason ??= reason;
-      response.destroy();
+      // Without chunks or a length, as for HTTP/1.0, a response that was begun
+      // ends when its connection is closed; only a reset shows that it is broken.
+      if (response.headersSent && !response.chunkedEncoding) {
+        socket.resetAndDestroy();
+      } else response.destroy();
     },
   };
   return exchange;
--- a/src/forwarding/caller_exchange_test.ts
+++ b/src/forwarding/caller_exchange_test.ts
@@ -66,6 +66,32 @@
     });
 });
 
+test.each([
+  // Without chunks, a connection that is closed ends the response.
+  { version: "1.0", received: "event", end: "ECONNRESET" },
+  { version: "1.1", received: "5\r\nevent\r\n", end: "closed" },
+])(
+  "an aborted response does not look complete to an HTTP/$version caller",
+  async ({ version, received, end }) => {
+    let text = "";
+    let callerEnd: string | undefined;
+    await endConnection((exchange, socket) => {
+      socket.on("data", (chunk) => {
+        text += chunk.toString();
+        if (text.endsWith(received)) exchange.abort("no engine");
+      });
+      socket.on("end", () => callerEnd ??= "closed");
+      socket.on("error", (cause) => {
+        callerEnd ??= (cause as NodeJS.ErrnoException).code;
+      });
+      exchange.startResponse(200, []);
+      exchange.write(Buffer.from("event"));
+    }, `GET /a HTTP/${version}\r\nHost: a\r\n\r\n`);
+    await expect.poll(() => callerEnd).toBe(end);
+    expect(text.endsWith(`\r\n\r\n${received}`)).toBe(true);
+  },
+);
+
 test("a caller that closes its connection is named", async () => {
   const ended = await endConnection((exchange, socket) => {
     exchange.startResponse(200, []);
