Recognize a response with a transfer coding other than chunked as unframed

A response with "Transfer-Encoding: identity" or "gzip" has no chunks and ends with its connection, but counted as framed. If it was reset together with its last data, or its JSON ended early, it looked complete, and a stream would have ended as complete. The check looked for the header, not for its last coding.

A response whose last coding is chunked is still read by its chunks.

--- a/src/forwarding/response_framing.ts
+++ b/src/forwarding/response_framing.ts
@@ -12,8 +12,12 @@
 
 /** Whether the response has neither a length nor chunks. */
 export function isCloseDelimited(headers: RawHeaders): boolean {
-  return findValue(headers, "content-length") === undefined &&
-    findValue(headers, "transfer-encoding") === undefined;
+  // A response with a transfer coding has no length, and only one whose last
+  // coding is chunked shows its end.
+  const codings = findValue(headers, "transfer-encoding");
+  return codings === undefined
+    ? findValue(headers, "content-length") === undefined
+    : codings.split(",").at(-1)!.trim().toLowerCase() !== "chunked";
 }
 
 /**
--- a/src/forwarding/upstream_connections_test.ts
+++ b/src/forwarding/upstream_connections_test.ts
@@ -101,6 +101,29 @@
   },
 );
 
+test.each(["identity", "gzip", "chunked, identity"])(
+  "a reset that arrives together with data does not complete a response with the transfer coding %s",
+  async (coding) => {
+    const port = await startServer((socket) => {
+      socket.write(
+        `HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\nbody`,
+      );
+      socket.resetAndDestroy();
+    });
+    expect(await send(port)).toMatchObject({ kind: "failed" });
+  },
+);
+
+test("a response whose last transfer coding is chunked ends with its last chunk", async () => {
+  const port = await startServer((socket) => {
+    socket.write(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, Chunked\r\n\r\n" +
+        "4\r\nbody\r\n0\r\n\r\n",
+    );
+  });
+  expect(await send(port)).toMatchObject({ kind: "answered", body: "body" });
+});
+
 test("a reset that arrives together with data does not complete the response", async () => {
   const port = await startServer((socket) => {
     socket.write(withoutLength);
