--- a/src/forwarding/event_splitter_test.ts
+++ b/src/forwarding/event_splitter_test.ts
@@ -66,3 +66,27 @@
     false,
   ]);
 });
+
+test.each(["", " ", "-1", "1e3", "0x10", "1.0", "1234567890123456"])(
+  "the id %j is not a number",
+  (id) => {
+    const [event] = createEventSplitter().push(
+      Buffer.from(`id: ${id}\ndata: a\n\n`),
+    );
+    expect(event!.eventId).toBeUndefined();
+  },
+);
+
+test("bytes that are no event are recognized", () => {
+  const splitter = createEventSplitter();
+  const head = "HTTP/1.1 503 Service Unavailable\r\nServer: a\r\n\r\n";
+  const events = splitter.push(Buffer.from(
+    "weight-versions: 2\nid: 7\ndata: a\n\n" +
+      "data: a\r\nid\r\n\r\nretry: 3\n\n: alive\n\nevent: a\n\r\n" +
+      `${head}id: 8\nda${head}{"error": 1}\n\n`,
+  ));
+  expect(events.map(({ isForeign }) => isForeign)).toEqual([
+    ...[false, false, false, false, false],
+    ...[true, true, true],
+  ]);
+});
--- a/src/forwarding/response_framing.ts
+++ b/src/forwarding/response_framing.ts
@@ -12,8 +12,12 @@
 
 /** Whether the response has neither a length nor chunks. */
 export function isCloseDelimited(headers: RawHeaders): boolean {
-  return findValue(headers, "content-length") === undefined &&
-    findValue(headers, "transfer-encoding") === undefined;
+  // A response with a transfer coding has no length, and only one whose last
+  // coding is chunked shows its end.
+  const codings = findValue(headers, "transfer-encoding");
+  return codings === undefined
+    ? findValue(headers, "content-length") === undefined
+    : codings.split(",").at(-1)!.trim().toLowerCase() !== "chunked";
 }
 
 /**
@@ -30,12 +34,17 @@
 ): boolean {
   const hasBody = method !== "HEAD" && !bodilessStatuses.has(status);
   if (!hasBody || !isCloseDelimited(headers)) return false;
-  return isJson(findValue(headers, "content-type") ?? "") &&
+  return isJson(getMediaType(headers)) &&
     parseJson(body.toString("utf8")).isErr();
 }
 
-function isJson(contentType: string): boolean {
-  const mediaType = contentType.split(";")[0]!.trim().toLowerCase();
+/** Content type in lower case without parameters; empty if not stated. */
+export function getMediaType(headers: RawHeaders): string {
+  const contentType = findValue(headers, "content-type") ?? "";
+  return contentType.split(";")[0]!.trim().toLowerCase();
+}
+
+function isJson(mediaType: string): boolean {
   return mediaType === "application/json" || mediaType.endsWith("+json");
 }
 
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -50,6 +50,12 @@
   isStream,
   type StreamAttempt,
 } from "./stream_attempt.ts";
+import {
+  decideOnEnd,
+  decideOnEvent,
+  findForeignHead,
+  type ResponseHead,
+} from "./stream_continuation.ts";
 import type { StreamMonitor } from "./stream_monitor.ts";
 import { getAddress } from "./upstream_directory.ts";
 import type { Upstream } from "./upstream_types.ts";
@@ -80,6 +86,19 @@
   copyTtlMs: 0,
 };
 
+interface AttemptLoss {
+  readonly wasSent: boolean;
+  /** The connection ended, as it does when an engine crashes. */
+  readonly hasEngineEnded?: boolean;
+  /** The engine received the request and did not run it. */
+  readonly isRefused?: boolean;
+  /** The response may be right, so it says nothing about the engine. */
+  readonly mayBeSound?: boolean;
+  readonly reason: string;
+  /** Where the stream goes on without a copy; chosen now by default. */
+  readonly nextEngine?: Upstream;
+}
+
 export function forwardStream(
   { context, monitor }: StreamForwarderOptions,
   admitted: AdmittedRequest,
@@ -106,6 +125,12 @@
   let waitTimer: NodeJS.Timeout | undefined;
   let endWaiting: (() => void) | undefined;
   let run: StreamAttempt | undefined;
+  /** The attempt whose head the caller received. */
+  let responder: StreamAttempt | undefined;
+  /** Where an engine that resumed the stream ended it without adding to it. */
+  let emptyEnd:
+    | { readonly lastEventId: number | undefined; readonly upstreamId: string }
+    | undefined;
   let isFinished = false;
   /** Whether a run was ended because its engine was silent. */
   let hasLeftRun = false;
@@ -297,6 +322,7 @@
       lastEventAtMs: undefined,
       isPaused: false,
       resumedAtMs: -Infinity,
+      hasAddedEvents: false,
       isSilenceLogged: false,
       prefillTokens: source ? 0 : demand.prefillTokens,
       onSuspected: (reason) => handleSilence(started, reason),
@@ -370,7 +396,7 @@
     });
     switch (headClass) {
       case HeadClass.Accepted:
-        current.head = { status, headers };
+        receiveHead(current, { status, headers });
         return;
       case HeadClass.OtherRequest:
         handleLoss(current, {
@@ -397,6 +423,17 @@
     }
   }
 
+  function receiveHead(current: StreamAttempt, head: ResponseHead): void {
+    current.head = head;
+    if (!responder || !isStream(current)) return;
+    const reason = findForeignHead(responder.head!, head);
+    if (reason === undefined) return;
+    handleLoss(current, {
+      wasSent: true,
+      reason: `the stream cannot go on with ${reason}`,
+    });
+  }
+
   function onData(current: StreamAttempt, chunk: Buffer): void {
     directory.recordActivity(current.upstream.info.upstreamId);
     if (!isStream(current)) {
@@ -420,10 +457,17 @@
     handleLoss(current, { wasSent: true, reason: "the error is too large" });
   }
 
-  function forwardEvent(
-    current: StreamAttempt,
-    { bytes, eventId, hasField }: StreamEvent,
-  ): void {
+  function forwardEvent(current: StreamAttempt, event: StreamEvent): void {
+    const { bytes, eventId, hasField } = event;
+    const decision = decideOnEvent(event, {
+      hasEvents: eventCount > 0,
+      lastEventId,
+      isResumed: isResumed(current),
+    });
+    if (decision.kind === "break") {
+      handleLoss(current, { wasSent: true, reason: decision.reason });
+      return;
+    }
     if (!hasField) {
       relay(current, bytes);
       return;
@@ -459,16 +503,10 @@
     current.lastEventAtMs = lastEventAtMs;
     current.pace.recordEvent(lastEventAtMs);
     if (isPastStart(current, lastEventAtMs)) recordSoundRun(current);
-    if (eventId !== undefined && lastEventId !== undefined) {
-      if (eventId <= lastEventId) return; // the caller already has this event
-      if (eventId > lastEventId + 1) {
-        const reason = `event ${eventId} arrived after event ${lastEventId}`;
-        handleLoss(current, { wasSent: true, reason });
-        return;
-      }
-    }
+    if (decision.kind === "skip") return;
     lastEventId = eventId ?? lastEventId;
     eventCount += 1;
+    current.hasAddedEvents = true;
     relay(current, bytes);
   }
 
@@ -481,7 +519,8 @@
   function relay(current: StreamAttempt, bytes: Buffer): void {
     if (caller.getState() === CallerState.Waiting) {
       const { status, headers } = current.head!;
-      caller.startResponse(status, protocol.buildCallerHeaders(headers));
+      responder = current;
+      caller.startResponse(status, protocol.buildStreamHeaders(headers));
     }
     if (caller.write(bytes) || current.isPaused) return;
     current.isPaused = true;
@@ -515,6 +554,38 @@
       });
       return;
     }
+    const decision = decideOnEnd({
+      isResumed: isResumed(current),
+      hasSentEvents: current.firstEventAtMs !== undefined,
+      hasAddedEvents: current.hasAddedEvents,
+      isConfirmed: emptyEnd !== undefined &&
+        emptyEnd.lastEventId === lastEventId &&
+        emptyEnd.upstreamId !== current.upstream.info.upstreamId,
+    });
+    switch (decision.kind) {
+      case "complete":
+        complete(current);
+        return;
+      case "unconfirmed":
+        emptyEnd = {
+          lastEventId,
+          upstreamId: current.upstream.info.upstreamId,
+        };
+        handleLoss(current, {
+          wasSent: true,
+          mayBeSound: true,
+          reason: decision.reason,
+        });
+        return;
+      case "break":
+        handleLoss(current, { wasSent: true, reason: decision.reason });
+        return;
+      default:
+        assertNever(decision);
+    }
+  }
+
+  function complete(current: StreamAttempt): void {
     if (current.firstEventAtMs !== undefined) recordSoundRun(current);
     stop("complete");
     if (caller.getState() === CallerState.Waiting) {
@@ -524,6 +595,16 @@
     caller.endResponse();
   }
 
+  /** A stream that began without ids would be repeated from its start. */
+  function isResumable(): boolean {
+    return route.isResumable &&
+      (eventCount === 0 || lastEventId !== undefined);
+  }
+
+  function isResumed(current: StreamAttempt): boolean {
+    return responder !== undefined && responder !== current;
+  }
+
   /** Handles a complete response that is an error instead of a stream. */
   function endWithError(current: StreamAttempt): void {
     const { status, headers } = current.head!;
@@ -558,7 +639,7 @@
       Math.max(upstream.lastActivityAtMs, current.startedAtMs);
     const mayLeave = mayLeaveSilentRun({
       remainingMs: deadlineAtMs - clock.nowMs(),
-      isResumable: route.isResumable,
+      isResumable: isResumable(),
       ranCount: ranCount + 1,
       maxAttempts: route.maxAttempts,
       engineSilentMs,
@@ -602,17 +683,14 @@
 
   function handleLoss(
     lost: StreamAttempt,
-    { wasSent, isRefused = false, hasEngineEnded = false, reason, nextEngine }:
-      {
-        wasSent: boolean;
-        /** Where the stream goes on without a copy; chosen now by default. */
-        nextEngine?: Upstream;
-        /** The connection ended, as it does when an engine crashes. */
-        hasEngineEnded?: boolean;
-        /** The engine received the request and did not run it. */
-        isRefused?: boolean;
-        reason: string;
-      },
+    {
+      wasSent,
+      isRefused = false,
+      hasEngineEnded = false,
+      mayBeSound = false,
+      reason,
+      nextEngine,
+    }: AttemptLoss,
   ): void {
     if (run !== lost || isFinished) return;
     const { upstreamId } = lost.upstream.info;
@@ -622,15 +700,15 @@
     const mayUseCopy = wasSent && lost.lastEventAtMs !== undefined &&
       afterCrash.kind === "resume";
     const copy = mayUseCopy ? findUsableCopy(lost) : undefined;
-    const saysNothing = hasEngineEnded || isRefused || !wasSent;
+    const saysNothing = hasEngineEnded || isRefused || mayBeSound || !wasSent;
     lost.wait.end(saysNothing ? WaitEnd.Cancelled : WaitEnd.Abandoned);
     if (!saysNothing) lost.pace.recordSilence(clock.nowMs());
     endAttempt(lost, copy !== undefined);
     triedIds.add(upstreamId);
     if (wasSent) ranCount += 1;
-    if (!isRefused) directory.recordLoss(upstreamId, reason);
+    if (!isRefused && !mayBeSound) directory.recordLoss(upstreamId, reason);
     const decision = decideAfterLoss({
-      isResumable: route.isResumable,
+      isResumable: isResumable(),
       ranCount,
       maxAttempts: route.maxAttempts,
       remainingMs: deadlineAtMs - clock.nowMs(),
