Fail an attempt that Node can't write instead of the process

Seen as: an entry instance that ends by itself while the list names an upstream with a port above 65535 or an id that is no header value. http.request throws at once on both. For the first attempt of a request the exception became a 502, but a stream that goes on after a loss starts its next attempt in a socket callback or a timer, where nothing catches it, and the process ended.

`send` now catches the exception and reports an ordinary failure of this attempt, not sent, after it has returned; callers don't expect a handler to be called earlier.

--- a/src/forwarding/upstream_connections.ts
+++ b/src/forwarding/upstream_connections.ts
@@ -199,17 +199,32 @@
     let socket: net.Socket | undefined;
     const connection = mayReuseConnection ? "keep-alive" : "close";
     const startedAtMs = performance.now();
-    let request = sendRequest();
+    let request = trySendRequest();
     return {
       cancel: () => {
         isSettled = true;
-        request.destroy();
+        request?.destroy();
       },
       // Pausing the socket has no effect: each read of the response resumes it.
       pause: () => received?.pause(),
       resume: () => received?.resume(),
     };
 
+    /**
+     * Node throws on a request that it can't write, such as one with a port out
+     * of range or a header that is not Latin-1. That ends this attempt only; an
+     * exception out of a timer or a socket callback would end the process.
+     */
+    function trySendRequest(): ClientRequest | undefined {
+      try {
+        return sendRequest();
+      } catch (cause) {
+        // Callers don't expect a handler to be called before `send` returns.
+        setImmediate(() => fail(getErrorMessage(cause)));
+        return undefined;
+      }
+    }
+
     function sendRequest(): ClientRequest {
       const sent = httpRequest({
         host,
@@ -252,7 +267,7 @@
       }
       // The other idle connections are as old as this one.
       closeIdle(host, port);
-      request = sendRequest();
+      request = trySendRequest();
     }
 
     function receiveResponse(response: IncomingMessage): void {
@@ -291,7 +306,7 @@
 
     function fail(reason: string): void {
       settle(() => {
-        request.destroy();
+        request?.destroy();
         handlers.onFailure({ wasSent, reason });
       });
     }
--- a/src/forwarding/upstream_connections_test.ts
+++ b/src/forwarding/upstream_connections_test.ts
@@ -38,7 +38,11 @@
   });
 }
 
-function send(port: number, mayReuseConnection = true): Promise<Outcome> {
+function send(
+  port: number,
+  mayReuseConnection = true,
+  headers: readonly string[] = ["Host", "test"],
+): Promise<Outcome> {
   return new Promise((resolve) => {
     let status = 0;
     const chunks: Buffer[] = [];
@@ -47,7 +51,7 @@
       port,
       method: "GET",
       path: "/",
-      headers: ["Host", "test"],
+      headers,
       body: Buffer.alloc(0),
       mayReuseConnection,
     }, {
@@ -168,3 +172,38 @@
   await send(port);
   expect(await send(port)).toMatchObject({ kind: "failed", wasSent: true });
 });
+
+// An exception would end the process if it came from a timer or a socket event.
+test.each([true, false])(
+  "a request that Node can't write fails as not sent (reuse: %s)",
+  async (mayReuse) => {
+    const port = await startServer((socket) => socket.write(wholeResponse));
+    for (const invalidPort of [65_536, 99_999, -1, NaN]) {
+      expect(await send(invalidPort, mayReuse))
+        .toMatchObject({ kind: "failed", wasSent: false });
+    }
+    for (const value of ["\ufffd", "a\r\nb", "\ud800"]) {
+      expect(await send(port, mayReuse, ["Host", "test", "Id", value]))
+        .toMatchObject({ kind: "failed", wasSent: false });
+    }
+    expect(await send(port, mayReuse)).toMatchObject({ body: "ok" });
+  },
+);
+
+test("a cancelled request that Node can't write calls no handler", async () => {
+  connections.send({
+    host: "127.0.0.1",
+    port: 99_999,
+    method: "GET",
+    path: "/",
+    headers: ["Host", "test"],
+    body: Buffer.alloc(0),
+    mayReuseConnection: true,
+  }, {
+    onHead: () => expect.unreachable(),
+    onData: () => expect.unreachable(),
+    onEnd: () => expect.unreachable(),
+    onFailure: () => expect.unreachable(),
+  }).cancel();
+  await new Promise((resolve) => setTimeout(resolve, 20));
+});
