Fail an attempt whose response has no final status

Seen as: an entry instance that ends by itself when an engine responds to a stream with a status such as 000 or 099. Node's client passes on every status of three digits and treats 101 without an upgrade as a final response, but its server throws on statuses below 100. A 101 was sent to the caller, for whom it ends HTTP on the connection.

A response with a status below 200 is now a failure of its attempt.

--- a/src/forwarding/upstream_connections.ts
+++ b/src/forwarding/upstream_connections.ts
@@ -64,6 +64,11 @@
 const connectTimeoutMs = 250;
 /** Must be shorter than the idle timeout of upstreams. */
 const maxIdleMs = 4_000;
+/**
+ * Node passes on 101 and statuses below 100 as final ones, although it throws
+ * when one below 100 is sent to a caller, and 101 ends HTTP on a connection.
+ */
+const minFinalStatus = 200;
 /** Detects a peer that disappeared without closing the connection. */
 const keepAliveProbeMs = 1_000;
 const maxIdleSocketsPerUpstream = 16;
@@ -272,6 +277,11 @@
 
     function receiveResponse(response: IncomingMessage): void {
       received = response;
+      const status = response.statusCode ?? 0;
+      if (status < minFinalStatus) {
+        fail(`the response has the status ${status}`);
+        return;
+      }
       response.on("data", (chunk: Buffer) => {
         if (!isSettled) handlers.onData(chunk);
       });
@@ -287,7 +297,7 @@
         if (!response.complete) fail("the response ended early");
       });
       if (!isSettled) {
-        handlers.onHead(response.statusCode ?? 0, response.rawHeaders);
+        handlers.onHead(status, response.rawHeaders);
       }
     }
 
