Count no refusal without an id on a reused connection as not run

Seen as: callers of safe calls and resumable streams get 503, 429, 408 or 421 ("not run, try again") for a request that an upstream runs, or it runs at a second upstream although its route allows one, after an upstream has written an earlier refusal once more on a kept connection. Bytes on an idle connection were detected, but not those that arrive after the next request was written, and a response that names no request was taken for the response to that one.

A refusal that names no request now counts as not run only if it is the response to the first request on its connection. Otherwise the request may run: it counts as an attempt, is sent again only if it may run twice, and fails with 502. A refusal with another id had this effect before; one with the id of the request still counts.

--- a/src/forwarding/call_attempt.ts
+++ b/src/forwarding/call_attempt.ts
@@ -13,6 +13,7 @@
 import { classifyHead, HeadClass } from "./forwarding_steps.ts";
 import type { RawHeaders } from "./forwarding_protocol.ts";
 import { isBrokenOff } from "./response_framing.ts";
+import type { ResponseOrigin } from "./upstream_connections.ts";
 import type { RequestLoad } from "./upstream_types.ts";
 
 export interface CompleteResponse {
@@ -96,12 +97,17 @@
     },
   };
 
-  function onHead(status: number, headers: RawHeaders): void {
+  function onHead(
+    status: number,
+    headers: RawHeaders,
+    origin: ResponseOrigin,
+  ): void {
     const { requestId } = caller.description;
     const headClass = classifyHead(context, requestLoad.upstream, {
       requestId,
       status,
       headers,
+      origin,
     });
     switch (headClass) {
       case HeadClass.Accepted:
@@ -116,6 +122,9 @@
       case HeadClass.NotRun:
         end({ kind: "notRun", reason: `refused with status ${status}` });
         return;
+      case HeadClass.UnprovenRefusal:
+        end({ kind: "unknown", reason: "the refusal names no request" });
+        return;
       case HeadClass.Unattested:
         directory.recordFailure(upstreamId);
         end({
--- a/src/forwarding/forwarding_steps.ts
+++ b/src/forwarding/forwarding_steps.ts
@@ -13,6 +13,7 @@
 import type { RawHeaders } from "./forwarding_protocol.ts";
 import type { PlacementContext } from "./placement.ts";
 import { getRetryAfterMs } from "./retry_after.ts";
+import type { ResponseOrigin } from "./upstream_connections.ts";
 import type { Upstream } from "./upstream_types.ts";
 
 export function createPlacementContext(
@@ -44,6 +45,11 @@
   Misdirected = "misdirected",
   /** The upstream refused the request without running it. */
   NotRun = "notRun",
+  /**
+   * A refusal that names no request, on a connection that has carried earlier
+   * ones: it may be a refusal of one of them that was written again.
+   */
+  UnprovenRefusal = "unprovenRefusal",
   /** A success that the upstream did not attest, or that was re-encoded. */
   Unattested = "foreign",
 }
@@ -52,10 +58,11 @@
 export function classifyHead(
   { protocol, directory, connections, successors, limits }: ForwardingContext,
   { info }: Upstream,
-  { requestId, status, headers }: {
+  { requestId, status, headers, origin }: {
     readonly requestId: string;
     readonly status: number;
     readonly headers: RawHeaders;
+    readonly origin: ResponseOrigin;
   },
 ): HeadClass {
   const { upstreamId, host, port } = info;
@@ -64,6 +71,11 @@
   if (response.requestId !== "" && response.requestId !== requestId) {
     return HeadClass.OtherRequest;
   }
+  const isRefusal = response.isMisdirected || response.isNotRun;
+  if (isRefusal && response.requestId === "" && origin.isReusedConnection) {
+    directory.recordRefusal(upstreamId);
+    return HeadClass.UnprovenRefusal;
+  }
   if (response.isMisdirected) {
     directory.recordAddressReuse(upstreamId);
     connections.closeIdle(host, port);
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -26,7 +26,7 @@
 } from "./forwarding_steps.ts";
 import type { CrashDecision } from "../quarantine/crash_decisions.ts";
 import { createCrashGuard, isPastStart } from "./crash_guard.ts";
-import type { KvCacheCopy, RawHeaders } from "./forwarding_protocol.ts";
+import type { KvCacheCopy } from "./forwarding_protocol.ts";
 import type { EngineTraits } from "./forwarding_table.ts";
 import {
   chooseForCopy,
@@ -51,6 +51,7 @@
   type StreamAttempt,
 } from "./stream_attempt.ts";
 import type { StreamMonitor } from "./stream_monitor.ts";
+import type { ResponseOrigin } from "./upstream_connections.ts";
 import { getAddress } from "./upstream_directory.ts";
 import type { Upstream } from "./upstream_types.ts";
 import { WaitEnd } from "./version_answers.ts";
@@ -341,7 +342,8 @@
       body,
       mayReuseConnection: route.isResumable,
     }, {
-      onHead: (status, headers) => onHead(started, status, headers),
+      onHead: (status, headers, origin) =>
+        onHead(started, { status, headers }, origin),
       onData: (chunk) => onData(started, chunk),
       onEnd: () => onEnd(started),
       onFailure: (failure) =>
@@ -351,8 +353,8 @@
 
   function onHead(
     current: StreamAttempt,
-    status: number,
-    headers: RawHeaders,
+    { status, headers }: NonNullable<StreamAttempt["head"]>,
+    origin: ResponseOrigin,
   ): void {
     const { upstreamId } = current.upstream.info;
     directory.recordActivity(upstreamId);
@@ -360,6 +362,7 @@
       requestId,
       status,
       headers,
+      origin,
     });
     switch (headClass) {
       case HeadClass.Accepted:
@@ -379,6 +382,13 @@
           reason: `refused with status ${status}`,
         });
         return;
+      case HeadClass.UnprovenRefusal:
+        handleLoss(current, {
+          wasSent: true,
+          isRefused: true,
+          reason: "the refusal names no request",
+        });
+        return;
       case HeadClass.Unattested:
         handleLoss(current, {
           wasSent: true,
@@ -592,7 +602,7 @@
       wasSent: boolean;
       /** The connection ended, as it does when an engine crashes. */
       hasEngineEnded?: boolean;
-      /** The engine received the request and did not run it. */
+      /** The engine received a request, probably this one, and did not run it. */
       isRefused?: boolean;
       reason: string;
     },
@@ -658,8 +668,9 @@
         // it does not draw on the budget.
         if (afterCrash.kind === "delay") {
           waitTimer = setTimeout(placeAttempt, afterCrash.delayMs);
-        } else if (isRefused && !budget.tryDraw(budgetKey, 1)) waitForBudget();
-        else placeAttempt();
+        } else if (isRefused && !wasSent && !budget.tryDraw(budgetKey, 1)) {
+          waitForBudget();
+        } else placeAttempt();
         return;
       default:
         assertNever(decision);
--- a/src/forwarding/upstream_connections.ts
+++ b/src/forwarding/upstream_connections.ts
@@ -36,8 +36,16 @@
   readonly reason: string;
 }
 
+export interface ResponseOrigin {
+  /**
+   * Whether the connection has carried an earlier request, to which the response
+   * may also belong if it names none.
+   */
+  readonly isReusedConnection: boolean;
+}
+
 export interface ExchangeHandlers {
-  onHead(status: number, headers: RawHeaders): void;
+  onHead(status: number, headers: RawHeaders, origin: ResponseOrigin): void;
   onData(chunk: Buffer): void;
   /** The response is complete. */
   onEnd(): void;
@@ -80,6 +88,7 @@
 
 interface SocketState {
   isInUse: boolean;
+  requestCount: number;
   idleSinceMs: number;
   hasFailed: boolean;
   /** The response has no length and ends when the connection closes. */
@@ -158,6 +167,7 @@
     if (!entry) {
       entry = {
         isInUse: true,
+        requestCount: 0,
         idleSinceMs: 0,
         hasFailed: false,
         isCloseDelimited: false,
@@ -242,7 +252,9 @@
       sent.on("socket", (assigned: net.Socket) => {
         socket = assigned;
         earlierBytes = assigned.bytesRead;
-        getSocketState(assigned).isInUse = true;
+        const entry = getSocketState(assigned);
+        entry.isInUse = true;
+        entry.requestCount += 1;
         if (!assigned.connecting) wasSent = true;
         else assigned.once("connect", () => wasSent = true);
       });
@@ -297,7 +309,10 @@
         if (!response.complete) fail("the response ended early");
       });
       if (!isSettled) {
-        handlers.onHead(status, response.rawHeaders);
+        handlers.onHead(status, response.rawHeaders, {
+          isReusedConnection: socket === undefined ||
+            getSocketState(socket).requestCount > 1,
+        });
       }
     }
 
