Pass on no status that promises "not run" without the upstream's word

Seen as: an unsafe call or stream gets 503, 429 or 408 of an upstream that does not state that it did not run the request. Callers take these statuses as a promise and send the request again, so one that ran may run twice. Only the header and status 421 state it; a faulty upstream may also write such a status after it has begun.

Such a response is now a failure of its attempt: a safe call or a resumable stream goes on at another upstream, and other requests get a 502.

--- a/src/forwarding/forwarding_steps.ts
+++ b/src/forwarding/forwarding_steps.ts
@@ -50,10 +50,17 @@
    * ones: it may be a refusal of one of them that was written again.
    */
   UnprovenRefusal = "unprovenRefusal",
-  /** A success that the upstream did not attest, or that was re-encoded. */
+  /**
+   * A success that the upstream did not attest, or that was re-encoded; or a
+   * status that promises that the request did not run, although the upstream
+   * does not state it.
+   */
   Unattested = "foreign",
 }
 
+/** Callers take these statuses as a promise that the request did not run. */
+const statusesOfNotRun = new Set([408, 429, 503]);
+
 /** Classifies a response head and records what it shows about the upstream. */
 export function classifyHead(
   { protocol, directory, connections, successors, limits }: ForwardingContext,
@@ -87,6 +94,7 @@
     directory.recordRefusal(upstreamId);
     return HeadClass.NotRun;
   }
+  if (statusesOfNotRun.has(status)) return HeadClass.Unattested;
   const isSuccess = status >= 200 && status < 300;
   return isSuccess && (!response.isAttested || response.isEncoded)
     ? HeadClass.Unattested
