Keep entries of another writer in the list of the soak's upstreams

The list that the processes of a soak and of the quarantine test read now always holds five entries that name no upstream: two ports out of range, undecodable bytes, a number too large and 100,000 nested arrays.

--- a/measure/soak/soak_upstreams.ts
+++ b/measure/soak/soak_upstreams.ts
@@ -43,6 +43,8 @@
 /** An engine crashes when it starts to run a request with this prompt part. */
 export const crashingPart = "crashing";
 const crashDowntimeMs = 700;
+/** Deep enough to overflow the stack of a recursive function. */
+const oddEntryDepth = 100_000;
 const enginesPerDomain = 2;
 const engineSlots = 8;
 const appSlots = 6;
@@ -76,19 +78,19 @@
     }
   }
   const list = http.createServer((_request, response) => {
-    response.end(JSON.stringify({
-      instances: upstreams.map((upstream) => ({
-        id: upstream.upstreamId,
-        service: upstream.service,
-        addr: `${host}:${upstream.relay.port}`,
-        zone: upstream.domainId,
-        version: upstream.version,
-        slots: upstream.service === appService ? appSlots : engineSlots,
-        state: upstream.isLeaving ? "draining" : "ready",
-        cold_left_ms: 0,
-      })),
-      next: null,
+    const entries = upstreams.map((upstream) => ({
+      id: upstream.upstreamId,
+      service: upstream.service,
+      addr: `${host}:${upstream.relay.port}`,
+      zone: upstream.domainId,
+      version: upstream.version,
+      slots: upstream.service === appService ? appSlots : engineSlots,
+      state: upstream.isLeaving ? "draining" : "ready",
+      cold_left_ms: 0,
     }));
+    const texts = entries.map((entry) => JSON.stringify(entry));
+    const all = [...texts, ...formatOddEntries(entries[0]!)];
+    response.end(`{"instances":[${all.join()}],"next":null}`);
   });
   const listPort = await listen(list);
   return {
@@ -313,3 +315,17 @@
 export function formatSoakEvent(key: string, eventId: number): string {
   return `id: ${eventId}\ndata: ${key} token ${eventId}\n\n`;
 }
+
+/** Entries of another writer in the list, which name no upstream to use. */
+function formatOddEntries(entry: { addr: string }): string[] {
+  const nesting = "[".repeat(oddEntryDepth) + "]".repeat(oddEntryDepth);
+  const [host] = entry.addr.split(":");
+  return [
+    JSON.stringify({ ...entry, id: "odd-1", addr: `${host}:99999` }),
+    JSON.stringify({ ...entry, id: "odd-2", addr: `${host}:0` }),
+    JSON.stringify({ ...entry, id: "odd-\ufffd" }),
+    JSON.stringify({ ...entry, id: "odd-3", slots: 0 })
+      .replace('"slots":0', '"slots":1e999'),
+    `{"id":"odd-4","service":${nesting}}`,
+  ];
+}
