--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -26,7 +26,7 @@
 } from "./forwarding_steps.ts";
 import type { CrashDecision } from "../quarantine/crash_decisions.ts";
 import { createCrashGuard, isPastStart } from "./crash_guard.ts";
-import type { KvCacheCopy, RawHeaders } from "./forwarding_protocol.ts";
+import type { KvCacheCopy } from "./forwarding_protocol.ts";
 import type { EngineTraits } from "./forwarding_table.ts";
 import {
   chooseForCopy,
@@ -57,6 +57,7 @@
   type ResponseHead,
 } from "./stream_continuation.ts";
 import type { StreamMonitor } from "./stream_monitor.ts";
+import type { ResponseOrigin } from "./upstream_connections.ts";
 import { getAddress } from "./upstream_directory.ts";
 import type { Upstream } from "./upstream_types.ts";
 import { WaitEnd } from "./version_answers.ts";
@@ -90,7 +91,7 @@
   readonly wasSent: boolean;
   /** The connection ended, as it does when an engine crashes. */
   readonly hasEngineEnded?: boolean;
-  /** The engine received the request and did not run it. */
+  /** The engine received a request, probably this one, and did not run it. */
   readonly isRefused?: boolean;
   /** The response may be right, so it says nothing about the engine. */
   readonly mayBeSound?: boolean;
@@ -374,7 +375,8 @@
       body,
       mayReuseConnection: route.isResumable,
     }, {
-      onHead: (status, headers) => onHead(started, status, headers),
+      onHead: (status, headers, origin) =>
+        onHead(started, { status, headers }, origin),
       onData: (chunk) => onData(started, chunk),
       onEnd: () => onEnd(started),
       onFailure: (failure) =>
@@ -384,8 +386,8 @@
 
   function onHead(
     current: StreamAttempt,
-    status: number,
-    headers: RawHeaders,
+    { status, headers }: NonNullable<StreamAttempt["head"]>,
+    origin: ResponseOrigin,
   ): void {
     const { upstreamId } = current.upstream.info;
     directory.recordActivity(upstreamId);
@@ -393,6 +395,7 @@
       requestId,
       status,
       headers,
+      origin,
     });
     switch (headClass) {
       case HeadClass.Accepted:
@@ -412,6 +415,13 @@
           reason: `refused with status ${status}`,
         });
         return;
+      case HeadClass.UnprovenRefusal:
+        handleLoss(current, {
+          wasSent: true,
+          isRefused: true,
+          reason: "the refusal names no request",
+        });
+        return;
       case HeadClass.Unattested:
         handleLoss(current, {
           wasSent: true,
@@ -753,8 +763,9 @@
         // it does not draw on the budget.
         if (afterCrash.kind === "delay") {
           waitTimer = setTimeout(placeAttempt, afterCrash.delayMs);
-        } else if (isRefused && !budget.tryDraw(budgetKey, 1)) waitForBudget();
-        else if (nextEngine) startAttempt(nextEngine, undefined);
+        } else if (isRefused && !wasSent && !budget.tryDraw(budgetKey, 1)) {
+          waitForBudget();
+        } else if (nextEngine) startAttempt(nextEngine, undefined);
         else placeAttempt();
         return;
       default:
--- a/src/forwarding/upstream_connections.ts
+++ b/src/forwarding/upstream_connections.ts
@@ -38,8 +38,16 @@
   readonly reason: string;
 }
 
+export interface ResponseOrigin {
+  /**
+   * Whether the connection has carried an earlier request, to which the response
+   * may also belong if it names none.
+   */
+  readonly isReusedConnection: boolean;
+}
+
 export interface ExchangeHandlers {
-  onHead(status: number, headers: RawHeaders): void;
+  onHead(status: number, headers: RawHeaders, origin: ResponseOrigin): void;
   onData(chunk: Buffer): void;
   /** The response is complete. */
   onEnd(): void;
@@ -66,6 +74,11 @@
 const connectTimeoutMs = 250;
 /** Must be shorter than the idle timeout of upstreams. */
 const maxIdleMs = 4_000;
+/**
+ * Node passes on 101 and statuses below 100 as final ones, although it throws
+ * when one below 100 is sent to a caller, and 101 ends HTTP on a connection.
+ */
+const minFinalStatus = 200;
 /** Detects a peer that disappeared without closing the connection. */
 const keepAliveProbeMs = 1_000;
 const maxIdleSocketsPerUpstream = 16;
@@ -77,6 +90,7 @@
 
 interface SocketState {
   isInUse: boolean;
+  requestCount: number;
   idleSinceMs: number;
   hasFailed: boolean;
   /** The response has no length and ends when the connection closes. */
@@ -155,6 +169,7 @@
     if (!entry) {
       entry = {
         isInUse: true,
+        requestCount: 0,
         idleSinceMs: 0,
         hasFailed: false,
         isCloseDelimited: false,
@@ -201,17 +216,32 @@
     let socket: net.Socket | undefined;
     const connection = mayReuseConnection ? "keep-alive" : "close";
     const startedAtMs = performance.now();
-    let request = sendRequest();
+    let request = trySendRequest();
     return {
       cancel: () => {
         isSettled = true;
-        request.destroy();
+        request?.destroy();
       },
       // Pausing the socket has no effect: each read of the response resumes it.
       pause: () => received?.pause(),
       resume: () => received?.resume(),
     };
 
+    /**
+     * Node throws on a request that it can't write, such as one with a port out
+     * of range or a header that is not Latin-1. That ends this attempt only; an
+     * exception out of a timer or a socket callback would end the process.
+     */
+    function trySendRequest(): ClientRequest | undefined {
+      try {
+        return sendRequest();
+      } catch (cause) {
+        // Callers don't expect a handler to be called before `send` returns.
+        setImmediate(() => fail(getErrorMessage(cause)));
+        return undefined;
+      }
+    }
+
     function sendRequest(): ClientRequest {
       const sent = httpRequest({
         host,
@@ -224,7 +254,9 @@
       sent.on("socket", (assigned: net.Socket) => {
         socket = assigned;
         earlierBytes = assigned.bytesRead;
-        getSocketState(assigned).isInUse = true;
+        const entry = getSocketState(assigned);
+        entry.isInUse = true;
+        entry.requestCount += 1;
         if (!assigned.connecting) wasSent = true;
         else assigned.once("connect", () => wasSent = true);
       });
@@ -254,11 +286,12 @@
       }
       // The other idle connections are as old as this one.
       closeIdle(host, port);
-      request = sendRequest();
+      request = trySendRequest();
     }
 
     function receiveResponse(response: IncomingMessage): void {
       received = response;
+      const status = response.statusCode ?? 0;
       if (!hasValidHead(response)) {
         fail("the response head is invalid");
         return;
@@ -278,7 +311,10 @@
         if (!response.complete) fail("the response ended early");
       });
       if (!isSettled) {
-        handlers.onHead(response.statusCode ?? 0, response.rawHeaders);
+        handlers.onHead(status, response.rawHeaders, {
+          isReusedConnection: socket === undefined ||
+            getSocketState(socket).requestCount > 1,
+        });
       }
     }
 
@@ -297,7 +333,7 @@
 
     function fail(reason: string): void {
       settle(() => {
-        request.destroy();
+        request?.destroy();
         handlers.onFailure({ wasSent, reason });
       });
     }
@@ -311,7 +347,7 @@
 function hasValidHead(
   { statusCode = 0, rawHeaders }: IncomingMessage,
 ): boolean {
-  if (statusCode < 200) return false;
+  if (statusCode < minFinalStatus) return false;
   try {
     for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
       validateHeaderName(rawHeaders[index]!);
