--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -9,7 +9,7 @@
 import { createSystemClock } from "../src/core/clock.ts";
 import { createMetricsRegistry } from "../src/core/metrics_registry.ts";
 import { createForwardingMetrics } from "../src/forwarding/forwarding_metrics.ts";
-import { createSilentLogger } from "../src/core/logger.ts";
+import { createSilentLogger, type Logger } from "../src/core/logger.ts";
 import { createRandom } from "../src/core/random.ts";
 import {
   createEntryServer,
@@ -199,11 +199,13 @@
 export async function startTestEntry(
   upstreams: readonly FakeUpstream[],
   table: ForwardingTable,
-  /** Instances that share the limits of upstreams. */
-  { instanceCount = 1 } = {},
+  { instanceCount = 1, logger = createSilentLogger() }: {
+    /** Instances that share the limits of upstreams. */
+    readonly instanceCount?: number;
+    readonly logger?: Logger;
+  } = {},
 ): Promise<TestEntry> {
   const clock = createSystemClock();
-  const logger = createSilentLogger();
   const protocol = createForwardingProtocol();
   const connections = createUpstreamConnections();
   const directory = createUpstreamDirectory({
