--- a/measure/kept_connections/trial_callers.ts
+++ b/measure/kept_connections/trial_callers.ts
@@ -178,12 +178,16 @@
   ): Promise<void> {
     const isSlow = hasFeature(Feature.SlowSenders) &&
       random.next() < slowSenderRatio;
+    // Many callers read the response only when they have sent the body.
+    const readsLater = isSlow && random.next() < 0.5;
+    if (readsLater) connection.pauseReading();
     for (const request of requests) {
       request.startedAtMs = performance.now();
       if (isSlow) await sendInPieces(random, connection, request.text);
       else connection.send(request.text);
       request.sentAtMs = performance.now();
     }
+    if (readsLater) connection.resumeReading();
   }
 
   async function sendInPieces(
--- a/measure/kept_connections/trial_checks.ts
+++ b/measure/kept_connections/trial_checks.ts
@@ -1,6 +1,7 @@
 /**
  * Finds the requests of a trial whose outcome nothing explains. Pure.
  */
+import { logEvents } from "../../src/core/log_events.ts";
 import { getBodyText, type ReadResponse } from "./response_reader.ts";
 import { ConnectionEnd } from "./caller_connection.ts";
 import { formatTrialEvent, getEventCount } from "./trial_upstreams.ts";
@@ -28,6 +29,8 @@
 const deadlineSlackMs = 60;
 /** A request sent so shortly before the end of its connection crossed it. */
 const crossingMs = 250;
+/** A paused process reads a request so much later. */
+const readingMs = 500;
 const hangSlackMs = 1_500;
 /** Part of the grace time that remains after open requests are aborted. */
 const exitMarginMs = 500;
@@ -145,13 +148,18 @@
       ? explained("crossed the end of its connection")
       : unexplained("closed without being read");
   }
-  if (runs.some(({ end }) => end === RunEnd.BrokenOff)) {
-    return explained("the upstream broke off");
+  if (runs.some(({ end }) => end === RunEnd.BrokenOff) && isStream(request)) {
+    // What ends a stream that could be resumed is worth a look.
+    return explained(
+      request.route === TrialRoute.ResumableStream
+        ? `broken off and not resumed: ${getLoggedReason(record, request)}`
+        : "the upstream broke off",
+    );
   }
   const elapsedMs = closedAtMs - request.startedAtMs;
   const limitMs = Math.min(
     request.deadlineMs,
-    getLeastTimeoutMs(record, request, closedAtMs),
+    getLeastTimeoutMs(record, request),
   );
   if (elapsedMs >= limitMs - deadlineSlackMs) {
     return explained("the deadline was reached");
@@ -169,16 +177,26 @@
   );
 }
 
-/** Least timeout of the route while the request was open. */
+function getLoggedReason(
+  { log }: TrialRecord,
+  { requestId }: SentRequest,
+): string {
+  return log.filter(({ event, fields }) =>
+    event === logEvents.forwardingFailed.number &&
+    fields["request"] === requestId
+  ).map(({ fields }) => String(fields["reason"]).replaceAll(/\d+/g, "N"))
+    .join(", ");
+}
+
+/** Least timeout of the route while the request was read. */
 function getLeastTimeoutMs(
   { timeouts }: TrialRecord,
-  { route, startedAtMs }: SentRequest,
-  untilMs: number,
+  { route, startedAtMs, sentAtMs }: SentRequest,
 ): number {
   const first = timeouts.findLastIndex(({ atMs }) => atMs <= startedAtMs);
   return Math.min(
     ...timeouts.slice(Math.max(0, first))
-      .filter(({ atMs }) => atMs <= untilMs)
+      .filter(({ atMs }) => atMs <= sentAtMs + readingMs)
       .map(({ timeoutMs }) => timeoutMs.get(route) ?? Infinity),
   );
 }
