--- a/measure/kept_connections/connection_ends_test.ts
+++ b/measure/kept_connections/connection_ends_test.ts
@@ -340,6 +340,33 @@
   );
 });
 
+describe("a refused request whose body is still being sent", () => {
+  // Bytes that are not read when the connection is closed reset it.
+  test.each([
+    ["is too large", 413, { body: "b".repeat(600_000) }],
+    ["has an unknown key and closes the connection", 401, {
+      body: "b".repeat(90_000),
+      apiKey: "unknown",
+      headers: ["Connection: close"],
+    }],
+  ])("gets its response if it %s", async (_name, status, request) => {
+    const entry = await start([answerAfter(0)], patientCall);
+    const caller = await openCallerConnection(entry.port);
+    // Many callers read the response only when they have sent the body.
+    caller.pauseReading();
+    const text = formatRequest({ requestId: "refused", ...request });
+    const cuts = [0, 300, 2_000, text.length / 2, text.length];
+    for (const [index, from] of cuts.slice(0, -1).entries()) {
+      caller.send(text.slice(from, cuts[index + 1]));
+      await sleep(50);
+    }
+    caller.resumeReading();
+    await waitForResponses(caller, 1, 1_000);
+    expect(describeResponses(caller)).toEqual([{ status, isComplete: true }]);
+    expect(caller.getEnd()).not.toBe(ConnectionEnd.Reset);
+  });
+});
+
 describe("a caller that reads slowly", () => {
   const eventBytes = 100_000;
   const largeEventCount = 200;
