--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -33,7 +33,7 @@
 import { createLimitQueue } from "../src/limits/limit_queue.ts";
 import { createUpstreamLimits } from "../src/limits/upstream_limits.ts";
 import { createRetryBudget } from "../src/limits/retry_budget.ts";
-import { createPromptQuarantine } from "../src/quarantine/prompt_quarantine.ts";
+import { createRequestQuarantine } from "../src/quarantine/request_quarantine.ts";
 import type { ListedUpstream } from "../src/upstreams/upstream_view.ts";
 import { createForwardingProtocol } from "../platform/forwarding_protocol.ts";
 
@@ -52,6 +52,8 @@
   readonly cancelled: string[];
   /** Refuses new connections; the responses in progress go on. */
   stopListening(): void;
+  /** Closes all connections and refuses new ones until it is back. */
+  crash(downtimeMs: number): void;
   close(): Promise<void>;
 }
 
@@ -89,12 +91,14 @@
     });
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as net.AddressInfo;
+  let restartTimer: NodeJS.Timeout | undefined;
   return {
     listed: {
       upstreamId: `upstream-${nextUpstreamNumber++}`,
       service: "service",
       host: "127.0.0.1",
-      port: (server.address() as net.AddressInfo).port,
+      port,
       domainId: "domain-a",
       version: "v1",
       maxRunning: 4,
@@ -107,7 +111,17 @@
     cancelled,
     // Not that of an HTTP server, which also closes idle connections.
     stopListening: () => void net.Server.prototype.close.call(server),
+    crash: (downtimeMs) => {
+      server.close();
+      server.closeAllConnections();
+      clearTimeout(restartTimer);
+      restartTimer = setTimeout(
+        () => server.listen(port, "127.0.0.1"),
+        downtimeMs,
+      );
+    },
     close: () => {
+      clearTimeout(restartTimer);
       server.closeAllConnections();
       return new Promise((resolve) => server.close(() => resolve()));
     },
@@ -203,8 +217,12 @@
 export async function startTestEntry(
   upstreams: readonly FakeUpstream[],
   table: ForwardingTable,
-  /** Instances that share the limits of upstreams. */
-  { instanceCount = 1 } = {},
+  { instanceCount = 1, isControlReachable = false }: {
+    /** Instances that share the limits of upstreams. */
+    readonly instanceCount?: number;
+    /** Without control, the quarantine decides from its own crashes. */
+    readonly isControlReachable?: boolean;
+  } = {},
 ): Promise<TestEntry> {
   const clock = createSystemClock();
   const logger = createSilentLogger();
@@ -238,10 +256,10 @@
     protocol,
     connections,
     directory,
-    quarantine: createPromptQuarantine({
+    quarantine: createRequestQuarantine({
       clock,
       logger,
-      isControlReachable: () => false,
+      isControlReachable: () => isControlReachable,
       onCrash: () => {},
     }),
     limits,
--- a/measure/soak/quarantine_process_test.ts
+++ b/measure/soak/quarantine_process_test.ts
@@ -1,5 +1,5 @@
 /**
- * The prompt quarantine on separate processes: it is learned, kept over a restart
+ * The quarantine on separate processes: it is learned, kept over a restart
  * of all processes, and lifted by an operator.
  */
 import { rmSync } from "node:fs";
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -20,10 +20,10 @@
   NoUpstream = "noUpstream",
   NoQuorum = "noQuorum",
   UpstreamFailed = "upstreamFailed",
-  /** The request contains a prompt part that crashes engines. */
-  PromptQuarantined = "promptQuarantined",
-  /** Engines ended while they ran the request. */
-  EnginesCrashed = "enginesCrashed",
+  /** The request, or a part of its prompt, crashes upstreams. */
+  RequestQuarantined = "requestQuarantined",
+  /** Upstreams ended while they ran the request. */
+  UpstreamsCrashed = "upstreamsCrashed",
   OutcomeUnknown = "outcomeUnknown",
   KeyReused = "keyReused",
   AnswerLost = "answerLost",
@@ -71,8 +71,8 @@
   [ErrorKind.NoUpstream]: answer(503, notRun, true),
   [ErrorKind.NoQuorum]: answer(503, notRun, true),
   [ErrorKind.UpstreamFailed]: answer(502, partial, true),
-  [ErrorKind.PromptQuarantined]: answer(422, notRun, false),
-  [ErrorKind.EnginesCrashed]: answer(502, partial, false),
+  [ErrorKind.RequestQuarantined]: answer(422, notRun, false),
+  [ErrorKind.UpstreamsCrashed]: answer(502, partial, false),
   [ErrorKind.OutcomeUnknown]: answer(504, unknown, false),
   [ErrorKind.KeyReused]: answer(422, notRun, false),
   [ErrorKind.AnswerLost]: answer(410, partial, false),
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -250,20 +250,20 @@
     Failure,
     "control log failed; reopening it from its folder",
   ),
-  promptPartQuarantined: event(
+  requestsQuarantined: event(
     6501,
     Warn,
-    "prompt part crashes engines; requests that contain it are refused",
+    "prompt part or request crashes upstreams; such requests are refused",
   ),
-  promptQuarantineChanged: event(
+  quarantineChanged: event(
     6502,
     Info,
-    "change of the prompt quarantine committed",
+    "change of the quarantine committed",
   ),
   quarantineCacheFailed: event(
     6503,
     Warn,
-    "prompt quarantine could not be stored for the next start",
+    "quarantine could not be stored for the next start",
   ),
   // 7xxx: callers
   requestAnsweredWithError: event(
--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -143,7 +143,7 @@
   );
   registry.createGauge(
     "quarantined_parts",
-    "Prompt parts whose requests are refused.",
+    "Prompt parts and requests that are refused.",
     () => stateMachine.quarantine.listQuarantined().length,
   );
   registry.createGauge(
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -25,7 +25,7 @@
 import { createRetryBudget } from "../limits/retry_budget.ts";
 import { PeerCallKind } from "../peer/messages.ts";
 import { startPeerServer } from "../peer/peer_server.ts";
-import { createPromptQuarantine } from "../quarantine/prompt_quarantine.ts";
+import { createRequestQuarantine } from "../quarantine/request_quarantine.ts";
 import { createInstanceCore } from "./instance_core.ts";
 import type { InstanceOptions, RunningInstance } from "./instance_types.ts";
 
@@ -72,7 +72,7 @@
     random,
     getShare: demand.getShare,
   });
-  const quarantine = createPromptQuarantine({
+  const quarantine = createRequestQuarantine({
     clock,
     logger,
     isControlReachable: () =>
@@ -173,7 +173,7 @@
   );
   registry.createGauge(
     "quarantined_parts",
-    "Prompt parts whose requests are refused.",
+    "Prompt parts and requests that are refused.",
     quarantine.countQuarantined,
   );
   registry.createGauge(
--- a/src/forwarding/call_attempt.ts
+++ b/src/forwarding/call_attempt.ts
@@ -25,7 +25,15 @@
   | ({ readonly kind: "answered" } & CompleteResponse)
   /** The request certainly did not run, or the upstream states that. */
   | { readonly kind: "notRun"; readonly reason: string }
-  | { readonly kind: "unknown"; readonly reason: string }
+  | {
+    readonly kind: "unknown";
+    readonly reason: string;
+    /**
+     * The connection ended after the request was sent and before any response,
+     * as it does when the upstream crashes.
+     */
+    readonly hasUpstreamEnded?: boolean;
+  }
   /** The response was too large to buffer and was relayed as it arrived. */
   | { readonly kind: "passedOn" };
 
@@ -85,7 +93,11 @@
       if (wasSent) directory.recordIncompleteResponse(upstreamId);
       else directory.recordLoss(upstreamId, reason);
       if (isRelaying) caller.abort(reason);
-      settle({ kind: wasSent ? "unknown" : "notRun", reason });
+      settle(
+        wasSent
+          ? { kind: "unknown", reason, hasUpstreamEnded: head === undefined }
+          : { kind: "notRun", reason },
+      );
     },
   });
   return {
--- a/src/forwarding/call_forwarder.ts
+++ b/src/forwarding/call_forwarder.ts
@@ -10,6 +10,7 @@
   type CallAttempt,
   startCallAttempt,
 } from "./call_attempt.ts";
+import { createCallCrashGuard } from "./call_crash_guard.ts";
 import { decideAfterAttempt } from "./call_decisions.ts";
 import type {
   AdmittedRequest,
@@ -30,6 +31,8 @@
 
 /** An attempt takes about this part of the route's objective. */
 const attemptTimeRatio = 0.5;
+/** All instances learn of a crash within this time. */
+const crashNoticeMs = 1_000;
 
 export async function forwardCall(
   context: ForwardingContext,
@@ -54,6 +57,8 @@
     handleDeadline,
     Math.max(0, deadlineAtMs - clock.nowMs()),
   );
+  const crashGuard = createCallCrashGuard(context.quarantine, admitted);
+  if (refuseIfSuspected()) return;
   budget.recordUseful(budgetKey, 1);
   context.demand.recordRequest(service.name);
   let upstream = chooseUpstream();
@@ -66,6 +71,7 @@
     }
     const outcome = await (started ?? startAttempt(upstream));
     started = undefined;
+    crashGuard.recordOutcome(upstream.info, outcome);
     if (isFinished) break;
     if (outcome.kind === "notRun") notRunCount += 1;
     else ranCount += 1;
@@ -85,10 +91,12 @@
         relay(outcome);
         break;
       case "retry":
+        if (await failIfSuspected()) break;
         budget.tryDraw(budgetKey, 1);
         upstream = next;
         break;
       case "fail":
+        if (await failIfSuspected()) break;
         failCall(decision.error, getReason(outcome));
         break;
       default:
@@ -128,6 +136,7 @@
         priority,
         sendBeforeMs: deadlineAtMs - route.objectiveMs * attemptTimeRatio,
         send: () => {
+          if (refuseIfSuspected()) return true;
           const next = chooseUpstream();
           if (!next) return false;
           resolve({ upstream: next, started: startAttempt(next) });
@@ -155,6 +164,52 @@
     return currentAttempt.outcome;
   }
 
+  /** Refuses a call that crashes upstreams, or may do so, before it is sent. */
+  function refuseIfSuspected(): boolean {
+    const decision = crashGuard.decide();
+    switch (decision.kind) {
+      case "send":
+        return false;
+      case "hold":
+        failCall(
+          ErrorKind.NoUpstream,
+          "the upstreams that the request may have crashed are not back yet",
+          decision.waitMs,
+        );
+        return true;
+      case "refuse":
+        failCall(ErrorKind.RequestQuarantined, "the request crashes upstreams");
+        return true;
+      default:
+        assertNever(decision);
+    }
+  }
+
+  /** Fails a call that may have crashed upstreams instead of sending it again. */
+  async function failIfSuspected(): Promise<boolean> {
+    if (ranCount === 0) return refuseIfSuspected();
+    const decision = crashGuard.decide();
+    switch (decision.kind) {
+      case "send":
+        return false;
+      case "hold": {
+        const reason = "upstreams ended when they started to run the request";
+        const kind = decision.isCrashing
+          ? ErrorKind.UpstreamsCrashed
+          : ErrorKind.UpstreamFailed;
+        // Callers repeat a failed call at once, at another instance.
+        await clock.sleep(crashNoticeMs);
+        if (!isFinished) failCall(kind, reason);
+        return true;
+      }
+      case "refuse":
+        failCall(ErrorKind.UpstreamsCrashed, "the request crashes upstreams");
+        return true;
+      default:
+        assertNever(decision);
+    }
+  }
+
   function relay(outcome: AttemptOutcome): void {
     stop();
     if (outcome.kind !== "answered") return;
--- a/src/forwarding/crash_guard.ts
+++ b/src/forwarding/crash_guard.ts
@@ -7,12 +7,12 @@
   type CrashDecision,
   decideAfterCrash,
 } from "../quarantine/crash_decisions.ts";
-import type { PromptQuarantine } from "../quarantine/prompt_quarantine.ts";
+import type { RequestQuarantine } from "../quarantine/request_quarantine.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import type { PromptPart } from "./forwarding_protocol.ts";
 
 export interface CrashGuard {
-  /** The quarantined part of the prompt, if there is one. */
+  /** The quarantined part of the prompt, or the request itself, if any. */
   findQuarantinedPart(): string | undefined;
   /** Records that the engine ended before the run got past its start. */
   recordCrash(engine: ListedUpstream): CrashDecision;
@@ -24,9 +24,11 @@
 }
 
 export interface CrashGuardOptions {
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: RequestQuarantine;
   readonly service: string;
   readonly promptParts: readonly PromptPart[];
+  /** Identifies a stream that shares no part of its prompt with others. */
+  getRequestDigest(): string;
 }
 
 /**
@@ -50,18 +52,19 @@
 }
 
 export function createCrashGuard(
-  { quarantine, service, promptParts }: CrashGuardOptions,
+  { quarantine, service, promptParts, getRequestDigest }: CrashGuardOptions,
 ): CrashGuard {
   const partIds = promptParts.map(({ partId }) => partId.slice(0, maxIdChars));
   // The last part belongs to the request or to its session alone.
-  const requestKey = partIds.at(-1) ?? "";
   const sharedIds = partIds.slice(0, -1).slice(-maxSharedParts);
+  const hasSharedParts = sharedIds.length > 0;
+  const requestKey = hasSharedParts ? partIds.at(-1)! : getRequestDigest();
+  const suspectedIds = hasSharedParts ? sharedIds : [requestKey];
   let crashCount = 0;
   let unsubscribe: (() => void) | undefined;
   return {
     findQuarantinedPart,
     recordCrash: ({ upstreamId, domainId }) => {
-      if (sharedIds.length === 0) return { kind: "resume" };
       crashCount += 1;
       quarantine.recordCrash({ service, upstreamId, domainId }, {
         requestKey,
@@ -69,13 +72,12 @@
       });
       return decideAfterCrash({
         crashCount,
-        isOfSoundParts: quarantine.areSound(service, sharedIds),
+        isOfSoundParts: quarantine.areSound(service, suspectedIds),
       });
     },
     recordSoundRun: () =>
       quarantine.recordSoundRun(service, [...sharedIds, requestKey]),
     onQuarantined: (callback) => {
-      if (sharedIds.length === 0) return;
       unsubscribe = quarantine.subscribe(() => {
         const partId = findQuarantinedPart();
         if (partId !== undefined) callback(partId);
@@ -85,8 +87,9 @@
   };
 
   function findQuarantinedPart(): string | undefined {
-    return sharedIds.length === 0
-      ? undefined
-      : quarantine.findQuarantined(service, partIds);
+    return quarantine.findQuarantined(
+      service,
+      hasSharedParts ? partIds : suspectedIds,
+    );
   }
 }
--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -11,7 +11,7 @@
 import type { LimitQueue } from "../limits/limit_queue.ts";
 import type { UpstreamLimits } from "../limits/upstream_limits.ts";
 import type { RetryBudget } from "../limits/retry_budget.ts";
-import type { PromptQuarantine } from "../quarantine/prompt_quarantine.ts";
+import type { RequestQuarantine } from "../quarantine/request_quarantine.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { ForwardingMetrics } from "./forwarding_metrics.ts";
 import type { ForwardingProtocol } from "./forwarding_protocol.ts";
@@ -29,7 +29,7 @@
   readonly directory: UpstreamDirectory;
   readonly successors: SuccessorDiscovery;
   readonly budget: RetryBudget;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: RequestQuarantine;
   readonly limits: UpstreamLimits;
   readonly limitQueue: LimitQueue;
   readonly demand: Pick<DemandShare, "recordRequest">;
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -42,6 +42,7 @@
 } from "./stream_admission.ts";
 import { createCopyManager } from "./copy_manager.ts";
 import { createPaceMeter } from "./pace_meter.ts";
+import { getRequestDigest } from "./request_digest.ts";
 import { isBrokenOff } from "./response_framing.ts";
 import {
   describePlacement,
@@ -96,6 +97,7 @@
     quarantine: context.quarantine,
     service: service.name,
     promptParts: description.promptParts,
+    getRequestDigest: () => getRequestDigest(admitted),
   });
   let lastEventId = description.lastEventId;
   let eventCount = 0;
@@ -241,8 +243,8 @@
   function refuseQuarantined(partId: string): void {
     const mayHaveRun = ranCount > 0 || run !== undefined;
     failStream(
-      mayHaveRun ? ErrorKind.EnginesCrashed : ErrorKind.PromptQuarantined,
-      `the prompt part ${partId} crashes engines`,
+      mayHaveRun ? ErrorKind.UpstreamsCrashed : ErrorKind.RequestQuarantined,
+      `requests with ${partId} crash engines`,
     );
   }
 
@@ -653,7 +655,7 @@
     });
     if (afterCrash.kind === "stop") {
       failStream(
-        ErrorKind.EnginesCrashed,
+        ErrorKind.UpstreamsCrashed,
         "engines crashed each time that they started to run the request",
       );
       return;
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -103,7 +103,7 @@
   answerReport: answerReportSchema.optional(),
   /** Crashes of engines that an entry instance observed. */
   crashReport: crashReportSchema.optional(),
-  /** Revision of the prompt quarantine at an entry instance. */
+  /** Revision of the quarantine at an entry instance. */
   quarantineRevision: z.int().min(0).optional(),
   /** The reply of a control instance to these two fields. */
   quarantine: quarantineNoticeSchema.optional(),
--- a/src/quarantine/crash_decisions.ts
+++ b/src/quarantine/crash_decisions.ts
@@ -1,16 +1,18 @@
 /**
- * Decides which prompt parts crash engines. Pure.
+ * Decides which prompt parts and which requests crash upstreams. Pure.
  *
- * A crash ends all streams of an engine, and each of them has sound parts too. A
- * part that crashes every engine is present in each of several crashes, in
+ * A crash ends all requests of an upstream, and most of them are sound. A part
+ * that crashes every upstream is present in each of several crashes, in
  * different requests, and no run with it gets past its start in between. A
  * shared sound part is cleared by its other runs, and crashes of a whole failure
- * domain at the same moment count once.
+ * domain at the same moment count once. A request without shared parts is known
+ * by its own key, which its repetitions have too.
  */
 import {
   type CrashSuspect,
   formatPartKey,
   type PartKey,
+  type SuspectedRequest,
 } from "./quarantine_types.ts";
 
 export interface Crash {
@@ -40,11 +42,12 @@
   getStatus(key: PartKey): PartStatus;
 }
 
-/** Engines of a failure domain that crash within this time crash together. */
+/** Upstreams of a failure domain that crash within this time crash together. */
 const jointCrashMs = 100;
 const minCrashCount = 3;
 const minCrashCountOfReleasedPart = 2;
-/** A single request may also crash engines by what no other request shares. */
+const minCrashCountAtOneUpstream = 5;
+/** A single request may also crash upstreams by what no other request shares. */
 const minRequestCount = 2;
 /** Time for reports of sound runs to arrive from all entry instances. */
 const minEvidenceAgeMs = 1_500;
@@ -103,30 +106,97 @@
 }
 
 /**
- * Finds requests that crashed engines on their own. Which of their parts is to
- * blame is unknown, so only their own part is returned, and their crashes stay
- * evidence against the shared ones.
+ * Finds requests that crashed upstreams on their own. Which of the parts of a
+ * prompt is to blame is unknown, so only its own part is returned, and the
+ * crashes stay evidence against the shared ones.
  */
 function findRequests(evidence: CrashEvidence, nowMs: number): PartKey[] {
-  const crashesByKey = new Map<string, { key: PartKey; crashes: Crash[] }>();
+  return listRequests(evidence).filter(({ key, crashes }) =>
+    countSeparateCrashes(crashes) >= getMinCrashCount(key, crashes, evidence) &&
+    nowMs - getFirstAtMs(crashes) >= minEvidenceAgeMs
+  ).map(({ key }) => key);
+}
+
+function getMinCrashCount(
+  key: PartKey,
+  crashes: readonly Crash[],
+  evidence: CrashEvidence,
+): number {
+  // A single upstream may also fail again and again for its own reasons.
+  if (new Set(crashes.map(({ upstreamId }) => upstreamId)).size === 1) {
+    return minCrashCountAtOneUpstream;
+  }
+  return evidence.getStatus(key) === PartStatus.Released
+    ? minCrashCountOfReleasedPart
+    : minCrashCount;
+}
+
+/**
+ * Returns the requests without shared parts that were present in crashes, the
+ * most suspected first. Those that ran since are included with a count of 0, as
+ * the reports of these runs are still needed.
+ */
+export function listSuspectedRequests(
+  evidence: CrashEvidence,
+  nowMs: number,
+  maxCount: number,
+): SuspectedRequest[] {
+  return listRequests(evidence)
+    .filter(({ hasSharedParts }) => !hasSharedParts)
+    .map(({ key, crashes }) => {
+      const runs = evidence.getSoundRuns(key);
+      return {
+        key,
+        crashCount: countSeparateCrashes(crashes),
+        lastCrashAgeMs: crashes.length > 0 ? getAgeMs(getLastAtMs(crashes)) : 0,
+        ...(runs ? { lastRunAgeMs: getAgeMs(runs.lastAtMs) } : {}),
+      };
+    })
+    .sort((left, right) =>
+      right.crashCount - left.crashCount ||
+      left.lastCrashAgeMs - right.lastCrashAgeMs
+    )
+    .slice(0, maxCount);
+
+  function getAgeMs(atMs: number): number {
+    return Math.max(0, nowMs - atMs);
+  }
+}
+
+interface RequestCandidate {
+  readonly key: PartKey;
+  /** Crashes after which neither the request nor all of its parts have run. */
+  readonly crashes: Crash[];
+  readonly hasSharedParts: boolean;
+}
+
+function listRequests(evidence: CrashEvidence): RequestCandidate[] {
+  const candidates = new Map<string, RequestCandidate>();
   for (const crash of listUnexplained(evidence.crashes, evidence)) {
     for (const { requestKey, partIds } of crash.suspects) {
       const key: PartKey = [crash.service, requestKey];
+      if (requestKey === "") continue;
+      if (evidence.getStatus(key) === PartStatus.Quarantined) continue;
+      const id = formatPartKey(...key);
+      const candidate = candidates.get(id) ??
+        { key, crashes: [], hasSharedParts: partIds.length > 0 };
+      candidates.set(id, candidate);
       const isNeighbour = [requestKey, ...partIds].every((partId) =>
         isCleared(crash, partId, evidence)
       );
-      if (isNeighbour || requestKey === "") continue;
-      const id = formatPartKey(...key);
-      const entry = crashesByKey.get(id) ?? { key, crashes: [] };
-      if (!entry.crashes.includes(crash)) entry.crashes.push(crash);
-      crashesByKey.set(id, entry);
+      if (isNeighbour || candidate.crashes.includes(crash)) continue;
+      candidate.crashes.push(crash);
     }
   }
-  return [...crashesByKey.values()].filter(({ key, crashes }) =>
-    evidence.getStatus(key) !== PartStatus.Quarantined &&
-    countSeparateCrashes(crashes) >= minCrashCount &&
-    nowMs - crashes[0]!.atMs >= minEvidenceAgeMs
-  ).map(({ key }) => key);
+  return [...candidates.values()];
+}
+
+function getFirstAtMs(crashes: readonly Crash[]): number {
+  return Math.min(...crashes.map(({ atMs }) => atMs));
+}
+
+function getLastAtMs(crashes: readonly Crash[]): number {
+  return Math.max(...crashes.map(({ atMs }) => atMs));
 }
 
 /** Whether a run with the part got past its start after the crash. */
@@ -151,14 +221,17 @@
     .slice(0, maxCount).map(({ key }) => key);
 }
 
-/** A quarantined part explains the crashes that it was present in. */
+/**
+ * A quarantined part explains the crashes that it was present in, and so does a
+ * quarantined request without shared parts.
+ */
 function listUnexplained(
   crashes: readonly Crash[],
   evidence: CrashEvidence,
 ): Crash[] {
   return crashes.filter(({ service, suspects }) =>
-    !suspects.some(({ partIds }) =>
-      partIds.some((partId) =>
+    !suspects.some(({ requestKey, partIds }) =>
+      (partIds.length > 0 ? partIds : [requestKey]).some((partId) =>
         evidence.getStatus([service, partId]) === PartStatus.Quarantined
       )
     )
@@ -198,7 +271,7 @@
     return crashCount >= minCrashCountOfReleasedPart;
   }
   if (requestKeys.size < minRequestCount) return false;
-  const firstAtMs = Math.min(...[...crashes].map(({ atMs }) => atMs));
+  const firstAtMs = getFirstAtMs([...crashes]);
   if (nowMs - firstAtMs < minEvidenceAgeMs) return false;
   const sound = evidence.getSoundRuns(key);
   if (!sound) return crashCount >= minCrashCount;
@@ -250,3 +323,39 @@
     ? { kind: "delay", delayMs: resumeDelayMs }
     : { kind: "stop" };
 }
+
+export type SendDecision =
+  | { readonly kind: "send" }
+  /** The upstreams that the request may have crashed are not back yet. */
+  | {
+    readonly kind: "hold";
+    readonly waitMs: number;
+    /** The crashes are enough to quarantine the request. */
+    readonly isCrashing: boolean;
+  };
+
+/** A crash leaves requests beside the one to blame, which is sent elsewhere. */
+const minCrashCountToHold = 2;
+/** An upstream that crashed is back, and listed with its new id, after this. */
+const recoveryMs = 5_000;
+
+/**
+ * Decides whether a request without shared parts is sent that was present in
+ * `crashCount` crashes and has not run since. Holding it back keeps it from
+ * crashing all upstreams of a small service at once, and gives control the time
+ * to combine the evidence.
+ */
+export function decideOnSuspect(
+  { crashCount, sinceLastCrashMs }: {
+    readonly crashCount: number;
+    readonly sinceLastCrashMs: number;
+  },
+): SendDecision {
+  return crashCount < minCrashCountToHold || sinceLastCrashMs >= recoveryMs
+    ? { kind: "send" }
+    : {
+      kind: "hold",
+      waitMs: recoveryMs - sinceLastCrashMs,
+      isCrashing: crashCount >= minCrashCount,
+    };
+}
--- a/src/quarantine/crash_decisions_test.ts
+++ b/src/quarantine/crash_decisions_test.ts
@@ -2,13 +2,16 @@
  * Crashes of engines by a prompt part, beside crashes for other reasons, against
  * the decisions.
  */
+import fc from "fast-check";
 import { expect, test } from "vitest";
 import {
   type Crash,
   type CrashEvidence,
   decideAfterCrash,
+  decideOnSuspect,
   findCrashingParts,
   listSuspectedParts,
+  listSuspectedRequests,
   PartStatus,
   type SoundRuns,
 } from "./crash_decisions.ts";
@@ -194,3 +197,125 @@
   expect([1, 2, 3].map((count) => decide(count, false)))
     .toEqual(["resume", "delay", "stop"]);
 });
+
+const badCall = "request:bad";
+
+function crashOfCalls(
+  atMs: number,
+  calls: readonly string[],
+  { domainId = "domain-a", upstreamId }: {
+    domainId?: string;
+    upstreamId?: string;
+  } = {},
+): Crash {
+  const made = crash(atMs, {
+    domainId,
+    parts: calls.map(() => []),
+    requests: calls,
+  });
+  return upstreamId === undefined ? made : { ...made, upstreamId };
+}
+
+/** Crashes a second or more apart, each with sound calls beside the bad one. */
+const crashesOfBadCall = fc.array(
+  fc.record({
+    gapMs: fc.integer({ min: 1_000, max: 6_000 }),
+    neighbours: fc.array(fc.nat(30).map((id) => `request:${id}`), {
+      maxLength: 6,
+    }),
+    domain: fc.nat(2),
+  }),
+  { maxLength: 8 },
+).map((steps) => {
+  let atMs = 0;
+  return steps.map(({ gapMs, neighbours, domain }) => {
+    atMs += gapMs;
+    return crashOfCalls(atMs, [badCall, ...neighbours], {
+      domainId: `domain-${domain}`,
+    });
+  });
+});
+
+test("of calls that crashes ended, the one that never runs is found after three", () => {
+  fc.assert(fc.property(crashesOfBadCall, (crashes) => {
+    const nowMs = (crashes.at(-1)?.atMs ?? 0) + 2_000;
+    // Each sound call, or its repetition, runs elsewhere.
+    const sound = Object.fromEntries(
+      crashes.flatMap(({ suspects }) => suspects)
+        .filter(({ requestKey }) => requestKey !== badCall)
+        .map((
+          { requestKey },
+        ) => [requestKey, { lastAtMs: nowMs, ratePerS: 1 }]),
+    );
+    expect(find(crashes, { sound }, nowMs))
+      .toEqual(crashes.length >= 3 ? [badCall] : []);
+    const suspected = listSuspectedRequests(
+      evidence(crashes, { sound }),
+      nowMs,
+      100,
+    );
+    for (const { key: [, requestKey], crashCount } of suspected) {
+      expect(crashCount).toBe(requestKey === badCall ? crashes.length : 0);
+    }
+  }));
+});
+
+test("calls that are present in fewer than three separate crashes are not found", () => {
+  fc.assert(fc.property(crashesOfBadCall, (crashes) => {
+    // A call that is not repeated is present in one crash only.
+    const unrepeated = crashes.map((entry, index) => ({
+      ...entry,
+      suspects: entry.suspects.map((suspect) => ({
+        ...suspect,
+        requestKey: `${suspect.requestKey}-${index}`,
+      })),
+    }));
+    expect(find(unrepeated, {}, 100_000)).toEqual([]);
+    // A failure domain that ends at one moment counts once.
+    const joint = crashes.slice(0, 2).flatMap((entry) =>
+      [0, 10, 20].map((offsetMs) => ({
+        ...entry,
+        upstreamId: `${entry.upstreamId}-${offsetMs}`,
+        atMs: entry.atMs + offsetMs,
+      }))
+    );
+    expect(find(joint, {}, 100_000)).toEqual([]);
+  }));
+});
+
+test("a call that was present in crashes of a single upstream needs five of them", () => {
+  const crashes = [1_000, 3_000, 5_000, 7_000, 9_000].map((atMs) =>
+    crashOfCalls(atMs, [badCall], { upstreamId: "engine-a" })
+  );
+  expect(find(crashes.slice(1), {}, 20_000)).toEqual([]);
+  expect(find(crashes, {}, 20_000)).toEqual([badCall]);
+});
+
+test("a quarantined call explains its crashes", () => {
+  const crashes = [1_000, 3_000, 5_000].map((atMs) =>
+    crashOfCalls(atMs, [badCall, "request:1"])
+  );
+  const status = { [badCall]: PartStatus.Quarantined };
+  expect(find(crashes, { status })).toEqual([]);
+  expect(listSuspectedRequests(evidence(crashes, { status }), 10_000, 10))
+    .toEqual([]);
+});
+
+test("a request is held back after two crashes, until the upstreams are back", () => {
+  fc.assert(fc.property(
+    fc.nat(10),
+    fc.nat(20_000),
+    (crashCount, sinceLastCrashMs) => {
+      const decision = decideOnSuspect({ crashCount, sinceLastCrashMs });
+      if (crashCount < 2 || sinceLastCrashMs >= 5_000) {
+        expect(decision).toEqual({ kind: "send" });
+      } else {
+        expect(decision).toEqual({
+          kind: "hold",
+          waitMs: 5_000 - sinceLastCrashMs,
+          isCrashing: crashCount >= 3,
+        });
+      }
+    },
+  ));
+});
--- a/src/quarantine/crash_evidence_collector.ts
+++ b/src/quarantine/crash_evidence_collector.ts
@@ -12,6 +12,7 @@
   type CrashEvidence,
   findCrashingParts,
   listSuspectedParts,
+  listSuspectedRequests,
   type PartStatus,
   type SoundRuns,
 } from "./crash_decisions.ts";
@@ -21,6 +22,7 @@
   type CrashSuspect,
   formatPartKey,
   type PartKey,
+  type SuspectedRequest,
 } from "./quarantine_types.ts";
 
 export interface CrashEvidenceCollector {
@@ -44,6 +46,8 @@
   readonly crashing: readonly PartKey[];
   /** Parts of which entry instances shall report the sound runs. */
   readonly watched: readonly PartKey[];
+  /** Requests without shared parts that entry instances shall send with care. */
+  readonly suspected: readonly SuspectedRequest[];
 }
 
 interface StoredReport {
@@ -58,6 +62,7 @@
 
 const maxReports = 4_000;
 const maxWatchedParts = 64;
+const maxSuspectedRequests = 128;
 const maxForgottenParts = 1_000;
 /** Reports of one crash differ by the times at which instances notice it. */
 const sameCrashMs = 1_500;
@@ -79,10 +84,12 @@
     },
     evaluate: () => {
       const evidence = combine();
-      if (!evidence) return { crashing: [], watched: [] };
+      if (!evidence) return { crashing: [], watched: [], suspected: [] };
+      const nowMs = clock.nowMs();
       return {
-        crashing: findCrashingParts(evidence, clock.nowMs()),
+        crashing: findCrashingParts(evidence, nowMs),
         watched: listSuspectedParts(evidence, maxWatchedParts),
+        suspected: listSuspectedRequests(evidence, nowMs, maxSuspectedRequests),
       };
     },
   };
@@ -153,8 +160,8 @@
 
   /** The other parts of such a crash are not to blame for it either. */
   function isForgotten({ service, atMs, suspects }: Crash): boolean {
-    return suspects.some(({ partIds }) =>
-      partIds.some((partId) =>
+    return suspects.some(({ requestKey, partIds }) =>
+      [requestKey, ...partIds].some((partId) =>
         atMs <= (forgottenAtMs.get(formatPartKey(service, partId)) ?? -Infinity)
       )
     );
--- a/src/quarantine/crash_recorder.ts
+++ b/src/quarantine/crash_recorder.ts
@@ -1,7 +1,7 @@
 /**
- * Records what one entry instance observes: engines that ended while requests
- * may have just started to run on them, and parts whose runs got past their
- * start. Both records are bounded.
+ * Records what one entry instance observes: upstreams that ended while requests
+ * may have just started to run on them, and the parts and suspected requests
+ * whose runs got past their start. Both records are bounded.
  */
 import type { Clock } from "../core/clock.ts";
 import type { Crash, SoundRuns } from "./crash_decisions.ts";
@@ -9,12 +9,13 @@
   type CrashReport,
   type CrashSuspect,
   formatPartKey,
+  maxReportedAgeMs,
   type PartKey,
 } from "./quarantine_types.ts";
 
 export interface CrashRecorder {
   recordCrash(
-    engine: {
+    upstream: {
       readonly service: string;
       readonly upstreamId: string;
       readonly domainId: string;
@@ -23,6 +24,8 @@
   ): void;
   /** Records that a run with these parts got past its start. */
   recordSoundRun(service: string, partIds: readonly string[]): void;
+  /** Whether the request was present in a recorded crash. */
+  isSuspected(key: PartKey): boolean;
   listCrashes(): readonly Crash[];
   getSoundRuns(key: PartKey): SoundRuns | undefined;
   /** Forgets all crashes so far that the part was present in. */
@@ -37,10 +40,13 @@
 /** Longer than the pause between two requests with a rare part. */
 export const maxCrashAgeMs = 60_000;
 const maxCrashes = 64;
-const maxSuspectsPerCrash = 16;
+/** More requests of one instance are rarely in progress at an upstream. */
+const maxSuspectsPerCrash = 64;
+/** In all crashes, which keeps a report small. */
+const maxSuspects = 1_024;
 const maxParts = 4_096;
 const maxReportedParts = 512;
-/** Losses of one engine within this time are from the same crash. */
+/** Losses of one upstream within this time are from the same crash. */
 const sameCrashMs = 1_000;
 const rateWindowMs = 30_000;
 /** An empty report is repeated for this long, since it replaces the last one. */
@@ -76,10 +82,12 @@
         crashes.push(crash);
         if (crashes.length > maxCrashes) crashes.shift();
       }
-      if (crash.suspects.length < maxSuspectsPerCrash) {
-        crash.suspects.push(suspect);
-      }
+      addSuspect(crash, suspect);
     },
+    isSuspected: ([service, requestKey]) =>
+      crashes.some((crash) =>
+        crash.service === service && hasRequest(crash, requestKey)
+      ),
     recordSoundRun: (service, partIds) => {
       const nowMs = clock.nowMs();
       for (const partId of partIds) {
@@ -101,12 +109,39 @@
     forget: ([service, forgottenId]) => {
       crashes = crashes.filter((crash) =>
         crash.service !== service ||
-        !crash.suspects.some(({ partIds }) => partIds.includes(forgottenId))
+        !crash.suspects.some(({ requestKey, partIds }) =>
+          requestKey === forgottenId || partIds.includes(forgottenId)
+        )
       );
     },
     getReport,
   };
 
+  function addSuspect(crash: RecordedCrash, suspect: CrashSuspect): void {
+    const { suspects } = crash;
+    const { requestKey, partIds } = suspect;
+    if (partIds.length === 0 && hasRequest(crash, requestKey)) return;
+    if (suspects.length < maxSuspectsPerCrash) {
+      suspects.push(suspect);
+      while (countSuspects() > maxSuspects) crashes.shift();
+      return;
+    }
+    // The request to blame is in earlier crashes too.
+    if (!isRepeated(requestKey)) return;
+    const replaced = suspects.findIndex((other) =>
+      !isRepeated(other.requestKey)
+    );
+    if (replaced >= 0) suspects[replaced] = suspect;
+
+    function isRepeated(key: string): boolean {
+      return crashes.some((other) => other !== crash && hasRequest(other, key));
+    }
+  }
+
+  function countSuspects(): number {
+    return crashes.reduce((sum, { suspects }) => sum + suspects.length, 0);
+  }
+
   function removeOutdated(): void {
     const oldestMs = clock.nowMs() - maxCrashAgeMs;
     crashes = crashes.filter(({ atMs }) => atMs >= oldestMs);
@@ -132,13 +167,16 @@
     for (const key of watched) keys.set(formatPartKey(...key), key);
     const open = crashes.filter((crash) => !isCleared(crash));
     for (const { service, suspects } of open) {
-      for (const partId of suspects.flatMap(({ partIds }) => partIds)) {
+      const ids = suspects.flatMap(({ requestKey, partIds }) =>
+        partIds.length > 0 ? partIds : [requestKey]
+      );
+      for (const partId of ids) {
         keys.set(formatPartKey(service, partId), [service, partId]);
       }
     }
     const soundParts = [...keys.values()].flatMap((key) => {
       const runs = getSoundRuns(key);
-      return runs
+      return runs && nowMs - runs.lastAtMs <= maxReportedAgeMs
         ? [{ key, ageMs: nowMs - runs.lastAtMs, ratePerS: runs.ratePerS }]
         : [];
     });
@@ -162,3 +200,7 @@
     );
   }
 }
+
+function hasRequest({ suspects }: Crash, requestKey: string): boolean {
+  return suspects.some((suspect) => suspect.requestKey === requestKey);
+}
--- a/src/quarantine/quarantine_table.ts
+++ b/src/quarantine/quarantine_table.ts
@@ -1,7 +1,7 @@
 /**
- * The quarantined prompt parts, part of the replicated state. It applies changes
- * in log order and depends on nothing else. Its size is bounded: a caller that
- * crashes engines with ever new parts replaces the oldest ones.
+ * The quarantined prompt parts and requests, part of the replicated state. It
+ * applies changes in log order and depends on nothing else. Its size is bounded:
+ * a caller that crashes upstreams with ever new parts replaces the oldest ones.
  */
 import {
   formatPartKey,
--- a/src/quarantine/quarantine_task.ts
+++ b/src/quarantine/quarantine_task.ts
@@ -19,11 +19,13 @@
 import {
   type CrashReport,
   formatPartKey,
+  maxReportedAgeMs,
   type PartKey,
   type QuarantineChange,
   QuarantineChangeKind,
   type QuarantineNotice,
   QuarantineState,
+  type SuspectedRequest,
 } from "./quarantine_types.ts";
 
 export interface QuarantineControl {
@@ -57,9 +59,11 @@
   const provisional = new Map<string, PartKey>();
   const collector = createCrashEvidenceCollector({ clock, getStatus });
   let watched: readonly PartKey[] = [];
+  let suspected: readonly SuspectedRequest[] = [];
+  let evaluatedAtMs = 0;
   return {
     task: createPeriodicTask({
-      name: "prompt-quarantine",
+      name: "quarantine",
       clock,
       intervalMs: tickMs,
       action: async () => {
@@ -81,13 +85,15 @@
   function evaluateReports(): void {
     const findings = collector.evaluate();
     watched = findings.watched;
+    suspected = findings.suspected;
+    evaluatedAtMs = clock.nowMs();
     for (const key of findings.crashing) {
       const [service, partId] = key;
       provisional.set(formatPartKey(service, partId), key);
       if (provisional.size > maxProvisionalParts) {
         provisional.delete(provisional.keys().next().value!);
       }
-      logger.log(logEvents.promptPartQuarantined, { service, partId });
+      logger.log(logEvents.requestsQuarantined, { service, partId });
     }
   }
 
@@ -99,7 +105,7 @@
         service,
         partId,
         atWallMs,
-        reason: "engines ended while requests with this part started to run",
+        reason: "upstreams ended while such requests started to run",
       });
     }
     for (const record of table.list()) {
@@ -126,7 +132,7 @@
     provisional.delete(formatPartKey(service, partId));
     if (kind !== QuarantineChangeKind.Add) collector.forget([service, partId]);
     cache.save();
-    logger.log(logEvents.promptQuarantineChanged, {
+    logger.log(logEvents.quarantineChanged, {
       change: kind,
       service,
       partId,
@@ -139,14 +145,28 @@
     const revision = table.getRevision();
     const isKnown = revision === knownRevision;
     const uncommitted = [...provisional.values(), ...cache.listRemembered()];
-    if (isKnown && uncommitted.length === 0 && watched.length === 0) {
+    if (
+      isKnown && uncommitted.length === 0 && watched.length === 0 &&
+      suspected.length === 0
+    ) {
       return undefined;
     }
+    const sinceEvaluationMs = clock.nowMs() - evaluatedAtMs;
     return {
       revision,
       ...(isKnown ? {} : { parts: table.listQuarantined() }),
       provisional: uncommitted,
       watched: [...watched],
+      suspected: suspected.map((suspect) => ({
+        ...suspect,
+        lastCrashAgeMs: suspect.lastCrashAgeMs + sinceEvaluationMs,
+        ...(suspect.lastRunAgeMs === undefined ? {} : {
+          lastRunAgeMs: Math.min(
+            maxReportedAgeMs,
+            suspect.lastRunAgeMs + sinceEvaluationMs,
+          ),
+        }),
+      })),
     };
   }
 }
--- a/src/quarantine/quarantine_test.ts
+++ b/src/quarantine/quarantine_test.ts
@@ -11,11 +11,12 @@
 import { createStateMachine } from "../control/state_machine.ts";
 import type { Clock } from "../core/clock.ts";
 import { createSilentLogger } from "../core/logger.ts";
-import { createPromptQuarantine } from "./prompt_quarantine.ts";
+import { createRequestQuarantine } from "./request_quarantine.ts";
 import { createQuarantineCache } from "./quarantine_cache.ts";
 import { createQuarantineTable, getEndWallMs } from "./quarantine_table.ts";
 import { createQuarantineControl } from "./quarantine_task.ts";
 import {
+  crashReportSchema,
   type QuarantineChange,
   QuarantineChangeKind,
   QuarantineState,
@@ -60,7 +61,7 @@
   };
 
   function createEntry() {
-    return createPromptQuarantine({
+    return createRequestQuarantine({
       clock,
       logger,
       isControlReachable: () => isControlReachable,
@@ -86,6 +87,126 @@
   }
 }
 
+const callKey = "request:bad";
+
+function crashByCall(
+  deployment: ReturnType<typeof createDeployment>,
+  entry: number,
+  upstreamId: string,
+  requestKey = callKey,
+): void {
+  deployment.entries[entry]!.recordCrash(
+    { service, upstreamId, domainId: `domain-${entry}` },
+    { requestKey, partIds: [] },
+  );
+}
+
+test("the crashes of a call at two instances are known to a third one", async () => {
+  const deployment = createDeployment();
+  const third = deployment.entries[2]!;
+  crashByCall(deployment, 0, "upstream-0");
+  await deployment.advance(2);
+  expect(third.getSuspicion(service, callKey)).toMatchObject({ crashCount: 1 });
+  crashByCall(deployment, 1, "upstream-1");
+  await deployment.advance(2);
+  expect(third.getSuspicion(service, callKey)).toMatchObject({ crashCount: 2 });
+  const { sinceLastCrashMs } = third.getSuspicion(service, callKey)!;
+  await deployment.advance(4);
+  expect(third.getSuspicion(service, callKey)!.sinceLastCrashMs)
+    .toBeGreaterThan(sinceLastCrashMs + 1_500);
+  crashByCall(deployment, 2, "upstream-2");
+  await deployment.advance(2);
+  for (const entry of deployment.entries) {
+    expect(entry.findQuarantined(service, [callKey])).toBe(callKey);
+  }
+});
+
+test("a run of the call at another instance clears it, and stays known", async () => {
+  const deployment = createDeployment();
+  const getCounts = () =>
+    deployment.entries.map((entry) =>
+      entry.getSuspicion(service, callKey)?.crashCount ?? 0
+    );
+  for (const number of [0, 1, 2, 3]) {
+    crashByCall(deployment, 0, `upstream-${number}`);
+    await deployment.advance(2);
+    expect(getCounts()).toEqual([1, 1, 1]);
+    deployment.entries[1]!.recordSoundRequest(service, callKey);
+    await deployment.advance(2);
+    for (let step = 0; step < 6; step++) {
+      await deployment.advance(1);
+      expect(getCounts()).toEqual([0, 0, 0]);
+    }
+  }
+  expect(deployment.state.quarantine.list()).toEqual([]);
+});
+
+test("a call that an operator lifted is not suspected any more", async () => {
+  const deployment = createDeployment();
+  for (const entry of [0, 1, 2]) {
+    crashByCall(deployment, entry, `upstream-${entry}`);
+    await deployment.advance(1);
+  }
+  await deployment.advance(3);
+  expect(deployment.state.quarantine.listQuarantined())
+    .toEqual([[service, callKey]]);
+  deployment.state.apply({
+    kind: CommandKind.ChangeQuarantine,
+    change: change(QuarantineChangeKind.Lift, callKey),
+  });
+  await deployment.advance(4);
+  for (const entry of deployment.entries) {
+    expect(entry.findQuarantined(service, [callKey])).toBeUndefined();
+    expect(entry.getSuspicion(service, callKey)).toBeUndefined();
+  }
+});
+
+test("calls of other requests do not push the one to blame out of a crash", async () => {
+  const deployment = createDeployment();
+  const [entry] = deployment.entries;
+  crashByCall(deployment, 0, "upstream-0");
+  await deployment.advance(1);
+  for (let number = 0; number < 100; number++) {
+    crashByCall(deployment, 0, "upstream-1", `request:${number}`);
+  }
+  crashByCall(deployment, 0, "upstream-1");
+  expect(entry!.getSuspicion(service, callKey))
+    .toMatchObject({ crashCount: 2 });
+  expect(entry!.getReport()!.crashes[1]!.suspects.length)
+    .toBeLessThanOrEqual(64);
+});
+
+test("the report stays small when all upstreams end with many calls", () => {
+  const deployment = createDeployment();
+  for (let number = 0; number < 10_000; number++) {
+    crashByCall(deployment, 0, `upstream-${number % 80}`, `request:${number}`);
+  }
+  const { crashes } = deployment.entries[0]!.getReport()!;
+  const count = crashes.reduce((sum, { suspects }) => sum + suspects.length, 0);
+  expect(count).toBeLessThanOrEqual(1_024);
+  expect(crashReportSchema.safeParse({ crashes, soundParts: [] }).success)
+    .toBe(true);
+});
+
+test("calls that were present in no crash are not recorded", () => {
+  const deployment = createDeployment();
+  const [entry] = deployment.entries;
+  for (let number = 0; number < 1_000; number++) {
+    entry!.recordSoundRequest(service, `request:${number}`);
+  }
+  crashByCall(deployment, 0, "upstream-0", "request:7");
+  expect(entry!.getReport()!.soundParts).toEqual([]);
+});
+
+test("a run of hours ago does not make the report of a crash invalid", async () => {
+  const deployment = createDeployment();
+  const [entry] = deployment.entries;
+  entry!.recordSoundRun(service, ["shared"]);
+  await deployment.advance(2 * 3_600 + 1);
+  deployment.crash(0, "engine-0", "request-0");
+  expect(crashReportSchema.safeParse(entry!.getReport()).success).toBe(true);
+});
+
 async function crashThreeEngines(
   deployment: ReturnType<typeof createDeployment>,
 ) {
--- a/src/quarantine/quarantine_types.ts
+++ b/src/quarantine/quarantine_types.ts
@@ -1,7 +1,8 @@
 /**
- * Types of the prompt quarantine. Some inputs crash every engine that starts to
- * generate for them. Prompts consist of parts that many requests share, so the
- * quarantine names the part: requests that contain it are refused.
+ * Types of the quarantine. Some requests crash every upstream that starts to run
+ * them. Prompts consist of parts that many requests share, so the quarantine
+ * names the part: requests that contain it are refused. A request without shared
+ * parts, such as a non-streaming call, is named by its own key.
  *
  * Entry instances report crashes and the parts that were present; control
  * instances combine the reports, decide, and record the quarantine in the
@@ -10,15 +11,18 @@
 import * as z from "zod";
 
 const nameSchema = z.string().min(1).max(200);
-const ageMsSchema = z.number().min(0).max(3_600_000);
+/** Reports and notices leave out what is older. */
+export const maxReportedAgeMs = 3_600_000;
+const ageMsSchema = z.number().min(0).max(maxReportedAgeMs);
 
-/** Service and id of a prompt part. */
+/** Service, and the id of a prompt part or the key of a request. */
 export const partKeySchema = z.tuple([nameSchema, nameSchema]).readonly();
 
 export const crashSuspectSchema = z.object({
   /**
    * The last part of the prompt, which a request shares only with its
-   * repetitions and its session.
+   * repetitions and its session. Without a prompt, the digest of what the
+   * repetitions of a request have in common.
    */
   requestKey: nameSchema,
   /** Parts that other requests may share, in the order of the prompt. */
@@ -30,7 +34,7 @@
   upstreamId: nameSchema,
   domainId: z.string().max(200),
   ageMs: ageMsSchema,
-  /** Requests that may have just started to run on the engine. */
+  /** Requests that may have just started to run on the upstream. */
   suspects: z.array(crashSuspectSchema).max(64),
 });
 
@@ -49,6 +53,20 @@
   soundParts: z.array(soundPartSchema).max(512),
 });
 
+/** A request without shared parts that was present in crashes. */
+export const suspectedRequestSchema = z.object({
+  key: partKeySchema,
+  /**
+   * Crashes after which it has not run. Those of a failure domain at the same
+   * moment count once.
+   */
+  crashCount: z.int().min(0),
+  /** Time since the last of these; 0 if there are none. */
+  lastCrashAgeMs: ageMsSchema,
+  /** Time since it last ran at any instance, if it did. */
+  lastRunAgeMs: ageMsSchema.optional(),
+});
+
 /** A control instance's reply to an entry instance. */
 export const quarantineNoticeSchema = z.object({
   revision: z.int().min(0),
@@ -58,6 +76,8 @@
   provisional: z.array(partKeySchema).max(1_000),
   /** Parts of which control needs to know the runs that got past their start. */
   watched: z.array(partKeySchema).max(1_000),
+  /** Absent from instances of versions that do not send it. */
+  suspected: z.array(suspectedRequestSchema).max(1_000).optional(),
 });
 
 export enum QuarantineState {
@@ -95,6 +115,7 @@
 export type PartKey = z.output<typeof partKeySchema>;
 export type CrashSuspect = z.output<typeof crashSuspectSchema>;
 export type CrashReport = z.output<typeof crashReportSchema>;
+export type SuspectedRequest = z.output<typeof suspectedRequestSchema>;
 export type SoundPart = z.output<typeof soundPartSchema>;
 export type QuarantineNotice = z.output<typeof quarantineNoticeSchema>;
 export type QuarantineRecord = z.output<typeof quarantineRecordSchema>;
