--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -42,6 +42,7 @@
 } from "./stream_admission.ts";
 import { createCopyManager } from "./copy_manager.ts";
 import { createPaceMeter } from "./pace_meter.ts";
+import { getRequestDigest } from "./request_digest.ts";
 import { isBrokenOff } from "./response_framing.ts";
 import {
   describePlacement,
@@ -116,6 +117,7 @@
     quarantine: context.quarantine,
     service: service.name,
     promptParts: description.promptParts,
+    getRequestDigest: () => getRequestDigest(admitted),
   });
   let lastEventId = description.lastEventId;
   let eventCount = 0;
@@ -267,8 +269,8 @@
   function refuseQuarantined(partId: string): void {
     const mayHaveRun = ranCount > 0 || run !== undefined;
     failStream(
-      mayHaveRun ? ErrorKind.EnginesCrashed : ErrorKind.PromptQuarantined,
-      `the prompt part ${partId} crashes engines`,
+      mayHaveRun ? ErrorKind.UpstreamsCrashed : ErrorKind.RequestQuarantined,
+      `requests with ${partId} crash engines`,
     );
   }
 
@@ -741,7 +743,7 @@
     });
     if (afterCrash.kind === "stop") {
       failStream(
-        ErrorKind.EnginesCrashed,
+        ErrorKind.UpstreamsCrashed,
         "engines crashed each time that they started to run the request",
       );
       return;
