Take a reset connection for a crash only if the upstream is down

A sound call that two upstreams reset, without ending, was refused with 503 for five seconds: any connection that ended without a response counted as a crash. An upstream that still accepts connections 50 ms later, or responds to another call, has not crashed, so the record of the crash is dropped.

A call that has failed is also answered at once; it was held for a second so that its caller did not repeat it before the other instances knew of the crash, but that only delays the final answer.

"a call whose connections upstreams reset that go on responding is not refused" fails on the parent commit: 503 from the third call on.

--- a/src/forwarding/call_crash_guard.ts
+++ b/src/forwarding/call_crash_guard.ts
@@ -7,10 +7,12 @@
   decideOnSuspect,
   type SendDecision,
 } from "../quarantine/crash_decisions.ts";
-import type { RequestQuarantine } from "../quarantine/request_quarantine.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import type { AttemptOutcome } from "./call_attempt.ts";
-import type { AdmittedRequest } from "./forwarding_context.ts";
+import type {
+  AdmittedRequest,
+  ForwardingContext,
+} from "./forwarding_context.ts";
 import { getRequestDigest } from "./request_digest.ts";
 
 export interface CallCrashGuard {
@@ -24,8 +26,11 @@
   /** The call is quarantined. */
   | { readonly kind: "refuse" };
 
+/** A crashed upstream has closed its listener by then, and is not back yet. */
+const listenCheckDelayMs = 50;
+
 export function createCallCrashGuard(
-  quarantine: RequestQuarantine,
+  { clock, connections, quarantine }: ForwardingContext,
   admitted: AdmittedRequest,
 ): CallCrashGuard {
   const service = admitted.service.name;
@@ -38,11 +43,12 @@
       const suspicion = quarantine.getSuspicion(service, requestKey);
       return suspicion ? decideOnSuspect(suspicion) : { kind: "send" };
     },
-    recordOutcome: ({ upstreamId, domainId }, outcome) => {
+    recordOutcome: ({ upstreamId, domainId, host, port }, outcome) => {
       switch (outcome.kind) {
         case "answered":
         case "passedOn":
           quarantine.recordSoundRequest(service, requestKey);
+          quarantine.recordResponse(service, upstreamId);
           return;
         case "unknown":
           if (!outcome.hasUpstreamEnded) return;
@@ -50,10 +56,24 @@
             requestKey,
             partIds: [],
           });
+          void checkListening({ upstreamId, host, port });
           return;
         case "notRun":
           return;
       }
     },
   };
+
+  /** An upstream that accepts connections has only reset one. */
+  async function checkListening(
+    { upstreamId, host, port }: Pick<
+      ListedUpstream,
+      "upstreamId" | "host" | "port"
+    >,
+  ): Promise<void> {
+    await clock.sleep(listenCheckDelayMs);
+    if (await connections.isListening(host, port)) {
+      quarantine.recordResponse(service, upstreamId);
+    }
+  }
 }
--- a/src/forwarding/call_forwarder.ts
+++ b/src/forwarding/call_forwarder.ts
@@ -31,8 +31,6 @@
 
 /** An attempt takes about this part of the route's objective. */
 const attemptTimeRatio = 0.5;
-/** All instances learn of a crash within this time. */
-const crashNoticeMs = 1_000;
 
 export async function forwardCall(
   context: ForwardingContext,
@@ -57,7 +55,7 @@
     handleDeadline,
     Math.max(0, deadlineAtMs - clock.nowMs()),
   );
-  const crashGuard = createCallCrashGuard(context.quarantine, admitted);
+  const crashGuard = createCallCrashGuard(context, admitted);
   if (refuseIfSuspected()) return;
   budget.recordUseful(budgetKey, 1);
   context.demand.recordRequest(service.name);
@@ -91,12 +89,12 @@
         relay(outcome);
         break;
       case "retry":
-        if (await failIfSuspected()) break;
+        if (failIfSuspected()) break;
         budget.tryDraw(budgetKey, 1);
         upstream = next;
         break;
       case "fail":
-        if (await failIfSuspected()) break;
+        if (failIfSuspected()) break;
         failCall(decision.error, getReason(outcome));
         break;
       default:
@@ -186,7 +184,7 @@
   }
 
   /** Fails a call that may have crashed upstreams instead of sending it again. */
-  async function failIfSuspected(): Promise<boolean> {
+  function failIfSuspected(): boolean {
     if (ranCount === 0) return refuseIfSuspected();
     const decision = crashGuard.decide();
     switch (decision.kind) {
@@ -197,9 +195,7 @@
         const kind = decision.isCrashing
           ? ErrorKind.UpstreamsCrashed
           : ErrorKind.UpstreamFailed;
-        // Callers repeat a failed call at once, at another instance.
-        await clock.sleep(crashNoticeMs);
-        if (!isFinished) failCall(kind, reason);
+        failCall(kind, reason);
         return true;
       }
       case "refuse":
--- a/src/forwarding/upstream_connections.ts
+++ b/src/forwarding/upstream_connections.ts
@@ -64,6 +64,8 @@
 
 export interface UpstreamConnections {
   send(request: UpstreamRequest, handlers: ExchangeHandlers): Exchange;
+  /** Tells whether the address accepts a connection now. */
+  isListening(host: string, port: number): Promise<boolean>;
   /** Closes idle connections to the address. */
   closeIdle(host: string, port: number): void;
   getOpenedCount(): number;
@@ -120,11 +122,23 @@
   }) as unknown as Agent["keepSocketAlive"];
   return {
     send,
+    isListening,
     closeIdle,
     getOpenedCount: () => openedCount,
     close: () => agent.destroy(),
   };
 
+  function isListening(host: string, port: number): Promise<boolean> {
+    return new Promise((resolve) => {
+      const socket = connect({ host, port });
+      socket.once("connect", () => {
+        resolve(true);
+        socket.destroy();
+      });
+      socket.once("close", () => resolve(false));
+    });
+  }
+
   function connect(options: net.NetConnectOpts): net.Socket {
     const { host, port } = options as net.TcpNetConnectOpts;
     openedCount += 1;
--- a/src/quarantine/crash_recorder.ts
+++ b/src/quarantine/crash_recorder.ts
@@ -22,6 +22,11 @@
     },
     suspect: CrashSuspect,
   ): void;
+  /**
+   * Records that an upstream responds or accepts connections. One that does so
+   * soon after a connection ended has not crashed: it only reset that one.
+   */
+  recordResponse(service: string, upstreamId: string): void;
   /** Records that a run with these parts got past its start. */
   recordSoundRun(service: string, partIds: readonly string[]): void;
   /** Whether the request was present in a recorded crash. */
@@ -48,6 +53,10 @@
 const maxReportedParts = 512;
 /** Losses of one upstream within this time are from the same crash. */
 const sameCrashMs = 1_000;
+/** Later, a response that was sent before the crash has been read. */
+const minResponseDelayMs = 20;
+/** Later, an upstream that crashed may be back under the same id. */
+const maxResponseDelayMs = 500;
 const rateWindowMs = 30_000;
 /** An empty report is repeated for this long, since it replaces the last one. */
 const emptyReportMs = 5_000;
@@ -84,6 +93,15 @@
       }
       addSuspect(crash, suspect);
     },
+    recordResponse: (service, upstreamId) => {
+      if (crashes.length === 0) return;
+      const nowMs = clock.nowMs();
+      crashes = crashes.filter((crash) => {
+        const delayMs = nowMs - crash.atMs;
+        return crash.service !== service || crash.upstreamId !== upstreamId ||
+          delayMs < minResponseDelayMs || delayMs > maxResponseDelayMs;
+      });
+    },
     isSuspected: ([service, requestKey]) =>
       crashes.some((crash) =>
         crash.service === service && hasRequest(crash, requestKey)
--- a/src/quarantine/request_quarantine.ts
+++ b/src/quarantine/request_quarantine.ts
@@ -24,7 +24,8 @@
 } from "./quarantine_types.ts";
 
 export interface RequestQuarantine
-  extends Pick<CrashRecorder, "recordCrash" | "recordSoundRun"> {
+  extends
+    Pick<CrashRecorder, "recordCrash" | "recordResponse" | "recordSoundRun"> {
   /** The first quarantined one of the parts, if any. */
   findQuarantined(
     service: string,
@@ -102,6 +103,7 @@
       recorder.recordCrash(engine, suspect);
       onCrash();
     },
+    recordResponse: recorder.recordResponse,
     recordSoundRun: recorder.recordSoundRun,
     recordSoundRequest: (service, requestKey) => {
       if (!isSuspected(service, requestKey)) return;
