--- a/measure/soak/quarantine_process_test.ts
+++ b/measure/soak/quarantine_process_test.ts
@@ -1,6 +1,6 @@
 /**
- * The quarantine on separate processes: it is learned, kept over a restart
- * of all processes, and lifted by an operator.
+ * The quarantine on separate processes: it is learned, kept over a restart of
+ * all processes, and lifted by an operator.
  */
 import { rmSync } from "node:fs";
 import process from "node:process";
@@ -12,7 +12,11 @@
 import { type SoakDeployment, startSoakDeployment } from "./soak_deployment.ts";
 import { createSoakOperator, soakApiKey, soakHost } from "./soak_operator.ts";
 import type { SoakRecord } from "./soak_types.ts";
-import { crashingPart, startSoakUpstreams } from "./soak_upstreams.ts";
+import {
+  crashingCall,
+  crashingPart,
+  startSoakUpstreams,
+} from "./soak_upstreams.ts";
 
 const domainIds = ["domain-a", "domain-b", "domain-c"];
 const firstNetwork = 20;
@@ -20,6 +24,9 @@
 const startTimeoutMs = 20_000;
 const streamCount = 12;
 const eventCount = 16;
+const maxCallCount = 60;
+/** Three crashes, and what is sent until all instances know of each. */
+const maxBadAttempts = 5;
 const closers: (() => void | Promise<void>)[] = [];
 
 afterEach(async () => {
@@ -92,6 +99,65 @@
   });
 }
 
+async function restartAll(deployment: SoakDeployment): Promise<void> {
+  const processes = [...deployment.control, ...deployment.entries];
+  await Promise.all(processes.map(deployment.kill));
+  for (const target of processes) deployment.start(target);
+  await waitUntilReady(deployment);
+  await sleep(1_000);
+}
+
+function call(
+  deployment: SoakDeployment,
+  entry: number,
+  path: string,
+): Promise<CallerResponse> {
+  return callEntry(deployment.entries[entry % 3]!.relay!.port, {
+    host: soakHost,
+    method: "POST",
+    path,
+    body: "order",
+    headers: { "Api-Key": soakApiKey, "Deadline-Ms": "3000" },
+  });
+}
+
+test(
+  "a call that crashes upstreams stays refused when all processes restart",
+  async () => {
+    const { record, deployment } = await start();
+    const badPath = `/unsafe/${crashingCall}`;
+    const answers: CallerResponse[] = [];
+    while (answers.length < maxCallCount && answers.at(-1)?.status !== 422) {
+      answers.push(await call(deployment, answers.length, badPath));
+      await sleep(300);
+    }
+    const isRefusedEverywhere = async () => {
+      const attemptCount = record.attempts.length;
+      for (let entry = 0; entry < 3; entry++) {
+        expect(await call(deployment, entry, badPath))
+          .toMatchObject({ status: 422, isComplete: true });
+      }
+      expect(record.attempts.length).toBe(attemptCount);
+    };
+    await sleep(1_000);
+    await isRefusedEverywhere();
+    expect(record.attempts.length).toBeLessThanOrEqual(maxBadAttempts);
+    await restartAll(deployment);
+    await isRefusedEverywhere();
+    // Upstreams lose a response now and then.
+    const sound = await Promise.all(
+      Array.from(
+        { length: 10 },
+        (_, index) => call(deployment, index, `/unsafe/${index}`),
+      ),
+    );
+    expect(sound.filter(({ status }) => status === 200).length)
+      .toBeGreaterThan(5);
+    expect(record.unexpectedExits).toEqual([]);
+  },
+  60_000,
+);
+
 test(
   "a prompt part that crashes engines stays refused when all processes restart, until it is lifted",
   async () => {
@@ -112,11 +178,7 @@
       expect(record.attempts.length).toBe(attemptCount);
     };
     await isRefusedEverywhere();
-    const processes = [...deployment.control, ...deployment.entries];
-    await Promise.all(processes.map(deployment.kill));
-    for (const target of processes) deployment.start(target);
-    await waitUntilReady(deployment);
-    await sleep(1_000);
+    await restartAll(deployment);
     await isRefusedEverywhere();
     expect(await stream(deployment, 0, ["shared"]))
       .toMatchObject({ status: 200, isComplete: true });
--- a/measure/soak/soak_upstreams.ts
+++ b/measure/soak/soak_upstreams.ts
@@ -42,6 +42,8 @@
 
 /** An engine crashes when it starts to run a request with this prompt part. */
 export const crashingPart = "crashing";
+/** An upstream crashes when it starts to run a call whose path ends so. */
+export const crashingCall = "crashing";
 const crashDowntimeMs = 700;
 const enginesPerDomain = 2;
 const engineSlots = 8;
@@ -225,6 +227,10 @@
     response: http.ServerResponse,
   ): void {
     const requestId = String(request.headers["request-id"]);
+    if (request.url!.endsWith(crashingCall)) {
+      crash(upstream, crashDowntimeMs);
+      return;
+    }
     const draw = random.next();
     setTimeout(() => {
       if (draw < lostRatio) {
