Do not hold a stream that hangs at an engine that serves others

A stream whose run hung at an engine that went on serving others was held there until its deadline and then cut, although an attempt was left: the attempt that is kept in reserve could be used only after three seconds of silence of the whole engine. With two attempts a route had no other one. The reserve is now used after three seconds of silence of the stream itself.

--- a/src/forwarding/decisions_test.ts
+++ b/src/forwarding/decisions_test.ts
@@ -117,13 +117,13 @@
     isResumable: true,
     ranCount: 1,
     maxAttempts: 3,
-    engineSilentMs: 450,
+    silentMs: 450,
   };
   expect(mayLeaveSilentRun(silent)).toBe(true);
   expect(mayLeaveSilentRun({ ...silent, ranCount: 2 })).toBe(false);
-  expect(mayLeaveSilentRun({ ...silent, ranCount: 2, engineSilentMs: 4_000 }))
+  expect(mayLeaveSilentRun({ ...silent, ranCount: 2, silentMs: 4_000 }))
     .toBe(true);
-  expect(mayLeaveSilentRun({ ...silent, ranCount: 3, engineSilentMs: 4_000 }))
+  expect(mayLeaveSilentRun({ ...silent, ranCount: 3, silentMs: 4_000 }))
     .toBe(false);
   expect(mayLeaveSilentRun({ ...silent, isResumable: false })).toBe(false);
   expect(mayLeaveSilentRun({ ...silent, remainingMs: 20 })).toBe(false);
--- a/src/forwarding/stream_decisions.ts
+++ b/src/forwarding/stream_decisions.ts
@@ -53,14 +53,14 @@
   /** Attempts that ran or may have run, including the silent one. */
   readonly ranCount: number;
   readonly maxAttempts: number;
-  /** Time since the engine last sent anything on any connection. */
-  readonly engineSilentMs: number;
+  /** Time since the run's last event or its start. */
+  readonly silentMs: number;
 }
 
-/** A sound engine that falls silent goes on after a second or so. */
+/** The users' pages: a sound upstream goes on after a second or so. */
 const soundSilenceMs = 3_000;
 /** With less time left, no event would arrive before the deadline. */
-const minResumeMs = 50;
+export const minResumeMs = 50;
 /** Attempts that are kept for engines that end. */
 const reservedAttempts = 1;
 
@@ -69,12 +69,11 @@
  * sound: ending the run is then a loss, unless another one takes the stream.
  */
 export function mayLeaveSilentRun(
-  { remainingMs, isResumable, ranCount, maxAttempts, engineSilentMs }:
-    SilentRun,
+  { remainingMs, isResumable, ranCount, maxAttempts, silentMs }: SilentRun,
 ): boolean {
   if (!isResumable || remainingMs < minResumeMs) return false;
   const remainingAttempts = maxAttempts - ranCount;
-  return engineSilentMs < soundSilenceMs
+  return silentMs < soundSilenceMs
     ? remainingAttempts > reservedAttempts
     : remainingAttempts > 0;
 }
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -647,14 +647,17 @@
   function handleSilence(current: StreamAttempt, reason: string): void {
     if (run !== current || isFinished) return;
     const { upstream } = current;
-    const engineSilentMs = clock.nowMs() -
-      Math.max(upstream.lastActivityAtMs, current.startedAtMs);
+    const silentMs = clock.nowMs() -
+      Math.max(
+        current.lastEventAtMs ?? current.startedAtMs,
+        current.resumedAtMs,
+      );
     const mayLeave = mayLeaveSilentRun({
       remainingMs: deadlineAtMs - clock.nowMs(),
       isResumable: isResumable(),
       ranCount: ranCount + 1,
       maxAttempts: route.maxAttempts,
-      engineSilentMs,
+      silentMs,
     });
     const target = mayLeave ? findTarget(current) : undefined;
     if (target) {
