Probe leaving engines again, and ignore only refused connections

Without probes, a stream that waited for its first event at a leaving engine that had frozen went on elsewhere only after 8 s, instead of 0.65 s. What says nothing about the requests in progress is a refused connection, not a report that does not come: a leaving engine closes its listener first. Such a refusal is now ignored, also from an engine that the list no longer names.

--- a/src/forwarding/stream_monitor.ts
+++ b/src/forwarding/stream_monitor.ts
@@ -3,6 +3,7 @@
  * The timer runs only while streams are open.
  */
 import { Buffer } from "node:buffer";
+import { assertNever } from "../core/assert_never.ts";
 import type { Clock } from "../core/clock.ts";
 import { createPauseDetector } from "../core/pause_detector.ts";
 import { logEvents } from "../core/log_events.ts";
@@ -57,7 +58,7 @@
   const { clock, logger, directory } = options;
   const streams = new Set<MonitoredStream>();
   const probing = new Set<string>();
-  /** By engine, since its last probe failed. */
+  /** By engine, after its last probe failed. */
   const nextProbeAtMs = new Map<string, number>();
   let timer: NodeJS.Timeout | undefined;
   let scheduledCheck: NodeJS.Immediate | undefined;
@@ -119,11 +120,13 @@
       case SilenceDecision.Wait:
         return;
       case SilenceDecision.Probe:
-        // A leaving engine may refuse new connections while it still serves.
-        if (!upstream.info.isLeaving) probe(upstream);
+        probe(upstream);
         return;
       case SilenceDecision.Suspect:
         stream.onSuspected(`no event for ${Math.round(streamSilentMs)} ms`);
+        return;
+      default:
+        assertNever(decision);
     }
   }
 
@@ -145,7 +148,9 @@
       onHead: () => directory.recordActivity(upstreamId),
       onData: () => {},
       onEnd: () => end(undefined),
-      onFailure: ({ reason }) => end(reason),
+      // A leaving engine may refuse new connections while it still serves.
+      onFailure: ({ isConnectionRefused, reason }) =>
+        end(isConnectionRefused && isLeaving(upstream) ? undefined : reason),
     });
     const cancelTimeout = setTimeoutAfterReads(() => {
       exchange.cancel();
@@ -161,15 +166,24 @@
         probeTimeoutMs + pauseLimitMs;
       // The report alone may be delayed, such as by a lost packet.
       const hasSentSince = upstream.lastActivityAtMs >= startedAtMs;
-      if (failure === undefined || isLate || hasSentSince) {
-        nextProbeAtMs.delete(upstreamId);
-        return;
-      }
-      nextProbeAtMs.set(upstreamId, clock.nowMs() + repeatedProbeDelayMs);
+      if (failure === undefined || isLate || hasSentSince) return;
+      delayNextProbe(upstreamId);
       handleSilentEngine(upstreamId, failure);
     }
   }
 
+  function delayNextProbe(upstreamId: string): void {
+    const nowMs = clock.nowMs();
+    for (const [otherId, atMs] of nextProbeAtMs) {
+      if (atMs <= nowMs) nextProbeAtMs.delete(otherId);
+    }
+    nextProbeAtMs.set(upstreamId, nowMs + repeatedProbeDelayMs);
+  }
+
+  function isLeaving({ info }: Upstream): boolean {
+    return info.isLeaving || !directory.get(info.upstreamId);
+  }
+
   /** Reports the suspicion to all streams of the engine at once. */
   function handleSilentEngine(upstreamId: string, reason: string): void {
     const affected = [...streams].filter(({ upstream }) =>
--- a/src/forwarding/upstream_connections.ts
+++ b/src/forwarding/upstream_connections.ts
@@ -35,6 +35,8 @@
 export interface ExchangeFailure {
   /** Whether bytes of the request may have reached the upstream. */
   readonly wasSent: boolean;
+  /** The address accepts no new connection. */
+  readonly isConnectionRefused: boolean;
   readonly reason: string;
 }
 
@@ -224,6 +226,7 @@
     if (mayReuseConnection) closeUnusable(host, port);
     let isSettled = false;
     let wasSent = false;
+    let isConnectionRefused = false;
     let received: IncomingMessage | undefined;
     /** Bytes of earlier responses on the connection. */
     let earlierBytes = 0;
@@ -295,6 +298,8 @@
         socket?.bytesRead === earlierBytes && !isSettled &&
         performance.now() - startedAtMs < maxResendAgeMs;
       if (!mayResend) {
+        isConnectionRefused =
+          (cause as NodeJS.ErrnoException).code === "ECONNREFUSED";
         fail(getErrorMessage(cause));
         return;
       }
@@ -348,7 +353,7 @@
     function fail(reason: string): void {
       settle(() => {
         request?.destroy();
-        handlers.onFailure({ wasSent, reason });
+        handlers.onFailure({ wasSent, isConnectionRefused, reason });
       });
     }
   }
