Do not resume a stream at a copy holder that is leaving

A stream that lost its engine was resumed at the holder of its copy even if that engine was leaving, however long ago the list had said so; and the copy was not replaced. A copy at a leaving engine now counts as lost.

--- a/src/forwarding/copy_manager.ts
+++ b/src/forwarding/copy_manager.ts
@@ -103,7 +103,8 @@
       createdAtMs: copy?.createdAtMs,
       isEngineUpdated: copy?.isEngineUpdated ?? false,
       refreshedAtMs: copy?.refreshedAtMs ?? 0,
-      holderLostAtMs: holder?.lostAtMs,
+      // A leaving engine gets no more requests.
+      holderLostAtMs: holder?.info.isLeaving ? undefined : holder?.lostAtMs,
     };
   }
 
