Answer the requests ahead of one too many on a connection

The 102nd pipelined request on a connection destroyed it, with the request in progress and the hundred that waited. The connection is now closed after the requests ahead were answered, and what comes behind them is dropped.

--- a/src/forwarding/caller_connections.ts
+++ b/src/forwarding/caller_connections.ts
@@ -31,7 +31,7 @@
   /** The request whose response is next. */
   current: Exchange | undefined;
   waiting: Exchange[];
-  /** Bytes have arrived that are no request, so no other one can follow. */
+  /** No further request is answered on the connection. */
   isBroken: boolean;
 }
 
@@ -40,7 +40,7 @@
   ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
 };
 const defaultErrorStatusLine = "400 Bad Request";
-/** Requests that one connection may have waiting; more are not answered. */
+/** Bounds the memory of one connection; requests behind these are dropped. */
 const maxWaitingCount = 100;
 
 export function createCallerConnections(
@@ -66,7 +66,7 @@
   ): void {
     const { socket } = request;
     const connection = connections.get(socket);
-    if (!connection) return;
+    if (!connection || connection.isBroken) return;
     response.once("close", () => startNext(socket, response));
     const exchange = { request, response, start };
     if (!connection.current) {
@@ -74,7 +74,7 @@
       start();
     } else if (connection.waiting.length < maxWaitingCount) {
       connection.waiting.push(exchange);
-    } else socket.destroy();
+    } else connection.isBroken = true;
   }
 
   function startNext(socket: Duplex, response: ServerResponse): void {
