Let a response that has been ended leave before the process stops

At the end of the grace time a response that was complete and only not sent yet was aborted, though the instance then waits for its responses to be sent. Found by reading in the review.

--- a/src/forwarding/caller_exchange.ts
+++ b/src/forwarding/caller_exchange.ts
@@ -197,7 +197,9 @@
     if (state === CallerState.Waiting) {
       if (shutdownCallback) shutdownCallback();
       else fail(createShutdownError());
-    } else exchange.abort("the grace time is over");
+    } else if (!response.writableEnded) {
+      exchange.abort("the grace time is over");
+    }
   }
 
   function readBody(maxBytes: number): Promise<Buffer | undefined> {
