Do not cut a stream that has begun because of an estimate

Three estimates ended streams that had begun while they could still be served:

- a placement drawn at random was refused by admission, although another engine could have prefilled the prompt in time.
Placement now draws among the engines that admit the stream.
- the queue for limits refused a stream with less than one objective left, which it could not keep any more anyway.
It now has until its deadline.
- a list that named no engine for a moment failed it at once.
It now waits like one whose engines are suspended; if this instance ended its run, until its deadline.

--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -35,7 +35,11 @@
   type PlacementContext,
   type StreamDemand,
 } from "./placement.ts";
-import { decideAfterLoss, mayLeaveSilentRun } from "./stream_decisions.ts";
+import {
+  decideAfterLoss,
+  mayLeaveSilentRun,
+  minResumeMs,
+} from "./stream_decisions.ts";
 import {
   type AdmissionDecision,
   decideStreamAdmission,
@@ -197,7 +201,8 @@
     }
     const engines = directory.listUsable(service.name);
     const placement = getPlacementContext();
-    const engine = chooseForStream(engines, getDemand(), placement);
+    const engine = chooseAdmitting(engines, placement) ??
+      chooseForStream(engines, getDemand(), placement);
     if (engine) placeAt(engine);
     else if (listReachable(engines, placement).length > 0) waitForRoom();
     else waitForEngine(engines.length);
@@ -227,6 +232,17 @@
     }
   }
 
+  /** Chooses among the engines that can prefill the prompt in time. */
+  function chooseAdmitting(
+    engines: readonly Upstream[],
+    placement: PlacementContext,
+  ): Upstream | undefined {
+    const admitting = engines.filter((engine) =>
+      decideAdmission(engine).kind === "admit"
+    );
+    return chooseForStream(admitting, getDemand(), placement);
+  }
+
   function decideAdmission(engine: Upstream): AdmissionDecision {
     return decideStreamAdmission({
       remainingMs: deadlineAtMs - clock.nowMs(),
@@ -243,13 +259,14 @@
     const remove = context.limitQueue.add(service.name, {
       // The caller of a stream that has begun waits for its next event.
       priority: eventCount > 0 ? -1 : admitted.priority,
-      sendBeforeMs: deadlineAtMs - route.objectiveMs,
+      // One that has begun can't keep its objective any more.
+      sendBeforeMs: deadlineAtMs -
+        (eventCount > 0 || hasLeftRun ? minResumeMs : route.objectiveMs),
       send: () => {
-        const engine = chooseForStream(
-          directory.listUsable(service.name),
-          getDemand(),
-          getPlacementContext(),
-        );
+        const engines = directory.listUsable(service.name);
+        const placement = getPlacementContext();
+        const engine = chooseAdmitting(engines, placement) ??
+          chooseForStream(engines, getDemand(), placement);
         if (!engine) return false;
         endWaiting = undefined;
         placeAt(engine);
@@ -278,8 +295,11 @@
     const nowMs = clock.nowMs();
     waitingSinceMs ??= nowMs;
     triedIds.clear();
-    const isWaitOver = nowMs - waitingSinceMs >= maxEngineWaitMs;
-    if (listedCount === 0 || isWaitOver) {
+    // A run that this instance ended is made up for until the deadline.
+    const isWaitOver = !hasLeftRun &&
+      nowMs - waitingSinceMs >= maxEngineWaitMs;
+    const hasBegun = eventCount > 0 || hasLeftRun;
+    if ((listedCount === 0 && !hasBegun) || isWaitOver) {
       failStream(
         ranCount > 0 ? ErrorKind.UpstreamFailed : ErrorKind.NoUpstream,
         "no engine is available",
@@ -684,16 +704,10 @@
       : findUsableCopy(current);
     if (copy) return copy.holder;
     const { upstreamId } = current.upstream.info;
-    const engine = chooseForStream(
-      directory.listUsable(service.name).filter(({ info }) =>
-        info.upstreamId !== upstreamId
-      ),
-      getDemand(),
-      getPlacementContext(),
+    const others = directory.listUsable(service.name).filter(({ info }) =>
+      info.upstreamId !== upstreamId
     );
-    return engine && decideAdmission(engine).kind === "admit"
-      ? engine
-      : undefined;
+    return chooseAdmitting(others, getPlacementContext());
   }
 
   function handleLoss(
