Do not cut a stream past its start because of a quarantine

A notice that a part of its prompt was quarantined ended a stream that had long been generating, if it arrived while the stream moved to another engine. A prompt that crashes engines does so at the start of a run, so a stream that got past it is not to blame.

--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -141,6 +141,8 @@
   let isFinished = false;
   /** Whether a run was ended because its engine was silent. */
   let hasLeftRun = false;
+  /** A prompt that crashes engines does so at the start of a run. */
+  let hasRunPastStart = false;
   let firstEventAtMs: number | undefined;
   let lastEventAtMs = 0;
   let longestGapMs = 0;
@@ -167,7 +169,7 @@
     )
   );
   crashGuard.onQuarantined((partId) => {
-    if (!run?.isPastStart) refuseQuarantined(partId);
+    if (!hasRunPastStart) refuseQuarantined(partId);
   });
   budget.recordUseful(budgetKey, 1);
   context.demand.recordRequest(service.name);
@@ -194,7 +196,9 @@
 
   function placeAttempt(): void {
     if (isFinished) return;
-    const quarantinedId = crashGuard.findQuarantinedPart();
+    const quarantinedId = hasRunPastStart
+      ? undefined
+      : crashGuard.findQuarantinedPart();
     if (quarantinedId !== undefined) {
       refuseQuarantined(quarantinedId);
       return;
@@ -545,6 +549,7 @@
   function recordSoundRun(current: StreamAttempt): void {
     if (current.isPastStart) return;
     current.isPastStart = true;
+    hasRunPastStart = true;
     crashGuard.recordSoundRun();
   }
 
