--- a/measure/soak/soak_upstreams.ts
+++ b/measure/soak/soak_upstreams.ts
@@ -186,6 +186,15 @@
     setTimeout(() => upstream.isDown = false, downtimeMs).unref();
   }
 
+  /** A process that has crashed accepts no connection. */
+  function refuseConnections(
+    { relay }: SoakUpstream,
+    downtimeMs: number,
+  ): void {
+    relay.setListening(false);
+    setTimeout(() => relay.setListening(true), downtimeMs).unref();
+  }
+
   function answer(
     upstream: SoakUpstream,
     request: http.IncomingMessage,
@@ -231,6 +240,7 @@
     const requestId = String(request.headers["request-id"]);
     if (request.url!.endsWith(crashingCall)) {
       crash(upstream, crashDowntimeMs);
+      refuseConnections(upstream, crashDowntimeMs);
       return;
     }
     const draw = random.next();
