Answer a call that has crashed two upstreams at once

Its failure was held for a second, so that its caller did not repeat it before all instances knew of the crashes.

--- a/src/forwarding/call_forwarder.ts
+++ b/src/forwarding/call_forwarder.ts
@@ -31,10 +31,6 @@
 
 /** An attempt takes about this part of the route's objective. */
 const attemptTimeRatio = 0.5;
-/** Within this time it is known whether an upstream that closed has crashed. */
-const crashCheckMs = 100;
-/** All instances learn of a crash within this time. */
-const crashNoticeMs = 1_000;
 
 export async function forwardCall(
   context: ForwardingContext,
@@ -93,12 +89,12 @@
         relay(outcome);
         break;
       case "retry":
-        if (await failIfSuspected()) break;
+        if (failIfSuspected()) break;
         budget.tryDraw(budgetKey, 1);
         upstream = next;
         break;
       case "fail":
-        if (await failIfSuspected()) break;
+        if (failIfSuspected()) break;
         failCall(decision.error, getReason(outcome));
         break;
       default:
@@ -188,7 +184,7 @@
   }
 
   /** Fails a call that may have crashed upstreams instead of sending it again. */
-  async function failIfSuspected(): Promise<boolean> {
+  function failIfSuspected(): boolean {
     if (ranCount === 0) return refuseIfSuspected();
     const decision = crashGuard.decide();
     switch (decision.kind) {
@@ -199,8 +195,7 @@
         const kind = decision.isCrashing
           ? ErrorKind.UpstreamsCrashed
           : ErrorKind.UpstreamFailed;
-        await waitForCrashNotice();
-        if (!isFinished) failCall(kind, reason);
+        failCall(kind, reason);
         return true;
       }
       case "refuse":
@@ -211,16 +206,6 @@
     }
   }
 
-  /**
-   * Callers repeat a failed call within some 100 ms at another instance. Before
-   * that one knows of the crashes, the call would end the next upstream there.
-   */
-  async function waitForCrashNotice(): Promise<void> {
-    await clock.sleep(crashCheckMs);
-    if (isFinished || crashGuard.decide().kind === "send") return;
-    await clock.sleep(crashNoticeMs - crashCheckMs);
-  }
-
   function relay(outcome: AttemptOutcome): void {
     stop();
     if (outcome.kind !== "answered") return;
