Read on after the last response of a caller's connection

The connection is now ended first and read for up to a second. A connection with more waiting requests than allowed gets the responses to those that wait.

--- a/measure/kept_connections/connection_ends_test.ts
+++ b/measure/kept_connections/connection_ends_test.ts
@@ -237,6 +237,81 @@
   });
 });
 
+describe("a connection that is closed after a response", () => {
+  const sendText = async (
+    caller: CallerConnection,
+    text: string,
+    pieceBytes: number,
+  ) => {
+    for (let from = 0; from < text.length; from += pieceBytes) {
+      caller.send(text.slice(from, from + pieceBytes));
+      await sleep(50);
+    }
+  };
+
+  // Bytes that are not read when the connection is destroyed reset it, and the
+  // caller's next write then fails before it has read the response.
+  test("is not reset by the requests behind it", async () => {
+    const entry = await start([createSilentEngine(() => 0)], streaming);
+    void entry.server.drain(4_000);
+    const caller = await openCallerConnection(entry.port);
+    caller.pauseReading();
+    caller.send(formatRequest({ requestId: "refused" }));
+    await sleep(50);
+    const body = "b".repeat(120_000);
+    await sendText(caller, formatRequest({ requestId: "late", body }), 30_000);
+    caller.resumeReading();
+    await caller.waitForEnd(500);
+    expect(describeResponses(caller)).toEqual([
+      { status: 503, isComplete: true },
+    ]);
+    expect(caller.getEnd()).toBe(ConnectionEnd.Finished);
+  });
+
+  test("is not reset by bytes behind those that are no request", async () => {
+    const entry = await start([answerAfter(0)]);
+    const caller = await openCallerConnection(entry.port);
+    caller.pauseReading();
+    await sendText(caller, "no request\r\n".repeat(400), 1_000);
+    caller.resumeReading();
+    await caller.waitForEnd(500);
+    expect(caller.responses.map(({ status }) => status)).toEqual([400]);
+    expect(caller.getEnd()).toBe(ConnectionEnd.Finished);
+  });
+
+  test("passes no later request on", async () => {
+    const entry = await start([answerAfter(0)]);
+    const caller = await openCallerConnection(entry.port);
+    caller.send(
+      formatRequest({ requestId: "last", headers: ["Connection: close"] }) +
+        formatRequest({ requestId: "behind" }),
+    );
+    await sleep(20);
+    caller.send(formatRequest({ requestId: "late" }));
+    await sleep(200);
+    expect(upstreams[0]!.received.map(({ headers }) => headers["request-id"]))
+      .toEqual(["last"]);
+    expect(describeResponses(caller)).toEqual([completed]);
+  });
+
+  test("gets the responses to the requests that may wait", async () => {
+    const entry = await start([answerAfter(0)]);
+    const caller = await openCallerConnection(entry.port);
+    caller.send(
+      Array.from(
+        { length: 150 },
+        (_, index) => formatRequest({ requestId: `request-${index}` }),
+      ).join(""),
+    );
+    await caller.waitForEnd(4_000);
+    const passedOnCount = upstreams[0]!.received.length;
+    expect(passedOnCount).toBeGreaterThan(100);
+    expect(describeResponses(caller)).toEqual(
+      Array.from({ length: passedOnCount }, () => completed),
+    );
+  });
+});
+
 function setLimits(entry: TestEntry, limits: Partial<CallerLimits>): void {
   entry.server.setLimits({ ...createTestTable().limits, ...limits });
 }
--- a/src/core/idle_connections.ts
+++ b/src/core/idle_connections.ts
@@ -22,7 +22,8 @@
 /**
  * Replaces the server's `closeIdleConnections`. A connection is idle if all its
  * responses were sent, all its requests were read and no byte has arrived since;
- * a new connection counts as idle after a while. Must be called before the server accepts connections.
+ * a new connection counts as idle after a while, and one that was ended here is
+ * left to its owner. Must be called before the server accepts connections.
  */
 export function closeOnlyIdleConnections(server: Server): void {
   const connections = new Map<Socket, ConnectionState>();
@@ -52,7 +53,7 @@
       const { acceptedAtMs, openCount, idleAtBytes } = state;
       const isNew = idleAtBytes === 0 && nowMs - acceptedAtMs < minUnusedMs;
       const isIdle = openCount === 0 && socket.bytesRead === idleAtBytes &&
-        socket.writableLength === 0;
+        socket.writableLength === 0 && !socket.writableEnded;
       if (isIdle && !isNew) socket.destroy();
     }
   };
--- a/src/forwarding/caller_connections.ts
+++ b/src/forwarding/caller_connections.ts
@@ -5,6 +5,10 @@
  * arrives behind another one (HTTP pipelining) is not started before the
  * response ahead of it was sent: if that one breaks off or closes the
  * connection, no response to the later request could be delivered.
+ *
+ * A connection is closed in two steps, because bytes of the caller that are not
+ * read when it is destroyed reset it, and a reset can destroy the last response
+ * on its way.
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
@@ -19,6 +23,10 @@
     response: ServerResponse,
     start: () => void,
   ): void;
+  /** Whether a request waits behind the current one of the connection. */
+  hasWaiting(socket: Duplex): boolean;
+  /** Connections that were ended here and are still read. */
+  getClosingCount(): number;
 }
 
 interface Exchange {
@@ -33,6 +41,8 @@
   waiting: Exchange[];
   /** No further request is answered on the connection. */
   isBroken: boolean;
+  /** The last response was sent; bytes are read and thrown away. */
+  isClosing: boolean;
 }
 
 const errorStatusLines: Readonly<Record<string, string>> = {
@@ -42,6 +52,8 @@
 const defaultErrorStatusLine = "400 Bad Request";
 /** Bounds the memory of one connection; requests behind these are dropped. */
 const maxWaitingCount = 100;
+/** Time for which a connection is read after its last response. */
+const maxClosingMs = 1_000;
 
 export function createCallerConnections(
   server: Server,
@@ -53,11 +65,19 @@
       current: undefined,
       waiting: [],
       isBroken: false,
+      isClosing: false,
     });
+    // Node.js calls this after a response that closes the connection.
+    socket.destroySoon = () => close(socket);
     socket.once("close", () => connections.delete(socket));
   });
   server.on("clientError", handleClientError);
-  return { add };
+  return {
+    add,
+    hasWaiting: (socket) => (connections.get(socket)?.waiting.length ?? 0) > 0,
+    getClosingCount: () =>
+      [...connections.values()].filter(({ isClosing }) => isClosing).length,
+  };
 
   function add(
     request: IncomingMessage,
@@ -66,15 +86,20 @@
   ): void {
     const { socket } = request;
     const connection = connections.get(socket);
-    if (!connection || connection.isBroken) return;
+    if (!connection) return;
+    const isFull = connection.waiting.length >= maxWaitingCount;
+    if (connection.isBroken || connection.isClosing || isFull) {
+      connection.isBroken = true;
+      request.resume();
+      return;
+    }
     response.once("close", () => startNext(socket, response));
     const exchange = { request, response, start };
-    if (!connection.current) {
+    if (connection.current) connection.waiting.push(exchange);
+    else {
       connection.current = exchange;
       start();
-    } else if (connection.waiting.length < maxWaitingCount) {
-      connection.waiting.push(exchange);
-    } else connection.isBroken = true;
+    }
   }
 
   function startNext(socket: Duplex, response: ServerResponse): void {
@@ -85,7 +110,18 @@
     if (socket.destroyed || !response.shouldKeepAlive) return;
     connection.current = connection.waiting.shift();
     if (connection.current) connection.current.start();
-    else if (connection.isBroken) socket.end();
+    else if (connection.isBroken) close(socket);
+  }
+
+  /** Ends the connection, and reads on until the caller ends it too. */
+  function close(socket: Duplex, lastBytes = ""): void {
+    const connection = connections.get(socket);
+    if (!connection || connection.isClosing) return;
+    connection.isClosing = true;
+    for (const { request } of connection.waiting.splice(0)) request.resume();
+    socket.end(lastBytes);
+    const timer = setTimeout(() => socket.destroy(), maxClosingMs);
+    socket.once("close", () => clearTimeout(timer));
   }
 
   /**
@@ -96,11 +132,13 @@
     failure: NodeJS.ErrnoException,
     socket: Duplex,
   ): void {
-    if (!socket.writable || failure.code === "ECONNRESET") {
+    const connection = connections.get(socket);
+    const isReset = failure.code === "ECONNRESET" || failure.code === "EPIPE";
+    if (connection?.isClosing && !isReset) return;
+    if (!socket.writable || isReset) {
       socket.destroy(failure);
       return;
     }
-    const connection = connections.get(socket);
     logger.log(logEvents.callerConnectionFailed, {
       reason: getErrorMessage(failure),
       hasOpenRequest: connection?.current !== undefined,
@@ -118,9 +156,6 @@
     }
     const status = errorStatusLines[failure.code ?? ""] ??
       defaultErrorStatusLine;
-    socket.end(
-      `HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`,
-      () => socket.destroy(failure),
-    );
+    close(socket, `HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
   }
 }
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -260,7 +260,10 @@
     isStopped = true;
     readinessServer.close();
     for (const caller of openExchanges) caller.shutDown();
-    while (openExchanges.size > 0 && getElapsedMs() < graceMs - flushMarginMs) {
+    // The exit of the process resets connections of which bytes are not read.
+    const isFlushed = () =>
+      openExchanges.size === 0 && connections.getClosingCount() === 0;
+    while (!isFlushed() && getElapsedMs() < graceMs - flushMarginMs) {
       await clock.sleep(drainPollIntervalMs);
     }
   }
