Keep the connection open after a body that is too large and was read

The header also closed it without the response's shouldKeepAlive showing that, so the request behind it was passed on to an upstream.

--- a/measure/kept_connections/connection_ends_test.ts
+++ b/measure/kept_connections/connection_ends_test.ts
@@ -192,6 +192,20 @@
     );
   });
 
+  test("a request behind a body that is too large gets its response", async () => {
+    const entry = await start([answerAfter(50)]);
+    const caller = await openCallerConnection(entry.port);
+    caller.send(
+      formatRequest({ requestId: "large", body: "b".repeat(600_000) }) +
+        formatRequest({ requestId: "behind" }),
+    );
+    await waitForResponses(caller, 2, 2_000);
+    expect(describeResponses(caller)).toEqual([
+      { status: 413, isComplete: true },
+      completed,
+    ]);
+  });
+
   test("a partial next head that times out does not end the response before it", async () => {
     const entry = await start([answerAfter(3_000)], patientCall);
     const caller = await openCallerConnection(entry.port);
--- a/src/forwarding/caller_exchange.ts
+++ b/src/forwarding/caller_exchange.ts
@@ -244,8 +244,8 @@
     // Keeping the connection open for the next request would require reading
     // the rest of the oversized body.
     const isBodyTooLarge = error.kind === ErrorKind.PayloadTooLarge;
-    const extraHeaders = isBodyTooLarge ? ["Connection", "close"] : [];
-    startResponse(answer.status, [...answer.headers, ...extraHeaders]);
+    if (isBodyTooLarge && !request.complete) response.shouldKeepAlive = false;
+    startResponse(answer.status, answer.headers);
     response.end(answer.body);
   }
 }
