--- a/measure/kept_connections/connection_ends_test.ts
+++ b/measure/kept_connections/connection_ends_test.ts
@@ -206,6 +206,27 @@
     ]);
   });
 
+  test("requests that wait at the start of a drain get their responses", async () => {
+    const entry = await start([answerAfter(300)]);
+    const caller = await openCallerConnection(entry.port);
+    caller.send(
+      ["first", "second", "third"].map((requestId) =>
+        formatRequest({ requestId })
+      ).join(""),
+    );
+    await sleep(100);
+    void entry.server.drain(4_000);
+    await waitForResponses(caller, 3, 2_500);
+    expect(describeResponses(caller)).toEqual([
+      completed,
+      completed,
+      completed,
+    ]);
+    expect(
+      caller.responses.map(({ headers }) => headers.get("connection")),
+    ).toEqual(["keep-alive", "keep-alive", "close"]);
+  });
+
   test("a partial next head that times out does not end the response before it", async () => {
     const entry = await start([answerAfter(3_000)], patientCall);
     const caller = await openCallerConnection(entry.port);
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -130,7 +130,9 @@
       response,
       protocol,
       arrivedAtMs,
-      shouldCloseConnection: () => isDraining,
+      // A request that was read is answered before its connection is closed.
+      shouldCloseConnection: () =>
+        isDraining && !connections.hasWaiting(request.socket),
       onFinished: (exchange, status) => {
         openExchanges.delete(exchange);
         recordResponse(exchange, status);
