Explain requests that waited behind a response that broke off

The check asks that the response ahead has an explained end itself; its test shows that it still finds requests behind complete or unexplained responses.

--- a/measure/kept_connections/trial_checks.ts
+++ b/measure/kept_connections/trial_checks.ts
@@ -55,7 +55,7 @@
   const counts: Record<string, number> = {};
   for (const request of record.requests) {
     const runs = runsById.get(request.requestId) ?? [];
-    const outcome = describeOutcome(record, request, runs, endedAtMs);
+    const outcome = describeOutcome(record, request, runsById, endedAtMs);
     const name = outcome.isFinding ? `FINDING ${outcome.what}` : outcome.what;
     counts[name] = (counts[name] ?? 0) + 1;
     if (!outcome.isFinding) continue;
@@ -76,13 +76,16 @@
 const explained = (what: string): Outcome => ({ what, isFinding: false });
 const unexplained = (what: string): Outcome => ({ what, isFinding: true });
 
+type RunsById = ReadonlyMap<string, readonly ObservedRun[]>;
+
 function describeOutcome(
   record: TrialRecord,
   request: SentRequest,
-  runs: readonly ObservedRun[],
+  runsById: RunsById,
   endedAtMs: number,
 ): Outcome {
   const { connection, requestId, responseIndex } = request;
+  const runs = runsById.get(requestId) ?? [];
   const response = connection.responses[responseIndex];
   const echoedId = response?.headers.get("request-id");
   if (echoedId !== undefined && echoedId !== requestId) {
@@ -100,7 +103,7 @@
       ? unexplained("no end")
       : explained("open at the trial's end");
   }
-  return describeClosed(record, request, runs);
+  return describeClosed(record, request, runsById);
 }
 
 function checkResponse(
@@ -137,16 +140,15 @@
 function describeClosed(
   record: TrialRecord,
   request: SentRequest,
-  runs: readonly ObservedRun[],
+  runsById: RunsById,
 ): Outcome {
+  const runs = runsById.get(request.requestId) ?? [];
   const closedAtMs = request.connection.getEndedAtMs()!;
   const wasRead = record.log.some(({ fields }) =>
     fields["request"] === request.requestId
   );
   if (runs.length === 0 && !wasRead) {
-    return closedAtMs - request.sentAtMs < crossingMs
-      ? explained("crossed the end of its connection")
-      : unexplained("closed without being read");
+    return describeNotStarted(record, request, runsById);
   }
   if (runs.some(({ end }) => end === RunEnd.BrokenOff) && isStream(request)) {
     // What ends a stream that could be resumed is worth a look.
@@ -177,6 +179,55 @@
   );
 }
 
+/** The entry did not begin with the request. */
+function describeNotStarted(
+  record: TrialRecord,
+  request: SentRequest,
+  runsById: RunsById,
+): Outcome {
+  const { connection, sentAtMs, responseIndex } = request;
+  const closedAtMs = getLastResponseAtMs(record, request) ??
+    connection.getEndedAtMs()!;
+  // LOST: "A request that crosses your close and isn't passed on doesn't count."
+  if (closedAtMs - sentAtMs < crossingMs) {
+    return explained("crossed the end of its connection");
+  }
+  // Responses have the order of their requests, so none can follow one that
+  // broke off. LOST counts such a request only if it was passed on, and callers
+  // repeat what a connection was closed without reading.
+  const lastIndex = connection.responses.length - 1;
+  const ahead = record.requests.find((other) =>
+    other.connection === connection && other.responseIndex === lastIndex
+  );
+  const isBehindBreak = ahead !== undefined && lastIndex < responseIndex &&
+    !connection.responses[lastIndex]!.isComplete &&
+    !describeClosed(record, ahead, runsById).isFinding;
+  return isBehindBreak
+    ? explained("waited behind a response that broke off")
+    : unexplained("closed without being read");
+}
+
+/**
+ * Time at which the entry had sent the last response of a connection and said
+ * that it closes it. A caller that pauses its reading sees that later.
+ */
+function getLastResponseAtMs(
+  { log, requests }: TrialRecord,
+  { connection }: SentRequest,
+): number | undefined {
+  const last = connection.responses.at(-1);
+  if (!last?.isComplete || last.headers.get("connection") !== "close") {
+    return undefined;
+  }
+  const { requestId } = requests.find((other) =>
+    other.connection === connection &&
+    other.responseIndex === connection.responses.length - 1
+  )!;
+  return log.find(({ event, fields }) =>
+    event === logEvents.requestEnded.number && fields["request"] === requestId
+  )?.atMs;
+}
+
 function getLoggedReason(
   { log }: TrialRecord,
   { requestId }: SentRequest,
