--- a/measure/kept_connections/caller_connection.ts
+++ b/measure/kept_connections/caller_connection.ts
@@ -38,10 +38,11 @@
 
 export async function openCallerConnection(
   port: number,
+  host = "127.0.0.1",
 ): Promise<CallerConnection> {
   const reader = createResponseReader();
   const socket = net.connect({
-    host: "127.0.0.1",
+    host,
     port,
     noDelay: true,
     allowHalfOpen: true,
@@ -108,6 +109,7 @@
 
 export interface RequestText {
   readonly requestId: string;
+  readonly host?: string;
   readonly method?: string;
   readonly path?: string;
   readonly deadlineMs?: number;
@@ -129,7 +131,7 @@
     `${request.method ?? (body === undefined ? "GET" : "POST")} ${
       request.path ?? "/app/item"
     } HTTP/1.1`,
-    "Host: app.example",
+    `Host: ${request.host ?? "app.example"}`,
     `Request-Id: ${request.requestId}`,
     `Deadline-Ms: ${request.deadlineMs ?? 10_000}`,
     `Api-Key: ${request.apiKey ?? "key-1"}`,
