Give each request of a trial a path of its own

Requests with the same path, caller and body count as one request for the guard against crashing requests.

--- a/measure/kept_connections/trial_callers.ts
+++ b/measure/kept_connections/trial_callers.ts
@@ -160,7 +160,8 @@
       leftAtMs: undefined,
       text: formatRequest({
         requestId,
-        path: `/${isStreamRoute ? "stream" : "call"}-${route}/item`,
+        // Requests that are alike count as one that crashes its upstreams.
+        path: `/${isStreamRoute ? "stream" : "call"}-${route}/${requestId}`,
         deadlineMs,
         ...(body === undefined ? {} : { body }),
         isChunked: random.next() < 0.5,
