Explain the end of a pipelined request by the request ahead of it

Traces, without a drain: q11-74 waited for q11-73, a stream that found only engines that refuse it and whose deadline was later; q11-41 waited behind a large response that the deadline of q11-40 broke off, and the reset destroyed its head on its way. Responses have the order of their requests, so the end of the one ahead decides. A break of an upstream now explains the end of a stream only if the log says that the stream failed; otherwise a reset of the caller's connection was taken for the break.

--- a/measure/kept_connections/trial_checks.ts
+++ b/measure/kept_connections/trial_checks.ts
@@ -97,11 +97,15 @@
   if (request.leftAtMs !== undefined) return explained("the caller left");
   if (request.sentAtMs === Infinity) return explained("not sent in full");
   if (connection.getEnd() === ConnectionEnd.None) {
-    const isLate = endedAtMs - request.startedAtMs >
-      request.deadlineMs + hangSlackMs;
-    return isLate
+    const isLate = ({ startedAtMs, deadlineMs }: SentRequest) =>
+      endedAtMs - startedAtMs > deadlineMs + hangSlackMs;
+    if (!isLate(request)) return explained("open at the trial's end");
+    // A response cannot be sent before the one ahead of it, which may have a
+    // later deadline.
+    const next = findNextUnanswered(record, request);
+    return next === request || isLate(next)
       ? unexplained("no end")
-      : explained("open at the trial's end");
+      : explained("waited behind a response that is not late");
   }
   return describeClosed(record, request, runsById);
 }
@@ -150,11 +154,14 @@
   if (runs.length === 0 && !wasRead) {
     return describeNotStarted(record, request, runsById);
   }
-  if (runs.some(({ end }) => end === RunEnd.BrokenOff) && isStream(request)) {
+  // Another end, such as a reset of the connection, is not explained by a break.
+  const failedReason = getLoggedReason(record, request);
+  const hasBroken = runs.some(({ end }) => end === RunEnd.BrokenOff);
+  if (hasBroken && isStream(request) && failedReason !== "") {
     // What ends a stream that could be resumed is worth a look.
     return explained(
       request.route === TrialRoute.ResumableStream
-        ? `broken off and not resumed: ${getLoggedReason(record, request)}`
+        ? `broken off and not resumed: ${failedReason}`
         : "the upstream broke off",
     );
   }
@@ -185,7 +192,7 @@
   request: SentRequest,
   runsById: RunsById,
 ): Outcome {
-  const { connection, sentAtMs, responseIndex } = request;
+  const { connection, sentAtMs } = request;
   const closedAtMs = getLastResponseAtMs(record, request) ??
     connection.getEndedAtMs()!;
   // LOST: "A request that crosses your close and isn't passed on doesn't count."
@@ -195,18 +202,39 @@
   // Responses have the order of their requests, so none can follow one that
   // broke off. LOST counts such a request only if it was passed on, and callers
   // repeat what a connection was closed without reading.
-  const lastIndex = connection.responses.length - 1;
-  const ahead = record.requests.find((other) =>
-    other.connection === connection && other.responseIndex === lastIndex
-  );
-  const isBehindBreak = ahead !== undefined && lastIndex < responseIndex &&
-    !connection.responses[lastIndex]!.isComplete &&
-    !describeClosed(record, ahead, runsById).isFinding;
+  const next = findNextUnanswered(record, request);
+  const isBehindBreak = next !== request && wasResponseBegun(record, next) &&
+    !describeClosed(record, next, runsById).isFinding;
   return isBehindBreak
     ? explained("waited behind a response that broke off")
     : unexplained("closed without being read");
 }
 
+/** Returns the first request of the connection without a whole response. */
+function findNextUnanswered(
+  { requests }: TrialRecord,
+  { connection }: SentRequest,
+): SentRequest {
+  const { responses } = connection;
+  return requests.find((other) =>
+    other.connection === connection &&
+    !responses[other.responseIndex]?.isComplete
+  )!;
+}
+
+/** Without the head of a response, the entry could have sent another one. */
+function wasResponseBegun(
+  { log }: TrialRecord,
+  { connection, responseIndex, requestId }: SentRequest,
+): boolean {
+  // A reset can destroy the head on its way.
+  return connection.responses[responseIndex] !== undefined ||
+    log.some(({ event, fields }) =>
+      event === logEvents.responseIncomplete.number &&
+      fields["request"] === requestId && fields["wasStarted"] === true
+    );
+}
+
 /**
  * Time at which the entry had sent the last response of a connection and said
  * that it closes it. A caller that pauses its reading sees that later.
--- a/measure/kept_connections/trial_checks_test.ts
+++ b/measure/kept_connections/trial_checks_test.ts
@@ -11,20 +11,26 @@
 
 const closedAtMs = 2_000;
 const sentAtMs = 1_000;
+const deadlineMs = 10_000;
+const trialEndedAtMs = 20_000;
 
 /** Two requests are pipelined; the entry began only with the first one. */
 function checkSecondRequest(
-  { received, runEnd, sentResponseAtMs }: {
+  { received, runEnd, sentResponseAtMs, isFailureLogged, ...given }: {
     readonly received: string;
     readonly runEnd: RunEnd;
     readonly sentResponseAtMs: number;
+    readonly isFailureLogged: boolean;
+    readonly wasStarted: boolean;
+    readonly end: ConnectionEnd;
+    readonly firstDeadlineMs: number;
   },
 ): readonly string[] {
   const reader = createResponseReader();
   reader.push(Buffer.from(received));
   const connection = {
     responses: reader.responses,
-    getEnd: () => ConnectionEnd.Finished,
+    getEnd: () => given.end,
     getEndedAtMs: () => closedAtMs,
     getViolation: () => undefined,
   } as Partial<CallerConnection> as CallerConnection;
@@ -34,7 +40,7 @@
     connection,
     connectionNumber: 1,
     responseIndex,
-    deadlineMs: 10_000,
+    deadlineMs: responseIndex === 0 ? given.firstDeadlineMs : deadlineMs,
     startedAtMs: sentAtMs,
     sentAtMs,
     leftAtMs: undefined,
@@ -49,19 +55,27 @@
       end: runEnd,
       endedAtMs: closedAtMs,
     }],
-    log: [{
+    log: [
+      logEvents.requestEnded,
+      logEvents.responseIncomplete,
+      ...(isFailureLogged ? [logEvents.forwardingFailed] : []),
+    ].map(({ number }) => ({
       atMs: sentResponseAtMs,
-      event: logEvents.requestEnded.number,
+      event: number,
       text: "",
-      fields: { request: "first" },
-    }],
+      fields: {
+        request: "first",
+        reason: "the connection was closed",
+        wasStarted: given.wasStarted,
+      },
+    })),
     timeouts: [],
     uncaught: [],
     drainStartedAtMs: Infinity,
     graceMs: 0,
     drainedAtMs: Infinity,
   };
-  return checkTrial(record, 20_000).findings
+  return checkTrial(record, trialEndedAtMs).findings
     .map(({ requestId, what }) => `${requestId}: ${what}`);
 }
 
@@ -84,6 +98,13 @@
     runEnd: RunEnd.Cancelled,
     expected: ["first: closed after it was passed on", ...lost],
   },
+  {
+    name: "behind a response whose break is not what ended it",
+    received: broken,
+    runEnd: RunEnd.BrokenOff,
+    isFailureLogged: false,
+    expected: ["first: closed after it was passed on", ...lost],
+  },
   {
     name: "behind a complete response that keeps the connection",
     received: kept,
@@ -103,10 +124,47 @@
     sentResponseAtMs: sentAtMs + 100,
     expected: [],
   },
+  {
+    name: "behind a response whose head a reset destroyed",
+    received: "",
+    runEnd: RunEnd.BrokenOff,
+    wasStarted: true,
+    end: ConnectionEnd.Reset,
+    expected: [],
+  },
+  {
+    name: "behind a request that broke off before its response",
+    received: "",
+    runEnd: RunEnd.BrokenOff,
+    end: ConnectionEnd.Reset,
+    expected: lost,
+  },
+  {
+    name: "behind a response that is not late",
+    received: broken,
+    runEnd: RunEnd.Open,
+    end: ConnectionEnd.None,
+    firstDeadlineMs: 2 * trialEndedAtMs,
+    expected: [],
+  },
+  {
+    name: "behind a response that is late",
+    received: broken,
+    runEnd: RunEnd.Open,
+    end: ConnectionEnd.None,
+    expected: ["first: no end", "second: no end"],
+  },
 ])(
   "a request that was sent $name",
-  ({ received, runEnd, sentResponseAtMs = closedAtMs, expected }) => {
-    const findings = checkSecondRequest({ received, runEnd, sentResponseAtMs });
+  ({ name: _name, expected, ...given }) => {
+    const findings = checkSecondRequest({
+      sentResponseAtMs: closedAtMs,
+      isFailureLogged: true,
+      wasStarted: false,
+      end: ConnectionEnd.Finished,
+      firstDeadlineMs: deadlineMs,
+      ...given,
+    });
     expect(findings.filter((what) => !what.includes("status 503"))).toEqual(
       expected,
     );
