--- a/src/forwarding/caller_exchange.ts
+++ b/src/forwarding/caller_exchange.ts
@@ -116,6 +116,7 @@
   let disconnectCallback: (() => void) | undefined;
   let shutdownCallback: (() => void) | undefined;
   let abortReason: string | undefined;
+  const drainCallbacks = new Set<() => void>();
   response.on("finish", () => finish(CallerState.Completed));
   response.on("close", () => {
     if (!response.writableFinished) finish(CallerState.Closed);
@@ -141,7 +142,12 @@
     discardBody,
     startResponse,
     write: (bytes) => response.write(bytes),
-    onDrain: (callback) => response.once("drain", callback),
+    onDrain: (callback) => {
+      // An attempt waits after each of its writes, and several may follow each
+      // other; a listener for each of them exceeds the limit of Node.js.
+      if (drainCallbacks.size === 0) response.once("drain", handleDrain);
+      drainCallbacks.add(callback);
+    },
     endResponse: (bytes) => {
       if (state === CallerState.Closed) return;
       if (bytes) response.end(bytes);
@@ -174,6 +180,12 @@
     disconnectCallback?.();
   }
 
+  function handleDrain(): void {
+    const callbacks = [...drainCallbacks];
+    drainCallbacks.clear();
+    for (const callback of callbacks) callback();
+  }
+
   function describeEnd(): Pick<IncompleteResponse, "end" | "reason"> {
     if (abortReason !== undefined) {
       return { end: IncompleteEnd.Aborted, reason: abortReason };
--- a/src/forwarding/caller_exchange_test.ts
+++ b/src/forwarding/caller_exchange_test.ts
@@ -4,6 +4,7 @@
  */
 import { createServer } from "node:http";
 import net from "node:net";
+import process from "node:process";
 import { afterEach, expect, test } from "vitest";
 import { createForwardingProtocol } from "../../platform/forwarding_protocol.ts";
 import {
@@ -126,3 +127,27 @@
   );
   expect(ended.wasRequestRead).toBe(false);
 });
+
+// Node.js warns of more than ten listeners as of a leak.
+test("each callback for a drained response is called once, by one listener", async () => {
+  const warnings: string[] = [];
+  const handleWarning = ({ message }: Error) => warnings.push(message);
+  process.on("warning", handleWarning);
+  closers.push(() => process.off("warning", handleWarning));
+  let count = 0;
+  await endConnection((exchange, socket) => {
+    socket.resume();
+    exchange.startResponse(200, []);
+    const resume = () => {
+      count += 1;
+    };
+    for (let index = 0; index < 40; index++) {
+      exchange.write(Buffer.alloc(16 * 1024));
+      exchange.onDrain(resume);
+    }
+    exchange.onDrain(() => exchange.abort("drained"));
+  });
+  expect(count).toBe(1);
+  await new Promise((resolve) => setImmediate(resolve));
+  expect(warnings).toEqual([]);
+});
