Read arrived requests before a shutdown closes idle connections

The drain now lets the event loop read before it closes idle connections. "a request that arrives while a draining instance is blocked is answered" fails on the parent commit without a response.

--- a/src/core/timeout_after_reads.ts
+++ b/src/core/timeout_after_reads.ts
@@ -23,3 +23,8 @@
     clearImmediate(immediate);
   };
 }
+
+/** Resolves after the sockets that are readable now have been read. */
+export function waitForReads(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -11,6 +11,7 @@
 import type { ResultAsync } from "neverthrow";
 import { closeOnlyIdleConnections } from "../core/idle_connections.ts";
 import { type ListenAddress, listenOn } from "../core/listen_on.ts";
+import { waitForReads } from "../core/timeout_after_reads.ts";
 import {
   createError,
   ErrorKind,
@@ -249,6 +250,8 @@
     const startedAtMs = clock.nowMs();
     const getElapsedMs = () => clock.nowMs() - startedAtMs;
     while (getElapsedMs() < graceMs - exitMarginMs) {
+      // A connection with an unread request looks idle.
+      await waitForReads();
       if (!isClosing && getElapsedMs() >= loadBalancerDelayMs) {
         isClosing = true;
         server.close();
