--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -50,6 +50,11 @@
   for (const name of ["SIGINT", "SIGTERM"]) {
     process.once(name, () => process.exit(2));
   }
+  // The status of Node.js is 1 otherwise, as if the rule was broken.
+  process.once("uncaughtException", (cause) => {
+    console.error(cause);
+    process.exit(2);
+  });
   main().then(
     (isHeld) => process.exit(isHeld ? 0 : 1),
     (cause) => {
