--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -434,13 +434,17 @@
     worker.running += 1;
     const entry = { id, atMs: performance.now(), status: 0 };
     worker.runs.push(entry);
-    const { status, afterMs, isBad = false } = run(request, worker);
+    const { status, afterMs, isBad = false, headers = {} } = run(
+      request,
+      worker,
+    );
     entry.isBad = isBad;
     setTimeout(() => {
       worker.running -= 1;
       entry.status = status;
       record(`worker ${worker.id} ${worker.version} ran ${id}: ${status}`);
-      respond(status, { "Response-Seal": `seal.${worker.id}.${id}` }, "done");
+      const seal = { "Response-Seal": `seal.${worker.id}.${id}` };
+      respond(status, { ...seal, ...headers }, "done");
     }, afterMs);
   }
 
