--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,10 +1,12 @@
 /**
- * A model worker answers a few requests with interim responses without end: bytes
- * that are no answer, in a head, until the caller closes the channel. With
- * TROUBLE=0 it answers all requests soundly.
+ * An order of a rollout reaches a control instance that stands still. The
+ * operator gets no response, sends the order to another one, and later orders
+ * the next version. When the instance goes on, it applies the first order once
+ * more. With TROUBLE=0 no instance stands still.
  */
 import process from "node:process";
 import {
+  createDocument,
   createOperator,
   openRecord,
   runCase,
@@ -13,130 +15,116 @@
   startDeployment,
   startPlatform,
 } from "../lib/deployment.mjs";
-import {
-  createEngines,
-  createStreamDocument,
-  requestStream,
-} from "../lib/engines.mjs";
 
 const hasTrouble = process.env.TROUBLE !== "0";
 const record = openRecord(import.meta.url);
-const zones = ["khangai-a", "khangai-b", "khangai-c"];
-/** Requests a second of the plain kinds, and streams a second. */
+const service = "sack-ledger";
+const zones = ["khangai-a", "khangai-b", "khangai-c", "khangai-d"];
 const perS = 58;
-const streamsPerS = 6.5;
-const runMs = 40_000;
-/** Requests that the bad worker spoils, of about 260 streams. */
-const spoiledCount = 3;
-const firstSpoiledNumber = 40;
-/** A machine's link has 1,000 Mbit/s; the worker sends at most 800 of them. */
-const floodBytesPerMs = 100_000;
-const floodIntervalMs = 5;
-/** The time-out of the routes of the plain kinds. */
-const timeoutMs = 1_200;
+const durationS = 3;
+/** The longest freeze of a core machine in the site file. */
+const freezeMs = 7_500;
 
 runCase(async () => {
   const platform = await startPlatform({ record });
-  let remainingCount = hasTrouble ? spoiledCount : 0;
-  let streamNumber = 0;
-  let badId;
-  const { addEngine } = createEngines({
-    platform,
-    record,
-    spoil: ({ worker, socket, id }) => {
-      if (worker.id !== badId || remainingCount === 0) return false;
-      if (streamNumber <= firstSpoiledNumber) return false;
-      remainingCount -= 1;
-      flood(socket, id);
-      return true;
-    },
-  });
-  for (const zone of zones) {
-    await platform.addWorker({
-      service: "sack-ledger",
-      zone,
-      run: () => ({ status: 200, afterMs: 30 + Math.random() * 25 }),
-    });
-    for (let count = 0; count < 3; count++) await addEngine(zone);
-  }
-  badId = platform.workers.find(({ isEngine }) => isEngine).id;
   const deployment = await startDeployment({
     controlZones: zones,
     entryZones: zones,
     upstreamList: platform.address,
     record,
   });
-  const operator = createOperator({
-    addresses: deployment.controls.map(deployment.getControlAddress),
-    record,
-  });
+  const addresses = deployment.controls.map(deployment.getControlAddress);
+  const operator = createOperator({ addresses, record });
+  const addVersion = async (version) => {
+    for (const zone of zones) {
+      await platform.addWorker({
+        service,
+        zone,
+        version,
+        run: () => ({ status: 200, afterMs: 30 + Math.random() * 25 }),
+      });
+    }
+  };
+  /** At `complete` the old workers stop. */
+  const removeOthers = (kept) => {
+    for (const worker of platform.workers) {
+      if (worker.isListed && worker.version !== kept) {
+        platform.removeWorker(worker);
+      }
+    }
+  };
+  await addVersion("v1");
   const accepted = await operator.call(
     "PUT",
     "/config",
-    createStreamDocument(),
+    createDocument({ version: 3, service }),
     { forMs: 10_000 },
   );
   if (accepted.status !== 200) throw new Error("no configuration accepted");
   await deployment.waitUntilReady();
-  const addresses = deployment.entries.map(deployment.getFrontAddress);
-  const callers = startCallers({ addresses, perS, record });
-  const streamTimer = setInterval(
-    () => void startStream(),
-    1_000 / streamsPerS,
-  );
-  await sleep(runMs);
-  clearInterval(streamTimer);
-  callers.stop();
+  const callers = startCallers({
+    addresses: deployment.entries.map(deployment.getFrontAddress),
+    perS,
+    record,
+  });
   await sleep(3_000);
 
-  // CONFIG, as it is written, for the plain requests.
-  const unanswered = callers.requests.filter(({ sentAtMs, endedAtMs }) =>
-    endedAtMs - sentAtMs >= timeoutMs
+  // The fourth machine is no seed and never leads before it has caught up.
+  const frozen = deployment.controls.at(-1);
+  const running = createOperator({ addresses: addresses.slice(0, -1), record });
+  const order = (target) => ({ service, target, duration_s: durationS });
+  await addVersion("v2");
+  const frozenAtMs = performance.now();
+  if (hasTrouble) deployment.signal(frozen, "SIGSTOP");
+  const firstTry = await operator.callOnce(
+    addresses.at(-1),
+    "POST",
+    "/rollouts",
+    order("v2"),
   );
-  const without = unanswered.filter(({ answer, sentAtMs, endedAtMs }) =>
-    answer.status === 0 || endedAtMs - sentAtMs > timeoutMs + 500
-  );
-  record(
-    `${callers.requests.length} plain requests sent; ${unanswered.length} ` +
-      `unanswered at timeout_ms, ${without.length} of them half a second later`,
-    { isShown: true },
-  );
-  const silent = callers.requests.filter(({ answer }) => answer.status === 0);
-  record(
-    `${silent.length} plain requests never answered; ${streamNumber} streams ` +
-      `sent, ${hasTrouble ? spoiledCount - remainingCount : 0} spoiled`,
-    { isShown: true },
-  );
-  for (const machine of [...deployment.controls, ...deployment.entries]) {
-    if (machine.ends.length > 0) throw new Error(`${machine.name} ended`);
+  if (firstTry.status !== 200) {
+    await running.call("POST", "/rollouts", order("v2"));
   }
-  return without.length * 2 <= unanswered.length;
+  await waitForEnd("v2");
+  removeOthers("v2");
+  await addVersion("v3");
+  const second = await running.call("POST", "/rollouts", order("v3"));
+  if (second.status !== 200) throw new Error("the second order was refused");
+  await waitForEnd("v3");
+  removeOthers("v3");
+  const restMs = freezeMs - (performance.now() - frozenAtMs);
+  record(`v3 is complete ${Math.round(restMs)} ms before the freeze ends`, {
+    isShown: true,
+  });
+  if (restMs < 0) throw new Error("the moves took longer than the freeze");
+  await sleep(restMs);
+  if (hasTrouble) deployment.signal(frozen, "SIGCONT");
+  await sleep(4_000);
 
-  async function startStream() {
-    streamNumber += 1;
-    const number = streamNumber;
-    const id = `s${String(number).padStart(5, "0")}`;
-    const answer = await requestStream(addresses[number % addresses.length], {
-      id,
-      promptParts: `5c1e${number}:200,91bd${number}:8000`,
-    });
-    record(`caller ${id} letter: ${answer.status} ${answer.isComplete}`);
+  // The final fault: all processes are killed and are back within a second.
+  for (const machine of [...deployment.controls, ...deployment.entries]) {
+    deployment.signal(machine, "SIGKILL");
   }
+  await sleep(4_000);
+  const read = await operator.call("GET", `/rollouts/${service}`, undefined, {
+    forMs: 10_000,
+  });
+  callers.stop();
+  await sleep(2_700);
+  record(`acknowledged last: v3, complete; read at the end: ${read.body}`, {
+    isShown: true,
+  });
+  if (read.status !== 200) throw new Error("no response at the end");
+  const { state, target } = JSON.parse(read.body);
+  return target === "v3" && state === "complete";
 
-  function flood(socket, id) {
-    record(`worker ${badId} sends interim responses to ${id}`, {
-      isShown: true,
-    });
-    const interim = "HTTP/1.1 102 Processing\r\n\r\n";
-    const bytes = Buffer.from(
-      interim.repeat(floodBytesPerMs * floodIntervalMs / interim.length),
-    );
-    const timer = setInterval(() => {
-      if (socket.writableLength < bytes.length) socket.write(bytes);
-    }, floodIntervalMs);
-    socket.once("close", () => {
-      clearInterval(timer);
-      record(`the channel of ${id} is closed`, { isShown: true });
-    });
+  async function waitForEnd(target) {
+    while (true) {
+      const { body } = await running.call("GET", `/rollouts/${service}`);
+      const got = JSON.parse(body);
+      if (got.target === target && got.state === "complete") return;
+      if (got.state === "rolled_back") throw new Error(`${target} rolled back`);
+      await sleep(100);
+    }
   }
 });
