--- a/review/lib/engines.mjs
+++ b/review/lib/engines.mjs
@@ -107,11 +107,13 @@
       );
       timer = setInterval(writeEvent, eventIntervalMs);
     }, prefillMs);
-    socket.once("close", () => clearInterval(timer));
+    const stop = () => clearInterval(timer);
+    socket.once("close", stop);
 
     function writeEvent() {
       if (eventId >= eventCount) {
-        clearInterval(timer);
+        stop();
+        socket.off("close", stop);
         if (!socket.destroyed) socket.write("0\r\n\r\n");
         return;
       }
