--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -4,6 +4,7 @@
  * TROUBLE=0 it answers all requests soundly.
  */
 import process from "node:process";
+import { Worker } from "node:worker_threads";
 import {
   createOperator,
   openRecord,
@@ -27,39 +28,30 @@
 const streamsPerS = 6.5;
 const runMs = 40_000;
 /** Requests that the bad worker spoils, of about 260 streams. */
-const spoiledCount = 3;
-const firstSpoiledNumber = 40;
-/** A machine's link has 1,000 Mbit/s; the worker sends at most 800 of them. */
-const floodBytesPerMs = 100_000;
-const floodIntervalMs = 5;
+const spoiledCount = 5;
+const soundMs = 6_000;
 /** The time-out of the routes of the plain kinds. */
 const timeoutMs = 1_200;
 
 runCase(async () => {
   const platform = await startPlatform({ record });
-  let remainingCount = hasTrouble ? spoiledCount : 0;
+  let spoiledSoFar = 0;
   let streamNumber = 0;
-  let badId;
   const { addEngine } = createEngines({
     platform,
     record,
-    spoil: ({ worker, socket, id }) => {
-      if (worker.id !== badId || remainingCount === 0) return false;
-      if (streamNumber <= firstSpoiledNumber) return false;
-      remainingCount -= 1;
-      flood(socket, id);
-      return true;
-    },
+    spoil: () => false,
   });
+  const badWorker = await startBadWorker();
   for (const zone of zones) {
     await platform.addWorker({
       service: "sack-ledger",
       zone,
       run: () => ({ status: 200, afterMs: 30 + Math.random() * 25 }),
     });
-    for (let count = 0; count < 3; count++) await addEngine(zone);
+    const ownCount = zone === zones[0] ? 2 : 3;
+    for (let count = 0; count < ownCount; count++) await addEngine(zone);
   }
-  badId = platform.workers.find(({ isEngine }) => isEngine).id;
   const deployment = await startDeployment({
     controlZones: zones,
     entryZones: zones,
@@ -84,7 +76,9 @@
     () => void startStream(),
     1_000 / streamsPerS,
   );
-  await sleep(runMs);
+  await sleep(soundMs);
+  if (hasTrouble) badWorker.postMessage("spoil");
+  await sleep(runMs - soundMs);
   clearInterval(streamTimer);
   callers.stop();
   await sleep(3_000);
@@ -104,7 +98,7 @@
   const silent = callers.requests.filter(({ answer }) => answer.status === 0);
   record(
     `${silent.length} plain requests never answered; ${streamNumber} streams ` +
-      `sent, ${hasTrouble ? spoiledCount - remainingCount : 0} spoiled`,
+      `sent, ${spoiledSoFar} spoiled`,
     { isShown: true },
   );
   for (const machine of [...deployment.controls, ...deployment.entries]) {
@@ -123,20 +117,24 @@
     record(`caller ${id} letter: ${answer.status} ${answer.isComplete}`);
   }
 
-  function flood(socket, id) {
-    record(`worker ${badId} sends interim responses to ${id}`, {
-      isShown: true,
+  function startBadWorker() {
+    const thread = new Worker(new URL("bad_worker.mjs", import.meta.url), {
+      workerData: { zone: zones[0], spoiledCount },
     });
-    const interim = "HTTP/1.1 102 Processing\r\n\r\n";
-    const bytes = Buffer.from(
-      interim.repeat(floodBytesPerMs * floodIntervalMs / interim.length),
-    );
-    const timer = setInterval(() => {
-      if (socket.writableLength < bytes.length) socket.write(bytes);
-    }, floodIntervalMs);
-    socket.once("close", () => {
-      clearInterval(timer);
-      record(`the channel of ${id} is closed`, { isShown: true });
+    return new Promise((resolve, reject) => {
+      thread.once("error", reject);
+      thread.on("message", ({ text, isSpoiled, listed }) => {
+        if (text) record(text, { isShown: isSpoiled });
+        if (isSpoiled) spoiledSoFar += 1;
+        if (!listed) return;
+        platform.workers.push({
+          ...listed,
+          isListed: true,
+          isDraining: false,
+          runs: [],
+        });
+        resolve(thread);
+      });
     });
   }
 });
