Keep the revision of each object's last change instead of 300 changes

Cause: the store kept the last 300 changes for instances that are behind. A change of the forwarding table contains the whole table, so the number of kept objects was bounded and their size was not.

Now the store keeps the revision at which each object last changed and makes an update from the present states. An update had always contained only the newest state of each object, so receivers see no difference.

--- a/src/control/configuration_store.ts
+++ b/src/control/configuration_store.ts
@@ -1,6 +1,8 @@
 /**
- * Holds the newest configuration that one instance knows, and its latest
- * changes, so that another instance receives only what it lacks.
+ * Holds the newest configuration that one instance knows, and at which revision
+ * each object last changed, so that another instance receives only what it
+ * lacks. Earlier states of an object are not kept: memory depends on the size of
+ * the configuration and not on the number of changes before it.
  *
  * An update from `fromRevision` contains the newest state of every object
  * changed since then, so it also applies to any later revision below its own.
@@ -12,6 +14,7 @@
   type ConfigurationChanges,
   configurationChangesSchema,
   configurationSchema,
+  lookUp,
   objectKinds,
 } from "./configuration.ts";
 
@@ -43,25 +46,29 @@
   getUpdate(fromRevision: number): ConfigurationUpdate;
 }
 
-/** All changes after `fromRevision`, up to and including `revision`. */
-interface Segment {
-  readonly fromRevision: number;
+type ObjectKind = typeof objectKinds[number];
+
+/** The latest change of an object that still exists or was removed. */
+interface ObjectChange {
+  readonly kind: ObjectKind;
+  readonly name: string;
   readonly revision: number;
-  readonly changes: ConfigurationChanges;
 }
 
 /**
- * Covers an hour at the planned rate of changes. An instance that is further
- * behind gets the full configuration.
+ * Limits the names of removed objects. Beyond it, an instance that is behind
+ * gets the full configuration.
  */
-const maxSegments = 300;
+const maxRemovedObjects = 10_000;
 
 export function createConfigurationStore(
   initial: Configuration,
 ): ConfigurationStore {
   let configuration = initial;
-  /** In order of revision, without gaps. */
-  let segments: Segment[] = [];
+  /** Changes after `baseRevision`, by kind and name. */
+  let lastChanges = new Map<string, ObjectChange>();
+  /** Lowest revision from which changes can be sent. */
+  let baseRevision = initial.revision;
   return {
     getConfiguration: () => configuration,
     getRevision: () => configuration.revision,
@@ -74,14 +81,13 @@
     const current = configuration.revision;
     if (update.kind === "full") {
       if (update.configuration.revision <= current) return false;
-      configuration = update.configuration;
-      segments = [];
+      replace(update.configuration);
       return true;
     }
     const { fromRevision, revision, changes } = update;
     if (revision <= current || !canExtend(fromRevision)) return false;
     configuration = applyChanges(configuration, changes, revision);
-    addSegment({ fromRevision, revision, changes });
+    recordChanges(changes);
     return true;
   }
 
@@ -99,47 +105,70 @@
   ): boolean {
     const { revision } = committed;
     if (revision <= configuration.revision) return false;
-    const fromRevision = revision - 1;
-    if (changes && canExtend(fromRevision)) {
-      addSegment({ fromRevision, revision, changes });
-    } else segments = [];
+    if (!changes || !canExtend(revision - 1)) {
+      replace(committed);
+      return true;
+    }
     configuration = committed;
+    recordChanges(changes);
     return true;
   }
 
-  function addSegment(segment: Segment): void {
-    segments.push(segment);
-    if (segments.length > maxSegments) segments.shift();
+  function replace(next: Configuration): void {
+    configuration = next;
+    forgetChanges();
+  }
+
+  function forgetChanges(): void {
+    lastChanges = new Map();
+    baseRevision = configuration.revision;
+  }
+
+  function recordChanges(changes: ConfigurationChanges): void {
+    const { revision } = configuration;
+    for (const kind of objectKinds) {
+      for (const name of Object.keys(changes[kind] ?? {})) {
+        lastChanges.set(`${kind}\0${name}`, { kind, name, revision });
+      }
+    }
+    if (lastChanges.size <= maxRemovedObjects) return;
+    const objectCount = objectKinds.reduce(
+      (sum, kind) => sum + Object.keys(configuration[kind]).length,
+      0,
+    );
+    if (lastChanges.size > objectCount + maxRemovedObjects) forgetChanges();
   }
 
   function getUpdate(fromRevision: number): ConfigurationUpdate {
     const { revision } = configuration;
-    const needed = segments.filter((entry) => entry.revision > fromRevision);
-    const first = needed[0];
     if (fromRevision >= revision) {
       return { kind: "changes", fromRevision, revision, changes: {} };
     }
-    if (!first || first.fromRevision > fromRevision) {
+    if (fromRevision < Math.max(1, baseRevision)) {
       return { kind: "full", configuration };
     }
+    const needed = [...lastChanges.values()].filter((change) =>
+      change.revision > fromRevision
+    );
     return {
       kind: "changes",
-      fromRevision: first.fromRevision,
+      fromRevision,
       revision,
-      changes: mergeChanges(needed.map((entry) => entry.changes)),
+      changes: getCurrentStates(configuration, needed),
     };
   }
 }
 
-function mergeChanges(
-  all: readonly ConfigurationChanges[],
+/** Returns the present state of each object, `null` if it was removed. */
+function getCurrentStates(
+  configuration: Configuration,
+  changed: readonly ObjectChange[],
 ): ConfigurationChanges {
-  const merged: Record<string, Record<string, unknown>> = {};
-  for (const changes of all) {
-    for (const kind of objectKinds) {
-      if (!changes[kind]) continue;
-      merged[kind] = { ...merged[kind], ...changes[kind] };
-    }
+  const states: Partial<Record<ObjectKind, Record<string, unknown>>> = {};
+  for (const { kind, name } of changed) {
+    const objects: Readonly<Record<string, unknown>> = configuration[kind];
+    const found = states[kind] ??= {};
+    found[name] = lookUp(objects, name) ?? null;
   }
-  return merged as ConfigurationChanges;
+  return states as ConfigurationChanges;
 }
