Bound the trailing entries of the control log by their bytes

They filled memory and disk of all control instances at once. The ticket table also kept the source of superseded tickets without a table.

The test fails before, at about 30 of 80 changes of 1 MiB: "expected to be less than". Now it passes.

--- a/measure/simulated_log_group.ts
+++ b/measure/simulated_log_group.ts
@@ -80,6 +80,7 @@
     heartbeatMs: 20,
     replaceVoterAfterMs,
     trailingEntries: 3,
+    trailingBytes: 250,
     maxMessageBytes: 400,
     maxInFlightEntries: 8,
   };
--- a/src/control/log/log_entries.ts
+++ b/src/control/log/log_entries.ts
@@ -43,7 +43,7 @@
   let sizeBytes = 0;
   const last = Math.min(state.entries.length, start + limits.maxEntries);
   while (end < last) {
-    sizeBytes += state.entries[end]!.data.length + entryOverheadBytes;
+    sizeBytes += getEntryBytes(state.entries[end]!);
     if (sizeBytes > limits.maxBytes && end > start) break;
     end += 1;
   }
@@ -53,6 +53,10 @@
 /** Upper bound of the encoded size of an entry's fields besides its data. */
 const entryOverheadBytes = 100;
 
+function getEntryBytes(entry: LogEntry): number {
+  return entry.data.length + entryOverheadBytes;
+}
+
 /** Appends the entries, replacing those with the same or a higher index. */
 export function appendEntries(
   step: StepContext,
@@ -118,10 +122,7 @@
       state.snapshot.configuration,
     data,
   };
-  const baseIndex = Math.max(
-    state.baseIndex,
-    index - state.options.trailingEntries,
-  );
+  const baseIndex = getTrailingBase(state, index);
   state.baseTerm = getTermAt(state, baseIndex)!;
   state.entries.splice(0, baseIndex - state.baseIndex);
   state.baseIndex = baseIndex;
@@ -134,6 +135,20 @@
   });
 }
 
+/** Returns the index before the first trailing entry of a snapshot. */
+function getTrailingBase(state: ConsensusState, index: number): number {
+  const { trailingEntries, trailingBytes } = state.options;
+  const lowest = Math.max(state.baseIndex, index - trailingEntries);
+  let base = index;
+  let sizeBytes = 0;
+  while (base > lowest) {
+    sizeBytes += getEntryBytes(state.entries[base - state.baseIndex - 1]!);
+    if (sizeBytes > trailingBytes) break;
+    base -= 1;
+  }
+  return base;
+}
+
 /** Installs a snapshot from the leader in place of the entries it covers. */
 export function installSnapshot(
   step: StepContext,
--- a/src/control/log/log_types.ts
+++ b/src/control/log/log_types.ts
@@ -40,6 +40,8 @@
   readonly replaceVoterAfterMs: number;
   /** Entries kept before the snapshot index for followers that lag slightly. */
   readonly trailingEntries: number;
+  /** Limits the size of these entries; a follower behind them gets a snapshot. */
+  readonly trailingBytes: number;
   readonly maxMessageBytes: number;
   /** Maximum number of unacknowledged entries per follower. */
   readonly maxInFlightEntries: number;
@@ -122,7 +124,7 @@
   readonly selfId: ReplicaId;
   durable: DurableState;
   snapshot: LogSnapshot;
-  /** Contiguous; may overlap the snapshot by `trailingEntries`. */
+  /** Contiguous; may overlap the snapshot by trailing entries. */
   entries: LogEntry[];
   /** Index and term of the entry before the first one. */
   baseIndex: number;
--- a/src/control/replicated_log.ts
+++ b/src/control/replicated_log.ts
@@ -127,6 +127,9 @@
     leaseMs: options.electionTimeoutMs * 0.9,
     heartbeatMs: options.electionTimeoutMs / 6,
     trailingEntries: 2_000,
+    // Together with a segment and the entries between two snapshots, a small
+    // part of a control instance's disk and memory (128 MB and 346 MB).
+    trailingBytes: 8 * 1024 * 1024,
     // A frame is at most 4 MiB, and a command at most about 300 KiB.
     maxMessageBytes: 1024 * 1024,
     maxInFlightEntries: 4_096,
--- a/src/control/replicated_log_test.ts
+++ b/src/control/replicated_log_test.ts
@@ -1,5 +1,5 @@
 /** Runs control logs on real data folders, connected within one process. */
-import { closeSync, readdirSync, readlinkSync } from "node:fs";
+import { closeSync, readdirSync, readlinkSync, statSync } from "node:fs";
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -12,6 +12,7 @@
 import type { LogEnvelope } from "../peer/control_log_messages.ts";
 import type { PeerClient } from "../peer/peer_client.ts";
 import { ClaimStatus, type Command, CommandKind } from "./commands.ts";
+import { getEmptyConfiguration } from "./configuration.ts";
 import {
   createConsensusOptions,
   createReplicatedLog,
@@ -218,3 +219,47 @@
   expect(await propose(createClaim(3, "other")))
     .toEqual({ status: ClaimStatus.Pending });
 });
+
+function getFolderBytes(id: string): number {
+  const path = join(folder, id);
+  return readdirSync(path).reduce(
+    (sum, name) => sum + statSync(join(path, name)).size,
+    0,
+  );
+}
+
+// Guards against a log that keeps a number of entries whatever their size: it
+// filled the disks of all control instances, and nothing was committed again.
+test("large changes leave the data folder within its limit", async () => {
+  // Segments and trailing entries of 8 MiB each, a snapshot interval and two
+  // snapshots: a quarter of a control instance's disk of 128 MB.
+  const limitBytes = 32 * 1024 * 1024;
+  const changeCount = 80;
+  const source = "x".repeat(1024 * 1024);
+  const limits = { weight: 1, maxOpenAnswers: null, maxRateTokensPerS: null };
+  ids.forEach(start);
+  for (let number = 1; number <= changeCount; number++) {
+    const ticket = { number, source, limits: { customer: limits } };
+    expect(
+      await propose({
+        kind: CommandKind.SubmitTicket,
+        ticket,
+        initial: getEmptyConfiguration(),
+        atWallMs: 1_000,
+      }),
+    ).toMatchObject({ status: "accepted" });
+    for (const id of ids) {
+      expect(getFolderBytes(id)).toBeLessThan(limitBytes);
+    }
+  }
+  await Promise.all(ids.map(stop));
+  ids.forEach(start);
+  expect(
+    await propose({
+      kind: CommandKind.ReadTickets,
+      objectPath: "limits.customer",
+      beforeNumber: changeCount + 1,
+      limit: 1,
+    }),
+  ).toMatchObject({ records: [{ number: changeCount }] });
+});
--- a/src/control/ticket_table.ts
+++ b/src/control/ticket_table.ts
@@ -190,10 +190,13 @@
       acceptedAtWallMs,
       ticket,
     };
+    const superseded = new Set<number>();
     for (const path of listTouchedPaths(ticket)) {
-      discardLargeContent(lastNumbers.get(path));
+      const lastNumber = lastNumbers.get(path);
+      if (lastNumber !== undefined) superseded.add(lastNumber);
       lastNumbers.set(path, number);
     }
+    for (const last of superseded) discardLargeContent(last);
     records.set(number, record);
     if (records.size > 2 * retainedRecordCount) discardRecords();
     change(changes);
@@ -201,16 +204,20 @@
   }
 
   /**
-   * Discards the large content of a superseded ticket. Forwarding tables and
-   * source documents are sent whole with every ticket, and the hash suffices to
-   * recognize a resubmission.
+   * Discards the large content of a ticket once none of its objects is in
+   * force. Forwarding tables and source documents are sent whole with every
+   * ticket, and the hash suffices to recognize a resubmission.
    */
-  function discardLargeContent(number: number | undefined): void {
-    const record = records.get(number ?? 0);
-    if (!record?.ticket.forwarding) return;
+  function discardLargeContent(number: number): void {
+    const record = records.get(number);
+    if (!record) return;
+    const isInForce = listTouchedPaths(record.ticket).some((path) =>
+      lastNumbers.get(path) === number
+    );
+    if (isInForce) return;
     const { source: _source, forwarding: _forwarding, ...ticket } =
       record.ticket;
-    records.set(record.number, { ...record, ticket });
+    records.set(number, { ...record, ticket });
   }
 
   function change(changes: ConfigurationChanges): Configuration {
