--- a/src/control/log/log_storage.ts
+++ b/src/control/log/log_storage.ts
@@ -81,6 +81,7 @@
   let durable: DurableState = { groupId: "", term: 0, votedFor: "" };
   let segmentNumber = 0;
   let segmentSizeBytes = 0;
+  let hasDroppedEntries = false;
   let handle: FileHandle;
   let replicaId: ReplicaId;
   let stored: StoredLog;
@@ -88,11 +89,9 @@
     replicaId = await readIdentity(dataFolder, instanceId);
     const snapshot = await readSnapshot(dataFolder, names);
     const entries = await readSegments(names.filter(isSegmentName));
-    stored = {
-      durable,
-      snapshot,
-      entries: dropSupersededEntries(entries, snapshot),
-    };
+    const kept = dropSupersededEntries(entries, snapshot);
+    hasDroppedEntries = kept.length < entries.length;
+    stored = { durable, snapshot, entries: kept };
   } else {
     if (names.some((name) => isSnapshotName(name))) {
       throw new Error(`${identityName} is missing, but a snapshot exists`);
@@ -112,6 +111,9 @@
     stored = { durable, snapshot: emptySnapshot, entries: [] };
   }
   handle = await startSegment();
+  // Otherwise the entries that follow the snapshot would leave a gap after the
+  // dropped ones, and the next start would reject the folder.
+  if (hasDroppedEntries) await write({ isReset: true });
   if (!hasIdentity) {
     const identity = JSON.stringify({ replicaId });
     await replaceFileAtomically(
--- a/src/control/log/log_storage_test.ts
+++ b/src/control/log/log_storage_test.ts
@@ -157,6 +157,30 @@
   expect(third.stored.entries).toEqual([]);
 });
 
+// Guards against a folder that is rejected after a crash between the rename of a
+// leader's snapshot and the record that resets the log.
+test("entries that a snapshot superseded leave no gap after a crash", async () => {
+  const first = (await open())._unsafeUnwrap();
+  await write(first, 1, 3);
+  const path = await getPath("log-");
+  const sizeBytes = (await readFile(path)).length;
+  const snapshot = {
+    index: 20,
+    term: 2,
+    configuration: { voters: [first.replicaId], learners: [] },
+    data: new Uint8Array([1, 2, 3]),
+  };
+  const reset = { baseIndex: 20, isReset: true };
+  (await first.saveSnapshot(snapshot, reset))._unsafeUnwrap();
+  await truncate(path, sizeBytes);
+  const second = await reopen(first);
+  expect(second.stored.entries).toEqual([]);
+  await write(second, 21, 22, 2);
+  const third = await reopen(second);
+  expect(third.stored.snapshot).toEqual(snapshot);
+  expect(third.stored.entries).toEqual(createEntries(21, 22, 2));
+});
+
 test("an unfinished snapshot is ignored, and a truncated one is rejected", async () => {
   const first = (await open())._unsafeUnwrap();
   await write(first, 1, 3);
