Share the event loop among upstreams and bound what precedes a response

Nothing counted interim responses, or the empty lines that may precede a head.

Now the reads of all connections to upstreams share each turn (256 KiB or 5 ms), and a response with more than 16 interim responses, or 64 KiB before its head, is broken off.

--- a/src/forwarding/upstream_connections.ts
+++ b/src/forwarding/upstream_connections.ts
@@ -17,6 +17,7 @@
 } from "node:http";
 import net from "node:net";
 import { getErrorMessage } from "../core/errors.ts";
+import { createReadPacer } from "../core/read_pacing.ts";
 import { setTimeoutAfterReads } from "../core/timeout_after_reads.ts";
 import type { RawHeaders } from "./forwarding_protocol.ts";
 import { isCloseDelimited } from "./response_framing.ts";
@@ -86,6 +87,13 @@
 /** Detects a peer that disappeared without closing the connection. */
 const keepAliveProbeMs = 1_000;
 const maxIdleSocketsPerUpstream = 16;
+/** Limits of what the bytes of all upstreams take in one turn of the event loop. */
+const maxReadBytesPerTurn = 256 * 1024;
+const maxReadMsPerTurn = 5;
+/** Upstreams send none, or one before a long piece of work. */
+const maxInterimResponses = 16;
+/** Limits what comes before the head of a response; Node limits the head. */
+const maxBytesBeforeHead = 64 * 1024;
 /**
  * A closed connection is noticed within a round trip. Later, the remaining time
  * that the request states would be wrong.
@@ -99,10 +107,16 @@
   hasFailed: boolean;
   /** The response has no length and ends when the connection closes. */
   isCloseDelimited: boolean;
+  /** Called after a buffer was read. */
+  onRead: (() => void) | undefined;
 }
 
 export function createUpstreamConnections(): UpstreamConnections {
   const socketStates = new WeakMap<net.Socket, SocketState>();
+  const pacer = createReadPacer({
+    maxBytesPerTurn: maxReadBytesPerTurn,
+    maxMsPerTurn: maxReadMsPerTurn,
+  });
   let openedCount = 0;
   const agent = new Agent({
     keepAlive: true,
@@ -117,6 +131,7 @@
   agent.keepSocketAlive = ((socket: net.Socket): boolean => {
     const entry = getSocketState(socket);
     entry.isInUse = false;
+    entry.onRead = undefined;
     entry.idleSinceMs = performance.now();
     socket.setTimeout(maxIdleMs);
     // The published types omit the return value.
@@ -150,6 +165,7 @@
       noDelay: true,
       allowHalfOpen: true,
     });
+    pacer.pace(socket, () => getSocketState(socket).onRead?.());
     const cancelTimeout = setTimeoutAfterReads(
       () => socket.destroy(new Error("connecting timed out")),
       connectTimeoutMs,
@@ -189,6 +205,7 @@
         idleSinceMs: 0,
         hasFailed: false,
         isCloseDelimited: false,
+        onRead: undefined,
       };
       socketStates.set(socket, entry);
     }
@@ -230,6 +247,7 @@
     let received: IncomingMessage | undefined;
     /** Bytes of earlier responses on the connection. */
     let earlierBytes = 0;
+    let interimCount = 0;
     let socket: net.Socket | undefined;
     const connection = mayReuseConnection ? "keep-alive" : "close";
     const startedAtMs = performance.now();
@@ -274,9 +292,16 @@
         const entry = getSocketState(assigned);
         entry.isInUse = true;
         entry.requestCount += 1;
+        entry.onRead = checkBytesBeforeHead;
         if (!assigned.connecting) wasSent = true;
         else assigned.once("connect", () => wasSent = true);
       });
+      sent.on("information", () => {
+        interimCount += 1;
+        if (interimCount > maxInterimResponses) {
+          fail("too many interim responses");
+        }
+      });
       sent.on("response", receiveResponse);
       sent.on("error", (cause) => handleRequestFailure(sent, cause));
       sent.on("close", () => {
@@ -308,6 +333,14 @@
       request = trySendRequest();
     }
 
+    /** Empty lines before a head are valid, and Node reports none of them. */
+    function checkBytesBeforeHead(): void {
+      if (received || !socket) return;
+      if (socket.bytesRead - earlierBytes > maxBytesBeforeHead) {
+        fail("the response has no head");
+      }
+    }
+
     function receiveResponse(response: IncomingMessage): void {
       received = response;
       const status = response.statusCode ?? 0;
