Bound the pieces of a body, and copy small pieces into blocks

Cause: the bound of what is held of a response counts bytes. Each piece was kept as a buffer of its own, a hundred times its byte, and each costs a call of the handlers.

Now a response with more than 4,096 pieces whose mean is below 8 bytes is broken off, for all that is sent to upstreams.

--- a/src/forwarding/call_attempt.ts
+++ b/src/forwarding/call_attempt.ts
@@ -4,8 +4,9 @@
  * or the upstream fails. A response above `maxBufferedBytes` is relayed as it
  * arrives instead.
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { assertNever } from "../core/assert_never.ts";
+import { createByteCollector } from "../core/byte_collector.ts";
 import type {
   AdmittedRequest,
   ForwardingContext,
@@ -59,8 +60,7 @@
   let settle: (outcome: AttemptOutcome) => void = () => {};
   const outcome = new Promise<AttemptOutcome>((resolve) => settle = resolve);
   let head: { status: number; headers: RawHeaders } | undefined;
-  let chunks: Buffer[] = [];
-  let heldBytes = 0;
+  const held = createByteCollector();
   let isRelaying = false;
   const sentAtMs = clock.nowMs();
   limits.recordSend(upstreamId);
@@ -161,16 +161,14 @@
       relayChunk(chunk);
       return;
     }
-    chunks.push(chunk);
-    heldBytes += chunk.length;
-    if (heldBytes <= maxBufferedBytes) return;
+    held.add(chunk);
+    if (held.getSizeBytes() <= maxBufferedBytes) return;
     isRelaying = true;
     caller.startResponse(
       head!.status,
       protocol.buildCallerHeaders(head!.headers),
     );
-    for (const held of chunks) relayChunk(held);
-    chunks = [];
+    for (const block of held.takeBlocks()) relayChunk(block);
   }
 
   function relayChunk(chunk: Buffer): void {
@@ -181,7 +179,7 @@
 
   function onEnd(): void {
     requestLoad.release();
-    const response = { ...head!, body: Buffer.concat(chunks) };
+    const response = { ...head!, body: held.takeAll() };
     if (!isRelaying && isBrokenOff(caller.method, response)) {
       directory.recordIncompleteResponse(upstreamId);
       settle({ kind: "unknown", reason: "the response was broken off" });
--- a/src/forwarding/caller_exchange.ts
+++ b/src/forwarding/caller_exchange.ts
@@ -2,8 +2,9 @@
  * One request of a caller and the response to it: reads the body within the
  * limit, detects that the caller disconnects, and writes the response.
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { createByteCollector } from "../core/byte_collector.ts";
 import {
   createError,
   ErrorKind,
@@ -215,17 +216,15 @@
   }
 
   function readBody(maxBytes: number): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
+    const body = createByteCollector();
     let sizeBytes = 0;
     return new Promise((resolve) => {
       request.on("data", (chunk: Buffer) => {
         sizeBytes += chunk.length;
-        if (sizeBytes <= maxBytes) chunks.push(chunk);
+        if (sizeBytes <= maxBytes) body.add(chunk);
         else resolve(undefined);
       });
-      request.on("end", () => {
-        resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
-      });
+      request.on("end", () => resolve(body.takeAll()));
       request.on("error", () => resolve(undefined));
       request.on("close", () => resolve(undefined));
     });
--- a/src/forwarding/stream_attempt.ts
+++ b/src/forwarding/stream_attempt.ts
@@ -2,7 +2,7 @@
  * One attempt to run a stream on an engine: its state, and what can be told from
  * it.
  */
-import type { Buffer } from "node:buffer";
+import type { ByteCollector } from "../core/byte_collector.ts";
 import type { CopyManager } from "./copy_manager.ts";
 import type { EventSplitter } from "./event_splitter.ts";
 import type { PromptPart } from "./forwarding_protocol.ts";
@@ -36,8 +36,7 @@
   exchange: Exchange | undefined;
   head: ResponseHead | undefined;
   /** Body of a response that is not a stream. */
-  readonly errorBody: Buffer[];
-  errorBytes: number;
+  readonly errorBody: ByteCollector;
 }
 
 /** Callers may send many parts; the first ones are the shared ones. */
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -3,8 +3,9 @@
  * after the last complete event, at the engine that holds a copy of its KV
  * cache or else at one that prefills the prompt again.
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { assertNever } from "../core/assert_never.ts";
+import { createByteCollector } from "../core/byte_collector.ts";
 import { ErrorKind } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
 import { CallerState } from "./caller_exchange.ts";
@@ -361,8 +362,7 @@
       splitter: createEventSplitter(),
       exchange: undefined,
       head: undefined,
-      errorBody: [],
-      errorBytes: 0,
+      errorBody: createByteCollector(),
     };
     run = started;
     usedVersions.add(info.version);
@@ -484,9 +484,8 @@
   }
 
   function keepErrorBody(current: StreamAttempt, chunk: Buffer): void {
-    current.errorBody.push(chunk);
-    current.errorBytes += chunk.length;
-    if (current.errorBytes <= maxErrorBytes) return;
+    current.errorBody.add(chunk);
+    if (current.errorBody.getSizeBytes() <= maxErrorBytes) return;
     directory.recordFailure(current.upstream.info.upstreamId);
     handleLoss(current, { wasSent: true, reason: "the error is too large" });
   }
@@ -644,7 +643,7 @@
   function endWithError(current: StreamAttempt): void {
     const { status, headers } = current.head!;
     directory.recordFailure(current.upstream.info.upstreamId);
-    const errorBody = Buffer.concat(current.errorBody);
+    const errorBody = current.errorBody.takeAll();
     const mayResume = status >= 500 && route.isResumable &&
       ranCount + 1 < route.maxAttempts;
     if (isBrokenOff(caller.method, { status, headers, body: errorBody })) {
--- a/src/forwarding/upstream_call.ts
+++ b/src/forwarding/upstream_call.ts
@@ -2,7 +2,8 @@
  * A call of this instance itself to an upstream, such as for its report: the
  * response is short, and one that is too long or too late counts as none.
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
+import { createByteCollector } from "../core/byte_collector.ts";
 import { setTimeoutAfterReads } from "../core/timeout_after_reads.ts";
 import type { ProtocolCall } from "./forwarding_protocol.ts";
 import type { UpstreamConnections } from "./upstream_connections.ts";
@@ -28,8 +29,7 @@
   { host, port, method, path, headers, body, timeoutMs }: UpstreamCall,
   onResponse: (response: CallResponse) => void,
 ): void {
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
+  const received = createByteCollector();
   let status = 0;
   let isFinished = false;
   const exchange = connections.send({
@@ -43,9 +43,8 @@
   }, {
     onHead: (value) => status = value,
     onData: (chunk) => {
-      receivedBytes += chunk.length;
-      if (receivedBytes <= maxBodyBytes) chunks.push(chunk);
-      else abort();
+      received.add(chunk);
+      if (received.getSizeBytes() > maxBodyBytes) abort();
     },
     onEnd: () => finish(status),
     onFailure: () => finish(0),
@@ -61,6 +60,6 @@
     if (isFinished) return;
     isFinished = true;
     cancelTimeout();
-    onResponse({ status: finalStatus, body: Buffer.concat(chunks) });
+    onResponse({ status: finalStatus, body: received.takeAll() });
   }
 }
--- a/src/forwarding/upstream_connections.ts
+++ b/src/forwarding/upstream_connections.ts
@@ -92,6 +92,12 @@
 const maxReadMsPerTurn = 5;
 /** Upstreams send none, or one before a long piece of work. */
 const maxInterimResponses = 16;
+/**
+ * Limits of the pieces of a body. Each costs a call of the handlers, so a body
+ * of one-byte chunks costs a thousand times its size.
+ */
+const maxSmallPieces = 4_096;
+const minMeanPieceBytes = 8;
 /** Limits what comes before the head of a response; Node limits the head. */
 const maxBytesBeforeHead = 64 * 1024;
 /**
@@ -348,8 +354,14 @@
         fail("the response head is invalid");
         return;
       }
+      let pieceCount = 0;
+      let bodyBytes = 0;
       response.on("data", (chunk: Buffer) => {
-        if (!isSettled) handlers.onData(chunk);
+        pieceCount += 1;
+        bodyBytes += chunk.length;
+        if (pieceCount > maxSmallPieces + bodyBytes / minMeanPieceBytes) {
+          fail("the response consists of too many pieces");
+        } else if (!isSettled) handlers.onData(chunk);
       });
       const hasNoFraming = isCloseDelimited(response.rawHeaders);
       if (socket) getSocketState(socket).isCloseDelimited = hasNoFraming;
