Take empty lines as one event, and don't copy an event for each of its pieces

Cause: each two empty lines were an event of their own, 32,000 in a buffer of 64 KiB. Beside it, an incomplete event was copied and searched from its start for each piece that arrived, so its cost grew with the square of its pieces.

Now empty lines that follow each other are one event, and an incomplete event grows in place and is searched from where the last search ended.

--- a/src/forwarding/event_splitter.ts
+++ b/src/forwarding/event_splitter.ts
@@ -35,28 +35,63 @@
 const lineFeed = 10;
 const carriageReturn = 13;
 
+/** An incomplete event grows in place from this capacity. */
+const minCapacityBytes = 1024;
+
 export function createEventSplitter(): EventSplitter {
+  /** The incomplete event is the first `pendingBytes` of it. */
   let pending: Buffer = Buffer.alloc(0);
-  return { push, getPendingBytes: () => pending.length };
+  let pendingBytes = 0;
+  return { push, getPendingBytes: () => pendingBytes };
 
   function push(chunk: Buffer): StreamEvent[] {
-    const bytes = pending.length === 0
-      ? chunk
-      : Buffer.concat([pending, chunk]);
+    const searchedBytes = pendingBytes;
+    const bytes = searchedBytes === 0 ? chunk : appendToPending(chunk);
     const events: StreamEvent[] = [];
     let start = 0;
+    // An end that begins in the pending bytes ends in the chunk.
+    let searchFrom = Math.max(0, searchedBytes - maxEventEndBytes + 1);
     while (true) {
-      const end = findEventEnd(bytes, start);
+      const end = findEventEnd(bytes, searchFrom);
       if (end < 0) break;
-      const event = bytes.subarray(start, end);
-      events.push(describeEvent(event));
-      start = end;
+      const textStart = skipEmptyLines(bytes, start);
+      const next = Math.max(end, textStart);
+      events.push({
+        ...describeEvent(bytes.subarray(Math.min(textStart, next), next)),
+        bytes: bytes.subarray(start, next),
+      });
+      start = next;
+      searchFrom = next;
     }
-    pending = bytes.subarray(start);
+    if (start > 0 || searchedBytes === 0) setPending(bytes.subarray(start));
     return events;
   }
+
+  /** Grows by doubling, so that small pieces don't copy all bytes each time. */
+  function appendToPending(chunk: Buffer): Buffer {
+    const sizeBytes = pendingBytes + chunk.length;
+    if (sizeBytes > pending.length) {
+      const grown = Buffer.allocUnsafe(
+        Math.max(minCapacityBytes, 2 * pending.length, sizeBytes),
+      );
+      grown.set(pending.subarray(0, pendingBytes));
+      pending = grown;
+    }
+    pending.set(chunk, pendingBytes);
+    pendingBytes = sizeBytes;
+    return pending.subarray(0, pendingBytes);
+  }
+
+  /** Copies the bytes: the events that were returned share their memory. */
+  function setPending(bytes: Buffer): void {
+    pending = Buffer.from(bytes);
+    pendingBytes = bytes.length;
+  }
 }
 
+/** A line feed, a carriage return and a line feed. */
+const maxEventEndBytes = 3;
+
 /** Returns the index after the empty line that ends the event, or -1. */
 function findEventEnd(bytes: Buffer, start: number): number {
   let lineFeedIndex = bytes.indexOf(lineFeed, start);
@@ -69,7 +104,21 @@
   return -1;
 }
 
-function describeEvent(bytes: Buffer): StreamEvent {
+/**
+ * Returns the index after the empty lines at the start. Many are one event: a
+ * buffer of them would otherwise be 32,000 events.
+ */
+function skipEmptyLines(bytes: Buffer, start: number): number {
+  let end = start;
+  while (true) {
+    if (bytes[end] === lineFeed) end += 1;
+    else if (bytes[end] === carriageReturn && bytes[end + 1] === lineFeed) {
+      end += 2;
+    } else return end;
+  }
+}
+
+function describeEvent(bytes: Buffer): Omit<StreamEvent, "bytes"> {
   let eventId: number | undefined;
   let hasField = false;
   let hasKnownField = false;
@@ -85,5 +134,5 @@
     if (/^\d{1,15}$/.test(value)) eventId = Number(value);
   }
   const isForeign = hasField && (!hasKnownField || lineEnds.size > 1);
-  return { bytes, eventId, hasField, isForeign };
+  return { eventId, hasField, isForeign };
 }
--- a/src/forwarding/event_splitter_test.ts
+++ b/src/forwarding/event_splitter_test.ts
@@ -67,6 +67,43 @@
   ]);
 });
 
+// Guards against a process that is occupied by empty lines: each pair of them was
+// an event.
+test("empty lines that follow each other are one event", () => {
+  const splitter = createEventSplitter();
+  const blank = "\n\r\n".repeat(10_000);
+  const events = splitter.push(Buffer.from(`data: a\n\n${blank}data: b\n\n`));
+  expect(events.map(({ bytes }) => bytes.toString())).toEqual([
+    "data: a\n\n",
+    blank,
+    "data: b\n\n",
+  ]);
+  expect(events.map(({ hasField }) => hasField)).toEqual([true, false, true]);
+});
+
+// Guards against copying and searching the whole event for each of its pieces.
+test("an event in pieces of one byte takes time in proportion to its size", () => {
+  const splitter = createEventSplitter();
+  const event = Buffer.from(`id: 1\ndata: ${"a".repeat(300_000)}\r\n\r\n`);
+  const startedAtMs = performance.now();
+  const received = [...event].flatMap((byte) =>
+    splitter.push(Buffer.from([byte]))
+  );
+  expect(performance.now() - startedAtMs).toBeLessThan(3_000);
+  expect(received.map(({ bytes }) => bytes.equals(event))).toEqual([true]);
+  expect(splitter.getPendingBytes()).toBe(0);
+});
+
+test("returned events keep their bytes when more are pushed", () => {
+  const splitter = createEventSplitter();
+  splitter.push(Buffer.from("data: a"));
+  const [first] = splitter.push(Buffer.from("b\n\ndata: c"));
+  const [second] = splitter.push(Buffer.from("d\n\n"));
+  splitter.push(Buffer.from("data: overwritten"));
+  expect([first, second].map((event) => event!.bytes.toString()))
+    .toEqual(["data: ab\n\n", "data: cd\n\n"]);
+});
+
 test.each(["", " ", "-1", "1e3", "0x10", "1.0", "1234567890123456"])(
   "the id %j is not a number",
   (id) => {
