Break off a stream that sends nothing new for 64 KiB

Comments and empty lines were passed on to the caller as fast as they came.

Cause: a repeated event was skipped for the caller but counted as progress, so that no check found the stream silent; comments were no progress, but not bounded.

Now an event whose id the attempt has sent before is no progress, and 64 KiB without a new event end the attempt like a loss, so that a stream that can be resumed goes on elsewhere.

--- a/src/forwarding/stream_attempt.ts
+++ b/src/forwarding/stream_attempt.ts
@@ -4,7 +4,7 @@
  */
 import type { ByteCollector } from "../core/byte_collector.ts";
 import type { CopyManager } from "./copy_manager.ts";
-import type { EventSplitter } from "./event_splitter.ts";
+import type { EventSplitter, StreamEvent } from "./event_splitter.ts";
 import type { PromptPart } from "./forwarding_protocol.ts";
 import type { PaceMeter } from "./pace_meter.ts";
 import { isCloseDelimited } from "./response_framing.ts";
@@ -19,6 +19,10 @@
   firstEventAtMs: number | undefined;
   isPastStart: boolean;
   lastEventAtMs: number | undefined;
+  /** Highest id of its events, also of those that the caller has. */
+  highestEventId: number | undefined;
+  /** Bytes since the last event that was new in the attempt. */
+  bytesWithoutProgress: number;
   /** Whether its events wait until the caller has read earlier ones. */
   isPaused: boolean;
   resumedAtMs: number;
@@ -46,6 +50,37 @@
   return head !== undefined && head.status >= 200 && head.status < 300;
 }
 
+/** Keeps a connection open for hours; more are bytes that are no response. */
+const maxBytesWithoutProgress = 64 * 1024;
+
+export enum EventProgress {
+  /** The attempt has sent the event for the first time. */
+  New = "new",
+  /** A comment, empty lines or an event that the attempt has sent before. */
+  None = "none",
+  /** The attempt has sent nothing new for too many bytes. */
+  Stuck = "stuck",
+}
+
+/** Records an event that the attempt sent and tells whether it goes on. */
+export function recordProgress(
+  attempt: StreamAttempt,
+  { bytes, eventId, hasField }: StreamEvent,
+): EventProgress {
+  const { highestEventId } = attempt;
+  const isRepeated = eventId !== undefined && highestEventId !== undefined &&
+    eventId <= highestEventId;
+  if (hasField && !isRepeated) {
+    attempt.highestEventId = eventId ?? highestEventId;
+    attempt.bytesWithoutProgress = 0;
+    return EventProgress.New;
+  }
+  attempt.bytesWithoutProgress += bytes.length;
+  return attempt.bytesWithoutProgress > maxBytesWithoutProgress
+    ? EventProgress.Stuck
+    : EventProgress.None;
+}
+
 /** Returns why a stream that ended is not complete, if it is not. */
 export function findBreak(
   { splitter, head, firstEventAtMs }: StreamAttempt,
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -50,9 +50,11 @@
 import { isBrokenOff } from "./response_framing.ts";
 import {
   describePlacement,
+  EventProgress,
   findBreak,
   getWritingMs,
   isStream,
+  recordProgress,
   type StreamAttempt,
 } from "./stream_attempt.ts";
 import {
@@ -346,6 +348,8 @@
       firstEventAtMs: undefined,
       isPastStart: false,
       lastEventAtMs: undefined,
+      highestEventId: undefined,
+      bytesWithoutProgress: 0,
       isPaused: false,
       resumedAtMs: -Infinity,
       hasAddedEvents: false,
@@ -492,6 +496,11 @@
 
   function forwardEvent(current: StreamAttempt, event: StreamEvent): void {
     const { bytes, eventId, hasField } = event;
+    const progress = recordProgress(current, event);
+    if (progress === EventProgress.Stuck) {
+      handleLoss(current, { wasSent: true, reason: "it sends nothing new" });
+      return;
+    }
     const decision = decideOnEvent(event, {
       hasEvents: eventCount > 0,
       lastEventId,
@@ -505,6 +514,8 @@
       relay(current, bytes);
       return;
     }
+    // An event that is repeated doesn't show that the stream goes on.
+    if (progress === EventProgress.None) return;
     if (current.lastEventAtMs === undefined) {
       if (current.prefillTokens > 0) {
         directory.getPrefillRateTracker(service.name)
