Guard streams without shared prompt parts, and count crashes by resends

Cause: streams without shared prompt parts were not guarded. A guard by their digest had been taken out since it refused sound streams: crashes were counted by failure domain, so equal requests at several upstreams that were lost at one moment looked like one that crashes upstreams one after the other.

Now, for calls and streams alike, a crash is a further one for a request only if the request was sent after the last one. Crashes within 200 ms count once for shared parts, whatever their domains. Streams without shared parts are known by a digest.

--- a/src/forwarding/call_crash_guard.ts
+++ b/src/forwarding/call_crash_guard.ts
@@ -13,12 +13,17 @@
   AdmittedRequest,
   ForwardingContext,
 } from "./forwarding_context.ts";
+import { checkListening } from "./listen_check.ts";
 import { getRequestDigest } from "./request_digest.ts";
 
 export interface CallCrashGuard {
   decide(): CallGuardDecision;
-  /** Records what an attempt shows about the call. */
-  recordOutcome(upstream: ListedUpstream, outcome: AttemptOutcome): void;
+  /** Records what an attempt that was sent then shows about the call. */
+  recordOutcome(
+    upstream: ListedUpstream,
+    outcome: AttemptOutcome,
+    sentAtMs: number,
+  ): void;
 }
 
 export type CallGuardDecision =
@@ -26,13 +31,11 @@
   /** The call is quarantined. */
   | { readonly kind: "refuse" };
 
-/** A crashed upstream has closed its listener by then, and is not back yet. */
-const listenCheckDelayMs = 50;
-
 export function createCallCrashGuard(
-  { clock, connections, quarantine }: ForwardingContext,
+  context: Pick<ForwardingContext, "clock" | "connections" | "quarantine">,
   admitted: AdmittedRequest,
 ): CallCrashGuard {
+  const { quarantine } = context;
   const service = admitted.service.name;
   const requestKey = getRequestDigest(admitted);
   return {
@@ -43,7 +46,8 @@
       const suspicion = quarantine.getSuspicion(service, requestKey);
       return suspicion ? decideOnSuspect(suspicion) : { kind: "send" };
     },
-    recordOutcome: ({ upstreamId, domainId, host, port }, outcome) => {
+    recordOutcome: (upstream, outcome, sentAtMs) => {
+      const { upstreamId, domainId } = upstream;
       switch (outcome.kind) {
         case "answered":
         case "passedOn":
@@ -55,25 +59,17 @@
           quarantine.recordCrash({ service, upstreamId, domainId }, {
             requestKey,
             partIds: [],
+            sentAtMs,
           });
-          void checkListening({ upstreamId, host, port });
+          checkListening(
+            context,
+            upstream,
+            () => quarantine.recordResponse(service, upstreamId),
+          );
           return;
         case "notRun":
           return;
       }
     },
   };
-
-  /** An upstream that accepts connections has only reset one. */
-  async function checkListening(
-    { upstreamId, host, port }: Pick<
-      ListedUpstream,
-      "upstreamId" | "host" | "port"
-    >,
-  ): Promise<void> {
-    await clock.sleep(listenCheckDelayMs);
-    if (await connections.isListening(host, port)) {
-      quarantine.recordResponse(service, upstreamId);
-    }
-  }
 }
--- a/src/forwarding/call_forwarder.ts
+++ b/src/forwarding/call_forwarder.ts
@@ -44,6 +44,7 @@
   let ranCount = 0;
   let notRunCount = 0;
   let currentAttempt: CallAttempt | undefined;
+  let attemptSentAtMs = 0;
   let endWaiting: (() => void) | undefined;
   let isFinished = false;
   caller.onDisconnect(() => {
@@ -69,7 +70,7 @@
     }
     const outcome = await (started ?? startAttempt(upstream));
     started = undefined;
-    crashGuard.recordOutcome(upstream.info, outcome);
+    crashGuard.recordOutcome(upstream.info, outcome, attemptSentAtMs);
     if (isFinished) break;
     if (outcome.kind === "notRun") notRunCount += 1;
     else ranCount += 1;
@@ -155,6 +156,7 @@
 
   function startAttempt({ info }: Upstream): Promise<AttemptOutcome> {
     triedIds.add(info.upstreamId);
+    attemptSentAtMs = clock.nowMs();
     const requestLoad = directory.trackRequest(info.upstreamId);
     currentAttempt = startCallAttempt(context, admitted, requestLoad, {
       mayReuseConnection: route.kind !== RequestKind.Unsafe,
--- a/src/forwarding/crash_guard.ts
+++ b/src/forwarding/crash_guard.ts
@@ -7,28 +7,29 @@
   type CrashDecision,
   decideAfterCrash,
 } from "../quarantine/crash_decisions.ts";
-import type { RequestQuarantine } from "../quarantine/request_quarantine.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
-import type { PromptPart } from "./forwarding_protocol.ts";
+import type {
+  AdmittedRequest,
+  ForwardingContext,
+} from "./forwarding_context.ts";
+import { checkListening } from "./listen_check.ts";
+import { getRequestDigest } from "./request_digest.ts";
 
 export interface CrashGuard {
-  /** The quarantined part of the prompt, if there is one. */
+  /** The quarantined part of the prompt, or the request itself, if any. */
   findQuarantinedPart(): string | undefined;
   /** Records that the engine ended before the run got past its start. */
-  recordCrash(engine: ListedUpstream): CrashDecision;
+  recordCrash(engine: ListedUpstream, sentAtMs: number): CrashDecision;
   /** Records that a run got past its start. */
   recordSoundRun(): void;
-  /** Calls back when a part of the prompt is quarantined, until `end`. */
+  /**
+   * Calls back when the request or a part of its prompt is quarantined, until
+   * `end`.
+   */
   onQuarantined(callback: (partId: string) => void): void;
   end(): void;
 }
 
-export interface CrashGuardOptions {
-  readonly quarantine: RequestQuarantine;
-  readonly service: string;
-  readonly promptParts: readonly PromptPart[];
-}
-
 /**
  * An engine that crashes on a request does so when it generates its first
  * tokens. A run that sends events for this long is past its start.
@@ -50,33 +51,28 @@
 }
 
 export function createCrashGuard(
-  { quarantine, service, promptParts }: CrashGuardOptions,
+  context: Pick<ForwardingContext, "clock" | "connections" | "quarantine">,
+  admitted: AdmittedRequest,
 ): CrashGuard {
-  const partIds = promptParts.map(({ partId }) => partId.slice(0, maxIdChars));
+  const { quarantine } = context;
+  const service = admitted.service.name;
+  const partIds = admitted.caller.description.promptParts.map(({ partId }) =>
+    partId.slice(0, maxIdChars)
+  );
   // The last part belongs to the request or to its session alone.
   const sharedIds = partIds.slice(0, -1).slice(-maxSharedParts);
-  const requestKey = partIds.at(-1) ?? "";
+  const requestKey = sharedIds.length > 0
+    ? partIds.at(-1)!
+    : getRequestDigest({ ...admitted, promptPartIds: partIds });
+  const ownIds = sharedIds.length > 0 ? partIds : [requestKey];
   let crashCount = 0;
   let unsubscribe: (() => void) | undefined;
   return {
     findQuarantinedPart,
-    recordCrash: ({ upstreamId, domainId }) => {
-      // Streams without parts look alike, so their crashes show nothing.
-      if (sharedIds.length === 0) return { kind: "resume" };
-      crashCount += 1;
-      quarantine.recordCrash({ service, upstreamId, domainId }, {
-        requestKey,
-        partIds: sharedIds,
-      });
-      return decideAfterCrash({
-        crashCount,
-        isOfSoundParts: quarantine.areSound(service, sharedIds),
-      });
-    },
+    recordCrash,
     recordSoundRun: () =>
       quarantine.recordSoundRun(service, [...sharedIds, requestKey]),
     onQuarantined: (callback) => {
-      if (sharedIds.length === 0) return;
       unsubscribe = quarantine.subscribe(() => {
         const partId = findQuarantinedPart();
         if (partId !== undefined) callback(partId);
@@ -85,9 +81,33 @@
     end: () => unsubscribe?.(),
   };
 
+  function recordCrash(
+    engine: ListedUpstream,
+    sentAtMs: number,
+  ): CrashDecision {
+    const { upstreamId, domainId } = engine;
+    crashCount += 1;
+    quarantine.recordCrash({ service, upstreamId, domainId }, {
+      requestKey,
+      partIds: sharedIds,
+      sentAtMs,
+    });
+    if (sharedIds.length === 0) {
+      checkListening(context, engine, () => {
+        crashCount -= 1;
+        quarantine.recordResponse(service, upstreamId);
+      });
+    }
+    return decideAfterCrash({
+      crashCount,
+      isOfSoundParts: quarantine.areSound(
+        service,
+        sharedIds.length > 0 ? sharedIds : [requestKey],
+      ),
+    });
+  }
+
   function findQuarantinedPart(): string | undefined {
-    return sharedIds.length === 0
-      ? undefined
-      : quarantine.findQuarantined(service, partIds);
+    return quarantine.findQuarantined(service, ownIds);
   }
 }
--- a/src/forwarding/request_digest.ts
+++ b/src/forwarding/request_digest.ts
@@ -9,12 +9,15 @@
 const prefix = "request:";
 
 export function getRequestDigest(
-  { caller, service, customerId, body }:
+  { caller, service, customerId, body, promptPartIds = [] }:
     & Pick<
       AdmittedRequest,
       "service" | "customerId" | "body"
     >
-    & { readonly caller: { readonly method: string; readonly path: string } },
+    & {
+      readonly caller: { readonly method: string; readonly path: string };
+      readonly promptPartIds?: readonly string[];
+    },
 ): string {
   const fields = JSON.stringify([
     service.name,
@@ -22,6 +25,7 @@
     caller.path,
     // Repetitions of one customer say nothing about requests of others.
     customerId ?? null,
+    ...promptPartIds,
   ]);
   return prefix + createHash("sha256").update(fields).update("\n")
     .update(body).digest("base64url");
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -119,11 +119,7 @@
   const traits = service.engine ?? defaultEngineTraits;
   const budgetKey = { service: service.name, customerId: "" };
   const triedIds = new Set<string>();
-  const crashGuard = createCrashGuard({
-    quarantine: context.quarantine,
-    service: service.name,
-    promptParts: description.promptParts,
-  });
+  const crashGuard = createCrashGuard(context, admitted);
   let lastEventId = description.lastEventId;
   let eventCount = 0;
   let ranCount = 0;
@@ -737,7 +733,7 @@
     if (run !== lost || isFinished) return;
     const { upstreamId } = lost.upstream.info;
     const afterCrash: CrashDecision = hasEngineEnded && !lost.isPastStart
-      ? crashGuard.recordCrash(lost.upstream.info)
+      ? crashGuard.recordCrash(lost.upstream.info, lost.startedAtMs)
       : { kind: "resume" };
     const mayUseCopy = wasSent && lost.lastEventAtMs !== undefined &&
       afterCrash.kind === "resume";
--- a/src/quarantine/crash_decisions.ts
+++ b/src/quarantine/crash_decisions.ts
@@ -4,10 +4,14 @@
  * A crash ends all requests of an upstream, and most of them are sound. A part
  * that crashes every upstream is present in each of several crashes, in
  * different requests, and no run with it gets past its start in between. A
- * shared sound part is cleared by its other runs, and crashes of a whole failure
- * domain at the same moment count once. A request without shared parts is known
- * by its own key, which its repetitions have too.
+ * shared sound part is cleared by its other runs. A request without shared parts
+ * is known by its own key, which its repetitions have too.
+ *
+ * Several upstreams that are lost at one moment count as one crash. What crashes
+ * upstreams does so again when it is sent again: a crash is a further one for a
+ * request if the request was sent after the last one.
  */
+import type { InstanceId } from "../core/types.ts";
 import {
   type CrashSuspect,
   formatPartKey,
@@ -20,7 +24,12 @@
   readonly upstreamId: string;
   readonly domainId: string;
   readonly atMs: number;
-  readonly suspects: readonly CrashSuspect[];
+  readonly suspects: readonly ReportedSuspect[];
+}
+
+export interface ReportedSuspect extends CrashSuspect {
+  /** The entry instance that sent the request; absent at this instance. */
+  readonly reporterId?: InstanceId;
 }
 
 /** Runs with a part that got past their start. */
@@ -42,8 +51,10 @@
   getStatus(key: PartKey): PartStatus;
 }
 
-/** Upstreams of a failure domain that crash within this time crash together. */
-const jointCrashMs = 100;
+/** Upstreams that crash within this time crash together. */
+const jointCrashMs = 200;
+/** Reports of one moment by several instances differ by less. */
+const reportSkewMs = 50;
 const minCrashCount = 3;
 const minCrashCountOfReleasedPart = 2;
 const minCrashCountAtOneUpstream = 5;
@@ -51,6 +62,8 @@
 const minRequestCount = 2;
 /** Time for reports of sound runs to arrive from all entry instances. */
 const minEvidenceAgeMs = 1_500;
+/** Time in which an equal request may run after the last crash. */
+const minSinceLastCrashMs = 500;
 /**
  * A part that was sound until now needs more evidence: a fault that lasts would
  * also have kept its usual runs from starting.
@@ -112,8 +125,9 @@
  */
 function findRequests(evidence: CrashEvidence, nowMs: number): PartKey[] {
   return listRequests(evidence).filter(({ key, crashes }) =>
-    countSeparateCrashes(crashes) >= getMinCrashCount(key, crashes, evidence) &&
-    nowMs - getFirstAtMs(crashes) >= minEvidenceAgeMs
+    countSentAgain(crashes) >= getMinCrashCount(key, crashes, evidence) &&
+    nowMs - getFirstAtMs(crashes) >= minEvidenceAgeMs &&
+    nowMs - getLastAtMs(crashes) >= minSinceLastCrashMs
   ).map(({ key }) => key);
 }
 
@@ -147,7 +161,7 @@
       const runs = evidence.getSoundRuns(key);
       return {
         key,
-        crashCount: countSeparateCrashes(crashes),
+        crashCount: countSentAgain(crashes),
         lastCrashAgeMs: crashes.length > 0 ? getAgeMs(getLastAtMs(crashes)) : 0,
         ...(runs ? { lastRunAgeMs: getAgeMs(runs.lastAtMs) } : {}),
       };
@@ -166,14 +180,21 @@
 interface RequestCandidate {
   readonly key: PartKey;
   /** Crashes after which neither the request nor all of its parts have run. */
-  readonly crashes: Crash[];
+  readonly crashes: RequestCrash[];
   readonly hasSharedParts: boolean;
 }
 
+interface RequestCrash extends Crash {
+  /** When the request was sent to the upstream, as far as is known. */
+  readonly sentAtMs: number | undefined;
+  readonly reporterId: InstanceId | undefined;
+}
+
 function listRequests(evidence: CrashEvidence): RequestCandidate[] {
   const candidates = new Map<string, RequestCandidate>();
   for (const crash of listUnexplained(evidence.crashes, evidence)) {
-    for (const { requestKey, partIds } of crash.suspects) {
+    for (const suspect of crash.suspects) {
+      const { requestKey, partIds } = suspect;
       const key: PartKey = [crash.service, requestKey];
       if (requestKey === "") continue;
       if (evidence.getStatus(key) === PartStatus.Quarantined) continue;
@@ -184,13 +205,30 @@
       const isNeighbour = [requestKey, ...partIds].every((partId) =>
         isCleared(crash, partId, evidence)
       );
-      if (isNeighbour || candidate.crashes.includes(crash)) continue;
-      candidate.crashes.push(crash);
+      if (isNeighbour) continue;
+      addRequestCrash(candidate.crashes, crash, suspect);
     }
   }
   return [...candidates.values()];
 }
 
+/** Of equal requests at the upstream, the one that was sent last counts. */
+function addRequestCrash(
+  crashes: RequestCrash[],
+  crash: Crash,
+  { sentBeforeMs, reporterId }: ReportedSuspect,
+): void {
+  const sentAtMs = sentBeforeMs === undefined
+    ? undefined
+    : crash.atMs - sentBeforeMs;
+  const last = crashes.at(-1);
+  if (last?.upstreamId !== crash.upstreamId || last.atMs !== crash.atMs) {
+    crashes.push({ ...crash, sentAtMs, reporterId });
+  } else if ((sentAtMs ?? -Infinity) > (last.sentAtMs ?? -Infinity)) {
+    crashes[crashes.length - 1] = { ...last, sentAtMs, reporterId };
+  }
+}
+
 function getFirstAtMs(crashes: readonly Crash[]): number {
   return Math.min(...crashes.map(({ atMs }) => atMs));
 }
@@ -283,15 +321,38 @@
   return areRunsMissing || hasNoRequestRun;
 }
 
-/** Counts crashes, those of a failure domain at the same moment only once. */
+/** Counts crashes, those of one moment only once. */
 function countSeparateCrashes(crashes: readonly Crash[]): number {
-  const lastCountedAtMs = new Map<string, number>();
+  return countFurther(
+    crashes,
+    (crash, last) => crash.atMs - last.atMs >= jointCrashMs,
+  );
+}
+
+/**
+ * Counts the crashes of a request that was sent again after each of them. A
+ * request that was already at several upstreams when the first of them was lost
+ * tells no more than one loss.
+ */
+function countSentAgain(crashes: readonly RequestCrash[]): number {
+  return countFurther(crashes, ({ atMs, sentAtMs, reporterId }, last) => {
+    if (sentAtMs === undefined) return atMs - last.atMs >= jointCrashMs;
+    const skewMs = reporterId === last.reporterId ? 0 : reportSkewMs;
+    return sentAtMs - last.atMs >= skewMs;
+  });
+}
+
+/** Counts the crashes that are further ones after the last one that counted. */
+function countFurther<T extends Crash>(
+  crashes: readonly T[],
+  isFurther: (crash: T, last: T) => boolean,
+): number {
+  let last: T | undefined;
   let count = 0;
   const ordered = [...crashes].sort((left, right) => left.atMs - right.atMs);
-  for (const { domainId, atMs } of ordered) {
-    const lastAtMs = lastCountedAtMs.get(domainId) ?? -Infinity;
-    if (atMs - lastAtMs < jointCrashMs) continue;
-    lastCountedAtMs.set(domainId, atMs);
+  for (const crash of ordered) {
+    if (last && !isFurther(crash, last)) continue;
+    last = crash;
     count += 1;
   }
   return count;
--- a/src/quarantine/crash_decisions_test.ts
+++ b/src/quarantine/crash_decisions_test.ts
@@ -291,6 +291,88 @@
   expect(find(crashes, {}, 20_000)).toEqual([badCall]);
 });
 
+interface SentCrash {
+  readonly atMs: number;
+  readonly sentBeforeMs: number;
+  readonly reporterId?: string;
+}
+
+/** Crashes of upstreams in domains of their own, each with one equal request. */
+function crashesOfSent(sent: readonly SentCrash[]): Crash[] {
+  return sent.map(({ atMs, sentBeforeMs, reporterId }, index) => ({
+    service,
+    upstreamId: `upstream-${index}`,
+    domainId: `domain-${index}`,
+    atMs,
+    suspects: [{
+      requestKey: badCall,
+      partIds: [],
+      sentBeforeMs,
+      ...(reporterId === undefined ? {} : { reporterId }),
+    }],
+  }));
+}
+
+function countCrashes(crashes: readonly Crash[]): number | undefined {
+  return listSuspectedRequests(evidence(crashes), 10_000, 10)[0]?.crashCount;
+}
+
+// Guards against refusing sound requests when several upstreams are lost at one
+// moment: equal ones were at all of them.
+test("upstreams that are lost at one moment are one crash for the requests at them", () => {
+  const lostTogether = crashesOfSent(
+    [0, 3, 40, 70, 180].map((offsetMs) => ({
+      atMs: 5_000 + offsetMs,
+      sentBeforeMs: 200 + offsetMs,
+    })),
+  );
+  expect(countCrashes(lostTogether)).toBe(1);
+  expect(find(lostTogether)).toEqual([]);
+  const lostTwice = [
+    ...lostTogether,
+    ...lostTogether.map((entry) => ({
+      ...entry,
+      upstreamId: `${entry.upstreamId}-later`,
+      atMs: entry.atMs + 2_200,
+    })),
+  ];
+  expect(countCrashes(lostTwice)).toBe(2);
+  expect(find(lostTwice)).toEqual([]);
+});
+
+test("a shared part is not found when all domains are lost twice", () => {
+  const crashes = [4_000, 6_200].flatMap((atMs) =>
+    [0, 1, 2, 3].map((index) =>
+      crash(atMs + 30 * index, {
+        domainId: `domain-${index}`,
+        parts: [["shared"]],
+      })
+    )
+  );
+  expect(find(crashes)).toEqual([]);
+});
+
+test("each crash after which a request was sent again is a further one", () => {
+  const crashes = crashesOfSent([
+    { atMs: 5_000, sentBeforeMs: 10 },
+    { atMs: 5_012, sentBeforeMs: 10 },
+    { atMs: 5_400, sentBeforeMs: 15 },
+  ]);
+  expect(countCrashes(crashes)).toBe(3);
+  expect(find(crashes, {}, 5_850)).toEqual([]);
+  expect(find(crashes, {}, 6_600)).toEqual([badCall]);
+});
+
+test("times that two instances reported are compared with their skew", () => {
+  const report = (sentBeforeMs: number) =>
+    crashesOfSent([
+      { atMs: 5_000, sentBeforeMs: 60, reporterId: "entry-1" },
+      { atMs: 5_070, sentBeforeMs, reporterId: "entry-2" },
+    ]);
+  expect(countCrashes(report(60))).toBe(1);
+  expect(countCrashes(report(15))).toBe(2);
+});
+
 test("a quarantined call explains its crashes", () => {
   const crashes = [1_000, 3_000, 5_000].map((atMs) =>
     crashOfCalls(atMs, [badCall, "request:1"])
--- a/src/quarantine/crash_evidence_collector.ts
+++ b/src/quarantine/crash_evidence_collector.ts
@@ -14,12 +14,12 @@
   listSuspectedParts,
   listSuspectedRequests,
   type PartStatus,
+  type ReportedSuspect,
   type SoundRuns,
 } from "./crash_decisions.ts";
 import { maxCrashAgeMs } from "./crash_recorder.ts";
 import {
   type CrashReport,
-  type CrashSuspect,
   formatPartKey,
   type PartKey,
   type SuspectedRequest,
@@ -57,7 +57,7 @@
 }
 
 interface CombinedCrash extends Crash {
-  readonly suspects: CrashSuspect[];
+  readonly suspects: ReportedSuspect[];
 }
 
 const maxReports = 4_000;
@@ -99,9 +99,10 @@
     reports.delete(from);
     reports.set(from, {
       atMs,
-      crashes: report.crashes.map(({ ageMs, ...crash }) => ({
+      crashes: report.crashes.map(({ ageMs, suspects, ...crash }) => ({
         ...crash,
         atMs: atMs - ageMs,
+        suspects: suspects.map((suspect) => ({ ...suspect, reporterId: from })),
       })),
       soundRuns: new Map(
         report.soundParts.map(({ key, ageMs, ratePerS }) => [
--- a/src/quarantine/crash_recorder.ts
+++ b/src/quarantine/crash_recorder.ts
@@ -13,6 +13,12 @@
   type PartKey,
 } from "./quarantine_types.ts";
 
+export interface SentSuspect
+  extends Pick<CrashSuspect, "requestKey" | "partIds"> {
+  /** `clock.nowMs()` when the request was sent to the upstream, if known. */
+  readonly sentAtMs?: number;
+}
+
 export interface CrashRecorder {
   recordCrash(
     upstream: {
@@ -20,7 +26,7 @@
       readonly upstreamId: string;
       readonly domainId: string;
     },
-    suspect: CrashSuspect,
+    suspect: SentSuspect,
   ): void;
   /**
    * Records that an upstream responds or accepts connections. One that does so
@@ -91,7 +97,14 @@
         crashes.push(crash);
         if (crashes.length > maxCrashes) crashes.shift();
       }
-      addSuspect(crash, suspect);
+      const { requestKey, partIds, sentAtMs } = suspect;
+      addSuspect(crash, {
+        requestKey,
+        partIds,
+        ...(sentAtMs === undefined
+          ? {}
+          : { sentBeforeMs: getSentBeforeMs(crash, sentAtMs) }),
+      });
     },
     recordResponse: (service, upstreamId) => {
       if (crashes.length === 0) return;
@@ -138,7 +151,10 @@
   function addSuspect(crash: RecordedCrash, suspect: CrashSuspect): void {
     const { suspects } = crash;
     const { requestKey, partIds } = suspect;
-    if (partIds.length === 0 && hasRequest(crash, requestKey)) return;
+    if (partIds.length === 0 && hasRequest(crash, requestKey)) {
+      mergeRequest(suspects, suspect);
+      return;
+    }
     if (suspects.length < maxSuspectsPerCrash) {
       suspects.push(suspect);
       while (countSuspects() > maxSuspects) crashes.shift();
@@ -219,6 +235,23 @@
   }
 }
 
+function getSentBeforeMs({ atMs }: Crash, sentAtMs: number): number {
+  return Math.min(maxReportedAgeMs, Math.max(0, atMs - sentAtMs));
+}
+
+/** Keeps the time of the equal request that was sent last. */
+function mergeRequest(suspects: CrashSuspect[], added: CrashSuspect): void {
+  const index = suspects.findIndex(({ requestKey }) =>
+    requestKey === added.requestKey
+  );
+  const known = suspects[index]!;
+  const sentBeforeMs = Math.min(
+    known.sentBeforeMs ?? Infinity,
+    added.sentBeforeMs ?? Infinity,
+  );
+  if (sentBeforeMs < Infinity) suspects[index] = { ...known, sentBeforeMs };
+}
+
 function hasRequest({ suspects }: Crash, requestKey: string): boolean {
   return suspects.some((suspect) => suspect.requestKey === requestKey);
 }
--- a/src/quarantine/quarantine_types.ts
+++ b/src/quarantine/quarantine_types.ts
@@ -27,6 +27,11 @@
   requestKey: nameSchema,
   /** Parts that other requests may share, in the order of the prompt. */
   partIds: z.array(nameSchema).max(64).readonly(),
+  /**
+   * Time from sending the request to the crash. Absent from instances of
+   * versions that do not send it.
+   */
+  sentBeforeMs: ageMsSchema.optional(),
 });
 
 const crashSchema = z.object({
@@ -56,10 +61,7 @@
 /** A request without shared parts that was present in crashes. */
 export const suspectedRequestSchema = z.object({
   key: partKeySchema,
-  /**
-   * Crashes after which it has not run. Those of a failure domain at the same
-   * moment count once.
-   */
+  /** Crashes after which it has not run; those of one moment count once. */
   crashCount: z.int().min(0),
   /** Time since the last of these; 0 if there are none. */
   lastCrashAgeMs: ageMsSchema,
