Send nothing to an upstream for the time that it states with a refusal

Now the wait is kept per upstream. Placement, copies and the Retry-After of refusals read it together with suspensions. A response to an earlier request doesn't end it, as it ends a suspension.

--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -170,6 +170,11 @@
     Info,
     "upstream states no limit any more; see how many requests it got here",
   ),
+  upstreamWaits: event(
+    4209,
+    Info,
+    "upstream wants no requests from this instance for a time",
+  ),
   // 5xxx: peers and membership
   peerConnected: event(5001, Debug, "peer connection established"),
   peerLost: event(5002, Warn, "peer connection lost"),
--- a/src/forwarding/copy_manager.ts
+++ b/src/forwarding/copy_manager.ts
@@ -10,6 +10,7 @@
 import type { KvCacheCopy, ProtocolCall } from "./forwarding_protocol.ts";
 import type { EngineTraits } from "./forwarding_table.ts";
 import { type CallResponse, callUpstream } from "./upstream_call.ts";
+import { getAvailableAtMs } from "./placement.ts";
 import { getAddress } from "./upstream_directory.ts";
 import type { CopyLoad, Upstream } from "./upstream_types.ts";
 
@@ -114,7 +115,7 @@
     // Losses of other engines in the holder's failure domain are no reason to
     // give up the copy: trying it costs at most a connection timeout, prefilling
     // the prompt again a second or more.
-    if (holder.suspendedUntilMs > clock.nowMs()) return undefined;
+    if (getAvailableAtMs(holder) > clock.nowMs()) return undefined;
     return { holder, source: copy.source };
   }
 
--- a/src/forwarding/forwarding_protocol.ts
+++ b/src/forwarding/forwarding_protocol.ts
@@ -80,6 +80,8 @@
   readonly responderId: UpstreamId | undefined;
   readonly load: ReportedLoad | undefined;
   readonly limit: StatedLimit;
+  /** With a refusal: how long the upstream wants no requests from here. */
+  readonly waitMs: number | undefined;
 }
 
 /** A final error response that the entry instance itself sends. */
--- a/src/forwarding/forwarding_steps.ts
+++ b/src/forwarding/forwarding_steps.ts
@@ -90,6 +90,9 @@
     return HeadClass.Misdirected;
   }
   recordLimit();
+  if (response.waitMs !== undefined) {
+    directory.recordWait(upstreamId, response.waitMs);
+  }
   if (response.isNotRun) {
     directory.recordRefusal(upstreamId);
     return HeadClass.NotRun;
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -138,10 +138,10 @@
   demand: StreamDemand,
   context: PlacementContext,
 ): Upstream | undefined {
-  const inOtherDomains = upstreams.filter(({ info, suspendedUntilMs }) =>
-    info.domainId !== running.info.domainId &&
-    info.upstreamId !== running.info.upstreamId &&
-    suspendedUntilMs <= context.nowMs
+  const inOtherDomains = upstreams.filter((upstream) =>
+    upstream.info.domainId !== running.info.domainId &&
+    upstream.info.upstreamId !== running.info.upstreamId &&
+    getAvailableAtMs(upstream) <= context.nowMs
   );
   const fitting = inOtherDomains.filter((upstream) =>
     hasCapacity(upstream, demand) &&
@@ -171,16 +171,27 @@
   );
 }
 
+/** When the upstream may get new requests again; in the past if it may now. */
+export function getAvailableAtMs(
+  { suspendedUntilMs, waitsUntilMs }: Pick<
+    Upstream,
+    "suspendedUntilMs" | "waitsUntilMs"
+  >,
+): number {
+  return Math.max(suspendedUntilMs, waitsUntilMs);
+}
+
 /**
- * Lists the upstreams that are neither tried nor suspended. A suspended one
- * was recently unreachable, so trying it would cost time.
+ * Lists the upstreams that are not tried, not suspended and did not ask to wait.
+ * A suspended one was recently unreachable, so trying it would cost time.
  */
 export function listReachable(
   upstreams: readonly Upstream[],
   { nowMs, triedIds }: Pick<PlacementContext, "nowMs" | "triedIds">,
 ): readonly Upstream[] {
-  return upstreams.filter(({ info, suspendedUntilMs }) =>
-    !triedIds.has(info.upstreamId) && suspendedUntilMs <= nowMs
+  return upstreams.filter((upstream) =>
+    !triedIds.has(upstream.info.upstreamId) &&
+    getAvailableAtMs(upstream) <= nowMs
   );
 }
 
--- a/src/forwarding/placement_herd_test.ts
+++ b/src/forwarding/placement_herd_test.ts
@@ -84,6 +84,7 @@
         },
         failureRatio: 0,
         suspendedUntilMs: -Infinity,
+        waitsUntilMs: -Infinity,
         lostAtMs: -Infinity,
         lastActivityAtMs: -Infinity,
       };
--- a/src/forwarding/placement_test.ts
+++ b/src/forwarding/placement_test.ts
@@ -34,6 +34,7 @@
     others: { runningCount: 0, unreadTokens: 0, memoryTokens: 0 },
     failureRatio: 0,
     suspendedUntilMs: -Infinity,
+    waitsUntilMs: -Infinity,
     lostAtMs: -Infinity,
     lastActivityAtMs: -Infinity,
     ...change,
--- a/src/forwarding/retry_after.ts
+++ b/src/forwarding/retry_after.ts
@@ -8,17 +8,20 @@
  * arriving together.
  */
 import type { Random } from "../core/random.ts";
+import { getAvailableAtMs } from "./placement.ts";
 import type { Upstream } from "./upstream_types.ts";
 
 /** An upstream may accept work again at any time, and a retry is cheap. */
 const minDelayMs = 200;
-/** The longest suspension. Also the delay if no upstream is listed. */
-const maxDelayMs = 5_000;
+/** The delay if no upstream is listed. */
+const unknownDelayMs = 5_000;
+/** Upstreams may state longer waits, but others may be listed by then. */
+const maxDelayMs = 60_000;
 /** Maximum jitter as a part of the delay. */
 const jitterRatio = 0.5;
 
 export function getRetryAfterMs(
-  upstreams: readonly Pick<Upstream, "suspendedUntilMs">[],
+  upstreams: readonly Pick<Upstream, "suspendedUntilMs" | "waitsUntilMs">[],
   { nowMs, random, backlogMs = 0 }: {
     readonly nowMs: number;
     readonly random: Random;
@@ -26,10 +29,9 @@
     readonly backlogMs?: number;
   },
 ): number {
-  const firstAvailableAtMs = Math.min(
-    nowMs + maxDelayMs,
-    ...upstreams.map(({ suspendedUntilMs }) => suspendedUntilMs),
-  );
+  const firstAvailableAtMs = upstreams.length === 0
+    ? nowMs + unknownDelayMs
+    : Math.min(nowMs + maxDelayMs, ...upstreams.map(getAvailableAtMs));
   const delayMs = Math.max(minDelayMs, firstAvailableAtMs - nowMs, backlogMs);
   return Math.round(delayMs * (1 + random.next() * jitterRatio));
 }
--- a/src/forwarding/retry_after_test.ts
+++ b/src/forwarding/retry_after_test.ts
@@ -10,7 +10,10 @@
 const random = createRandom(3);
 
 test("the delay ends when the first upstream is tried again", () => {
-  const upstreams = [{ suspendedUntilMs: 2_400 }, { suspendedUntilMs: 1_700 }];
+  const upstreams = [{ suspendedUntilMs: 2_400, waitsUntilMs: -Infinity }, {
+    suspendedUntilMs: 1_700,
+    waitsUntilMs: -Infinity,
+  }];
   const delays = Array.from(
     { length: 200 },
     () => getRetryAfterMs(upstreams, { nowMs: 1_000, random }),
@@ -25,7 +28,10 @@
 });
 
 test("the delay is short if an upstream may be tried at once", () => {
-  const delayMs = getRetryAfterMs([{ suspendedUntilMs: -Infinity }], {
+  const delayMs = getRetryAfterMs([{
+    suspendedUntilMs: -Infinity,
+    waitsUntilMs: -Infinity,
+  }], {
     nowMs: 0,
     random,
   });
@@ -33,7 +39,7 @@
 });
 
 test("callers that were refused together do not retry together", () => {
-  const upstreams = [{ suspendedUntilMs: 1_200 }];
+  const upstreams = [{ suspendedUntilMs: 1_200, waitsUntilMs: -Infinity }];
   const arrivals = Array.from({ length: 18 }, (_, index) => index * 33);
   const retries = arrivals.map((atMs) =>
     atMs + getRetryAfterMs(upstreams, { nowMs: atMs, random })
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -300,7 +300,8 @@
     const isWaitOver = !hasLeftRun &&
       nowMs - waitingSinceMs >= maxEngineWaitMs;
     const hasBegun = eventCount > 0 || hasLeftRun;
-    if ((listedCount === 0 && !hasBegun) || isWaitOver) {
+    const isUseless = listedCount === 0 || areAllWaiting(nowMs);
+    if ((isUseless && !hasBegun) || isWaitOver) {
       failStream(
         ranCount > 0 ? ErrorKind.UpstreamFailed : ErrorKind.NoUpstream,
         "no engine is available",
@@ -310,6 +311,13 @@
     waitTimer = setTimeout(placeAttempt, enginePollIntervalMs);
   }
 
+  /** Whether all engines have stated that they want no requests for longer. */
+  function areAllWaiting(nowMs: number): boolean {
+    return directory.listUsable(service.name).every(({ waitsUntilMs }) =>
+      waitsUntilMs - nowMs > maxEngineWaitMs
+    );
+  }
+
   function startAttempt(
     engine: Upstream,
     source: KvCacheCopy | undefined,
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -59,6 +59,8 @@
   recordLoss(upstreamId: UpstreamId, reason: string): void;
   /** Records that the upstream refused a request without running it. */
   recordRefusal(upstreamId: UpstreamId): void;
+  /** Records that the upstream wants no requests from this instance so long. */
+  recordWait(upstreamId: UpstreamId, waitMs: number): void;
   /** Records that another upstream has taken over the address. */
   recordAddressReuse(upstreamId: UpstreamId): void;
   /**
@@ -103,6 +105,11 @@
 const firstSuspensionMs = 600;
 const maxSuspensionMs = 5_000;
 const refusalSuspensionMs = 100;
+/** An upstream that states a longer wait is asked again after this time. */
+const maxWaitMs = 600_000;
+/** Requests that waited for the upstream don't return at one moment. */
+const waitJitterRatio = 0.1;
+const maxWaitJitterMs = 500;
 /** Weight of one response in the failure ratio: about the last 20 count. */
 const failureSmoothingFactor = 0.05;
 /** The list still shows a removed upstream for some seconds. */
@@ -176,6 +183,7 @@
       const entry = entries.get(upstreamId);
       if (entry) suspend(entry, refusalSuspensionMs);
     },
+    recordWait,
     recordAddressReuse,
     addSuccessor,
     countVersions: (service) =>
@@ -208,6 +216,24 @@
     return isCandidateTurn || fullShare.length === 0 ? candidates : fullShare;
   }
 
+  /**
+   * A wait is kept apart from suspensions, which end with the next response:
+   * requests that were already at the upstream may still be answered.
+   */
+  function recordWait(upstreamId: UpstreamId, waitMs: number): void {
+    const entry = entries.get(upstreamId);
+    if (!entry || waitMs === 0) return;
+    const nowMs = clock.nowMs();
+    const heldMs = Math.min(waitMs, maxWaitMs);
+    const jitterMs = Math.min(maxWaitJitterMs, heldMs * waitJitterRatio);
+    const untilMs = nowMs + heldMs + jitterMs * random.next();
+    if (untilMs <= entry.waitsUntilMs) return;
+    if (entry.waitsUntilMs <= nowMs) {
+      logger.log(logEvents.upstreamWaits, { upstream: upstreamId, waitMs });
+    }
+    entry.waitsUntilMs = untilMs;
+  }
+
   function recordAddressReuse(upstreamId: UpstreamId): void {
     const entry = entries.get(upstreamId);
     if (!entry) return;
@@ -483,6 +509,7 @@
     others: zeroLoad,
     failureRatio: 0,
     suspendedUntilMs: -Infinity,
+    waitsUntilMs: -Infinity,
     lastActivityAtMs: -Infinity,
     lostAtMs: -Infinity,
     consecutiveLosses: 0,
--- a/src/forwarding/upstream_types.ts
+++ b/src/forwarding/upstream_types.ts
@@ -22,6 +22,8 @@
   readonly failureRatio: number;
   /** The upstream gets no new requests before this time. */
   readonly suspendedUntilMs: number;
+  /** The upstream stated that it wants no new requests before this time. */
+  readonly waitsUntilMs: number;
   /** Last loss that this or another entry instance detected. */
   readonly lostAtMs: number;
   /** Time at which the upstream last sent anything. */
