Bound the repeats of streams by the retry budget

Cause: a resume after a loss was never refused, and each refused stream had two repeats that no budget covered, so their number was bounded by the attempts of the routes only.

Now resumes draw on the balance and on a reserve (0.3 of what is permitted, by the instance's own demand), and wait beyond it; refused streams draw on the balance alone. A silent run is not left if its repeat would have to wait.

--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -284,7 +284,12 @@
     metrics: createForwardingMetrics(createMetricsRegistry()),
     recordPlacement: () => {},
     getUnreportedPlacementCount: () => 0,
-    budget: createRetryBudget({ ratio: 1, initialUnits: 10, maxUnits: 10 }),
+    budget: createRetryBudget({
+      ratio: 1,
+      initialUnits: 10,
+      maxUnits: 10,
+      getReserveUnits: () => 10,
+    }),
   };
   return {
     ...await listenOnFreePorts(({ port, readinessPort }) =>
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -31,6 +31,14 @@
 
 /** Part of the permitted retries that is budgeted; the rest is a margin. */
 const budgetSafetyRatio = 0.6;
+/**
+ * Part of the permitted repeats that only streams draw on which lost their
+ * engine. With the part above it leaves a tenth to requests that are counted
+ * elsewhere at another time.
+ */
+const reserveRatio = 0.3;
+/** Window in which the permitted repeats are counted. */
+const retryWindowS = 10;
 /**
  * An instance whose upstream view control has not confirmed for this long
  * routes no requests to candidate versions. Shorter than the time within which
@@ -164,6 +172,10 @@
       ratio: bounds.retryRatio * budgetSafetyRatio,
       initialUnits: minBudgetUnits,
       maxUnits: getMaxRetryUnits,
+      getReserveUnits: ({ service }) =>
+        reserveRatio *
+        (bounds.retrySlack / membership.getEntryCount() +
+          bounds.retryRatio * retryWindowS * demand.getOwnRatePerS(service)),
     }),
   };
   registry.createGauge(
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -77,9 +77,8 @@
 /** Engines that fail briefly are available again within this time. */
 const maxEngineWaitMs = 1_500;
 const enginePollIntervalMs = 50;
-/** Delay before a retry that the retry budget does not cover. */
-const refusalDelayMs = 250;
-const maxUnbudgetedRetries = 2;
+/** Interval at which a stream that the retry budget does not cover asks again. */
+const budgetPollIntervalMs = 250;
 /** An engine's error has some hundred bytes; more is no error response. */
 const maxErrorBytes = 64 * 1024;
 /** Used for services whose engines are not described in the configuration. */
@@ -124,7 +123,6 @@
   let eventCount = 0;
   let ranCount = 0;
   let attemptCount = 0;
-  let unbudgetedCount = 0;
   let waitingSinceMs: number | undefined;
   let waitTimer: NodeJS.Timeout | undefined;
   let endWaiting: (() => void) | undefined;
@@ -689,7 +687,8 @@
         current.lastEventAtMs ?? current.startedAtMs,
         current.resumedAtMs,
       );
-    const mayLeave = mayLeaveSilentRun({
+    // A run that is ended and can't be repeated yet would be a loss.
+    const mayLeave = budget.hasReserve(budgetKey, 1) && mayLeaveSilentRun({
       remainingMs: deadlineAtMs - clock.nowMs(),
       isResumable: isResumable(),
       ranCount: ranCount + 1,
@@ -790,17 +789,16 @@
         );
         return;
       case "resumeFromCopy":
-        budget.drawForResume(budgetKey, 1);
-        startAttempt(copy!.holder, copy!.source);
+        if (budget.tryDrawReserve(budgetKey, 1)) {
+          startAttempt(copy!.holder, copy!.source);
+        } else waitForBudget();
         return;
       case "resume":
-        if (wasSent) budget.drawForResume(budgetKey, 1);
         // A request that never reached an engine has caused no work there, so
         // it does not draw on the budget.
-        if (afterCrash.kind === "delay") {
+        if ((wasSent || isRefused) && !drawForRepeat(wasSent)) waitForBudget();
+        else if (afterCrash.kind === "delay") {
           waitTimer = setTimeout(placeAttempt, afterCrash.delayMs);
-        } else if (isRefused && !wasSent && !budget.tryDraw(budgetKey, 1)) {
-          waitForBudget();
         } else if (nextEngine) startAttempt(nextEngine, undefined);
         else placeAttempt();
         return;
@@ -809,15 +807,28 @@
     }
   }
 
-  /** The first refusals may be chance, so they are retried without budget. */
+  /** The reserve is for streams that have lost a run. */
+  function drawForRepeat(hasRun: boolean): boolean {
+    return hasRun
+      ? budget.tryDrawReserve(budgetKey, 1)
+      : budget.tryDraw(budgetKey, 1);
+  }
+
+  /**
+   * Waits until the work of others has paid for one more repeat. The caller of a
+   * stream that has not run is refused instead if that takes long.
+   */
   function waitForBudget(): void {
+    const hasRun = ranCount > 0;
+    waitingSinceMs ??= clock.nowMs();
+    if (!hasRun && clock.nowMs() - waitingSinceMs >= maxEngineWaitMs) {
+      failStream(ErrorKind.NoUpstream, "the retry budget is used up");
+      return;
+    }
     waitTimer = setTimeout(() => {
-      if (budget.tryDraw(budgetKey, 1)) placeAttempt();
-      else if (unbudgetedCount < maxUnbudgetedRetries) {
-        unbudgetedCount += 1;
-        placeAttempt();
-      } else waitForBudget();
-    }, refusalDelayMs);
+      if (drawForRepeat(hasRun)) placeAttempt();
+      else waitForBudget();
+    }, budgetPollIntervalMs);
   }
 
   /** A holder whose limit has no room is of no use. */
--- a/src/limits/demand_share.ts
+++ b/src/limits/demand_share.ts
@@ -14,6 +14,8 @@
   recordRequest(service: string): void;
   /** Requests by service, in thousandths per second. */
   getDemands(): [service: string, milliPerS: number][];
+  /** Requests per second of this instance. */
+  getOwnRatePerS(service: string): number;
   /** Replaces the demands of all other instances. */
   setRemoteDemands(demands: readonly (readonly [string, number])[]): void;
   /** From 0 to 1. */
@@ -60,6 +62,8 @@
       counted.set(service, { weight, atMs: nowMs });
     },
     getDemands: () => [...getOwnDemands()],
+    getOwnRatePerS: (service) =>
+      getWeight(service, clock.nowMs()) / (averagingMs / 1_000),
     setRemoteDemands,
     getShare: (service) => {
       const equalShare = 1 / getInstanceCount();
--- a/src/limits/retry_budget.ts
+++ b/src/limits/retry_budget.ts
@@ -24,6 +24,13 @@
    * balance that is too low is emptied, and the rest is counted as overdraft.
    */
   drawForResume(key: RetryBudgetKey, units: number): void;
+  /**
+   * Draws for a repeat that the balance need not cover. It may use the reserve,
+   * which later useful work has to make up for; returns false beyond it.
+   */
+  tryDrawReserve(key: RetryBudgetKey, units: number): boolean;
+  /** Whether `tryDrawReserve` would draw. */
+  hasReserve(key: RetryBudgetKey, units: number): boolean;
   getAvailable(key: RetryBudgetKey): number;
   getStats(): RetryBudgetStats;
 }
@@ -42,6 +49,8 @@
   readonly initialUnits: number;
   /** Limit of a balance; a function if it depends on the instance count. */
   readonly maxUnits: number | (() => number);
+  /** Units that repeats may draw beyond the balance; none by default. */
+  readonly getReserveUnits?: (key: RetryBudgetKey) => number;
   readonly maxAccounts?: number;
 }
 
@@ -67,6 +76,8 @@
     },
     tryDraw,
     drawForResume,
+    tryDrawReserve,
+    hasReserve,
     getAvailable,
     getStats: () => ({ ...stats }),
   };
@@ -90,6 +101,21 @@
     setBalance(key, balance - drawn);
   }
 
+  function tryDrawReserve(key: RetryBudgetKey, units: number): boolean {
+    if (!hasReserve(key, units)) {
+      stats.refusedDraws += 1;
+      return false;
+    }
+    stats.resumedUnits += units;
+    setBalance(key, getAvailable(key) - units);
+    return true;
+  }
+
+  function hasReserve(key: RetryBudgetKey, units: number): boolean {
+    const reserveUnits = options.getReserveUnits?.(key) ?? 0;
+    return getAvailable(key) + reserveUnits >= units;
+  }
+
   function getAvailable(key: RetryBudgetKey): number {
     return balances.get(formatAccountId(key)) ??
       (ratio === 0 ? 0 : initialUnits);
--- a/src/limits/retry_budget_test.ts
+++ b/src/limits/retry_budget_test.ts
@@ -33,6 +33,39 @@
     }));
   });
 
+  it("guards against repeats beyond the balance and the reserve", () => {
+    const step = fc.record({
+      kind: fc.constantFrom("useful", "draw", "repeat"),
+      units: fc.integer({ min: 1, max: 30 }),
+    });
+    fc.assert(fc.property(fc.array(step, { maxLength: 100 }), (steps) => {
+      const key: RetryBudgetKey = { service: "s", customerId: "a" };
+      const reserveUnits = 40;
+      const budget = createRetryBudget({
+        ...options,
+        getReserveUnits: () => reserveUnits,
+      });
+      let usefulUnits = 0;
+      let drawnUnits = 0;
+      for (const { kind, units } of steps) {
+        if (kind === "useful") {
+          budget.recordUseful(key, units);
+          usefulUnits += units;
+        } else if (kind === "draw") {
+          if (budget.tryDraw(key, units)) drawnUnits += units;
+        } else {
+          const isPermitted = budget.hasReserve(key, units);
+          expect(budget.tryDrawReserve(key, units)).toBe(isPermitted);
+          if (isPermitted) drawnUnits += units;
+        }
+        expect(drawnUnits).toBeLessThanOrEqual(
+          options.initialUnits + reserveUnits + options.ratio * usefulUnits +
+            1e-6,
+        );
+      }
+    }));
+  });
+
   it("guards against one customer using up the budget of another", () => {
     fc.assert(fc.property(
       fc.array(fc.integer({ min: 1, max: 50 }), { maxLength: 100 }),
