Refuse non-idempotent requests late in the drain that could not end in time

A report of another operator: requests that came late in the grace time of a planned stop were passed on and cut at its end, also ones that must not be repeated. Here it happened to requests whose body ended late: the check whether the instance drains was made before the body was read, and calls were taken until the very end with time limits beyond it.

Now the check is repeated when the body is complete, and once the load balancer has stopped sending, a non-idempotent request is passed on only if its time limit ends before the process does. Otherwise it is refused as not run.

--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -29,7 +29,7 @@
 import { createCallerConnections } from "./caller_connections.ts";
 import { forwardCall } from "./call_forwarder.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
-import { RequestKind } from "./forwarding_table.ts";
+import { type ForwardingRoute, RequestKind } from "./forwarding_table.ts";
 import { checkRequest, chooseService } from "./request_checks.ts";
 import type { RouteTable } from "./route_table.ts";
 import { forwardStream } from "./stream_forwarder.ts";
@@ -81,6 +81,9 @@
   const { clock, logger, random, protocol } = context;
   const openExchanges = new Set<CallerExchange>();
   let isDraining = false;
+  let drainStartedAtMs = Infinity;
+  /** When open requests are ended. */
+  let shutdownAtMs = Infinity;
   let isClosing = false;
   let isStopped = false;
   const server = createServer({
@@ -186,9 +189,10 @@
       return;
     }
     const { route, customerId, priority } = checked.value;
-    const isRefused = isStopped ||
-      (isDraining && route.kind === RequestKind.Streaming);
-    if (isRefused) {
+    const { deadlineMs } = caller.description;
+    const deadlineAtMs = caller.arrivedAtMs +
+      Math.min(deadlineMs ?? Infinity, route.timeoutMs);
+    if (!mayTake(route, deadlineAtMs)) {
       await refuseRequest(caller, createShutdownError());
       return;
     }
@@ -208,8 +212,12 @@
       );
       return;
     }
-    if (caller.getState() === CallerState.Closed) return;
-    const { deadlineMs } = caller.description;
+    // This instance may have answered it while its body was read.
+    if (caller.getState() !== CallerState.Waiting) return;
+    if (!mayTake(route, deadlineAtMs)) {
+      await refuseRequest(caller, createShutdownError());
+      return;
+    }
     const admitted = {
       caller,
       route,
@@ -218,14 +226,25 @@
       body,
       revision: table!.revision,
       priority,
-      deadlineAtMs: caller.arrivedAtMs +
-        Math.min(deadlineMs ?? Infinity, route.timeoutMs),
+      deadlineAtMs,
     };
     if (route.kind === RequestKind.Streaming) {
       forwardStream({ context, monitor: streamMonitor }, admitted);
     } else await forwardCall(context, admitted);
   }
 
+  /**
+   * Whether a request that would be passed on now is taken. Callers that the
+   * load balancer still sends here are served; later on, one that must not be
+   * repeated is taken only if it ends before this instance does.
+   */
+  function mayTake({ kind }: ForwardingRoute, deadlineAtMs: number): boolean {
+    if (!isDraining) return true;
+    if (isStopped || kind === RequestKind.Streaming) return false;
+    return kind === RequestKind.Safe || deadlineAtMs <= shutdownAtMs ||
+      clock.nowMs() - drainStartedAtMs < loadBalancerDelayMs;
+  }
+
   async function refuseRequest(
     caller: CallerExchange,
     error: SystemError,
@@ -247,9 +266,10 @@
 
   async function drain(graceMs: number): Promise<void> {
     isDraining = true;
-    const startedAtMs = clock.nowMs();
-    const getElapsedMs = () => clock.nowMs() - startedAtMs;
-    while (getElapsedMs() < graceMs - exitMarginMs) {
+    drainStartedAtMs = clock.nowMs();
+    shutdownAtMs = drainStartedAtMs + graceMs - exitMarginMs;
+    const getElapsedMs = () => clock.nowMs() - drainStartedAtMs;
+    while (clock.nowMs() < shutdownAtMs) {
       // A connection with an unread request looks idle.
       await waitForReads();
       if (!isClosing && getElapsedMs() >= loadBalancerDelayMs) {
