Limit the responses that all calls together hold

Each call held up to a megabyte of its response until it was complete, so fifty open calls could take the memory of a small entry machine.

Now all calls together hold at most 16 MiB. A response beyond that is relayed as it arrives, like one above a megabyte.

--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -6,6 +6,7 @@
 import { Buffer } from "node:buffer";
 import http from "node:http";
 import net from "node:net";
+import { createByteBudget } from "../src/core/byte_budget.ts";
 import { createSystemClock } from "../src/core/clock.ts";
 import { createMetricsRegistry } from "../src/core/metrics_registry.ts";
 import { createForwardingMetrics } from "../src/forwarding/forwarding_metrics.ts";
@@ -63,6 +64,7 @@
 ) => void;
 
 const maxListenAttempts = 5;
+const maxHeldResponseBytes = 4 * 1024 * 1024;
 let nextUpstreamNumber = 1;
 
 export async function startFakeUpstream(
@@ -282,6 +284,7 @@
       getSoleEngineService: () => routes?.soleEngineService,
     }),
     metrics: createForwardingMetrics(createMetricsRegistry()),
+    heldResponses: createByteBudget(maxHeldResponseBytes),
     recordPlacement: () => {},
     getUnreportedPlacementCount: () => 0,
     budget: createRetryBudget({
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -5,6 +5,7 @@
  */
 import { errAsync, type ResultAsync } from "neverthrow";
 import type { Configuration } from "../control/configuration.ts";
+import { createByteBudget } from "../core/byte_budget.ts";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import { createSupervisor } from "../core/supervisor.ts";
 import { createEntryServer } from "../forwarding/entry_server.ts";
@@ -45,6 +46,8 @@
  * a rollback must take effect.
  */
 const maxCandidateViewAgeMs = 2_500;
+/** A small part of the 178 MB of the smallest entry machines. */
+const maxHeldResponseBytes = 16 * 1024 * 1024;
 /**
  * Initial balance and least limit of the retry budget of one instance; without
  * it, no instance could ever retry.
@@ -168,6 +171,7 @@
         membership.getEntryCount() / directory.countDomains() - 1,
     }),
     metrics: createForwardingMetrics(registry),
+    heldResponses: createByteBudget(maxHeldResponseBytes),
     budget: createRetryBudget({
       ratio: bounds.retryRatio * budgetSafetyRatio,
       initialUnits: minBudgetUnits,
--- a/src/forwarding/call_attempt.ts
+++ b/src/forwarding/call_attempt.ts
@@ -1,8 +1,8 @@
 /**
  * Sends a non-streaming call to one upstream. The response is buffered until it
  * is complete, so that the call can still be retried when the connection breaks
- * or the upstream fails. A response above `maxBufferedBytes` is relayed as it
- * arrives instead.
+ * or the upstream fails. A response above `maxBufferedBytes`, or above what all
+ * attempts together may hold, is relayed as it arrives instead.
  */
 import type { Buffer } from "node:buffer";
 import { assertNever } from "../core/assert_never.ts";
@@ -61,6 +61,7 @@
   const outcome = new Promise<AttemptOutcome>((resolve) => settle = resolve);
   let head: { status: number; headers: RawHeaders } | undefined;
   const held = createByteCollector();
+  const share = context.heldResponses.open();
   let isRelaying = false;
   const sentAtMs = clock.nowMs();
   limits.recordSend(upstreamId);
@@ -86,7 +87,7 @@
     onData,
     onEnd,
     onFailure: ({ wasSent, reason }) => {
-      requestLoad.release();
+      release();
       // An incomplete response does not show that the upstream is down: the
       // upstream may still serve other requests. If it has crashed, it refuses
       // the next connection, and a request on a refused connection does not
@@ -104,7 +105,7 @@
   return {
     outcome,
     cancel: () => {
-      requestLoad.release();
+      release();
       exchange.cancel();
     },
   };
@@ -149,8 +150,13 @@
     }
   }
 
-  function end(result: AttemptOutcome): void {
+  function release(): void {
     requestLoad.release();
+    share.release();
+  }
+
+  function end(result: AttemptOutcome): void {
+    release();
     exchange.cancel();
     settle(result);
   }
@@ -162,8 +168,10 @@
       return;
     }
     held.add(chunk);
-    if (held.getSizeBytes() <= maxBufferedBytes) return;
+    const mayHold = share.tryTake(chunk.length);
+    if (mayHold && held.getSizeBytes() <= maxBufferedBytes) return;
     isRelaying = true;
+    share.release();
     caller.startResponse(
       head!.status,
       protocol.buildCallerHeaders(head!.headers),
@@ -178,7 +186,7 @@
   }
 
   function onEnd(): void {
-    requestLoad.release();
+    release();
     const response = { ...head!, body: held.takeAll() };
     if (!isRelaying && isBrokenOff(caller.method, response)) {
       directory.recordIncompleteResponse(upstreamId);
--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -2,6 +2,7 @@
  * Types that the forwarders of non-streaming calls and of streams share.
  */
 import type { Buffer } from "node:buffer";
+import type { ByteBudget } from "../core/byte_budget.ts";
 import type { Clock } from "../core/clock.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
@@ -34,6 +35,8 @@
   readonly limitQueue: LimitQueue;
   readonly demand: Pick<DemandShare, "recordRequest">;
   readonly metrics: ForwardingMetrics;
+  /** For responses that are held until they are complete. */
+  readonly heldResponses: ByteBudget;
   /** Counts a stream that this instance has placed. */
   recordPlacement(): void;
   /**
