Begin the wait for an engine when the retry budget covers the repeat

A stream that had lost a run and waited for the retry budget found its time to wait for an engine used up, and failed where no engine was usable for a moment. Found by reading; retry_window_test.ts and entry_server_test.ts pass (33 tests), none shows it.

--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -826,8 +826,13 @@
       return;
     }
     waitTimer = setTimeout(() => {
-      if (drawForRepeat(hasRun)) placeAttempt();
-      else waitForBudget();
+      if (!drawForRepeat(hasRun)) {
+        waitForBudget();
+        return;
+      }
+      // The time to wait for an engine begins now.
+      if (hasRun) waitingSinceMs = undefined;
+      placeAttempt();
     }, budgetPollIntervalMs);
   }
 
