--- a/src/quarantine/request_quarantine.ts
+++ b/src/quarantine/request_quarantine.ts
@@ -50,7 +50,7 @@
 }
 
 export interface Suspicion {
-  /** Crashes of a failure domain at the same moment count once. */
+  /** Crashes that are further ones for the request; see `countSentAgain`. */
   readonly crashCount: number;
   readonly sinceLastCrashMs: number;
 }
