Refuse orders of version moves that may have been overtaken

Cause: an order was one command without anything that says what it was based on. The move table recognized a repetition only by the target of the newest move, and nothing asked whether the operator still waited.

An order is now based on the newest move that a majority knows once it was read, and the table carries it out only after that move. One that was already old when it was read is refused with 503: its connection is closed, a second has passed, or the process stood still. Steps of a move carry its number.

--- a/src/control/control_client.ts
+++ b/src/control/control_client.ts
@@ -13,10 +13,14 @@
 import type { ReplicatedLog } from "./replicated_log.ts";
 
 export interface ControlClient {
-  /** The command must be idempotent: it may be proposed more than once. */
+  /**
+   * The command must be idempotent: it may be proposed more than once. It is
+   * not proposed again once `isWanted` returns false.
+   */
   propose(
     command: Command,
     timeoutMs: number,
+    isWanted?: () => boolean,
   ): ResultAsync<unknown, SystemError>;
 }
 
@@ -41,13 +45,16 @@
   const { clock, peers, selfId, listControlIds, log } = options;
   let leaderId: InstanceId = listControlIds()[0]!;
   return {
-    propose: (command, timeoutMs) =>
-      new ResultAsync(proposeUntil(command, clock.nowMs() + timeoutMs)),
+    propose: (command, timeoutMs, isWanted = () => true) =>
+      new ResultAsync(
+        proposeUntil(command, clock.nowMs() + timeoutMs, isWanted),
+      ),
   };
 
   async function proposeUntil(
     command: Command,
     deadlineAtMs: number,
+    isWanted: () => boolean,
   ): Promise<Result<unknown, SystemError>> {
     // A control instance learns of a new leader before a proposal to the former
     // leader fails.
@@ -63,6 +70,7 @@
       }
       const result = await proposeOnce(command, remainingMs);
       if (result.isOk() || !isRetryable(result.error)) return result;
+      if (!isWanted()) return result;
       await clock.sleep(Math.min(retryDelayMs, remainingMs));
     }
   }
@@ -129,13 +137,19 @@
     error.kind === ErrorKind.PeerUnreachable;
 }
 
+export interface ProposeOptions {
+  readonly timeoutMs?: number;
+  readonly isWanted?: () => boolean;
+}
+
 /** Proposes an operator's command and validates the result. */
 export function proposeCommand<T extends z.ZodType>(
   control: ControlClient,
   command: Command,
   schema: T,
+  { timeoutMs = operatorCommandTimeoutMs, isWanted }: ProposeOptions = {},
 ): ResultAsync<z.output<T>, SystemError> {
-  return control.propose(command, operatorCommandTimeoutMs)
+  return control.propose(command, timeoutMs, isWanted)
     .mapErr((error) =>
       // A proposal that got no reply may still have been committed.
       error.kind === ErrorKind.NoQuorum
--- a/src/control/moves/move_table.ts
+++ b/src/control/moves/move_table.ts
@@ -16,9 +16,14 @@
   advance(progress: MoveProgress): void;
   get(service: string): VersionMove | undefined;
   list(): readonly VersionMove[];
-  restore(moves: readonly VersionMove[]): void;
+  restore(moves: readonly RestoredMove[]): void;
 }
 
+/** Snapshots that were written before moves had numbers do not have them. */
+export type RestoredMove =
+  & Omit<VersionMove, "number">
+  & Partial<Pick<VersionMove, "number">>;
+
 export function createMoveTable(): MoveTable {
   const moves = new Map<string, VersionMove>();
   return {
@@ -28,17 +33,26 @@
     list: () => [...moves.values()],
     restore: (restored) => {
       moves.clear();
-      for (const move of restored) moves.set(move.service, move);
+      for (const move of restored) {
+        moves.set(move.service, { ...move, number: move.number ?? 1 });
+      }
     },
   };
 
-  function start(order: MoveOrder): StartMoveResult {
+  function start({ afterNumber, ...order }: MoveOrder): StartMoveResult {
     const current = moves.get(order.service);
+    const number = current?.number ?? 0;
     // An order is resent if its reply was lost, even after the move has ended.
     if (current?.target === order.target) return { status: "repeated" };
+    // The target does not tell a late order from a newer one: an operator may
+    // order a version, another one and then the first one again.
+    if (afterNumber !== undefined && afterNumber !== number) {
+      return { status: "overtaken" };
+    }
     if (current && isRunning(current)) return { status: "conflict" };
     moves.set(order.service, {
       ...order,
+      number: number + 1,
       phase: MovePhase.Watching,
       share: 0,
       elapsedMs: 0,
@@ -54,9 +68,13 @@
   function advance(progress: MoveProgress): void {
     const current = moves.get(progress.service);
     if (!current || current.target !== progress.target) return;
+    const number = progress.number ?? current.number;
+    if (number !== current.number) return;
     if (!isRunning(current) || progress.elapsedMs < current.elapsedMs) return;
     const isStepBack = current.phase === MovePhase.Moving &&
       progress.phase === MovePhase.Watching;
-    if (!isStepBack) moves.set(progress.service, { ...current, ...progress });
+    if (!isStepBack) {
+      moves.set(progress.service, { ...current, ...progress, number });
+    }
   }
 }
--- a/src/control/moves/move_table_test.ts
+++ b/src/control/moves/move_table_test.ts
@@ -68,6 +68,31 @@
   expect(table.get("app")?.phase).toBe(MovePhase.RolledBack);
 });
 
+test("a step of an earlier move to the same version changes nothing", () => {
+  const table = createMoveTable();
+  table.start(order);
+  table.advance(progress(MovePhase.Complete, 1));
+  table.start({ ...order, target: "v3" });
+  table.advance({ ...progress(MovePhase.Complete, 1), target: "v3" });
+  expect(table.start({ ...order, afterNumber: 2 })).toEqual({
+    status: "started",
+  });
+  table.advance({ ...progress(MovePhase.Complete, 1, 9_000), number: 1 });
+  expect(table.get("app")?.phase).toBe(MovePhase.Watching);
+  table.advance({ ...progress(MovePhase.Complete, 1, 9_000), number: 3 });
+  expect(table.get("app")?.phase).toBe(MovePhase.Complete);
+});
+
+test("moves of a snapshot without numbers are followed by numbered ones", () => {
+  const table = createMoveTable();
+  const state = { phase: MovePhase.Complete, share: 1, elapsedMs: 1_000 };
+  table.restore([{ ...order, ...state, reason: "" }]);
+  const next = { ...order, target: "v3" };
+  expect(table.start({ ...next, afterNumber: 0 }).status).toBe("overtaken");
+  expect(table.start({ ...next, afterNumber: 1 }).status).toBe("started");
+  expect(table.get("app")?.number).toBe(2);
+});
+
 test("a restored table has the moves of the snapshot", () => {
   const table = createMoveTable();
   table.start(order);
--- a/src/control/moves/move_task.ts
+++ b/src/control/moves/move_task.ts
@@ -35,7 +35,7 @@
 }
 
 interface TrackedMove {
-  readonly target: string;
+  readonly number: number;
   /**
    * Time of the order on the monotonic clock, computed back from the recorded
    * elapsed time, which excludes outages of control.
@@ -72,12 +72,12 @@
   async function updateMove(
     move: VersionMove & { readonly phase: RunningPhase },
   ): Promise<void> {
-    const { service, target, durationMs } = move;
+    const { service, target, number, durationMs } = move;
     const nowMs = clock.nowMs();
     let entry = trackedMoves.get(service);
-    if (entry?.target !== target) {
+    if (entry?.number !== number) {
       entry = {
-        target,
+        number,
         startedAtMs: nowMs - move.elapsedMs,
         before: getTotals(move),
       };
@@ -104,7 +104,10 @@
     const isChanged = decision.phase !== move.phase ||
       decision.share !== move.share;
     if (!isChanged && elapsedMs - move.elapsedMs < recordIntervalMs) return;
-    await propose({ service, target, elapsedMs, ...decision }, isChanged);
+    await propose(
+      { service, target, number, elapsedMs, ...decision },
+      isChanged,
+    );
   }
 
   async function propose(
--- a/src/control/moves/move_types.ts
+++ b/src/control/moves/move_types.ts
@@ -30,11 +30,18 @@
   /** Versions in use at the time of the order. */
   stableVersions: z.array(versionSchema).max(100),
   durationMs: durationMsSchema,
+  /**
+   * Number of the service's newest move when the order was read, or 0. Absent
+   * in entries of versions that did not number moves.
+   */
+  afterNumber: z.int().min(0).optional(),
 });
 
 export const moveProgressSchema = z.object({
   service: nameSchema,
   target: versionSchema,
+  /** Absent in entries of versions that did not number moves. */
+  number: z.int().min(1).optional(),
   phase: z.enum(MovePhase),
   share: shareSchema,
   /** Time since the order, excluding the time without a control leader. */
@@ -43,8 +50,10 @@
 });
 
 export const versionMoveSchema = z.object({
-  ...moveOrderSchema.shape,
+  ...moveOrderSchema.omit({ afterNumber: true }).shape,
   ...moveProgressSchema.shape,
+  /** Counts the moves of the service, from 1. */
+  number: z.int().min(1).default(1),
 });
 
 export type MoveOrder = z.output<typeof moveOrderSchema>;
@@ -58,6 +67,8 @@
     "repeated",
     /** Another move of the service is still running. */
     "conflict",
+    /** Another move was started since the order was read. */
+    "overtaken",
   ]),
 });
 
--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -2,7 +2,15 @@
  * Operators' access to the forwarding table and to version moves, from any
  * control instance. An adapter translates the operators' protocol.
  */
-import { errAsync, okAsync, type ResultAsync } from "neverthrow";
+import {
+  err,
+  errAsync,
+  ok,
+  okAsync,
+  type Result,
+  type ResultAsync,
+} from "neverthrow";
+import type { z } from "zod";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import {
   type ForwardingTable,
@@ -11,6 +19,9 @@
 import { checkForwardingTable } from "../forwarding/forwarding_checks.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import type { Clock } from "../core/clock.ts";
+import { logEvents } from "../core/log_events.ts";
+import type { Logger } from "../core/logger.ts";
+import type { PauseWatch } from "../core/pause_watch.ts";
 import {
   type PartKey,
   QuarantineChangeKind,
@@ -18,6 +29,7 @@
 } from "../quarantine/quarantine_types.ts";
 import {
   changeQuarantineResultSchema,
+  type Command,
   CommandKind,
   readMoveResultSchema,
   readQuarantineResultSchema,
@@ -29,6 +41,11 @@
   startMoveResultSchema,
   type VersionMove,
 } from "./moves/move_types.ts";
+import {
+  findOrderDoubt,
+  operatorPatienceMs,
+  type OrderOrigin,
+} from "./order_origin.ts";
 import type { TicketResult } from "./ticket_table.ts";
 import type { TicketService } from "./ticket_service.ts";
 
@@ -39,6 +56,13 @@
   readonly source: string;
 }
 
+/** An order to move the service to the target version. */
+export interface MoveRequest {
+  readonly service: string;
+  readonly target: string;
+  readonly durationMs: number;
+}
+
 export interface OperatorService {
   /** Submits the table as a ticket with that number. */
   replaceTable(
@@ -46,12 +70,14 @@
   ): ResultAsync<TicketResult, SystemError>;
   /** Reads the newest document that a majority of control instances knows. */
   readDocument(): ResultAsync<string | undefined, SystemError>;
-  /** Orders a move of the service to another version. */
-  startMove(order: {
-    readonly service: string;
-    readonly target: string;
-    readonly durationMs: number;
-  }): ResultAsync<StartMoveResult, SystemError>;
+  /**
+   * Orders a move of the service to another version. Fails with `StaleOrder`
+   * and changes nothing if the operator may have given a newer order since.
+   */
+  startMove(
+    order: MoveRequest,
+    origin: OrderOrigin,
+  ): ResultAsync<StartMoveResult, SystemError>;
   /** Reads the newest move of the service that a majority knows. */
   readMove(service: string): ResultAsync<VersionMove | undefined, SystemError>;
   /** Reads the prompt parts that crashed engines, with those released since. */
@@ -66,7 +92,9 @@
 export interface OperatorServiceOptions {
   readonly tickets: Pick<TicketService, "submit" | "findInForce">;
   readonly control: ControlClient;
-  readonly clock: Pick<Clock, "wallMs">;
+  readonly clock: Pick<Clock, "nowMs" | "wallMs">;
+  readonly logger: Logger;
+  readonly pauses: Pick<PauseWatch, "hasPausedSince">;
   listUpstreams(): readonly ListedUpstream[];
   getConfiguration(): Configuration;
 }
@@ -74,9 +102,10 @@
 const objectPath = `forwarding.${forwardingTableName}`;
 
 export function createOperatorService(
-  { tickets, control, clock, listUpstreams, getConfiguration }:
-    OperatorServiceOptions,
+  options: OperatorServiceOptions,
 ): OperatorService {
+  const { tickets, control, clock, logger, pauses } = options;
+  const { listUpstreams, getConfiguration } = options;
   return {
     replaceTable: ({ number, table, source }) => {
       // The ticket table acknowledges an outdated number without checking its
@@ -122,14 +151,43 @@
   };
 
   function startMove(
-    order: { service: string; target: string; durationMs: number },
+    request: MoveRequest,
+    origin: OrderOrigin,
   ): ResultAsync<StartMoveResult, SystemError> {
-    const { service, target } = order;
+    const { service, target } = request;
     const table = getConfiguration().forwarding[forwardingTableName];
     if (table && !table.services.some(({ name }) => name === service)) {
       const message = `no service is called ${service}`;
       return errAsync(createError(ErrorKind.InvalidRequest, message));
     }
+    return readBefore(
+      origin,
+      { kind: CommandKind.ReadMove, service },
+      readMoveResultSchema,
+    ).andThen(({ move }) =>
+      // A repeated order changes nothing, however late it is.
+      move?.target === target
+        ? okAsync<StartMoveResult, SystemError>({ status: "repeated" })
+        : proposeMove(request, origin, move?.number ?? 0)
+    ).map((result) => {
+      logger.log(logEvents.versionMoveOrdered, { service, target, ...result });
+      return result;
+    }).mapErr((error) => {
+      logger.log(logEvents.operatorOrderRefused, {
+        order: CommandKind.StartMove,
+        service,
+        target,
+        reason: error.message,
+      });
+      return error;
+    });
+  }
+
+  function proposeMove(
+    { service, target, durationMs }: MoveRequest,
+    origin: OrderOrigin,
+    afterNumber: number,
+  ): ResultAsync<StartMoveResult, SystemError> {
     const stableVersions = [
       ...new Set(
         listUpstreams().filter((entry) =>
@@ -137,10 +195,42 @@
         ).map(({ version }) => version),
       ),
     ];
-    return proposeCommand(
-      control,
-      { kind: CommandKind.StartMove, order: { ...order, stableVersions } },
-      startMoveResultSchema,
+    const order = { service, target, durationMs, stableVersions, afterNumber };
+    return checkOrigin(origin).asyncAndThen(() =>
+      proposeCommand(
+        control,
+        { kind: CommandKind.StartMove, order },
+        startMoveResultSchema,
+        { isWanted: () => !origin.isClosed() },
+      )
+    ).andThen((result) =>
+      result.status === "overtaken"
+        ? err(createStaleOrderError("another order was carried out meanwhile"))
+        : ok(result)
+    );
+  }
+
+  /** Reads what an order is based on, while its operator still waits. */
+  function readBefore<T extends z.ZodType>(
+    origin: OrderOrigin,
+    command: Command,
+    schema: T,
+  ): ResultAsync<z.output<T>, SystemError> {
+    return checkOrigin(origin).asyncAndThen(() =>
+      proposeCommand(control, command, schema, {
+        timeoutMs: origin.readAtMs + operatorPatienceMs - clock.nowMs(),
+        isWanted: () => !origin.isClosed(),
+      })
     );
   }
+
+  function checkOrigin(origin: OrderOrigin): Result<void, SystemError> {
+    const doubt = findOrderDoubt(origin, { nowMs: clock.nowMs(), pauses });
+    return doubt === undefined ? ok() : err(createStaleOrderError(doubt));
+  }
+}
+
+function createStaleOrderError(reason: string): SystemError {
+  const message = `${reason}; repeat the order if it is still wanted`;
+  return createError(ErrorKind.StaleOrder, message, { retryAfterMs: 100 });
 }
--- a/src/control/operator_service_test.ts
+++ b/src/control/operator_service_test.ts
@@ -1,6 +1,7 @@
 import { okAsync } from "neverthrow";
 import { expect, test } from "vitest";
 import { createTestTable } from "../../measure/forwarding_fakes.ts";
+import { createSilentLogger } from "../core/logger.ts";
 import { getEmptyConfiguration } from "./configuration.ts";
 import { createOperatorService } from "./operator_service.ts";
 
@@ -12,7 +13,9 @@
       findInForce: () => okAsync(undefined),
     },
     control: { propose: () => okAsync({}) },
-    clock: { wallMs: () => 0 },
+    clock: { nowMs: () => 0, wallMs: () => 0 },
+    logger: createSilentLogger(),
+    pauses: { hasPausedSince: () => false },
     listUpstreams: () => [],
     getConfiguration: getEmptyConfiguration,
   });
--- a/src/control/state_machine.ts
+++ b/src/control/state_machine.ts
@@ -10,8 +10,11 @@
   type ReadTicketsCommand,
 } from "./commands.ts";
 import type { Configuration, ConfigurationChanges } from "./configuration.ts";
-import { createMoveTable, type MoveTable } from "./moves/move_table.ts";
-import type { VersionMove } from "./moves/move_types.ts";
+import {
+  createMoveTable,
+  type MoveTable,
+  type RestoredMove,
+} from "./moves/move_table.ts";
 import {
   createRolloutTable,
   type RolloutRecord,
@@ -44,7 +47,7 @@
   readonly rollouts: readonly [string, RolloutRecord][];
   readonly usage: LedgerSnapshot;
   /** Absent in snapshots that were written before version moves existed. */
-  readonly moves?: readonly VersionMove[];
+  readonly moves?: readonly RestoredMove[];
   /** Absent in snapshots that were written before the quarantine existed. */
   readonly quarantine?: QuarantineSnapshot;
 }
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -29,6 +29,8 @@
   AnswerLost = "answerLost",
   AnswerDiverged = "answerDiverged",
   AnswerFailed = "answerFailed",
+  /** An operator's order may have been overtaken; nothing has changed. */
+  StaleOrder = "staleOrder",
   TicketConflict = "ticketConflict",
   TicketOutdated = "ticketOutdated",
   InvalidTicket = "invalidTicket",
@@ -78,6 +80,7 @@
   [ErrorKind.AnswerLost]: answer(410, partial, false),
   [ErrorKind.AnswerDiverged]: answer(409, partial, false),
   [ErrorKind.AnswerFailed]: answer(502, partial, true),
+  [ErrorKind.StaleOrder]: answer(503, notRun, true),
   [ErrorKind.TicketConflict]: answer(409, notRun, false),
   [ErrorKind.TicketOutdated]: answer(409, notRun, false),
   [ErrorKind.InvalidTicket]: answer(422, notRun, false),
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -153,6 +153,12 @@
     Info,
     "another upstream has the address and is not known to be of the service",
   ),
+  versionMoveOrdered: event(
+    4210,
+    Info,
+    "order of a version move acknowledged, or in conflict with another one",
+  ),
+  operatorOrderRefused: event(4211, Warn, "order of an operator refused"),
   versionMoveChanged: event(4204, Info, "progress of a version move proposed"),
   upstreamViewChanged: event(4201, Info, "upstream view changed"),
   upstreamListReadDirectly: event(
--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -10,6 +10,7 @@
 import { createMoveTask } from "../control/moves/move_task.ts";
 import { assignShares } from "../control/moves/version_shares.ts";
 import { createOperatorService } from "../control/operator_service.ts";
+import { orderPauseLimitMs } from "../control/order_origin.ts";
 import {
   createConsensusOptions,
   createReplicatedLog,
@@ -20,6 +21,7 @@
 import { closeOnlyIdleConnections } from "../core/idle_connections.ts";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import { listenOn } from "../core/listen_on.ts";
+import { createPauseWatch } from "../core/pause_watch.ts";
 import { createSupervisor } from "../core/supervisor.ts";
 import { PeerCallKind } from "../peer/messages.ts";
 import { startPeerServer } from "../peer/peer_server.ts";
@@ -158,6 +160,7 @@
     listControlIds: membership.listControlIds,
     log,
   });
+  const pauses = createPauseWatch({ clock, limitMs: orderPauseLimitMs });
   const operators = createOperatorService({
     tickets: createTicketService({
       clock,
@@ -168,6 +171,8 @@
     }),
     control,
     clock,
+    logger,
+    pauses,
     listUpstreams: upstreams.list,
     getConfiguration: configuration.getConfiguration,
   });
@@ -201,6 +206,7 @@
         logger,
         tasks: [
           ...core.tasks,
+          pauses.task,
           createSupervisor({
             name: "control-log",
             clock,
