Lift only the quarantine that the operator saw

Operators could lift the quarantine of a part that had crashed engines again since: a lift that waited at a paused instance, or for a leader, was carried out whenever it came.

Cause: the lift named the part and not the record. A record now keeps the revision with which it was added, the instance reads it from a majority, and the lift takes back that record only. An order that was old when it was read is refused as for moves.

--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -20,10 +20,11 @@
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import type { Clock } from "../core/clock.ts";
 import { logEvents } from "../core/log_events.ts";
-import type { Logger } from "../core/logger.ts";
+import type { LogFields, Logger } from "../core/logger.ts";
 import type { PauseWatch } from "../core/pause_watch.ts";
 import {
   type PartKey,
+  type QuarantineChange,
   QuarantineChangeKind,
   type QuarantineRecord,
 } from "../quarantine/quarantine_types.ts";
@@ -84,9 +85,13 @@
   readQuarantine(): ResultAsync<readonly QuarantineRecord[], SystemError>;
   /**
    * Lets requests with the part run again and forgets its crashes. Returns
-   * whether the part was known.
+   * whether the part was known. Fails with `StaleOrder` and changes nothing if
+   * the part may have crashed engines since.
    */
-  liftQuarantine(key: PartKey): ResultAsync<boolean, SystemError>;
+  liftQuarantine(
+    key: PartKey,
+    origin: OrderOrigin,
+  ): ResultAsync<boolean, SystemError>;
 }
 
 export interface OperatorServiceOptions {
@@ -133,21 +138,7 @@
         { kind: CommandKind.ReadQuarantine },
         readQuarantineResultSchema,
       ).map(({ records }) => records),
-    liftQuarantine: ([service, partId]) =>
-      proposeCommand(
-        control,
-        {
-          kind: CommandKind.ChangeQuarantine,
-          change: {
-            kind: QuarantineChangeKind.Lift,
-            service,
-            partId,
-            atWallMs: clock.wallMs(),
-            reason: "lifted by an operator",
-          },
-        },
-        changeQuarantineResultSchema,
-      ).map(({ hasChanged }) => hasChanged),
+    liftQuarantine,
   };
 
   function startMove(
@@ -172,15 +163,55 @@
     ).map((result) => {
       logger.log(logEvents.versionMoveOrdered, { service, target, ...result });
       return result;
-    }).mapErr((error) => {
-      logger.log(logEvents.operatorOrderRefused, {
-        order: CommandKind.StartMove,
-        service,
-        target,
-        reason: error.message,
-      });
-      return error;
-    });
+    }).mapErr((error) => logRefusal(error, { order: "move", service, target }));
+  }
+
+  function liftQuarantine(
+    [service, partId]: PartKey,
+    origin: OrderOrigin,
+  ): ResultAsync<boolean, SystemError> {
+    return readBefore(
+      origin,
+      { kind: CommandKind.ReadQuarantine },
+      readQuarantineResultSchema,
+    ).andThen(({ records }) => {
+      const record = records.find((entry) =>
+        entry.service === service && entry.partId === partId
+      );
+      return record ? proposeLift(record, origin) : okAsync(false);
+    }).mapErr((error) => logRefusal(error, { order: "lift", service, partId }));
+  }
+
+  function proposeLift(
+    { service, partId, addedRevision }: QuarantineRecord,
+    origin: OrderOrigin,
+  ): ResultAsync<boolean, SystemError> {
+    const change: QuarantineChange = {
+      kind: QuarantineChangeKind.Lift,
+      service,
+      partId,
+      atWallMs: clock.wallMs(),
+      reason: "lifted by an operator",
+      ...(addedRevision === undefined ? {} : { addedRevision }),
+    };
+    return checkOrigin(origin).asyncAndThen(() =>
+      proposeCommand(
+        control,
+        { kind: CommandKind.ChangeQuarantine, change },
+        changeQuarantineResultSchema,
+        { isWanted: () => !origin.isClosed() },
+      )
+    ).andThen(({ hasChanged }) =>
+      hasChanged
+        ? ok(true)
+        : err(createStaleOrderError("the part's state has changed meanwhile"))
+    );
+  }
+
+  function logRefusal(error: SystemError, fields: LogFields): SystemError {
+    const reason = error.message;
+    logger.log(logEvents.operatorOrderRefused, { ...fields, reason });
+    return error;
   }
 
   function proposeMove(
--- a/src/control/order_arrival_test.ts
+++ b/src/control/order_arrival_test.ts
@@ -2,12 +2,15 @@
 import { ok, type Result, ResultAsync } from "neverthrow";
 import { expect, test } from "vitest";
 import type { SystemError } from "../core/errors.ts";
+import { createTestTable } from "../../measure/forwarding_fakes.ts";
 import { createSilentLogger } from "../core/logger.ts";
+import { forwardingTableName } from "../forwarding/forwarding_table.ts";
 import { type Command, CommandKind } from "./commands.ts";
 import { getEmptyConfiguration } from "./configuration.ts";
 import { MovePhase } from "./moves/move_types.ts";
 import { createOperatorService } from "./operator_service.ts";
 import { createStateMachine } from "./state_machine.ts";
+import type { TicketRecord } from "./ticket_table.ts";
 
 /**
  * Steps of three orders. The operator sends each one to a first instance, goes
@@ -205,3 +208,47 @@
     expect(count).toBeGreaterThan(100);
   },
 );
+
+// Configurations, with their keys and limits, have numbers, which make them
+// safe: an older one is acknowledged and changes nothing.
+test("in every order of arrival the newest of three configurations is in force", () => {
+  const numbers = [3, 5, 9];
+  for (const arrivals of listPermutations([...numbers, ...numbers])) {
+    let state = createStateMachine();
+    let newest = 0;
+    for (const number of arrivals) {
+      newest = Math.max(newest, number);
+      const { status } = state.apply({
+        kind: CommandKind.SubmitTicket,
+        ticket: {
+          number,
+          source: `document ${number}`,
+          forwarding: { [forwardingTableName]: createTestTable() },
+        },
+        initial: getEmptyConfiguration(),
+        atWallMs: 0,
+      }) as { status: string };
+      expect(["accepted", "outdated"]).toContain(status);
+      const snapshot = state.getSnapshot();
+      state = createStateMachine();
+      state.restore(structuredClone(snapshot));
+      const { records } = state.apply({
+        kind: CommandKind.ReadTickets,
+        objectPath: `forwarding.${forwardingTableName}`,
+        beforeNumber: Number.MAX_SAFE_INTEGER,
+        limit: 1,
+      }) as { records: TicketRecord[] };
+      expect(records[0]?.number).toBe(newest);
+      expect(records[0]?.ticket.source).toBe(`document ${newest}`);
+    }
+  }
+});
+
+function listPermutations(items: readonly number[]): number[][] {
+  if (items.length === 0) return [[]];
+  return [...new Set(items)].flatMap((item) => {
+    const rest = [...items];
+    rest.splice(rest.indexOf(item), 1);
+    return listPermutations(rest).map((others) => [item, ...others]);
+  });
+}
--- a/src/quarantine/quarantine_table.ts
+++ b/src/quarantine/quarantine_table.ts
@@ -71,14 +71,22 @@
     switch (kind) {
       case QuarantineChangeKind.Add:
         if (isQuarantined) return false;
-        set(QuarantineState.Quarantined, (known?.strikes ?? 0) + 1);
+        set(
+          QuarantineState.Quarantined,
+          (known?.strikes ?? 0) + 1,
+          revision + 1,
+        );
         break;
       case QuarantineChangeKind.Release:
         if (!isQuarantined) return false;
-        set(QuarantineState.Released, known.strikes);
+        set(QuarantineState.Released, known.strikes, known.addedRevision);
         break;
       case QuarantineChangeKind.Lift:
         if (!known) return false;
+        if (
+          change.addedRevision !== undefined &&
+          change.addedRevision !== known.addedRevision
+        ) return false;
         records.delete(id);
         break;
       default:
@@ -88,13 +96,18 @@
     onChanged?.(change);
     return true;
 
-    function set(state: QuarantineState, strikes: number): void {
+    function set(
+      state: QuarantineState,
+      strikes: number,
+      addedRevision: number | undefined,
+    ): void {
       records.delete(id);
       records.set(id, {
         service,
         partId,
         state,
         strikes,
+        ...(addedRevision === undefined ? {} : { addedRevision }),
         changedAtWallMs: atWallMs,
         reason,
       });
--- a/src/quarantine/quarantine_types.ts
+++ b/src/quarantine/quarantine_types.ts
@@ -94,6 +94,11 @@
   state: z.enum(QuarantineState),
   /** How often the part has been quarantined. */
   strikes: z.int().min(1),
+  /**
+   * Revision of the table with which the part was last quarantined. Absent in
+   * records of versions that did not keep it.
+   */
+  addedRevision: z.int().min(1).optional(),
   changedAtWallMs: z.number(),
   reason: z.string().max(500),
 });
@@ -112,6 +117,11 @@
   partId: nameSchema,
   atWallMs: z.number(),
   reason: z.string().max(500),
+  /**
+   * With a lift: the `addedRevision` of the record that the operator saw. A
+   * record that was added since stays.
+   */
+  addedRevision: z.int().min(1).optional(),
 });
 
 export type PartKey = z.output<typeof partKeySchema>;
