Close and remove the segments that a full disk leaves

While a disk is full, each try to open the control log, two a second, left a file handle open until the garbage collector closed it, and a segment in the folder that every later try reads.

Cause: a new segment stayed open, and in place, if its first record, the reset after it or the identity could not be written. It is closed and removed now; nothing relies on it yet. The log reaches its files through LogFiles, so that a test can replace the disk.

--- a/src/control/log/log_storage.ts
+++ b/src/control/log/log_storage.ts
@@ -5,14 +5,6 @@
  * has an identity but no segment is rejected. A replica therefore never starts
  * without a recorded vote under an identity that may have voted.
  */
-import {
-  type FileHandle,
-  mkdir,
-  open,
-  readdir,
-  rename,
-} from "node:fs/promises";
-import { readFile, truncate, unlink } from "node:fs/promises";
 import { join } from "node:path";
 import { ResultAsync } from "neverthrow";
 import {
@@ -25,6 +17,7 @@
 import type { InstanceId } from "../../core/types.ts";
 import type { LogEntry } from "../../peer/control_log_messages.ts";
 import { emptySnapshot } from "./consensus.ts";
+import { type AppendedFile, type LogFiles, systemFiles } from "./log_files.ts";
 import {
   type DurableState,
   getInstanceId,
@@ -54,6 +47,7 @@
   readonly instanceId: InstanceId;
   readonly random: Random;
   readonly segmentBytes?: number;
+  readonly files?: LogFiles;
 }
 
 interface Segment {
@@ -71,23 +65,25 @@
 }
 
 async function openFolder(options: LogStorageOptions): Promise<LogStorage> {
-  const { dataFolder, instanceId, random } = options;
+  const { dataFolder, instanceId, random, files = systemFiles } = options;
   const segmentBytes = options.segmentBytes ?? defaultSegmentBytes;
-  await mkdir(dataFolder, { recursive: true });
-  const names = (await readdir(dataFolder)).sort();
-  await removeTemporaryFiles(dataFolder, names);
+  await files.createFolder(dataFolder);
+  const names = (await files.list(dataFolder)).sort();
+  for (const name of names.filter((entry) => entry.endsWith(".tmp"))) {
+    await files.remove(join(dataFolder, name));
+  }
   const hasIdentity = names.includes(identityName);
   const segments: Segment[] = [];
   let durable: DurableState = { groupId: "", term: 0, votedFor: "" };
   let segmentNumber = 0;
   let segmentSizeBytes = 0;
   let hasDroppedEntries = false;
-  let handle: FileHandle;
+  let handle: AppendedFile;
   let replicaId: ReplicaId;
   let stored: StoredLog;
   if (hasIdentity) {
-    replicaId = await readIdentity(dataFolder, instanceId);
-    const snapshot = await readSnapshot(dataFolder, names);
+    replicaId = await readIdentity();
+    const snapshot = await readSnapshot();
     const entries = await readSegments(names.filter(isSegmentName));
     const kept = dropSupersededEntries(entries, snapshot);
     hasDroppedEntries = kept.length < entries.length;
@@ -99,7 +95,7 @@
     // A startup that was interrupted before the identity was written leaves
     // only segments.
     for (const name of names.filter(isSegmentName)) {
-      await unlink(join(dataFolder, name));
+      await files.remove(join(dataFolder, name));
     }
     const randomValues = Array.from(
       { length: 4 },
@@ -111,16 +107,20 @@
     stored = { durable, snapshot: emptySnapshot, entries: [] };
   }
   handle = await startSegment();
-  // Otherwise the entries that follow the snapshot would leave a gap after the
-  // dropped ones, and the next start would reject the folder.
-  if (hasDroppedEntries) await write({ isReset: true });
-  if (!hasIdentity) {
-    const identity = JSON.stringify({ replicaId });
-    await replaceFileAtomically(
-      dataFolder,
-      identityName,
-      new TextEncoder().encode(identity),
-    );
+  try {
+    // Otherwise the entries that follow the snapshot would leave a gap after
+    // the dropped ones, and the next start would reject the folder.
+    if (hasDroppedEntries) await write({ isReset: true });
+    if (!hasIdentity) {
+      const identity = JSON.stringify({ replicaId });
+      await replaceFileAtomically(
+        identityName,
+        new TextEncoder().encode(identity),
+      );
+    }
+  } catch (cause) {
+    await discardSegment(handle, segments.at(-1)!.name);
+    throw cause;
   }
   return {
     replicaId,
@@ -136,7 +136,7 @@
     const entries: LogEntry[] = [];
     for (const name of found) {
       const path = join(dataFolder, name);
-      const bytes = await readFile(path);
+      const bytes = await files.read(path);
       const { values, validBytes, isDamaged } = decodeRecords(bytes);
       const isLast = name === found.at(-1);
       if (isDamaged || (!isLast && validBytes < bytes.length)) {
@@ -151,8 +151,7 @@
         segment.lastIndex = getMaxIndex(segment.lastIndex, record.entries);
       }
       if (validBytes < bytes.length) {
-        await truncate(path, validBytes);
-        await syncFile(path);
+        await files.truncate(path, validBytes);
       }
       segments.push(segment);
       segmentNumber = getSegmentNumber(name);
@@ -164,19 +163,37 @@
    * Creates a segment that starts with the durable state, so that older
    * segments can be deleted.
    */
-  async function startSegment(): Promise<FileHandle> {
+  async function startSegment(): Promise<AppendedFile> {
     segmentNumber += 1;
     const name = `log-${String(segmentNumber).padStart(12, "0")}`;
-    const next = await open(join(dataFolder, name), "wx");
+    const next = await files.create(join(dataFolder, name), true);
     const bytes = encodeRecord({ durable });
-    await next.appendFile(bytes);
-    await next.datasync();
-    await syncFile(dataFolder);
+    try {
+      await next.append(bytes);
+      await next.sync();
+      await files.syncFolder(dataFolder);
+    } catch (cause) {
+      await discardSegment(next, name);
+      throw cause;
+    }
     segments.push({ name, lastIndex: 0 });
     segmentSizeBytes = bytes.length;
     return next;
   }
 
+  /**
+   * Removes a segment on which nothing relies yet. A full disk may be tried for
+   * a long time, with a new segment each time. The failure that came before is
+   * the one to report.
+   */
+  async function discardSegment(
+    file: AppendedFile,
+    name: string,
+  ): Promise<void> {
+    await file.close().catch(() => {});
+    await files.remove(join(dataFolder, name)).catch(() => {});
+  }
+
   async function write(record: LogRecord): Promise<void> {
     durable = record.durable ?? durable;
     if (segmentSizeBytes >= segmentBytes) {
@@ -184,8 +201,8 @@
       handle = await startSegment();
     }
     const bytes = encodeRecord(record);
-    await handle.appendFile(bytes);
-    await handle.datasync();
+    await handle.append(bytes);
+    await handle.sync();
     segmentSizeBytes += bytes.length;
     const segment = segments.at(-1)!;
     segment.lastIndex = getMaxIndex(segment.lastIndex, record.entries);
@@ -196,14 +213,55 @@
     { baseIndex, isReset }: { baseIndex: number; isReset: boolean },
   ): Promise<void> {
     const name = `snapshot-${String(snapshot.index).padStart(15, "0")}`;
-    await replaceFileAtomically(dataFolder, name, encodeRecord(snapshot));
+    await replaceFileAtomically(name, encodeRecord(snapshot));
     if (isReset) await write({ isReset });
-    for (const other of (await readdir(dataFolder)).filter(isSnapshotName)) {
-      if (other < name) await unlink(join(dataFolder, other));
+    const names = await files.list(dataFolder);
+    for (const other of names.filter(isSnapshotName)) {
+      if (other < name) await files.remove(join(dataFolder, other));
     }
     while (segments.length > 1 && segments[0]!.lastIndex <= baseIndex) {
-      await unlink(join(dataFolder, segments.shift()!.name));
+      await files.remove(join(dataFolder, segments.shift()!.name));
+    }
+  }
+
+  async function readIdentity(): Promise<ReplicaId> {
+    const bytes = await files.read(join(dataFolder, identityName));
+    const { replicaId } = JSON.parse(bytes.toString("utf8")) as {
+      replicaId: ReplicaId;
+    };
+    if (getInstanceId(replicaId) !== instanceId) {
+      throw new Error(`the data folder belongs to ${replicaId}`);
+    }
+    return replicaId;
+  }
+
+  async function readSnapshot(): Promise<LogSnapshot> {
+    const name = names.filter(isSnapshotName).at(-1);
+    if (!name) return emptySnapshot;
+    const { values } = decodeRecords(await files.read(join(dataFolder, name)));
+    if (values.length !== 1) throw new Error(`${name} is damaged`);
+    const snapshot = values[0] as LogSnapshot;
+    return { ...snapshot, data: new Uint8Array(snapshot.data) };
+  }
+
+  /**
+   * Replaces a file atomically: after a crash it has either its old or its new
+   * content.
+   */
+  async function replaceFileAtomically(
+    name: string,
+    bytes: Uint8Array,
+  ): Promise<void> {
+    const temporary = join(dataFolder, `${name}.tmp`);
+    const file = await files.create(temporary, false);
+    try {
+      await file.append(bytes);
+      await file.sync();
+    } finally {
+      await file.close();
     }
+    await files.rename(temporary, join(dataFolder, name));
+    await files.syncFolder(dataFolder);
   }
 }
 
@@ -245,69 +303,6 @@
   return last?.term === snapshot.term ? entries : [];
 }
 
-async function readIdentity(
-  dataFolder: string,
-  instanceId: InstanceId,
-): Promise<ReplicaId> {
-  const text = await readFile(join(dataFolder, identityName), "utf8");
-  const { replicaId } = JSON.parse(text) as { replicaId: ReplicaId };
-  if (getInstanceId(replicaId) !== instanceId) {
-    throw new Error(`the data folder belongs to ${replicaId}`);
-  }
-  return replicaId;
-}
-
-async function readSnapshot(
-  dataFolder: string,
-  names: readonly string[],
-): Promise<LogSnapshot> {
-  const name = names.filter(isSnapshotName).at(-1);
-  if (!name) return emptySnapshot;
-  const { values } = decodeRecords(await readFile(join(dataFolder, name)));
-  if (values.length !== 1) throw new Error(`${name} is damaged`);
-  const snapshot = values[0] as LogSnapshot;
-  return { ...snapshot, data: new Uint8Array(snapshot.data) };
-}
-
-/**
- * Replaces a file atomically: after a crash it has either its old or its new
- * content.
- */
-async function replaceFileAtomically(
-  dataFolder: string,
-  name: string,
-  bytes: Uint8Array,
-): Promise<void> {
-  const temporary = join(dataFolder, `${name}.tmp`);
-  const handle = await open(temporary, "w");
-  try {
-    await handle.writeFile(bytes);
-    await handle.sync();
-  } finally {
-    await handle.close();
-  }
-  await rename(temporary, join(dataFolder, name));
-  await syncFile(dataFolder);
-}
-
-async function removeTemporaryFiles(
-  dataFolder: string,
-  names: readonly string[],
-): Promise<void> {
-  for (const name of names.filter((entry) => entry.endsWith(".tmp"))) {
-    await unlink(join(dataFolder, name));
-  }
-}
-
-async function syncFile(path: string): Promise<void> {
-  const handle = await open(path, "r");
-  try {
-    await handle.sync();
-  } finally {
-    await handle.close();
-  }
-}
-
 function getMaxIndex(
   index: number,
   entries: readonly LogEntry[] | undefined,
--- a/src/control/replicated_log.ts
+++ b/src/control/replicated_log.ts
@@ -31,6 +31,7 @@
 import type { Command } from "./commands.ts";
 import { createConsensusState, stepConsensus } from "./log/consensus.ts";
 import { getLastIndex } from "./log/log_entries.ts";
+import type { LogFiles } from "./log/log_files.ts";
 import { type LogStorage, openLogStorage } from "./log/log_storage.ts";
 import {
   type ConsensusEffect,
@@ -76,6 +77,7 @@
   readonly stateMachine: StateMachine;
   /** Minimum size of the commands between two snapshots. */
   readonly minSnapshotIntervalBytes?: number;
+  readonly files?: LogFiles;
 }
 
 type Resolve = (result: Result<unknown, SystemError>) => void;
@@ -243,9 +245,14 @@
   }
 
   async function open(): Promise<LogStorage> {
-    const { dataFolder, instanceId, consensus } = options;
+    const { dataFolder, instanceId, consensus, files } = options;
     const storage = unwrap(
-      await openLogStorage({ dataFolder, instanceId, random }),
+      await openLogStorage({
+        dataFolder,
+        instanceId,
+        random,
+        ...(files ? { files } : {}),
+      }),
     );
     const { stored, replicaId } = storage;
     state = createConsensusState({
