Send nothing to versions that were rolled back when the next one is ordered

Cause: shares followed from the newest move alone. A move now keeps the versions that were rolled back and not ordered again; they get nothing and are not among the stable versions that the new one is compared with.

Measured: "a version that was rolled back gets nothing while the next one is moved to" fails on the old code and passes now.

--- a/src/control/moves/move_table.ts
+++ b/src/control/moves/move_table.ts
@@ -4,6 +4,7 @@
  */
 import {
   isRunning,
+  maxRejectedVersions,
   type MoveOrder,
   MovePhase,
   type MoveProgress,
@@ -19,10 +20,10 @@
   restore(moves: readonly RestoredMove[]): void;
 }
 
-/** Snapshots that were written before moves had numbers do not have them. */
+/** Snapshots of earlier versions lack some fields. */
 export type RestoredMove =
-  & Omit<VersionMove, "number">
-  & Partial<Pick<VersionMove, "number">>;
+  & Omit<VersionMove, "number" | "rejectedVersions">
+  & Partial<Pick<VersionMove, "number" | "rejectedVersions">>;
 
 export function createMoveTable(): MoveTable {
   const moves = new Map<string, VersionMove>();
@@ -34,7 +35,8 @@
     restore: (restored) => {
       moves.clear();
       for (const move of restored) {
-        moves.set(move.service, { ...move, number: move.number ?? 1 });
+        const { number = 1, rejectedVersions = [] } = move;
+        moves.set(move.service, { ...move, number, rejectedVersions });
       }
     },
   };
@@ -50,9 +52,14 @@
       return { status: "overtaken" };
     }
     if (current && isRunning(current)) return { status: "conflict" };
+    const rejectedVersions = listRejectedVersions(current, order.target);
     moves.set(order.service, {
       ...order,
       number: number + 1,
+      rejectedVersions,
+      stableVersions: order.stableVersions.filter((version) =>
+        !rejectedVersions.includes(version)
+      ),
       phase: MovePhase.Watching,
       share: 0,
       elapsedMs: 0,
@@ -78,3 +85,14 @@
     }
   }
 }
+
+function listRejectedVersions(
+  previous: VersionMove | undefined,
+  target: string,
+): string[] {
+  if (!previous) return [];
+  const rejected = new Set(previous.rejectedVersions);
+  if (previous.phase === MovePhase.RolledBack) rejected.add(previous.target);
+  rejected.delete(target);
+  return [...rejected].slice(-maxRejectedVersions);
+}
--- a/src/control/moves/move_table_test.ts
+++ b/src/control/moves/move_table_test.ts
@@ -117,6 +117,32 @@
   expect(getShares()).toEqual([0, 1]);
 });
 
+// The upstreams of a version that was rolled back got a full share again when
+// the next version was ordered before they had left.
+test("a version that was rolled back gets nothing while the next one is moved to", () => {
+  const getShares = (table: ReturnType<typeof createMoveTable>) =>
+    assignShares(list("v1", "v2", "v3"), table.get).map((entry) =>
+      entry.versionShare
+    );
+  const table = createMoveTable();
+  table.start(order);
+  table.advance(progress(MovePhase.RolledBack, 0));
+  expect(getShares(table)).toEqual([1, 0, 1]);
+  table.start({ ...order, target: "v3", stableVersions: ["v1", "v2"] });
+  expect(table.get("app")?.stableVersions).toEqual(["v1"]);
+  expect(getShares(table)).toEqual([1, 0, 0]);
+  table.advance({ ...progress(MovePhase.Watching, 0.08), target: "v3" });
+  const restored = createMoveTable();
+  restored.restore(structuredClone(table.list()));
+  expect(getShares(restored)).toEqual([1, 0, 0.08]);
+  table.advance({ ...progress(MovePhase.Complete, 1), target: "v3" });
+  expect(getShares(table)).toEqual([0, 0, 1]);
+  // Ordered again, it may prove itself.
+  table.start({ ...order, stableVersions: ["v3"] });
+  table.advance(progress(MovePhase.Watching, 0.08));
+  expect(getShares(table)).toEqual([1, 0.08, 1]);
+});
+
 test("without control, no requests go to a candidate or unknown version", () => {
   const known = [
     { ...list("v1")[0]!, versionShare: 1 },
--- a/src/control/moves/move_types.ts
+++ b/src/control/moves/move_types.ts
@@ -18,6 +18,9 @@
   RolledBack = "rolledBack",
 }
 
+/** The oldest ones are forgotten; their upstreams have left long before. */
+export const maxRejectedVersions = 100;
+
 const nameSchema = z.string().min(1).max(200);
 const versionSchema = z.string().max(200);
 const durationMsSchema = z.number().positive().max(86_400_000);
@@ -54,6 +57,11 @@
   ...moveProgressSchema.shape,
   /** Counts the moves of the service, from 1. */
   number: z.int().min(1).default(1),
+  /**
+   * Versions that were rolled back and not ordered again since. Their upstreams
+   * may still be listed.
+   */
+  rejectedVersions: z.array(versionSchema).max(maxRejectedVersions).default([]),
 });
 
 export type MoveOrder = z.output<typeof moveOrderSchema>;
--- a/src/control/moves/version_shares.ts
+++ b/src/control/moves/version_shares.ts
@@ -23,6 +23,7 @@
 
 function getShare(version: string, move: VersionMove): number {
   if (version === move.target) return move.share;
+  if (move.rejectedVersions.includes(version)) return 0;
   // Upstreams of stable versions stop without notice once the move is complete.
   const isReplaced = move.phase === MovePhase.Complete &&
     move.stableVersions.includes(version);
