Keep the file of quarantined parts while a log is replayed

A control instance whose log was opened again after a failed write replays it. Meanwhile it overwrote its file of quarantined parts with those of long ago, and told an entry instance that started just then of these only, so that parts that crash engines could reach them.

Cause: only the state at the start of the process was kept until the table had caught up. What was stored last is kept now, for a minute at most, as after a start.

Measured: "a control instance that opens its log again remembers the parts until it has them" fails on the old code and passes now.

--- a/src/quarantine/quarantine_cache.ts
+++ b/src/quarantine/quarantine_cache.ts
@@ -36,38 +36,49 @@
 export function createQuarantineCache(
   { clock, logger, dataFolder, table }: QuarantineCacheOptions,
 ): QuarantineCache {
-  const startedAtMs = clock.nowMs();
   const file = createChecksummedFile(
     dataFolder,
     "quarantine.json",
     cacheSchema,
   );
-  const remembered = file.load().unwrapOr(undefined);
+  /** What the file holds. */
+  let stored = file.load().unwrapOr(undefined);
+  /** Since when the table is behind the file. */
+  let behindSinceMs: number | undefined;
   let isSaving = false;
   let isSaveDue = false;
   return {
-    listRemembered: () =>
-      remembered === undefined ||
-        table.getRevision() >= remembered.revision ||
-        clock.nowMs() - startedAtMs > maxRememberedMs
-        ? []
-        : remembered.parts,
+    listRemembered: () => isBehind() ? stored!.parts : [],
     save: () => {
       isSaveDue = true;
       if (!isSaving) void saveAll();
     },
   };
 
+  /**
+   * Whether the table knows less than the file, as while the log is replayed
+   * after a start or after it was opened again.
+   */
+  function isBehind(): boolean {
+    if (stored === undefined || table.getRevision() >= stored.revision) {
+      behindSinceMs = undefined;
+      return false;
+    }
+    behindSinceMs ??= clock.nowMs();
+    return clock.nowMs() - behindSinceMs <= maxRememberedMs;
+  }
+
   async function saveAll(): Promise<void> {
     isSaving = true;
     while (isSaveDue) {
       isSaveDue = false;
-      // While the log is replayed, the stored parts are the newer ones.
-      if (table.getRevision() < (remembered?.revision ?? 0)) continue;
-      const saved = await file.save({
+      if (isBehind()) continue;
+      const next = {
         revision: table.getRevision(),
         parts: table.listQuarantined(),
-      });
+      };
+      const saved = await file.save(next);
+      if (saved.isOk()) stored = next;
       if (saved.isErr()) {
         logger.log(logEvents.quarantineCacheFailed, {
           reason: saved.error.message,
--- a/src/quarantine/quarantine_test.ts
+++ b/src/quarantine/quarantine_test.ts
@@ -396,3 +396,44 @@
     rmSync(dataFolder, { recursive: true });
   }
 });
+
+// While the log was replayed after a full disk, the file was overwritten with
+// parts of long ago, and a new instance was told of those only.
+test("a control instance that opens its log again remembers the parts until it has them", async () => {
+  const dataFolder = mkdtempSync(join(tmpdir(), "quarantine-test-"));
+  try {
+    let nowMs = 0;
+    const start = () => {
+      const table = createQuarantineTable();
+      const cache = createQuarantineCache({
+        clock: { nowMs: () => nowMs },
+        logger: createSilentLogger(),
+        dataFolder,
+        table,
+      });
+      return { table, cache };
+    };
+    const all = [[service, "bad-1"], [service, "bad-2"]];
+    const { table, cache } = start();
+    table.apply(change(QuarantineChangeKind.Add, "bad-1"));
+    table.apply(change(QuarantineChangeKind.Add, "bad-2"));
+    cache.save();
+    await expect.poll(() => start().cache.listRemembered()).toEqual(all);
+    nowMs += 24 * 3_600_000;
+    table.restore({ revision: 0, records: [] });
+    expect(cache.listRemembered()).toEqual(all);
+    table.apply(change(QuarantineChangeKind.Add, "bad-1"));
+    cache.save();
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    expect(start().cache.listRemembered()).toEqual(all);
+    table.apply(change(QuarantineChangeKind.Add, "bad-2"));
+    expect(cache.listRemembered()).toEqual([]);
+    // A group that lost its log never reaches the revision.
+    table.restore({ revision: 0, records: [] });
+    expect(cache.listRemembered()).toEqual(all);
+    nowMs += 60_001;
+    expect(cache.listRemembered()).toEqual([]);
+  } finally {
+    rmSync(dataFolder, { recursive: true });
+  }
+});
