--- a/src/forwarding/upstream_connections_test.ts
+++ b/src/forwarding/upstream_connections_test.ts
@@ -1,5 +1,7 @@
 import { Buffer } from "node:buffer";
+import { once } from "node:events";
 import net from "node:net";
+import { Worker } from "node:worker_threads";
 import { afterEach, expect, test } from "vitest";
 import {
   createUpstreamConnections,
@@ -230,3 +232,60 @@
   }).cancel();
   await new Promise((resolve) => setTimeout(resolve, 20));
 });
+
+/** Sends a body of `workerData` bytes to each connection. */
+const floodServer = `
+  const { parentPort, workerData } = require("node:worker_threads");
+  const server = require("node:net").createServer((socket) => {
+    socket.on("error", () => {});
+    socket.write("HTTP/1.1 200 OK\\r\\n");
+    socket.write("Content-Length: " + workerData + "\\r\\n\\r\\n");
+    socket.write(Buffer.alloc(workerData, "a"));
+  });
+  server.listen(0, "127.0.0.1", () => {
+    parentPort.postMessage(server.address().port);
+  });
+`;
+
+// Without read pacing, Node reads 2 MiB of each connection in a turn, and other
+// requests and timers wait for all of them.
+test("all upstreams together deliver a bounded number of bytes in one turn", async () => {
+  const maxBytesPerTurn = 256 * 1024;
+  /** Node reads buffers of at most this size. */
+  const bufferBytes = 64 * 1024;
+  const bodyBytes = 32 * 1024 * 1024;
+  // In a thread of its own it fills the connections while they are read.
+  const server = new Worker(floodServer, { eval: true, workerData: bodyBytes });
+  const [port] = await once(server, "message") as [number];
+  let turnBytes = 0;
+  let mostBytesPerTurn = 0;
+  const receive = () =>
+    new Promise<number>((resolve, reject) => {
+      let readBytes = 0;
+      connections.send({
+        host: "127.0.0.1",
+        port,
+        method: "GET",
+        path: "/",
+        headers: ["Host", "test"],
+        body: Buffer.alloc(0),
+        mayReuseConnection: false,
+      }, {
+        onHead: () => {},
+        onData: (chunk) => {
+          readBytes += chunk.length;
+          if (turnBytes === 0) setImmediate(() => turnBytes = 0);
+          turnBytes += chunk.length;
+          mostBytesPerTurn = Math.max(mostBytesPerTurn, turnBytes);
+        },
+        onEnd: () => resolve(readBytes),
+        onFailure: ({ reason }) => reject(new Error(reason)),
+      });
+    });
+  expect(await Promise.all([receive(), receive(), receive()]))
+    .toEqual([bodyBytes, bodyBytes, bodyBytes]);
+  await server.terminate();
+  // Each socket may deliver one buffer once the limit is reached.
+  expect(mostBytesPerTurn)
+    .toBeLessThanOrEqual(maxBytesPerTurn + 3 * bufferBytes);
+});
