--- a/src/control/full_disks_test.ts
+++ b/src/control/full_disks_test.ts
@@ -130,12 +130,12 @@
   return [...instances.values()].find(({ log }) => log.isLeader());
 }
 
-type Role = "leader" | "follower" | "learner" | "any";
+type Role = "leader" | "follower" | "any";
 
 // Guards against changes that stay refused or unanswered after the disks of
 // counted instances were full one after another.
 test.each<[string, Role, number]>([
-  ["the leader's first", "leader", 1],
+  ["always the leader's", "leader", 1],
   ["those that follow", "follower", 3],
   ["in turn and slowly", "any", 4],
 ])(
