Give each test of full disks its own replica identities

Callers saw nothing: a fault of the test. Its instances drew the same identities in each test, so a message of the previous test's leader that was still in its 1 ms link addressed a new replica by its full identity, which joined the old group; the founder then never saw all replicas fresh, and all changes failed with 'no control leader committed the command in time'.

The trace of a failed run shows the leader id and term of the previous test at the new replicas. The bounds and the disks' seeds are unchanged.

--- a/src/control/full_disks_test.ts
+++ b/src/control/full_disks_test.ts
@@ -148,7 +148,10 @@
     );
     // The very first start meets a full disk, too.
     disks[random.nextInt(3)]!.setFull(true);
-    ids.forEach((id, index) => start(id, disks[index]!, createRandom(index)));
+    // Other identities than in other tests, whose last messages may still arrive.
+    ids.forEach((id, index) =>
+      start(id, disks[index]!, createRandom(seed * 100 + index))
+    );
     await clock.sleep(600);
     for (const disk of disks) disk.setFull(false);
 
