Log operators' commands that fail or take long, and what the log knows then

Event 6106 names the command, its outcome and duration, and this instance's role, term, leader and voters; gauges show the voters that the leader hears, the longest silence of one, the bytes of the log in memory and the commands that wait. Decisions are unchanged.

--- a/src/control/replicated_log.ts
+++ b/src/control/replicated_log.ts
@@ -32,6 +32,11 @@
 import { createConsensusState, stepConsensus } from "./log/consensus.ts";
 import { getLastIndex } from "./log/log_entries.ts";
 import type { LogFiles } from "./log/log_files.ts";
+import {
+  closedLogStatus,
+  getLogStatus,
+  type LogStatus,
+} from "./log/log_status.ts";
 import { type LogStorage, openLogStorage } from "./log/log_storage.ts";
 import {
   type ConsensusEffect,
@@ -54,6 +59,9 @@
   getLeaderId(): InstanceId | undefined;
   /** Increases with every leader; the fencing token of engine orders. */
   getTerm(): number;
+  getStatus(): LogStatus;
+  /** Commands that were proposed here and have no result yet. */
+  getWaitingCount(): number;
   /**
    * Resolves with the result once a majority has synced the command. A command
    * whose proposal failed may still be committed later.
@@ -177,6 +185,9 @@
         ? getInstanceId(state.leaderId)
         : undefined,
     getTerm: () => state?.durable.term ?? 0,
+    getStatus: () =>
+      state ? getLogStatus(state, clock.nowMs()) : closedLogStatus,
+    getWaitingCount: () => queuedProposals.size + proposals.size,
     propose: (command) => new ResultAsync(propose(command)),
     receive: (envelope) =>
       enqueue({ kind: ConsensusEventKind.Receive, envelope }),
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -261,6 +261,11 @@
     Failure,
     "control log failed; reopening it from its folder",
   ),
+  operatorCommandSlow: event(
+    6106,
+    Warn,
+    "operator's command failed or took over 0.5 s",
+  ),
   requestsQuarantined: event(
     6501,
     Warn,
--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -9,6 +9,7 @@
 import { createAnswerCountAggregator } from "../control/moves/answer_count_aggregator.ts";
 import { createMoveTask } from "../control/moves/move_task.ts";
 import { assignShares } from "../control/moves/version_shares.ts";
+import { createObservedControlClient } from "../control/observed_control_client.ts";
 import { createOperatorService } from "../control/operator_service.ts";
 import { orderPauseLimitMs } from "../control/order_origin.ts";
 import {
@@ -143,6 +144,31 @@
     "Term of the control log.",
     log.getTerm,
   );
+  registry.createGauge(
+    "control_voters",
+    "Voters of the control log.",
+    () => log.getStatus().voterCount,
+  );
+  registry.createGauge(
+    "control_voters_reachable",
+    "Voters that the leader hears, itself included; 0 at other instances.",
+    () => log.getStatus().reachableVoterCount,
+  );
+  registry.createGauge(
+    "control_voter_silence_ms",
+    "Silence of the voter that the leader has not heard for longest.",
+    () => log.getStatus().longestVoterSilenceMs,
+  );
+  registry.createGauge(
+    "control_log_bytes",
+    "Commands of the control log in memory, in bytes.",
+    () => log.getStatus().entryBytes,
+  );
+  registry.createGauge(
+    "control_commands_waiting",
+    "Commands proposed here that have no result yet.",
+    log.getWaitingCount,
+  );
   registry.createGauge(
     "quarantined_parts",
     "Prompt parts and requests that are refused.",
@@ -153,11 +179,16 @@
     "Upstreams in the view.",
     () => upstreams.list().length,
   );
-  const control = createControlClient({
+  const control = createObservedControlClient({
     clock,
-    peers,
-    selfId: settings.host,
-    listControlIds: membership.listControlIds,
+    logger,
+    control: createControlClient({
+      clock,
+      peers,
+      selfId: settings.host,
+      listControlIds: membership.listControlIds,
+      log,
+    }),
     log,
   });
   const pauses = createPauseWatch({ clock, limitMs: orderPauseLimitMs });
