--- a/measure/simulated_log_group.ts
+++ b/measure/simulated_log_group.ts
@@ -52,6 +52,7 @@
   readonly voterCount: number;
   readonly seed?: number;
   readonly replaceVoterAfterMs?: number;
+  readonly electionTimeoutMs?: number;
 }
 
 interface Delivery {
@@ -66,8 +67,13 @@
 };
 
 export function createSimulatedGroup(
-  { size, voterCount, seed = 1, replaceVoterAfterMs = 400 }:
-    SimulatedGroupOptions,
+  {
+    size,
+    voterCount,
+    seed = 1,
+    replaceVoterAfterMs = 400,
+    electionTimeoutMs = 100,
+  }: SimulatedGroupOptions,
 ) {
   const random = createRandom(seed);
   const controlInstanceIds = Array.from({ length: size }, (_, i) => `c${i}`);
@@ -75,9 +81,9 @@
     founderIds: controlInstanceIds,
     listControlIds: () => controlInstanceIds,
     voterCount,
-    electionTimeoutMs: 100,
-    leaseMs: 90,
-    heartbeatMs: 20,
+    electionTimeoutMs,
+    leaseMs: 0.9 * electionTimeoutMs,
+    heartbeatMs: electionTimeoutMs / 5,
     replaceVoterAfterMs,
     trailingEntries: 3,
     trailingBytes: 250,
