Keep the silence of a lost voter across changes of the leader

Callers: after a second loss of a disk no change and no read of the configuration was answered any more, for good.

Cause: a leader counted a voter's silence from its own election at the earliest, as it knew nothing from before. Each change of the leader forgave the voter 2.5 s, so that it still counted when the next disk may be lost.

Change: every replica keeps when each member was last known to be up. Heartbeats tell followers how long voters have been silent, and replies to vote requests tell candidates. A leader still lets one election timeout pass after its election, in which a voter that is up answers.

--- a/src/control/log/consensus.ts
+++ b/src/control/log/consensus.ts
@@ -82,6 +82,8 @@
     role: { kind: Role.Follower },
     leaderId: "",
     leaderContactAtMs: nowMs,
+    startedAtMs: nowMs,
+    lastContactsAtMs: new Map(),
     electionDueAtMs: 0,
     nextHelloAtMs: nowMs,
     incomingSnapshot: undefined,
--- a/src/control/log/consensus_test.ts
+++ b/src/control/log/consensus_test.ts
@@ -357,7 +357,11 @@
   });
   const context = { nowMs: 1_000, random };
   stepConsensus(state, { kind: ConsensusEventKind.Tick }, context);
-  const reply = { kind: LogMessageKind.VoteReply, isGranted: true } as const;
+  const reply = {
+    kind: LogMessageKind.VoteReply as const,
+    isGranted: true,
+    voterSilences: [],
+  };
   receive("c1/1", { ...reply, isPreVote: true, term: 4 });
   receive("c1/1", { ...reply, isPreVote: false, term: 4 });
   expect(state.role.kind).toBe(Role.Leader);
--- a/src/control/log/elections.ts
+++ b/src/control/log/elections.ts
@@ -18,6 +18,11 @@
   updateDurable,
 } from "./log_types.ts";
 import { becomeLeader } from "./replication.ts";
+import {
+  listVoterSilences,
+  recordContact,
+  recordVoterSilences,
+} from "./voter_contacts.ts";
 
 export function setRole(step: StepContext, role: RoleState): void {
   const { state, effects } = step;
@@ -98,8 +103,9 @@
   fromId: ReplicaId,
   request: LogMessageOf<LogMessageKind.VoteRequest>,
 ): void {
-  const { state } = step;
+  const { state, nowMs } = step;
   const { isPreVote, term } = request;
+  recordContact(state, fromId, nowMs);
   // Raising the term for a request that is rejected anyway would let one
   // replica that hears no leader depose a leader that the other replicas hear.
   const isHeld = hasRecentLeaderContact(step);
@@ -122,6 +128,7 @@
     isPreVote,
     term: isPreVote && isGranted ? term : state.durable.term,
     isGranted,
+    voterSilences: listVoterSilences(step),
   });
 }
 
@@ -130,8 +137,10 @@
   fromId: ReplicaId,
   reply: LogMessageOf<LogMessageKind.VoteReply>,
 ): void {
-  const { state } = step;
+  const { state, nowMs } = step;
   const { role, durable } = state;
+  recordContact(state, fromId, nowMs);
+  recordVoterSilences(step, reply.voterSilences);
   if (!reply.isGranted) {
     if (reply.term > durable.term) {
       becomeFollower(step, { term: reply.term, leaderId: "" });
--- a/src/control/log/follower.ts
+++ b/src/control/log/follower.ts
@@ -13,6 +13,7 @@
   installSnapshot,
 } from "./log_entries.ts";
 import { type ReplicaId, sendMessage, type StepContext } from "./log_types.ts";
+import { recordContact, recordVoterSilences } from "./voter_contacts.ts";
 
 export function receiveAppend(
   step: StepContext,
@@ -26,6 +27,7 @@
     return;
   }
   followLeader(step, fromId, message.term);
+  recordVoterSilences(step, message.voterSilences);
   const { prevIndex, prevTerm, entries } = message;
   // Committed entries are identical on all replicas, even if compacted here.
   const isKnown = prevIndex <= state.commitIndex ||
@@ -124,5 +126,6 @@
   const { state, nowMs } = step;
   becomeFollower(step, { term, leaderId: fromId });
   state.leaderContactAtMs = nowMs;
+  recordContact(state, fromId, nowMs);
   resetElectionTimer(step);
 }
--- a/src/control/log/log_status.ts
+++ b/src/control/log/log_status.ts
@@ -3,6 +3,7 @@
  * operators' commands that failed.
  */
 import { type ConsensusState, Role } from "./log_types.ts";
+import { getLastContactAtMs } from "./voter_contacts.ts";
 
 export interface LogStatus {
   readonly role: Role | "closed";
@@ -35,10 +36,7 @@
   const { role, configuration, durable, leaderId, entries } = state;
   const silencesMs = role.kind === Role.Leader
     ? configuration.voters.filter((id) => id !== state.selfId).map((id) =>
-      nowMs - Math.max(
-        role.electedAtMs,
-        role.progress.get(id)?.ackedSentAtMs ?? -Infinity,
-      )
+      nowMs - getLastContactAtMs(state, id)
     )
     : [];
   const isReachable = (silenceMs: number) =>
--- a/src/control/log/log_types.ts
+++ b/src/control/log/log_types.ts
@@ -137,6 +137,12 @@
   leaderId: ReplicaId;
   /** Start of the period in which no vote is granted. */
   leaderContactAtMs: number;
+  readonly startedAtMs: number;
+  /**
+   * When each member was last known to be up, by what this replica or one of its
+   * leaders heard. Unlike a leader's progress, it outlives leaders.
+   */
+  readonly lastContactsAtMs: Map<ReplicaId, number>;
   electionDueAtMs: number;
   nextHelloAtMs: number;
   incomingSnapshot: IncomingSnapshot | undefined;
--- a/src/control/log/membership_changes.ts
+++ b/src/control/log/membership_changes.ts
@@ -25,6 +25,7 @@
   type StepContext,
 } from "./log_types.ts";
 import { createProgress } from "./replication.ts";
+import { getLastContactAtMs } from "./voter_contacts.ts";
 
 /**
  * Adds a replica that sent a hello to the leader as a learner. It replaces a
@@ -169,10 +170,11 @@
     other !== id && getInstanceId(other) === getInstanceId(id) &&
     isReachable(step, role, other)
   );
-  const ackedSentAtMs = role.progress.get(id)?.ackedSentAtMs ?? -Infinity;
-  const silentSinceMs = Math.max(role.electedAtMs, ackedSentAtMs);
-  return isSuperseded ||
-    nowMs >= silentSinceMs + state.options.replaceVoterAfterMs;
+  const { electionTimeoutMs, replaceVoterAfterMs } = state.options;
+  // A voter that is up answers a new leader long before that.
+  const hadTimeToAnswer = nowMs >= role.electedAtMs + electionTimeoutMs;
+  return isSuperseded || hadTimeToAnswer &&
+      nowMs >= getLastContactAtMs(state, id) + replaceVoterAfterMs;
 }
 
 function isChangeConfirmed(
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -25,6 +25,7 @@
   sendMessage,
   type StepContext,
 } from "./log_types.ts";
+import { listVoterSilences, recordContact } from "./voter_contacts.ts";
 
 export function createProgress(lastIndex: number): Progress {
   return {
@@ -145,6 +146,7 @@
     entries,
     commitIndex: state.commitIndex,
     sentAtMs: nowMs,
+    voterSilences: isHeartbeat ? listVoterSilences(step) : [],
   });
   if (!progress.isProbing) progress.nextIndex += entries.length;
 }
@@ -234,6 +236,7 @@
   const progress = state.role.progress.get(fromId);
   if (!progress) return undefined;
   progress.ackedSentAtMs = Math.max(progress.ackedSentAtMs, sentAtMs);
+  recordContact(state, fromId, sentAtMs);
   return progress;
 }
 
--- a/src/peer/control_log_messages.ts
+++ b/src/peer/control_log_messages.ts
@@ -34,6 +34,12 @@
   configuration: logConfigurationSchema.nullable(),
 });
 
+/** How long voters have been silent, as the sender knows. */
+const voterSilencesSchema = z.array(z.object({
+  replicaId: replicaIdSchema,
+  silentMs: z.number().min(0),
+})).max(32).default([]);
+
 export enum LogMessageKind {
   Hello = "hello",
   HelloReply = "helloReply",
@@ -67,6 +73,7 @@
     isPreVote: z.boolean(),
     term: indexSchema,
     isGranted: z.boolean(),
+    voterSilences: voterSilencesSchema,
   }),
   z.object({
     kind: z.literal(LogMessageKind.Append),
@@ -77,6 +84,8 @@
     commitIndex: indexSchema,
     /** Monotonic time of the leader, returned in the reply for its lease. */
     sentAtMs: z.number(),
+    /** Only in heartbeats. */
+    voterSilences: voterSilencesSchema,
   }),
   z.object({
     kind: z.literal(LogMessageKind.AppendReply),
@@ -115,6 +124,7 @@
   message: messageSchema,
 });
 
+export type VoterSilences = z.output<typeof voterSilencesSchema>;
 export type LogConfiguration = z.output<typeof logConfigurationSchema>;
 export type LogEntry = z.output<typeof entrySchema>;
 export type LogMessage = z.output<typeof messageSchema>;
