Remove the lost voter, not its replacement, after a change of the leader

Cause: a leader with one voter too many removed the last of the list if it counted none as lost, and directly after its election it counts none. That last voter was the one that had just replaced the lost voter.

Change: it waits for one election timeout and removes the voter that was heard least recently.

--- a/src/control/log/membership_changes.ts
+++ b/src/control/log/membership_changes.ts
@@ -91,7 +91,8 @@
     };
   }
   if (voters.length > voterCount) {
-    const removedId = lostId ?? voters.findLast((id) => id !== state.selfId)!;
+    const removedId = lostId ?? findSurplusVoter(step, role);
+    if (removedId === undefined) return undefined;
     return {
       voters: voters.filter((id) => id !== removedId),
       learners: lostId ? learners : [...learners, removedId],
@@ -100,6 +101,23 @@
   return undefined;
 }
 
+/**
+ * Returns the voter that was heard least recently. Directly after its election
+ * a leader has heard none, and would remove the one that replaced a lost voter.
+ */
+function findSurplusVoter(
+  { state, nowMs }: StepContext,
+  role: LeaderRole,
+): ReplicaId | undefined {
+  if (nowMs < role.electedAtMs + state.options.electionTimeoutMs) {
+    return undefined;
+  }
+  return state.configuration.voters.filter((id) => id !== state.selfId)
+    .sort((left, right) =>
+      getLastContactAtMs(state, left) - getLastContactAtMs(state, right)
+    )[0];
+}
+
 /**
  * Whether a membership change may start. Only one change is made at a time, and
  * none before an entry of the leader's own term is committed. Without the
