Decide elections in one round where two replicas start one at once

Callers saw late or no answers of control after a restart of the whole core: reads of the configuration wait until a leader stands.

Cause: two replicas that granted each other the pre-vote both became candidates, voted for themselves and split the votes of the two voters that were left; the next round came after another full election timeout, with the same chance of a split. The chance grows with the time that a message takes.

Change: of two rounds with the same log, the one of the smaller id goes first, for half an election timeout; the other replica grants it and gives its own round up. A second round starts after half of the usual time.

--- a/src/control/log/consensus.ts
+++ b/src/control/log/consensus.ts
@@ -85,6 +85,7 @@
     startedAtMs: nowMs,
     lastContactsAtMs: new Map(),
     electionDueAtMs: 0,
+    failedRounds: 0,
     nextHelloAtMs: nowMs,
     incomingSnapshot: undefined,
     freshReplicas: new Map(),
--- a/src/control/log/elections.ts
+++ b/src/control/log/elections.ts
@@ -50,16 +50,25 @@
   state.leaderId = leaderId;
 }
 
+/**
+ * The first round after the loss of a leader starts after one to two election
+ * timeouts, and the second one after half of that: a round that has split the
+ * votes or lost its messages is decided much sooner. Further ones return to the
+ * full time, which leaves enough for rounds on slow links and disks.
+ */
 export function resetElectionTimer(
   { state, nowMs, random }: StepContext,
 ): void {
   const { electionTimeoutMs } = state.options;
-  state.electionDueAtMs = nowMs + electionTimeoutMs * (1 + random.next());
+  const share = state.failedRounds === 1 ? 0.5 : 1;
+  state.electionDueAtMs = nowMs +
+    share * electionTimeoutMs * (1 + random.next());
 }
 
 export function startElectionWhenDue(step: StepContext): void {
   const { state, nowMs } = step;
   if (state.role.kind === Role.Leader || nowMs < state.electionDueAtMs) return;
+  if (canStartElection(state)) state.failedRounds += 1;
   resetElectionTimer(step);
   if (!canStartElection(state)) return;
   startVoteRound(step, Role.PreCandidate);
@@ -69,12 +78,16 @@
   step: StepContext,
   kind: Role.PreCandidate | Role.Candidate,
 ): void {
-  const { state } = step;
+  const { state, nowMs } = step;
   const isPreVote = kind === Role.PreCandidate;
   const term = state.durable.term + 1;
   if (!isPreVote) updateDurable(step, { term, votedFor: state.selfId });
   state.leaderId = "";
-  setRole(step, { kind, granted: new Set([state.selfId]) });
+  setRole(step, {
+    kind,
+    granted: new Set([state.selfId]),
+    startedAtMs: nowMs,
+  });
   for (const id of state.configuration.voters) {
     if (id === state.selfId) continue;
     sendMessage(step, id, {
@@ -116,7 +129,12 @@
     ? term > state.durable.term
     : term === state.durable.term &&
       (state.durable.votedFor === "" || state.durable.votedFor === fromId);
-  const isGranted = !isHeld && isTermEligible && isUpToDate(state, request);
+  const isGranted = !isHeld && isTermEligible &&
+    isUpToDate(state, request) &&
+    !(isPreVote && isPreferred(step, fromId, request));
+  if (isGranted && isPreVote && state.role.kind === Role.PreCandidate) {
+    becomeFollower(step, { term: state.durable.term, leaderId: "" });
+  }
   if (isGranted && !isPreVote) {
     if (state.durable.votedFor !== fromId) {
       updateDurable(step, { votedFor: fromId });
@@ -167,6 +185,24 @@
   return nowMs < state.leaderContactAtMs + state.options.electionTimeoutMs;
 }
 
+/**
+ * Whether this replica's own round goes before that of another one with the
+ * same log. If both granted each other the pre-vote, both would become
+ * candidates and split the votes. A round that is not decided soon, for example
+ * on a link that loses the replies, goes before no other.
+ */
+function isPreferred(
+  { state, nowMs }: StepContext,
+  otherId: ReplicaId,
+  { lastIndex, lastTerm }: { lastIndex: number; lastTerm: number },
+): boolean {
+  const { role, selfId, options } = state;
+  return role.kind === Role.PreCandidate &&
+    nowMs < role.startedAtMs + options.electionTimeoutMs / 2 &&
+    lastTerm === getLastTerm(state) && lastIndex === getLastIndex(state) &&
+    selfId < otherId;
+}
+
 function isUpToDate(
   state: ConsensusState,
   { lastIndex, lastTerm }: { lastIndex: number; lastTerm: number },
--- a/src/control/log/follower.ts
+++ b/src/control/log/follower.ts
@@ -126,6 +126,7 @@
   const { state, nowMs } = step;
   becomeFollower(step, { term, leaderId: fromId });
   state.leaderContactAtMs = nowMs;
+  state.failedRounds = 0;
   recordContact(state, fromId, nowMs);
   resetElectionTimer(step);
 }
--- a/src/control/log/log_types.ts
+++ b/src/control/log/log_types.ts
@@ -109,6 +109,7 @@
   | {
     readonly kind: Role.PreCandidate | Role.Candidate;
     readonly granted: Set<ReplicaId>;
+    readonly startedAtMs: number;
   }
   | LeaderRole;
 
@@ -144,6 +145,8 @@
    */
   readonly lastContactsAtMs: Map<ReplicaId, number>;
   electionDueAtMs: number;
+  /** Rounds of votes since a leader was last known. */
+  failedRounds: number;
   nextHelloAtMs: number;
   incomingSnapshot: IncomingSnapshot | undefined;
   /**
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -55,6 +55,7 @@
     plannedChange: { key: "", plannedAtMs: nowMs },
   });
   state.leaderId = state.selfId;
+  state.failedRounds = 0;
   appendEntries(step, [{
     index: lastIndex + 1,
     term: state.durable.term,
