Follow a new leader while a call to the former one waits

Operators saw reads of the configuration time out at one instance after the other after the leader had lost power, although a new leader stood.

Cause: an instance sends a command to the leader that it knows when the command comes, and waits 1 s for a reply that a machine without power never sends. Its own log learned of the new leader meanwhile, but was asked only before the first attempt. Operators go on after 1 s to an instance that may do the same.

Change: a call is given up once the instance's log knows another leader, and that one is asked.

Evidence: control_client_test.ts, 'a read moves on to a new leader while the former one is silent', took 1,064 ms before, where operators wait for 1,000, and takes 360 ms now (the new leader stands after 300 ms).

--- a/src/control/control_client.ts
+++ b/src/control/control_client.ts
@@ -7,7 +7,11 @@
 import type { Clock } from "../core/clock.ts";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import type { InstanceId } from "../core/types.ts";
-import { PeerCallKind } from "../peer/messages.ts";
+import {
+  PeerCallKind,
+  type PeerReply,
+  type PeerRequest,
+} from "../peer/messages.ts";
 import type { PeerClient } from "../peer/peer_client.ts";
 import type { Command } from "./commands.ts";
 import type { ReplicatedLog } from "./replicated_log.ts";
@@ -84,12 +88,13 @@
       if (result.isErr()) chooseNextLeader(log.getLeaderId());
       return result;
     }
-    const reply = await peers.call(leaderId, PeerCallKind.Propose, {
+    const askedId = leaderId;
+    const reply = await callUntilReplaced(askedId, {
       body: { command },
       timeoutMs: Math.min(attemptTimeoutMs, remainingMs),
     });
     if (reply.isErr()) {
-      chooseNextLeader(undefined);
+      chooseNextLeader(findOtherLeader(askedId));
       return err(reply.error);
     }
     if (reply.value.isLeader) return ok(reply.value.result);
@@ -97,6 +102,44 @@
     return err(createError(ErrorKind.NotLeader, "the leader has changed"));
   }
 
+  /**
+   * Gives the call up once this instance's log knows another leader: a leader
+   * that lost power closes no connection, and operators don't wait until it
+   * times out.
+   */
+  async function callUntilReplaced(
+    askedId: InstanceId,
+    options: {
+      readonly body: PeerRequest<PeerCallKind.Propose>;
+      readonly timeoutMs: number;
+    },
+  ): Promise<Result<PeerReply<PeerCallKind.Propose>, SystemError>> {
+    const settled = new AbortController();
+    const reply = await Promise.race([
+      peers.call(askedId, PeerCallKind.Propose, options),
+      waitForOtherLeader(askedId, settled.signal),
+    ]);
+    settled.abort();
+    return reply ??
+      err(createError(ErrorKind.NotLeader, "the leader has changed"));
+  }
+
+  /** Resolves when another leader is known, and without a log never. */
+  async function waitForOtherLeader(
+    askedId: InstanceId,
+    signal: AbortSignal,
+  ): Promise<undefined> {
+    if (!log) return new Promise(() => {});
+    while (!signal.aborted && findOtherLeader(askedId) === undefined) {
+      await clock.sleep(retryDelayMs, signal);
+    }
+  }
+
+  function findOtherLeader(askedId: InstanceId): InstanceId | undefined {
+    const knownId = log?.getLeaderId();
+    return knownId === askedId ? undefined : knownId;
+  }
+
   /** Times out, since a leader whose disk hangs never completes a proposal. */
   async function proposeLocally(
     log: ReplicatedLog,
