Open a second connection to a peer whose first opening packet is lost

Callers saw no control for seconds after a restart of the core on lossy links: elections and heartbeats wait for connections.

Cause: an attempt was given up after 1 s, just when the kernel would have sent a lost opening packet again, and the next one started from nothing; a heartbeat without a reply closed it, too.

Dropping a connection concerns established ones.

--- a/src/peer/peer_client.ts
+++ b/src/peer/peer_client.ts
@@ -2,8 +2,7 @@
  * Client for calls to other instances. It keeps one connection per instance,
  * which is opened on demand and reopened after a loss.
  */
-import type { Buffer } from "node:buffer";
-import tls from "node:tls";
+import type tls from "node:tls";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import {
   createError,
@@ -16,12 +15,7 @@
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
 import type { InstanceId } from "../core/types.ts";
-import {
-  createFrameDecoder,
-  encodeFrame,
-  helloFrame,
-  isHello,
-} from "./frame_codec.ts";
+import { createFrameDecoder, encodeFrame, isHello } from "./frame_codec.ts";
 import {
   type PeerCallKind,
   peerCalls,
@@ -29,7 +23,10 @@
   type PeerRequest,
 } from "./messages.ts";
 import type { PeerKey } from "./peer_key.ts";
-import { commonTlsOptions, getClientPskCallback } from "./peer_tls.ts";
+import {
+  createPeerConnection,
+  type PeerConnection,
+} from "./peer_connection.ts";
 
 export interface PeerAddress {
   readonly host: string;
@@ -50,9 +47,9 @@
     options: { readonly body: PeerRequest<K>; readonly timeoutMs: number },
   ): ResultAsync<PeerReply<K>, SystemError>;
   /**
-   * Closes the connection, so that the next call opens a new one. After a
-   * network partition, an old connection stays silent until its next TCP
-   * retransmission.
+   * Closes an established connection, so that the next call opens a new one.
+   * After a network partition, an old connection stays silent until its next
+   * TCP retransmission. One that is being opened tries again by itself.
    */
   dropConnection(instanceId: InstanceId): void;
   close(): void;
@@ -62,13 +59,13 @@
   readonly keys: readonly PeerKey[];
   readonly logger: Logger;
   getAddress(instanceId: InstanceId): PeerAddress | undefined;
+  readonly connect?: typeof tls.connect;
   /** Called when an established connection breaks. */
   onConnectionLost(instanceId: InstanceId): void;
 }
 
 interface Connection {
-  readonly socket: tls.TLSSocket;
-  readonly address: PeerAddress;
+  readonly link: PeerConnection;
   readonly pending: Map<number, (reply: Result<unknown, SystemError>) => void>;
   /** The peer announced that it accepts compressed frames. */
   acceptsCompressedFrames: boolean;
@@ -76,7 +73,6 @@
 
 /** Limit of unsent bytes on a slow connection, beyond which calls fail. */
 const maxUnsentBytes = 64 * 1024 * 1024;
-const connectTimeoutMs = 1_000;
 /** A timer with a larger delay shows that this process was paused. */
 const pauseLimitMs = 200;
 /** Time for reading the replies that arrived during a pause. */
@@ -126,7 +122,7 @@
       mayCompress: connection.acceptsCompressedFrames,
     });
     if (frame.isErr()) return Promise.resolve(err(frame.error));
-    if (connection.socket.writableLength > maxUnsentBytes) {
+    if (connection.link.getUnsentBytes() > maxUnsentBytes) {
       return Promise.resolve(
         unreachable(`${instanceId} does not read its messages`),
       );
@@ -139,7 +135,7 @@
         clearTimeout(timer);
         resolve(reply);
       });
-      connection.socket.write(frame.value);
+      connection.link.send(frame.value, () => pending.has(callId));
 
       function handleTimeout(): void {
         // Timers run before sockets are read, so after a pause of this process
@@ -160,71 +156,59 @@
   function getConnection(instanceId: InstanceId): Connection | undefined {
     const address = options.getAddress(instanceId);
     const existing = connections.get(instanceId);
-    if (existing && (!address || isSameAddress(existing.address, address))) {
+    if (
+      existing && (!address || isSameAddress(existing.link.address, address))
+    ) {
       return existing;
     }
     if (!address || isClosed) return undefined;
-    existing?.socket.destroy();
+    existing?.link.destroy();
     const connection = connect(instanceId, address);
     connections.set(instanceId, connection);
     return connection;
   }
 
   function connect(instanceId: InstanceId, address: PeerAddress): Connection {
-    const socket = tls.connect({
-      ...commonTlsOptions,
-      host: address.host,
-      port: address.port,
-      pskCallback: getClientPskCallback(options.keys),
-      // The pre-shared key authenticates the server, which has no certificate.
-      checkServerIdentity: () => undefined,
+    const decoder = createFrameDecoder();
+    const link = createPeerConnection({
+      address,
+      keys: options.keys,
+      ...(options.connect ? { connect: options.connect } : {}),
+      onEstablished: () =>
+        options.logger.log(logEvents.peerConnected, { peer: instanceId }),
+      onData: (chunk) => {
+        const decoded = decoder.push(chunk);
+        if (decoded.isErr()) link.destroy();
+        else for (const value of decoded.value) handleReply(connection, value);
+      },
+      onError: (cause) =>
+        options.logger.log(logEvents.peerConnectFailed, {
+          peer: instanceId,
+          reason: getErrorMessage(cause),
+        }),
+      onClosed: (wasEstablished) => {
+        const { sentBytes, receivedBytes } = link.getTraffic();
+        closedTraffic.sentBytes += sentBytes;
+        closedTraffic.receivedBytes += receivedBytes;
+        const pending = [...connection.pending.values()];
+        connection.pending.clear();
+        for (const resolve of pending) {
+          resolve(unreachable(`connection to ${instanceId} is closed`));
+        }
+        // A connection that was dropped on purpose is already reported as lost.
+        const wasDropped = connections.get(instanceId) !== connection;
+        if (!wasDropped) connections.delete(instanceId);
+        if (wasEstablished && !isClosed && !wasDropped) {
+          options.logger.log(logEvents.peerLost, { peer: instanceId });
+          options.onConnectionLost(instanceId);
+        }
+      },
     });
     const connection: Connection = {
-      socket,
-      address,
+      link,
       pending: new Map(),
       acceptsCompressedFrames: false,
     };
-    socket.write(encodeFrame(helloFrame)._unsafeUnwrap());
-    const decoder = createFrameDecoder();
-    let isEstablished = false;
-    const connectTimer = setTimeout(() => socket.destroy(), connectTimeoutMs);
-    socket.setNoDelay(true);
-    socket.on("secureConnect", () => {
-      isEstablished = true;
-      clearTimeout(connectTimer);
-      options.logger.log(logEvents.peerConnected, { peer: instanceId });
-    });
-    socket.on("data", (chunk: Buffer) => {
-      const decoded = decoder.push(chunk);
-      if (decoded.isErr()) socket.destroy();
-      else for (const value of decoded.value) handleReply(connection, value);
-    });
-    socket.on("error", (cause) => {
-      options.logger.log(logEvents.peerConnectFailed, {
-        peer: instanceId,
-        reason: getErrorMessage(cause),
-      });
-    });
-    socket.on("close", () => {
-      clearTimeout(connectTimer);
-      closedTraffic.sentBytes += socket.bytesWritten;
-      closedTraffic.receivedBytes += socket.bytesRead;
-      const pending = [...connection.pending.values()];
-      connection.pending.clear();
-      for (const resolve of pending) {
-        resolve(unreachable(`connection to ${instanceId} is closed`));
-      }
-      // A connection that was dropped on purpose is already reported as lost.
-      const wasDropped = connections.get(instanceId) !== connection;
-      if (connections.get(instanceId) === connection) {
-        connections.delete(instanceId);
-      }
-      if (isEstablished && !isClosed && !wasDropped) {
-        options.logger.log(logEvents.peerLost, { peer: instanceId });
-        options.onConnectionLost(instanceId);
-      }
-    });
     return connection;
   }
 
@@ -250,21 +234,24 @@
 
   function getTraffic(): PeerTraffic {
     let { sentBytes, receivedBytes } = closedTraffic;
-    for (const { socket } of connections.values()) {
-      sentBytes += socket.bytesWritten;
-      receivedBytes += socket.bytesRead;
+    for (const { link } of connections.values()) {
+      const traffic = link.getTraffic();
+      sentBytes += traffic.sentBytes;
+      receivedBytes += traffic.receivedBytes;
     }
     return { sentBytes, receivedBytes };
   }
 
   function dropConnection(instanceId: InstanceId): void {
-    connections.get(instanceId)?.socket.destroy();
+    const connection = connections.get(instanceId);
+    if (!connection?.link.isEstablished()) return;
     connections.delete(instanceId);
+    connection.link.destroy();
   }
 
   function close(): void {
     isClosed = true;
-    for (const connection of connections.values()) connection.socket.destroy();
+    for (const { link } of [...connections.values()]) link.destroy();
   }
 }
 
--- a/src/peer/peer_client_test.ts
+++ b/src/peer/peer_client_test.ts
@@ -3,8 +3,10 @@
  */
 import { Buffer } from "node:buffer";
 import type { AddressInfo } from "node:net";
+import { Duplex } from "node:stream";
 import {
   connect as connectTls,
+  type ConnectionOptions,
   createServer as createTlsServer,
 } from "node:tls";
 import { ok, okAsync } from "neverthrow";
@@ -90,6 +92,31 @@
     expect((await reply).isOk()).toBe(true);
   });
 
+  // Guards against calls that wait for a lost opening packet to be sent again.
+  it("reaches a peer whose first opening packet was lost", async () => {
+    let attemptCount = 0;
+    const other = createPeerClient({
+      keys,
+      logger,
+      getAddress: () => ({ host: "127.0.0.1", port: server.port }),
+      connect: ((options: ConnectionOptions) => {
+        attemptCount += 1;
+        if (attemptCount > 1) return connectTls(options);
+        const unanswered = new Duplex({ read() {}, write() {} });
+        return connectTls({ ...options, socket: unanswered });
+      }) as typeof connectTls,
+      onConnectionLost: () => {},
+    });
+    // Operators and candidates wait no longer than this.
+    const reply = await other.call("b", PeerCallKind.Heartbeat, {
+      body: heartbeat,
+      timeoutMs: 1_000,
+    });
+    other.close();
+    expect(reply.isOk()).toBe(true);
+    expect(attemptCount).toBe(2);
+  });
+
   it("opens a new connection after one was dropped on purpose", async () => {
     await sendHeartbeat(1_000);
     client.dropConnection("b");
