Confirm the end of a stream at an engine that can confirm it

A caller that had all events of its stream got a connection that broke off.

Cause: no event is marked as the last one, so if an engine that resumes a stream adds nothing, another one must agree. While the others were silent, the stream asked the same engine again every 50 ms until its attempts were used up, though that one can't confirm its own answer.

Change: that engine is left out while the service has others; the stream waits for one of them, up to its deadline.

--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -189,6 +189,20 @@
     });
   }
 
+  /**
+   * Leaves out the engine that ended the stream without a further event, if the
+   * service has others, since only another one can confirm that.
+   */
+  function listCandidates(): Upstream[] {
+    const engines = directory.listUsable(service.name);
+    if (emptyEnd === undefined || emptyEnd.lastEventId !== lastEventId) {
+      return engines;
+    }
+    const { upstreamId } = emptyEnd;
+    const others = engines.filter(({ info }) => info.upstreamId !== upstreamId);
+    return others.length > 0 ? others : engines;
+  }
+
   function placeAttempt(): void {
     if (isFinished) return;
     const quarantinedId = hasRunPastStart
@@ -198,7 +212,7 @@
       refuseQuarantined(quarantinedId);
       return;
     }
-    const engines = directory.listUsable(service.name);
+    const engines = listCandidates();
     const placement = getPlacementContext();
     const engine = chooseAdmitting(engines, placement) ??
       chooseForStream(engines, getDemand(), placement);
@@ -262,7 +276,7 @@
       sendBeforeMs: deadlineAtMs -
         (eventCount > 0 || hasLeftRun ? minResumeMs : route.objectiveMs),
       send: () => {
-        const engines = directory.listUsable(service.name);
+        const engines = listCandidates();
         const placement = getPlacementContext();
         const engine = chooseAdmitting(engines, placement) ??
           chooseForStream(engines, getDemand(), placement);
@@ -720,7 +734,7 @@
       : findUsableCopy(current);
     if (copy) return copy.holder;
     const { upstreamId } = current.upstream.info;
-    const others = directory.listUsable(service.name).filter(({ info }) =>
+    const others = listCandidates().filter(({ info }) =>
       info.upstreamId !== upstreamId
     );
     return chooseAdmitting(others, getPlacementContext());
