Bound what waits for slow disks and links in bytes, not in entries

Cause: 4,096 commands, 4,096 entries in flight to each follower and 64 MiB of frames per connection were allowed, whatever their size, and a follower that answered no probe was sent up to 1 MiB of entries with each heartbeat.

Change: 16 MiB of commands without a result, beyond which they are refused with a time to come back; 8 MiB in flight to a follower; 16 MiB per connection; a probe carries one entry of up to 16 KiB.

The memory at 30 times slower disks has not been measured again.

--- a/measure/simulated_log_group.ts
+++ b/measure/simulated_log_group.ts
@@ -89,6 +89,7 @@
     trailingBytes: 250,
     maxMessageBytes: 400,
     maxInFlightEntries: 8,
+    maxInFlightBytes: 1_000,
   };
   const leaders = new Map<string, ReplicaId>();
   const votes = new Map<string, ReplicaId>();
--- a/src/control/log/log_entries.ts
+++ b/src/control/log/log_entries.ts
@@ -50,6 +50,21 @@
   return state.entries.slice(start, end);
 }
 
+/** Returns the bytes of the entries in memory between two indexes. */
+export function getBytesBetween(
+  state: ConsensusState,
+  fromIndex: number,
+  toIndex: number,
+): number {
+  const start = Math.max(0, fromIndex - state.baseIndex - 1);
+  const end = toIndex - state.baseIndex;
+  let sizeBytes = 0;
+  for (let index = start; index < end; index++) {
+    sizeBytes += getEntryBytes(state.entries[index]!);
+  }
+  return sizeBytes;
+}
+
 /** Upper bound of the encoded size of an entry's fields besides its data. */
 const entryOverheadBytes = 100;
 
--- a/src/control/log/log_types.ts
+++ b/src/control/log/log_types.ts
@@ -45,6 +45,8 @@
   readonly maxMessageBytes: number;
   /** Maximum number of unacknowledged entries per follower. */
   readonly maxInFlightEntries: number;
+  /** Limits their bytes as well; one entry may exceed it. */
+  readonly maxInFlightBytes: number;
 }
 
 export interface LogSnapshot {
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -2,12 +2,17 @@
  * Leader side of replication: appending and committing entries, snapshots for
  * lagging followers, the check-quorum rule and the leader lease.
  */
-import { EntryKind, LogMessageKind } from "../../peer/control_log_messages.ts";
+import {
+  EntryKind,
+  type LogEntry,
+  LogMessageKind,
+} from "../../peer/control_log_messages.ts";
 import type { LogMessageOf } from "../../peer/control_log_messages.ts";
 import { becomeFollower, setRole } from "./elections.ts";
 import {
   appendEntries,
   commitUpTo,
+  getBytesBetween,
   getLastIndex,
   getTermAt,
   sliceEntries,
@@ -27,6 +32,8 @@
 } from "./log_types.ts";
 import { listVoterSilences, recordContact } from "./voter_contacts.ts";
 
+const maxProbeBytes = 16 * 1024;
+
 export function createProgress(lastIndex: number): Progress {
   return {
     nextIndex: lastIndex + 1,
@@ -127,15 +134,9 @@
     sendSnapshotChunk(step, id, progress);
     return;
   }
-  const { maxMessageBytes, maxInFlightEntries } = state.options;
-  const inFlight = progress.nextIndex - 1 - progress.matchIndex;
-  const maxEntries = progress.isProbing
-    ? maxInFlightEntries
-    : Math.max(0, maxInFlightEntries - inFlight);
-  const entries = sliceEntries(state, progress.nextIndex, {
-    maxBytes: maxMessageBytes,
-    maxEntries,
-  });
+  const entries = progress.isProbing
+    ? listProbeEntries(state, progress)
+    : listFurtherEntries(state, progress);
   if (entries.length === 0 && !isHeartbeat) return;
   const prevIndex = progress.nextIndex - 1;
   progress.sentAtMs = nowMs;
@@ -152,6 +153,35 @@
   if (!progress.isProbing) progress.nextIndex += entries.length;
 }
 
+/**
+ * A probe is repeated with each heartbeat. It has one small entry at most, so
+ * that a new leader commits its first entry without a further round trip.
+ */
+function listProbeEntries(
+  state: ConsensusState,
+  { nextIndex }: Progress,
+): LogEntry[] {
+  const limits = { maxBytes: maxProbeBytes, maxEntries: 1 };
+  return sliceEntries(state, nextIndex, limits)
+    .filter(({ data }) => data.length <= maxProbeBytes);
+}
+
+function listFurtherEntries(
+  state: ConsensusState,
+  { nextIndex, matchIndex }: Progress,
+): LogEntry[] {
+  const { maxMessageBytes, maxInFlightEntries, maxInFlightBytes } =
+    state.options;
+  const inFlightCount = nextIndex - 1 - matchIndex;
+  const roomBytes = maxInFlightBytes -
+    getBytesBetween(state, matchIndex + 1, nextIndex - 1);
+  if (inFlightCount > 0 && roomBytes <= 0) return [];
+  return sliceEntries(state, nextIndex, {
+    maxBytes: Math.min(maxMessageBytes, roomBytes),
+    maxEntries: Math.max(0, maxInFlightEntries - inFlightCount),
+  });
+}
+
 function sendSnapshotChunk(
   step: StepContext,
   id: ReplicaId,
--- a/src/control/replicated_log.ts
+++ b/src/control/replicated_log.ts
@@ -106,8 +106,10 @@
 const defaultMinSnapshotIntervalBytes = 4 * 1024 * 1024;
 /** Heartbeats repeat the messages, so a lost reply has no effect. */
 const messageTimeoutMs = 1_000;
-/** Limits the memory while the disk hangs; a command has up to 300 KiB. */
+/** Limits the memory while the disk hangs. */
 const maxQueuedProposals = 4_096;
+/** A command has up to 4 MiB. */
+const maxQueuedBytes = 16 * 1024 * 1024;
 
 const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
 
@@ -143,6 +145,7 @@
     // A frame is at most 4 MiB, and a command at most about 300 KiB.
     maxMessageBytes: 1024 * 1024,
     maxInFlightEntries: 4_096,
+    maxInFlightBytes: 8 * 1024 * 1024,
   };
 }
 
@@ -161,6 +164,8 @@
   /** Proposals in the log, by index. */
   const proposals = new Map<number, Proposal>();
   let nextProposalId = 1;
+  /** Bytes of all proposals that have no result yet. */
+  let waitingBytes = 0;
   let wake: () => void = () => {};
   let state: ConsensusState | undefined;
   let appliedIndex = 0;
@@ -202,15 +207,19 @@
   function propose(command: Command): Promise<Result<unknown, SystemError>> {
     if (!state) return Promise.resolve(notLeader());
     if (queuedProposals.size + proposals.size >= maxQueuedProposals) {
-      return Promise.resolve(err(createError(
-        ErrorKind.Overloaded,
-        "too many commands are waiting for the control log",
-        { retryAfterMs: 1_000 },
-      )));
+      return Promise.resolve(tooManyWaiting());
     }
     const data = encoder.encode(setCommandTime(command, clock.wallMs()));
-    return new Promise((resolve) => {
+    if (waitingBytes > 0 && waitingBytes + data.length > maxQueuedBytes) {
+      return Promise.resolve(tooManyWaiting());
+    }
+    waitingBytes += data.length;
+    return new Promise((settle) => {
       const proposalId = nextProposalId++;
+      const resolve: Resolve = (result) => {
+        waitingBytes -= data.length;
+        settle(result);
+      };
       queuedProposals.set(proposalId, resolve);
       enqueue({ kind: ConsensusEventKind.Propose, proposalId, data });
     });
@@ -453,6 +462,14 @@
   }
 }
 
+function tooManyWaiting(): Result<never, SystemError> {
+  return err(createError(
+    ErrorKind.Overloaded,
+    "too many commands are waiting for the control log",
+    { retryAfterMs: 1_000 },
+  ));
+}
+
 function notLeader(): Result<never, SystemError> {
   return err(createError(ErrorKind.NotLeader, "not the control leader"));
 }
--- a/src/peer/peer_client.ts
+++ b/src/peer/peer_client.ts
@@ -72,7 +72,7 @@
 }
 
 /** Limit of unsent bytes on a slow connection, beyond which calls fail. */
-const maxUnsentBytes = 64 * 1024 * 1024;
+const maxUnsentBytes = 16 * 1024 * 1024;
 /** A timer with a larger delay shows that this process was paused. */
 const pauseLimitMs = 200;
 /** Time for reading the replies that arrived during a pause. */
