Forget learners that are gone for good

Cause: a learner was never removed from the configuration unless its own instance came back with another identity. A message lists 32 replicas at most, so followers reject every message of a leader that has more.

Change: a learner that was not heard for ten times replaceVoterAfterMs is removed, and added again when it says hello; at most 24 are listed.

Evidence: lost_voter_test.ts, 'replaced learners are forgotten', 40 instances 3 s apart: the configuration was invalid before; one learner is left now.

--- a/src/control/log/lost_voter_test.ts
+++ b/src/control/log/lost_voter_test.ts
@@ -6,6 +6,11 @@
   type SimulatedGroup,
   type SimulatedNode,
 } from "../../../measure/simulated_log_group.ts";
+import {
+  logConfigurationSchema,
+  LogMessageKind,
+} from "../../peer/control_log_messages.ts";
+import { ConsensusEventKind } from "./log_types.ts";
 
 const stepMs = 10;
 /**
@@ -127,3 +132,28 @@
     expect(isReplaced(waitForLeader(group), lostId)).toBe(true);
   }
 });
+
+// Guards against a configuration that followers reject because it grows for good.
+test("replaced learners are forgotten", () => {
+  const group = startGroup(1);
+  const leader = group.getLeader()!;
+  for (let count = 0; count < 40; count++) {
+    const instanceId = `spare${count}`;
+    (group.options.founderIds as string[]).push(instanceId);
+    group.step(leader, [{
+      kind: ConsensusEventKind.Receive,
+      envelope: {
+        groupId: "",
+        fromId: `${instanceId}/0`,
+        toId: "",
+        message: { kind: LogMessageKind.Hello, founderIds: [] },
+      },
+    }]);
+    group.run(3_000);
+    const { configuration } = group.getLeader()!.state!;
+    expect(logConfigurationSchema.safeParse(configuration).success).toBe(true);
+  }
+  group.run(30_000);
+  expect(group.getLeader()!.state!.configuration.learners).toHaveLength(1);
+  expectProgress(group, 5_000);
+});
--- a/src/control/log/membership_changes.ts
+++ b/src/control/log/membership_changes.ts
@@ -25,7 +25,12 @@
   type StepContext,
 } from "./log_types.ts";
 import { createProgress } from "./replication.ts";
-import { getLastContactAtMs } from "./voter_contacts.ts";
+import { getLastContactAtMs, recordContact } from "./voter_contacts.ts";
+
+/** In units of `replaceVoterAfterMs`. */
+const forgetLearnerAfterPeriods = 10;
+/** Fewer than a message may list, with room for the voters. */
+const maxLearners = 24;
 
 /**
  * Adds a replica that sent a hello to the leader as a learner. It replaces a
@@ -37,13 +42,14 @@
   if (voters.includes(replicaId) || learners.includes(replicaId)) return;
   if (state.role.kind !== Role.Leader || !canChangeMembership(state)) return;
   const instanceId = getInstanceId(replicaId);
+  const others = learners.filter((id) => getInstanceId(id) !== instanceId);
+  if (others.length >= maxLearners) return;
   appendConfiguration(step, state.role, {
     voters,
-    learners: [
-      ...learners.filter((id) => getInstanceId(id) !== instanceId),
-      replicaId,
-    ],
+    learners: [...others, replicaId],
   });
+  // Until it acknowledges a message, its hello is the last that was heard.
+  recordContact(state, replicaId, step.nowMs);
 }
 
 /**
@@ -60,7 +66,7 @@
   const { role } = state;
   if (role.kind !== Role.Leader || !canChangeMembership(state)) return;
   const next = getNextConfiguration(step, role);
-  const key = next?.voters.join() ?? "";
+  const key = next ? JSON.stringify(next) : "";
   if (!next || role.plannedChange.key !== key) {
     role.plannedChange = { key, plannedAtMs: nowMs };
     return;
@@ -98,7 +104,24 @@
       learners: lostId ? learners : [...learners, removedId],
     };
   }
-  return undefined;
+  const forgottenId = learners.find((id) => isForgotten(step, role, id));
+  return forgottenId === undefined
+    ? undefined
+    : { voters, learners: learners.filter((id) => id !== forgottenId) };
+}
+
+/**
+ * Whether a learner has been silent for so long that its machine is taken for
+ * replaced. One that comes back sends a hello and is added again.
+ */
+function isForgotten(
+  { state, nowMs }: StepContext,
+  role: LeaderRole,
+  id: ReplicaId,
+): boolean {
+  const limitMs = forgetLearnerAfterPeriods * state.options.replaceVoterAfterMs;
+  return nowMs >= role.electedAtMs + state.options.electionTimeoutMs &&
+    nowMs >= getLastContactAtMs(state, id) + limitMs;
 }
 
 /**
