Confirm a lift that was carried out and whose reply was lost

Operators got 503 and notRun for a lift of a quarantine that had been carried out.

Cause: the proposal was repeated after a lost reply, and the second one found no record.

Change: a lift that changed nothing reads the records again; if the part has none, it is lifted.

Evidence: operator_service_test.ts, 'a lift that is proposed again after a lost reply is confirmed', failed before (staleOrder) and passes now; a part that was quarantined again is still refused.

--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -202,10 +202,23 @@
         { isWanted: () => !origin.isClosed() },
       )
     ).andThen(({ hasChanged }) =>
-      hasChanged
-        ? ok(true)
-        : err(createStaleOrderError("the part's state has changed meanwhile"))
+      hasChanged ? okAsync<boolean, SystemError>(true) : findIfLifted()
     );
+
+    /** A lift whose reply was lost is proposed again, and finds no record. */
+    function findIfLifted(): ResultAsync<boolean, SystemError> {
+      return proposeCommand(
+        control,
+        { kind: CommandKind.ReadQuarantine },
+        readQuarantineResultSchema,
+      ).andThen(({ records }) =>
+        records.some((entry) =>
+            entry.service === service && entry.partId === partId
+          )
+          ? err(createStaleOrderError("the part's state has changed meanwhile"))
+          : ok(true)
+      );
+    }
   }
 
   function logRefusal(error: SystemError, fields: LogFields): SystemError {
--- a/src/control/operator_service_test.ts
+++ b/src/control/operator_service_test.ts
@@ -39,8 +39,10 @@
  * after the first command, which reads the quarantine.
  */
 function createLiftTrial(
-  { isPaused = false, interfere = () => {} }: {
+  { isPaused = false, losesReply = false, interfere = () => {} }: {
     isPaused?: boolean;
+    /** The first reply to the lift is lost, so it is proposed again. */
+    losesReply?: boolean;
     interfere?(state: StateMachine): void;
   },
 ) {
@@ -61,6 +63,8 @@
     },
     control: {
       propose: (command) => {
+        const isLift = command.kind === CommandKind.ChangeQuarantine;
+        if (isLift && losesReply) state.apply(command);
         const result = state.apply(command);
         if (count++ === 0) interfere(state);
         return okAsync(result);
@@ -126,3 +130,10 @@
   expect((await lift())._unsafeUnwrap()).toBe(true);
   expect(state.quarantine.list()).toEqual([]);
 });
+
+// Guards against an order that was carried out and is answered with "not run".
+test("a lift that is proposed again after a lost reply is confirmed", async () => {
+  const { state, lift } = createLiftTrial({ losesReply: true });
+  expect((await lift())._unsafeUnwrap()).toBe(true);
+  expect(state.quarantine.list()).toEqual([]);
+});
