Tell followers the silence of learners, too

A new leader that had not been told took a learner that was down for a moment for one that is gone, since it knew of no contact with it, and removed it until it said hello again. Found by reading the change again; no test showed it.

--- a/src/control/log/consensus_test.ts
+++ b/src/control/log/consensus_test.ts
@@ -387,7 +387,7 @@
   const reply = {
     kind: LogMessageKind.VoteReply as const,
     isGranted: true,
-    voterSilences: [],
+    memberSilences: [],
   };
   receive("c1/1", { ...reply, isPreVote: true, term: 4 });
   receive("c1/1", { ...reply, isPreVote: false, term: 4 });
--- a/src/control/log/elections.ts
+++ b/src/control/log/elections.ts
@@ -19,10 +19,10 @@
 } from "./log_types.ts";
 import { becomeLeader } from "./replication.ts";
 import {
-  listVoterSilences,
+  listSilences,
   recordContact,
-  recordVoterSilences,
-} from "./voter_contacts.ts";
+  recordSilences,
+} from "./member_contacts.ts";
 
 export function setRole(step: StepContext, role: RoleState): void {
   const { state, effects } = step;
@@ -158,7 +158,7 @@
     isPreVote,
     term: isPreVote && isGranted ? term : state.durable.term,
     isGranted,
-    voterSilences: listVoterSilences(step),
+    memberSilences: listSilences(step),
   });
 }
 
@@ -170,7 +170,7 @@
   const { state, nowMs } = step;
   const { role, durable } = state;
   recordContact(state, fromId, nowMs);
-  recordVoterSilences(step, reply.voterSilences);
+  recordSilences(step, reply.memberSilences);
   if (!reply.isGranted) {
     if (reply.term > durable.term) {
       becomeFollower(step, { term: reply.term, leaderId: "" });
--- a/src/control/log/follower.ts
+++ b/src/control/log/follower.ts
@@ -13,7 +13,7 @@
   installSnapshot,
 } from "./log_entries.ts";
 import { type ReplicaId, sendMessage, type StepContext } from "./log_types.ts";
-import { recordContact, recordVoterSilences } from "./voter_contacts.ts";
+import { recordContact, recordSilences } from "./member_contacts.ts";
 
 export function receiveAppend(
   step: StepContext,
@@ -27,7 +27,7 @@
     return;
   }
   followLeader(step, fromId, message.term);
-  recordVoterSilences(step, message.voterSilences);
+  recordSilences(step, message.memberSilences);
   const { prevIndex, prevTerm, entries } = message;
   // Committed entries are identical on all replicas, even if compacted here.
   const isKnown = prevIndex <= state.commitIndex ||
--- a/src/control/log/log_status.ts
+++ b/src/control/log/log_status.ts
@@ -3,7 +3,7 @@
  * operators' commands that failed.
  */
 import { type ConsensusState, Role } from "./log_types.ts";
-import { getLastContactAtMs } from "./voter_contacts.ts";
+import { getLastContactAtMs } from "./member_contacts.ts";
 
 export interface LogStatus {
   readonly role: Role | "closed";
--- a/src/control/log/voter_contacts.ts
+++ b/src/control/log/member_contacts.ts
@@ -1,14 +1,14 @@
 /**
- * When each voter was last known to be up. Leaders report it to followers, and
+ * When each member was last known to be up. Leaders report it to followers, and
  * followers to candidates, so that a new leader does not count the silence of a
  * lost voter from its own election: with a few changes of the leader, the voter
  * would count until the next disk is lost, and the group would have no majority
  * for good.
  *
  * Only ages are sent, since the clocks of two replicas are not comparable. The
- * transit time makes a voter seem more recent than it was, never less.
+ * transit time makes a member seem more recent than it was, never less.
  */
-import type { VoterSilences } from "../../peer/control_log_messages.ts";
+import type { MemberSilences } from "../../peer/control_log_messages.ts";
 import type { ConsensusState, ReplicaId, StepContext } from "./log_types.ts";
 
 export function recordContact(
@@ -26,19 +26,20 @@
   }
 }
 
-export function listVoterSilences(
+export function listSilences(
   { state, nowMs }: StepContext,
-): VoterSilences {
-  return state.configuration.voters.flatMap((replicaId) => {
+): MemberSilences {
+  const { voters, learners } = state.configuration;
+  return [...voters, ...learners].flatMap((replicaId) => {
     const atMs = state.lastContactsAtMs.get(replicaId);
     if (replicaId === state.selfId || atMs === undefined) return [];
     return [{ replicaId, silentMs: Math.max(0, nowMs - atMs) }];
   });
 }
 
-export function recordVoterSilences(
+export function recordSilences(
   { state, nowMs }: StepContext,
-  silences: VoterSilences,
+  silences: MemberSilences,
 ): void {
   for (const { replicaId, silentMs } of silences) {
     recordContact(state, replicaId, nowMs - silentMs);
--- a/src/control/log/membership_changes.ts
+++ b/src/control/log/membership_changes.ts
@@ -25,7 +25,7 @@
   type StepContext,
 } from "./log_types.ts";
 import { createProgress } from "./replication.ts";
-import { getLastContactAtMs, recordContact } from "./voter_contacts.ts";
+import { getLastContactAtMs, recordContact } from "./member_contacts.ts";
 
 /** In units of `replaceVoterAfterMs`. */
 const forgetLearnerAfterPeriods = 10;
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -30,7 +30,7 @@
   sendMessage,
   type StepContext,
 } from "./log_types.ts";
-import { listVoterSilences, recordContact } from "./voter_contacts.ts";
+import { listSilences, recordContact } from "./member_contacts.ts";
 
 const maxProbeBytes = 16 * 1024;
 
@@ -148,7 +148,7 @@
     entries,
     commitIndex: state.commitIndex,
     sentAtMs: nowMs,
-    voterSilences: isHeartbeat ? listVoterSilences(step) : [],
+    memberSilences: isHeartbeat ? listSilences(step) : [],
   });
   if (!progress.isProbing) progress.nextIndex += entries.length;
 }
--- a/src/control/log/replication_test.ts
+++ b/src/control/log/replication_test.ts
@@ -46,7 +46,7 @@
     kind: LogMessageKind.VoteReply as const,
     isGranted: true,
     term: 4,
-    voterSilences: [],
+    memberSilences: [],
   };
   receive("c1/1", { ...vote, isPreVote: true });
   receive("c1/1", { ...vote, isPreVote: false });
--- a/src/peer/control_log_messages.ts
+++ b/src/peer/control_log_messages.ts
@@ -34,11 +34,11 @@
   configuration: logConfigurationSchema.nullable(),
 });
 
-/** How long voters have been silent, as the sender knows. */
-const voterSilencesSchema = z.array(z.object({
+/** How long members have been silent, as the sender knows. */
+const silencesSchema = z.array(z.object({
   replicaId: replicaIdSchema,
   silentMs: z.number().min(0),
-})).max(32).default([]);
+})).max(64).default([]);
 
 export enum LogMessageKind {
   Hello = "hello",
@@ -73,7 +73,7 @@
     isPreVote: z.boolean(),
     term: indexSchema,
     isGranted: z.boolean(),
-    voterSilences: voterSilencesSchema,
+    memberSilences: silencesSchema,
   }),
   z.object({
     kind: z.literal(LogMessageKind.Append),
@@ -85,7 +85,7 @@
     /** Monotonic time of the leader, returned in the reply for its lease. */
     sentAtMs: z.number(),
     /** Only in heartbeats. */
-    voterSilences: voterSilencesSchema,
+    memberSilences: silencesSchema,
   }),
   z.object({
     kind: z.literal(LogMessageKind.AppendReply),
@@ -124,7 +124,7 @@
   message: messageSchema,
 });
 
-export type VoterSilences = z.output<typeof voterSilencesSchema>;
+export type MemberSilences = z.output<typeof silencesSchema>;
 export type LogConfiguration = z.output<typeof logConfigurationSchema>;
 export type LogEntry = z.output<typeof entrySchema>;
 export type LogMessage = z.output<typeof messageSchema>;
