Replace a voter that asks for votes and hears nothing

Change: while there is a leader, only acknowledgements count.

Evidence: lost_voter_test.ts, 'a voter that the leader does not reach is replaced', failed before and passes now.

--- a/src/control/log/elections.ts
+++ b/src/control/log/elections.ts
@@ -134,10 +134,11 @@
 ): void {
   const { state, nowMs } = step;
   const { isPreVote, term } = request;
-  recordContact(state, fromId, nowMs);
   // Raising the term for a request that is rejected anyway would let one
   // replica that hears no leader depose a leader that the other replicas hear.
   const isHeld = hasRecentLeaderContact(step);
+  // While there is a leader, only its acknowledgements show who takes part.
+  if (!isHeld) recordContact(state, fromId, nowMs);
   if (!isPreVote && !isHeld && term > state.durable.term) {
     becomeFollower(step, { term, leaderId: "" });
   }
--- a/src/control/log/lost_voter_test.ts
+++ b/src/control/log/lost_voter_test.ts
@@ -157,3 +157,17 @@
   expect(group.getLeader()!.state!.configuration.learners).toHaveLength(1);
   expectProgress(group, 5_000);
 });
+
+// Guards against a voter that counts because it asks for votes, though it hears nothing.
+test("a voter that the leader does not reach is replaced", () => {
+  const group = startGroup(1);
+  const leader = group.getLeader()!;
+  const voter = group.nodes.find((node) =>
+    node !== leader &&
+    leader.state!.configuration.voters.includes(node.replicaId)
+  )!;
+  group.cutLink(leader.instanceId, voter.instanceId);
+  group.run(catchUpMs);
+  expect(group.getLeader()).toBe(leader);
+  expect(isReplaced(leader, voter.replicaId)).toBe(true);
+});
