--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -285,6 +285,7 @@
     }),
     metrics: createForwardingMetrics(createMetricsRegistry()),
     heldResponses: createByteBudget(maxHeldResponseBytes),
+    isLoadAware: () => false,
     recordPlacement: () => {},
     getUnreportedPlacementCount: () => 0,
     budget: createRetryBudget({
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -156,6 +156,8 @@
     limits,
     limitQueue,
     demand,
+    isLoadAware: (service) =>
+      (routes?.getStreamPriorities(service).length ?? 0) > 1,
     successors: createSuccessorDiscovery({
       logger,
       protocol,
--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -37,6 +37,12 @@
   readonly metrics: ForwardingMetrics;
   /** For responses that are held until they are complete. */
   readonly heldResponses: ByteBudget;
+  /**
+   * Whether requests to the service are scheduled by urgency and expected time:
+   * its streaming routes differ in priority, or its upstreams state the slowness
+   * of their machines.
+   */
+  isLoadAware(service: string): boolean;
   /** Counts a stream that this instance has placed. */
   recordPlacement(): void;
   /**
--- a/src/forwarding/forwarding_steps.ts
+++ b/src/forwarding/forwarding_steps.ts
@@ -11,7 +11,7 @@
   ForwardingContext,
 } from "./forwarding_context.ts";
 import type { RawHeaders } from "./forwarding_protocol.ts";
-import type { PlacementContext } from "./placement.ts";
+import { getDefaultDomainCost, type PlacementContext } from "./placement.ts";
 import { getRetryAfterMs } from "./retry_after.ts";
 import type { ResponseOrigin } from "./upstream_connections.ts";
 import type { Upstream } from "./upstream_types.ts";
@@ -26,7 +26,7 @@
 ): PlacementContext {
   return {
     nowMs: clock.nowMs(),
-    ownDomainId: domainId,
+    getDomainCost: (id) => getDefaultDomainCost(id, domainId),
     triedIds,
     random,
     unreportedPlacementCount,
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -13,7 +13,6 @@
 
 export interface PlacementContext {
   readonly nowMs: number;
-  readonly ownDomainId: DomainId;
   /** Upstreams that this request has already tried. */
   readonly triedIds: ReadonlySet<UpstreamId>;
   readonly random: Random;
@@ -25,6 +24,15 @@
   isDomainSuspected(domainId: DomainId): boolean;
   /** Whether the limit that the upstream states allows one more request. */
   hasRoom(upstreamId: UpstreamId): boolean;
+  /** What a request to an upstream of the failure domain costs in addition. */
+  getDomainCost(domainId: DomainId): DomainCost;
+}
+
+export interface DomainCost {
+  /** For streams, as a delay of the first event. */
+  readonly delayMs: number;
+  /** For calls, in slots of an upstream. */
+  readonly slots: number;
 }
 
 export interface StreamDemand {
@@ -35,10 +43,15 @@
   readonly totalTokens: number;
 }
 
+const ownDomainCost: DomainCost = { delayMs: 0, slots: 0 };
+/**
+ * The delay makes streams prefer the failure domain of this instance: there
+ * they survive a partition, and a crash of the domain's engines does not affect
+ * their copies in another domain.
+ */
+const otherDomainCost: DomainCost = { delayMs: 700, slots: 0.5 };
 /** The weight of a reported load halves in this time. */
 const reportHalfLifeMs = 1_000;
-/** Cost of a request to another failure domain, in slots of an upstream. */
-const otherDomainPenaltySlots = 0.5;
 /** Cost of an upstream that always fails, in fully loaded upstreams. */
 const failurePenaltyLoads = 8;
 const coldPenaltyLoads = 1;
@@ -49,12 +62,6 @@
  * it for about a second, and their prefills slow down this request later.
  */
 const runningDelayMs = 400;
-/**
- * Prefers the failure domain of this instance: a stream within it survives a
- * partition, and a crash of the domain's engines does not affect the stream's
- * copy in another domain.
- */
-const otherDomainDelayMs = 700;
 /** Exceeds any backlog, so a suspected domain is used only as the last resort. */
 const suspicionDelayMs = 8_000;
 const suspicionPenaltyLoads = 6;
@@ -70,6 +77,14 @@
 const delayToleranceMs = 40;
 const loadTolerance = 0.05;
 
+/** The constant preference for the failure domain of this instance. */
+export function getDefaultDomainCost(
+  domainId: DomainId,
+  ownDomainId: DomainId,
+): DomainCost {
+  return domainId === ownDomainId ? ownDomainCost : otherDomainCost;
+}
+
 /** Chooses the upstream of a non-streaming call by the ratio of used slots. */
 export function chooseForCall(
   upstreams: readonly Upstream[],
@@ -212,9 +227,7 @@
     inFlightCount,
     getReportedCount(upstream, context.nowMs),
   );
-  const isInOtherDomain = info.domainId !== context.ownDomainId;
-  return (requestCount + (isInOtherDomain ? otherDomainPenaltySlots : 0)) /
-      slots +
+  return (requestCount + context.getDomainCost(info.domainId).slots) / slots +
     failureRatio * failurePenaltyLoads +
     (context.isDomainSuspected(info.domainId) ? suspicionPenaltyLoads : 0) +
     (info.isCold ? coldPenaltyLoads : 0);
@@ -232,7 +245,7 @@
   );
   return (unreadTokens + others.unreadTokens) / prefillTokensPerMs +
     running * runningDelayMs +
-    (info.domainId === context.ownDomainId ? 0 : otherDomainDelayMs) +
+    context.getDomainCost(info.domainId).delayMs +
     (info.isCold ? coldDelayMs : 0) +
     (context.isDomainSuspected(info.domainId) ? suspicionDelayMs : 0) +
     (hasCapacity(upstream, demand) ? 0 : noMemoryDelayMs) +
--- a/src/forwarding/placement_herd_test.ts
+++ b/src/forwarding/placement_herd_test.ts
@@ -7,7 +7,7 @@
 import { expect, test } from "vitest";
 import { engineTraits } from "../../measure/forwarding_fakes.ts";
 import { createRandom } from "../core/random.ts";
-import { chooseForStream } from "./placement.ts";
+import { chooseForStream, getDefaultDomainCost } from "./placement.ts";
 import type { Upstream } from "./upstream_types.ts";
 
 interface Engine {
@@ -98,7 +98,7 @@
       totalTokens: 9_500,
     }, {
       nowMs,
-      ownDomainId: "a",
+      getDomainCost: (domainId) => getDefaultDomainCost(domainId, "a"),
       triedIds: new Set(),
       random,
       unreportedPlacementCount,
--- a/src/forwarding/placement_test.ts
+++ b/src/forwarding/placement_test.ts
@@ -5,6 +5,7 @@
   chooseForCall,
   chooseForCopy,
   chooseForStream,
+  getDefaultDomainCost,
   type PlacementContext,
 } from "./placement.ts";
 import type { Upstream } from "./upstream_types.ts";
@@ -43,7 +44,7 @@
 
 const context: PlacementContext = {
   nowMs: 1_000,
-  ownDomainId: "a",
+  getDomainCost: (domainId) => getDefaultDomainCost(domainId, "a"),
   triedIds: new Set(),
   random: createRandom(1),
   unreportedPlacementCount: 0,
--- a/src/forwarding/route_table.ts
+++ b/src/forwarding/route_table.ts
@@ -2,12 +2,13 @@
  * Looks up the route of a request and the customer of an API key in the
  * forwarding table in force.
  */
-import type {
-  CallerLimits,
-  ForwardingCustomer,
-  ForwardingRoute,
-  ForwardingService,
-  ForwardingTable,
+import {
+  type CallerLimits,
+  type ForwardingCustomer,
+  type ForwardingRoute,
+  type ForwardingService,
+  type ForwardingTable,
+  RequestKind,
 } from "./forwarding_table.ts";
 
 export interface RouteTable {
@@ -19,6 +20,11 @@
   findRoute(host: string, path: string): ForwardingRoute | undefined;
   findCustomer(apiKey: string): ForwardingCustomer | undefined;
   getService(name: string): ForwardingService | undefined;
+  /**
+   * The different priorities of the streaming routes to the service, the most
+   * urgent first.
+   */
+  getStreamPriorities(service: string): readonly number[];
   /** The only service whose upstreams are model engines, if there is one. */
   readonly soleEngineService: string | undefined;
 }
@@ -37,6 +43,7 @@
   }
   const engineServices = table.services.filter(({ engine }) => engine !== null);
   const services = new Map(table.services.map((entry) => [entry.name, entry]));
+  const streamPriorities = listStreamPriorities(table);
   return {
     revision,
     limits: table.limits,
@@ -44,6 +51,7 @@
     findRoute,
     findCustomer: (apiKey) => customers.get(apiKey),
     getService: (name) => services.get(name),
+    getStreamPriorities: (service) => streamPriorities.get(service) ?? [],
     soleEngineService: engineServices.length === 1
       ? engineServices[0]!.name
       : undefined,
@@ -65,6 +73,25 @@
   }
 }
 
+function listStreamPriorities(
+  { routes }: ForwardingTable,
+): Map<string, number[]> {
+  const byService = new Map<string, Set<number>>();
+  for (const { kind, targets, priority } of routes) {
+    if (kind !== RequestKind.Streaming) continue;
+    for (const { service } of targets) {
+      const priorities = byService.get(service) ?? new Set();
+      byService.set(service, priorities.add(priority));
+    }
+  }
+  return new Map(
+    [...byService].map(([service, priorities]) => [
+      service,
+      [...priorities].sort((left, right) => left - right),
+    ]),
+  );
+}
+
 function getRouteKey(host: string, pathPrefix: string): string {
   return `${host}\0${pathPrefix}`;
 }
