Share the retry budget of a loaded service among all instances

Instances now exchange requests and repeats of the window and draw an equal part of what is left. Services that are not scheduled under load keep their accounts. Tests: 4 of repeat_window_test.ts, with a property over late reports and cut-off instances; src/limits passes.

--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -23,7 +23,9 @@
 import { createDemandShare } from "../limits/demand_share.ts";
 import { createLimitQueue } from "../limits/limit_queue.ts";
 import { createUpstreamLimits } from "../limits/upstream_limits.ts";
+import { createRepeatWindow } from "../limits/repeat_window.ts";
 import { createRetryBudget } from "../limits/retry_budget.ts";
+import { createSharedRetryBudget } from "../limits/shared_retry_budget.ts";
 import { PeerCallKind } from "../peer/messages.ts";
 import { startPeerServer } from "../peer/peer_server.ts";
 import { createRequestQuarantine } from "../quarantine/request_quarantine.ts";
@@ -77,6 +79,12 @@
     clock,
     getInstanceCount: () => core.membership.getEntryCount(),
   });
+  const repeatWindow = createRepeatWindow({
+    clock,
+    ratio: bounds.retryRatio,
+    slack: bounds.retrySlack,
+    getInstanceCount: () => core.membership.getEntryCount(),
+  });
   const limits = createUpstreamLimits({
     clock,
     logger,
@@ -121,6 +129,7 @@
         ? {
           ...directory.getLocalLoadSummary(),
           demands: demand.getDemands(),
+          repeats: repeatWindow.getCounts(),
         }
         : undefined,
     onEngineLoadSummary: ({ instanceId }, summary) => {
@@ -128,6 +137,7 @@
       if (preferredId !== instanceId) return;
       directory.setRemoteLoadSummary(summary);
       demand.setRemoteDemands(summary.demands ?? []);
+      repeatWindow.setRemoteCounts(summary.repeats ?? []);
     },
   });
   const { membership, peers, configuration } = core;
@@ -144,6 +154,7 @@
   });
   const protocol = adapter.createForwardingProtocol();
   const connections = createUpstreamConnections();
+  const metrics = createForwardingMetrics(registry);
   const context: ForwardingContext = {
     clock,
     logger,
@@ -156,8 +167,7 @@
     limits,
     limitQueue,
     demand,
-    isLoadAware: (service) =>
-      (routes?.getStreamPriorities(service).length ?? 0) > 1,
+    isLoadAware,
     successors: createSuccessorDiscovery({
       logger,
       protocol,
@@ -172,16 +182,22 @@
       getDomainPeerCount: () =>
         membership.getEntryCount() / directory.countDomains() - 1,
     }),
-    metrics: createForwardingMetrics(registry),
+    metrics,
     heldResponses: createByteBudget(maxHeldResponseBytes),
-    budget: createRetryBudget({
-      ratio: bounds.retryRatio * budgetSafetyRatio,
-      initialUnits: minBudgetUnits,
-      maxUnits: getMaxRetryUnits,
-      getReserveUnits: ({ service }) =>
-        reserveRatio *
-        (bounds.retrySlack / membership.getEntryCount() +
-          bounds.retryRatio * retryWindowS * demand.getOwnRatePerS(service)),
+    budget: createSharedRetryBudget({
+      window: repeatWindow,
+      separate: createRetryBudget({
+        ratio: bounds.retryRatio * budgetSafetyRatio,
+        initialUnits: minBudgetUnits,
+        maxUnits: getMaxRetryUnits,
+        getReserveUnits: ({ service }) =>
+          reserveRatio *
+          (bounds.retrySlack / membership.getEntryCount() +
+            bounds.retryRatio * retryWindowS * demand.getOwnRatePerS(service)),
+      }),
+      isShared: isLoadAware,
+      onRefusedDraw: (service, urgency) =>
+        metrics.refusedRepeats.add({ service, urgency }),
     }),
   };
   registry.createGauge(
@@ -245,6 +261,10 @@
     }))
   );
 
+  function isLoadAware(service: string): boolean {
+    return (routes?.getStreamPriorities(service).length ?? 0) > 1;
+  }
+
   function applyConfiguration({ forwarding, revision }: Configuration): void {
     const table = forwarding[forwardingTableName];
     if (!table) return;
--- a/src/forwarding/forwarding_metrics.ts
+++ b/src/forwarding/forwarding_metrics.ts
@@ -18,6 +18,8 @@
   readonly failedAttempts: MetricCounter;
   /** Lost attempts of streams, by the decision that followed. */
   readonly lostAttempts: MetricCounter;
+  /** Repeats that the shared retry budget did not allow. */
+  readonly refusedRepeats: MetricCounter;
   /** Replacements of lost KV cache copies, by outcome. */
   readonly copies: MetricCounter;
   readonly answerTime: MetricTimer;
@@ -55,6 +57,11 @@
       "Runs of streams that were lost, by what followed.",
       ["decision"],
     ),
+    refusedRepeats: registry.createCounter(
+      "refused_repeats",
+      "Repeats that the shared retry budget did not allow.",
+      ["service", "urgency"],
+    ),
     copies: registry.createCounter(
       "restored_copies",
       "Copies of runs that were made anew, by outcome.",
--- /dev/null
+++ b/src/limits/repeat_window.ts
@@ -0,0 +1,214 @@
+/**
+ * Repeats of requests that all entry instances together may send to a service,
+ * counted in the sliding window in which the deployment's limit holds.
+ *
+ * The load of repeats is uneven: when a failure domain loses its engines, its
+ * instances have to resume all their streams within a second, while the others
+ * repeat nothing. Equal shares of the limit would hold these streams back while
+ * most of the limit is unused. Instances therefore exchange their counts, and
+ * each may draw an equal part of what was left of the whole limit at the last
+ * report, less what it has drawn since: if all of them draw their part before
+ * the next report, the limit still holds.
+ *
+ * An instance that receives no reports keeps to a part of its own equal share,
+ * because the others can't see what it draws.
+ */
+import type { Clock } from "../core/clock.ts";
+import type { RepeatCounts } from "../upstreams/engine_load_summary.ts";
+
+export enum RepeatUrgency {
+  /** The request has not run, or its route is not urgent. */
+  Normal = "normal",
+  /** The most urgent requests of a service that ranks them. */
+  Urgent = "urgent",
+  /** The caller has received a part of the response. */
+  Begun = "begun",
+}
+
+export interface RepeatWindow {
+  recordRequest(service: string): void;
+  /** Counts a repeat that was allowed by another limit. */
+  recordRepeat(service: string): void;
+  /** Number of repeats that may be sent now. */
+  getAvailable(service: string, urgency: RepeatUrgency): number;
+  tryDraw(service: string, urgency: RepeatUrgency): boolean;
+  /** This instance's counts in the window, for the other instances. */
+  getCounts(): RepeatCounts[];
+  /** Replaces the sums of the counts of all other instances. */
+  setRemoteCounts(counts: readonly RepeatCounts[]): void;
+}
+
+export interface RepeatWindowOptions {
+  readonly clock: Pick<Clock, "nowMs">;
+  /** Permitted repeats as a ratio of the requests in the window. */
+  readonly ratio: number;
+  /** Repeats in the window that are permitted in addition. */
+  readonly slack: number;
+  getInstanceCount(): number;
+}
+
+const windowMs = 10_000;
+const bucketMs = 250;
+/**
+ * Age of what a report says of the other instances: half a heartbeat interval
+ * each until control has their counts, has exchanged them with the other control
+ * instances and replies, and as much for late messages.
+ */
+const reportAgeMs = 1_500;
+/** Later, the counts of the others are unknown. */
+const maxReportAgeMs = 2_000;
+/**
+ * Parts of the limit that are used. With a quarter of the instances without
+ * reports both together stay below 0.95 of the limit; the rest is for requests
+ * that are counted elsewhere at another time.
+ */
+const sharedPart = 0.85;
+const unreportedPart = 0.4;
+/** Parts of what is available that less urgent repeats leave to others. */
+const reservedParts: Readonly<Record<RepeatUrgency, number>> = {
+  [RepeatUrgency.Normal]: 0.3,
+  [RepeatUrgency.Urgent]: 0.15,
+  [RepeatUrgency.Begun]: 0,
+};
+
+interface ServiceCounts {
+  readonly requests: WindowCounter;
+  readonly repeats: WindowCounter;
+}
+
+interface RemoteCounts {
+  readonly requestCount: number;
+  readonly repeatCount: number;
+}
+
+export function createRepeatWindow(
+  { clock, ratio, slack, getInstanceCount }: RepeatWindowOptions,
+): RepeatWindow {
+  const services = new Map<string, ServiceCounts>();
+  let remote: ReadonlyMap<string, RemoteCounts> = new Map();
+  let reportedAtMs = -Infinity;
+  return {
+    recordRequest: (service) => getCounts(service).requests.add(clock.nowMs()),
+    recordRepeat,
+    getAvailable,
+    tryDraw: (service, urgency) => {
+      if (getAvailable(service, urgency) < 1) return false;
+      recordRepeat(service);
+      return true;
+    },
+    getCounts: () => {
+      const nowMs = clock.nowMs();
+      return [...services].map(([service, { requests, repeats }]) => [
+        service,
+        requests.count(nowMs, windowMs),
+        repeats.count(nowMs, windowMs),
+      ]);
+    },
+    setRemoteCounts: (counts) => {
+      reportedAtMs = clock.nowMs();
+      remote = new Map(
+        counts.map(([service, requestCount, repeatCount]) => [
+          service,
+          { requestCount, repeatCount },
+        ]),
+      );
+    },
+  };
+
+  function recordRepeat(service: string): void {
+    getCounts(service).repeats.add(clock.nowMs());
+  }
+
+  function getAvailable(service: string, urgency: RepeatUrgency): number {
+    const nowMs = clock.nowMs();
+    const own = getCounts(service);
+    const instanceCount = Math.max(1, getInstanceCount());
+    const state = {
+      requestCount: own.requests.count(nowMs, windowMs),
+      repeatCount: own.repeats.count(nowMs, windowMs),
+      recentRepeatCount: own.repeats.count(nowMs, reportAgeMs),
+      remote: nowMs - reportedAtMs <= maxReportAgeMs
+        ? remote.get(service) ?? { requestCount: 0, repeatCount: 0 }
+        : undefined,
+      instanceCount,
+    };
+    return getAvailableRepeats(state, { ratio, slack, urgency });
+  }
+
+  function getCounts(service: string): ServiceCounts {
+    let counts = services.get(service);
+    if (!counts) {
+      counts = { requests: createCounter(), repeats: createCounter() };
+      services.set(service, counts);
+    }
+    return counts;
+  }
+}
+
+export interface RepeatState {
+  /** Own requests and repeats in the window. */
+  readonly requestCount: number;
+  readonly repeatCount: number;
+  /** Own repeats that the other instances may not know of yet. */
+  readonly recentRepeatCount: number;
+  /** Sums of the other instances; undefined without a recent report. */
+  readonly remote: RemoteCounts | undefined;
+  readonly instanceCount: number;
+}
+
+/** Returns how many repeats this instance may send now. Pure. */
+export function getAvailableRepeats(
+  state: RepeatState,
+  { ratio, slack, urgency }: {
+    readonly ratio: number;
+    readonly slack: number;
+    readonly urgency: RepeatUrgency;
+  },
+): number {
+  const { remote, instanceCount, recentRepeatCount } = state;
+  const usablePart = 1 - reservedParts[urgency];
+  if (remote === undefined) {
+    const share = ratio * state.requestCount + slack / instanceCount;
+    return unreportedPart * share * usablePart - state.repeatCount;
+  }
+  const limit = ratio * (state.requestCount + remote.requestCount) + slack;
+  const knownRepeatCount = remote.repeatCount +
+    state.repeatCount - recentRepeatCount;
+  const part = (sharedPart * limit - knownRepeatCount) / instanceCount;
+  return part * usablePart - recentRepeatCount;
+}
+
+interface WindowCounter {
+  add(nowMs: number): void;
+  count(nowMs: number, spanMs: number): number;
+}
+
+/** Counts in buckets; the oldest one counts in full. */
+function createCounter(): WindowCounter {
+  const buckets: { readonly startMs: number; count: number }[] = [];
+  return {
+    add: (nowMs) => {
+      const last = buckets.at(-1);
+      if (last && nowMs - last.startMs < bucketMs) last.count += 1;
+      else buckets.push({ startMs: nowMs, count: 1 });
+      removeOld(nowMs);
+    },
+    count: (nowMs, spanMs) => {
+      removeOld(nowMs);
+      let sum = 0;
+      for (let index = buckets.length - 1; index >= 0; index--) {
+        const { startMs, count } = buckets[index]!;
+        if (nowMs - startMs >= spanMs + bucketMs) break;
+        sum += count;
+      }
+      return sum;
+    },
+  };
+
+  function removeOld(nowMs: number): void {
+    while (
+      buckets.length > 0 &&
+      nowMs - buckets[0]!.startMs >= windowMs + bucketMs
+    ) buckets.shift();
+  }
+}
--- /dev/null
+++ b/src/limits/repeat_window_test.ts
@@ -0,0 +1,169 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { createRandom } from "../core/random.ts";
+import type { RepeatCounts } from "../upstreams/engine_load_summary.ts";
+import { createRepeatWindow, RepeatUrgency } from "./repeat_window.ts";
+
+const service = "plan";
+const ratio = 0.8;
+const slack = 150;
+const windowMs = 10_000;
+const reportIntervalMs = 500;
+
+/**
+ * Instances that exchange their counts as through control: what they learn of
+ * each other is between half a second and a second old.
+ */
+function createInstances(count: number) {
+  let nowMs = 0;
+  let sent: RepeatCounts[][] = [];
+  const drawnAtMs: number[] = [];
+  const requestedAtMs: number[] = [];
+  const instances = Array.from({ length: count }, () => {
+    const window = createRepeatWindow({
+      clock: { nowMs: () => nowMs },
+      ratio,
+      slack,
+      getInstanceCount: () => count,
+    });
+    return {
+      isCutOff: false,
+      request: () => {
+        window.recordRequest(service);
+        requestedAtMs.push(nowMs);
+      },
+      tryDraw: (urgency = RepeatUrgency.Begun) => {
+        const isDrawn = window.tryDraw(service, urgency);
+        if (isDrawn) drawnAtMs.push(nowMs);
+        return isDrawn;
+      },
+      getCounts: window.getCounts,
+      setRemoteCounts: window.setRemoteCounts,
+    };
+  });
+
+  function exchange(): void {
+    const delivered = sent;
+    sent = instances.map(({ getCounts }) => getCounts());
+    instances.forEach((instance, self) => {
+      if (instance.isCutOff) return;
+      const sums = [0, 0];
+      delivered.forEach((counts, other) => {
+        if (other === self || instances[other]!.isCutOff) return;
+        sums[0]! += counts[0]?.[1] ?? 0;
+        sums[1]! += counts[0]?.[2] ?? 0;
+      });
+      instance.setRemoteCounts([[service, sums[0]!, sums[1]!]]);
+    });
+  }
+
+  return {
+    instances,
+    advance: (ms: number) => {
+      const untilMs = nowMs + ms;
+      while (nowMs < untilMs) {
+        const nextExchangeMs = (Math.floor(nowMs / reportIntervalMs) + 1) *
+          reportIntervalMs;
+        nowMs = Math.min(untilMs, nextExchangeMs);
+        if (nowMs === nextExchangeMs) exchange();
+      }
+    },
+    /** The highest number of repeats in a window, as a part of the limit. */
+    getPeakUse: () =>
+      Math.max(
+        0,
+        ...drawnAtMs.map((startMs) => {
+          const isInside = (atMs: number) =>
+            atMs >= startMs && atMs < startMs + windowMs;
+          const counted = requestedAtMs.filter((atMs) =>
+            atMs >= startMs - windowMs && atMs < startMs
+          ).length;
+          const inside = requestedAtMs.filter(isInside).length;
+          const limit = ratio * Math.max(counted, inside) + slack;
+          return drawnAtMs.filter(isInside).length / limit;
+        }),
+      ),
+  };
+}
+
+/** 75 instances with 40 streams a second, as in front of 125 engines. */
+function createBusyDeployment() {
+  const deployment = createInstances(75);
+  const random = createRandom(7);
+  const run = (durationMs: number) => {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 25) {
+      deployment.instances[random.nextInt(75)]!.request();
+      deployment.advance(25);
+    }
+  };
+  run(15_000);
+  return { ...deployment, run };
+}
+
+test("instances that lose their engines together resume all their streams", () => {
+  // Guards against streams that wait while most of the limit is unused: with an
+  // account of its own, an instance had fewer than four repeats.
+  const { instances, run, getPeakUse } = createBusyDeployment();
+  const domain = instances.slice(0, 19);
+  for (const instance of domain) {
+    for (let stream = 0; stream < 5; stream++) {
+      expect(instance.tryDraw()).toBe(true);
+    }
+  }
+  run(2_000);
+  // What the others did not use is drawn again after the next report.
+  for (const instance of domain) expect(instance.tryDraw()).toBe(true);
+  expect(getPeakUse()).toBeLessThan(1);
+});
+
+test("less urgent repeats leave a part to streams that have begun", () => {
+  const { instances } = createBusyDeployment();
+  const instance = instances[0]!;
+  while (instance.tryDraw(RepeatUrgency.Normal));
+  expect(instance.tryDraw(RepeatUrgency.Normal)).toBe(false);
+  expect(instance.tryDraw(RepeatUrgency.Begun)).toBe(true);
+});
+
+test("all instances that draw all they can keep the limit in every window", () => {
+  // Guards against counting the same unused repeats more than once while the
+  // reports about them are late.
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 2, max: 12 }),
+      fc.array(fc.integer({ min: 0, max: 2_000 }), { maxLength: 25 }),
+      fc.integer({ min: 0, max: 3 }),
+      fc.nat(),
+      (count, pausesMs, cutOffCount, seed) => {
+        const { instances, advance, getPeakUse } = createInstances(count);
+        const random = createRandom(seed);
+        for (
+          const instance of instances.slice(0, Math.min(cutOffCount, count / 4))
+        ) {
+          instance.isCutOff = true;
+        }
+        advance(2_000);
+        for (const pauseMs of pausesMs) {
+          for (const instance of instances) {
+            for (let left = random.nextInt(8); left > 0; left--) {
+              instance.request();
+            }
+            if (random.next() < 0.7) { while (instance.tryDraw()); }
+          }
+          advance(pauseMs);
+        }
+        expect(getPeakUse()).toBeLessThanOrEqual(1);
+      },
+    ),
+    { seed: 48, numRuns: 150 },
+  );
+});
+
+test("an instance that hears nothing of the others draws a part of its share", () => {
+  const { instances, advance } = createInstances(10);
+  advance(2_000);
+  instances[0]!.isCutOff = true;
+  advance(3_000);
+  let count = 0;
+  while (instances[0]!.tryDraw()) count += 1;
+  expect(count).toBe(6); // 0.4 of 150 / 10
+});
--- a/src/upstreams/engine_load_summary.ts
+++ b/src/upstreams/engine_load_summary.ts
@@ -13,6 +13,12 @@
   z.number().min(0),
 ]);
 
+export const repeatCountsSchema = z.tuple([
+  z.string().min(1).max(200),
+  z.int().min(0),
+  z.int().min(0),
+]).readonly();
+
 export const engineLoadSummarySchema = z.object({
   loads: z.array(loadEntrySchema).max(10_000),
   /** Engines that were lost recently. */
@@ -31,7 +37,13 @@
   demands: z.array(
     z.tuple([z.string().min(1).max(200), z.int().min(0)]).readonly(),
   ).max(10_000).optional(),
+  /**
+   * Service, requests and repeats of requests in the window in which repeats are
+   * limited. Absent in summaries of earlier builds.
+   */
+  repeats: z.array(repeatCountsSchema).max(10_000).optional(),
 });
 
+export type RepeatCounts = z.output<typeof repeatCountsSchema>;
 export type LoadEntry = z.output<typeof loadEntrySchema>;
 export type EngineLoadSummary = z.output<typeof engineLoadSummarySchema>;
--- a/src/upstreams/load_totals.ts
+++ b/src/upstreams/load_totals.ts
@@ -3,7 +3,11 @@
  * subtracted. Every summary that is subtracted must have been added before.
  */
 import type { UpstreamId } from "../core/types.ts";
-import type { EngineLoadSummary, LoadEntry } from "./engine_load_summary.ts";
+import type {
+  EngineLoadSummary,
+  LoadEntry,
+  RepeatCounts,
+} from "./engine_load_summary.ts";
 
 export interface LoadTotals {
   add(summary: EngineLoadSummary): void;
@@ -20,6 +24,13 @@
   memoryTokens: number;
 }
 
+interface RepeatTotal {
+  /** Number of summaries that contain the service. */
+  summaryCount: number;
+  requestCount: number;
+  repeatCount: number;
+}
+
 interface SuccessorTotal {
   readonly formerId: UpstreamId;
   readonly newId: UpstreamId;
@@ -32,6 +43,7 @@
   const successors = new Map<string, SuccessorTotal>();
   /** In thousandths per second, so that sums are exact. */
   const demands = new Map<string, number>();
+  const repeats = new Map<string, RepeatTotal>();
   return {
     add: (summary) => apply(summary, 1),
     subtract: (summary) => apply(summary, -1),
@@ -50,6 +62,7 @@
       if (sum > 0) demands.set(service, sum);
       else demands.delete(service);
     }
+    for (const counts of summary.repeats ?? []) applyRepeats(counts, sign);
     for (const [formerId, newId] of summary.successors ?? []) {
       const key = getSuccessorKey(formerId, newId);
       const total = successors.get(key) ??
@@ -60,6 +73,19 @@
     }
   }
 
+  function applyRepeats(
+    [service, requestCount, repeatCount]: RepeatCounts,
+    sign: 1 | -1,
+  ): void {
+    const total = repeats.get(service) ??
+      { summaryCount: 0, requestCount: 0, repeatCount: 0 };
+    total.summaryCount += sign;
+    total.requestCount += sign * requestCount;
+    total.repeatCount += sign * repeatCount;
+    if (total.summaryCount > 0) repeats.set(service, total);
+    else repeats.delete(service);
+  }
+
   function applyLoad(
     [upstreamId, runningCount, uncachedTokens, memoryTokens]: LoadEntry,
     sign: 1 | -1,
@@ -103,7 +129,20 @@
       service,
       milliPerS - (without.demands.get(service) ?? 0),
     ]).filter(([, milliPerS]) => milliPerS > 0);
+    const remainingRepeats = [...repeats].map((
+      [service, { requestCount, repeatCount }],
+    ): RepeatCounts => {
+      const own = without.repeats.get(service);
+      return [
+        service,
+        requestCount - (own?.[1] ?? 0),
+        repeatCount - (own?.[2] ?? 0),
+      ];
+    }).filter(([, requestCount, repeatCount]) =>
+      requestCount > 0 || repeatCount > 0
+    );
     return {
+      ...(remainingRepeats.length > 0 ? { repeats: remainingRepeats } : {}),
       ...(remainingDemands.length > 0 ? { demands: remainingDemands } : {}),
       loads: remainingLoads,
       lostIds: [...lossCounts].filter(([upstreamId, count]) =>
@@ -125,6 +164,7 @@
     loads: new Map(summary?.loads.map((entry) => [entry[0], entry])),
     lostIds: new Set(summary?.lostIds),
     demands: new Map(summary?.demands),
+    repeats: new Map(summary?.repeats?.map((counts) => [counts[0], counts])),
     successorKeys: new Set(
       summary?.successors?.map(([formerId, newId]) =>
         getSuccessorKey(formerId, newId)
