--- a/measure/explain_run.ts
+++ b/measure/explain_run.ts
@@ -1,12 +1,13 @@
 /**
  * Shows where the requests of a played day lost their time:
  * `npm run measure:losses -- LOG [--first-event-ms N] [--event-gap-ms N]
- * [--list]`. The log holds the lines of all processes with the simulated time.
+ * [--domains] [--list]`. The log holds the lines of all processes with the simulated time.
  */
 import { readFileSync } from "node:fs";
 import process from "node:process";
 import { parseArgs } from "node:util";
 import { formatTable } from "../src/cli/admin_command.ts";
+import { tabulateDomains } from "./outcomes_by_domain.ts";
 import {
   type CauseRow,
   listStreamLosses,
@@ -21,6 +22,7 @@
   options: {
     "first-event-ms": { type: "string", default: "4500" },
     "event-gap-ms": { type: "string", default: "700" },
+    domains: { type: "boolean", default: false },
     list: { type: "boolean", default: false },
   },
 });
@@ -33,7 +35,7 @@
   objectives.eventGapMs > 0;
 if (!isUsable) {
   process.stderr.write(
-    "usage: explain_run LOG [--first-event-ms N] [--event-gap-ms N] [--list]\n",
+    "usage: explain_run LOG [--first-event-ms N] [--event-gap-ms N] [--domains] [--list]\n",
   );
   process.exit(2);
 }
@@ -46,6 +48,7 @@
 printRows(sumStreamCauses(losses));
 print("", "plain calls that failed");
 printRows(sumCallCauses(lines));
+if (values.domains) printDomains();
 if (values.list) printStreams();
 
 function printOutcomes(): void {
@@ -55,6 +58,35 @@
   }
 }
 
+function printDomains(): void {
+  const outcomes = Object.values(StreamOutcome);
+  print("", "streams and calls by failure domain of the instance; mean times");
+  print(...formatTable(
+    [
+      "DOMAIN",
+      "STREAMS",
+      ...outcomes.map((outcome) => outcome.toUpperCase()),
+      "WAIT_HERE_MS",
+      "WAIT_AT_ENGINE_MS",
+      "WAIT_AFTER_LOSS_MS",
+      "CALLS",
+      "FAILED",
+      "CALL_MS",
+    ],
+    tabulateDomains(lines, objectives).map((row) => [
+      row.domain,
+      row.streams,
+      ...outcomes.map((outcome) => row.streamsByOutcome.get(outcome) ?? 0),
+      row.waitHereMs,
+      row.waitAtEngineMs,
+      row.waitAfterLossMs,
+      row.calls,
+      row.failedCalls,
+      row.meanCallMs,
+    ]),
+  ));
+}
+
 function printStreams(): void {
   print("", "streams that were not served on time");
   for (const { requestId, machine, arrivedAtS, outcome, lostMs } of missed) {
--- a/measure/request_losses_test.ts
+++ b/measure/request_losses_test.ts
@@ -3,6 +3,7 @@
  */
 import { expect, test } from "vitest";
 import { logEvents } from "../src/core/log_events.ts";
+import { tabulateDomains } from "./outcomes_by_domain.ts";
 import {
   classifyReason,
   listStreamLosses,
@@ -110,3 +111,37 @@
   expect(classifyReason("event 12 arrived after event 9"))
     .toBe("event N arrived after event N");
 });
+
+test("waits are charged to the domain of the instance, apart from prefill", () => {
+  // Guards against a wait at the instance that counts as the engine's.
+  const lines = parseRunLog([
+    format(0, logEvents.daemonStarted, { domain: "a" }),
+    format(2.5, logEvents.streamPlaced, { request: "r1" }),
+    format(6, logEvents.streamEnded, {
+      request: "r1",
+      outcome: "complete",
+      firstEventMs: 2_000,
+      longestGapMs: 90,
+      durationMs: 4_500,
+    }),
+    format(6, logEvents.requestEnded, {
+      request: "r1",
+      status: 200,
+      durationMs: 4_500,
+    }),
+    format(7, logEvents.requestEnded, {
+      request: "c1",
+      status: 503,
+      durationMs: 10,
+    }),
+  ].join("\n"));
+  const [row] = tabulateDomains(lines, objectives);
+  expect(row).toMatchObject({
+    domain: "a",
+    streams: 1,
+    waitHereMs: 1_000,
+    waitAtEngineMs: 1_000,
+    calls: 1,
+    failedCalls: 1,
+  });
+});
