Decode the stated slowness, and add the interfaces of expected time

Upstreams can state the slowness of their machine as the fourth figure of their load. It is decoded into ReportedLoad.slowness; a figure that is unreadable, 0 or huge states nothing and is counted as invalid_load_reports. A service whose upstreams stated it within 10 s is scheduled under load.

Placement is unchanged.

--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -285,7 +285,7 @@
     }),
     metrics: createForwardingMetrics(createMetricsRegistry()),
     heldResponses: createByteBudget(maxHeldResponseBytes),
-    isLoadAware: () => false,
+    isLoadAware: directory.hasStatedSlowness,
     recordPlacement: () => {},
     getUnreportedPlacementCount: () => 0,
     budget: createRetryBudget({
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -157,7 +157,8 @@
     limitQueue,
     demand,
     isLoadAware: (service) =>
-      (routes?.getStreamPriorities(service).length ?? 0) > 1,
+      (routes?.getStreamPriorities(service).length ?? 0) > 1 ||
+      directory.hasStatedSlowness(service),
     successors: createSuccessorDiscovery({
       logger,
       protocol,
--- a/src/forwarding/forwarding_metrics.ts
+++ b/src/forwarding/forwarding_metrics.ts
@@ -20,6 +20,8 @@
   readonly lostAttempts: MetricCounter;
   /** Replacements of lost KV cache copies, by outcome. */
   readonly copies: MetricCounter;
+  /** Responses whose stated load has a figure that states nothing. */
+  readonly invalidLoads: MetricCounter;
   readonly answerTime: MetricTimer;
   readonly firstEventTime: MetricTimer;
   /** Longest gap between two events of a stream. */
@@ -60,6 +62,10 @@
       "Copies of runs that were made anew, by outcome.",
       ["outcome"],
     ),
+    invalidLoads: registry.createCounter(
+      "invalid_load_reports",
+      "Responses whose stated load has an unreadable or huge figure.",
+    ),
     answerTime: registry.createTimer(
       "answer",
       "Time from the arrival of a request to the end of its answer.",
--- a/src/forwarding/forwarding_protocol.ts
+++ b/src/forwarding/forwarding_protocol.ts
@@ -56,6 +56,11 @@
   readonly runningCount: number;
   readonly waitingCount: number;
   readonly maxRunning: number;
+  /**
+   * How slow the machine is at the moment; 1 is usual. Undefined if it is not
+   * stated or is no plausible value.
+   */
+  readonly slowness: number | undefined;
 }
 
 /** What a response states about the requests that its upstream takes. */
@@ -79,6 +84,8 @@
   /** Id of the upstream that responded, if it states one. */
   readonly responderId: UpstreamId | undefined;
   readonly load: ReportedLoad | undefined;
+  /** A figure of the stated load is unreadable or huge and states nothing. */
+  readonly hasInvalidLoad: boolean;
   readonly limit: StatedLimit;
   /** With a refusal: how long the upstream wants no requests from here. */
   readonly waitMs: number | undefined;
--- a/src/forwarding/forwarding_steps.ts
+++ b/src/forwarding/forwarding_steps.ts
@@ -63,7 +63,8 @@
 
 /** Classifies a response head and records what it shows about the upstream. */
 export function classifyHead(
-  { protocol, directory, connections, successors, limits }: ForwardingContext,
+  { protocol, directory, connections, successors, limits, metrics }:
+    ForwardingContext,
   { info }: Upstream,
   { requestId, status, headers, origin }: {
     readonly requestId: string;
@@ -75,6 +76,7 @@
   const { upstreamId, host, port } = info;
   const response = protocol.describeResponse(status, headers);
   if (response.load) directory.recordLoad(upstreamId, response.load);
+  if (response.hasInvalidLoad) metrics.invalidLoads.add();
   if (response.requestId !== "" && response.requestId !== requestId) {
     return HeadClass.OtherRequest;
   }
--- a/src/forwarding/placement_herd_test.ts
+++ b/src/forwarding/placement_herd_test.ts
@@ -8,7 +8,7 @@
 import { engineTraits } from "../../measure/forwarding_fakes.ts";
 import { createRandom } from "../core/random.ts";
 import { chooseForStream, getDefaultDomainCost } from "./placement.ts";
-import type { Upstream } from "./upstream_types.ts";
+import { unknownSpeed, type Upstream } from "./upstream_types.ts";
 
 interface Engine {
   readonly upstreamId: string;
@@ -77,6 +77,7 @@
         memoryTokens: 0,
         unreadTokens: 0,
         reported: undefined,
+        speed: unknownSpeed,
         others: {
           runningCount: open.length,
           unreadTokens: unread * 8_000,
--- a/src/forwarding/placement_test.ts
+++ b/src/forwarding/placement_test.ts
@@ -8,7 +8,7 @@
   getDefaultDomainCost,
   type PlacementContext,
 } from "./placement.ts";
-import type { Upstream } from "./upstream_types.ts";
+import { unknownSpeed, type Upstream } from "./upstream_types.ts";
 
 function createUpstream(
   upstreamId: string,
@@ -32,6 +32,7 @@
     memoryTokens: 0,
     unreadTokens: 0,
     reported: undefined,
+    speed: unknownSpeed,
     others: { runningCount: 0, unreadTokens: 0, memoryTokens: 0 },
     failureRatio: 0,
     suspendedUntilMs: -Infinity,
@@ -160,7 +161,12 @@
 
 test("a call is placed at the upstream with the lowest ratio of used slots", () => {
   const reported = {
-    load: { runningCount: 6, waitingCount: 4, maxRunning: 6 },
+    load: {
+      runningCount: 6,
+      waitingCount: 4,
+      maxRunning: 6,
+      slowness: undefined,
+    },
     atMs: 990,
   };
   const upstreams = [
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -16,12 +16,13 @@
   createPrefillRateTracker,
   type PrefillRateTracker,
 } from "./stream_admission.ts";
-import type {
-  CopyLoad,
-  RemoteLoad,
-  RequestLoad,
-  Successor,
-  Upstream,
+import {
+  type CopyLoad,
+  type RemoteLoad,
+  type RequestLoad,
+  type Successor,
+  unknownSpeed,
+  type Upstream,
 } from "./upstream_types.ts";
 import {
   type AnswerWait,
@@ -72,6 +73,11 @@
   countVersions(service: string): number;
   /** Prefill rates that this instance observed at engines of the service. */
   getPrefillRateTracker(service: string): PrefillRateTracker;
+  /**
+   * Whether an upstream of the service has stated the slowness of its machine
+   * within the last 10 s.
+   */
+  hasStatedSlowness(service: string): boolean;
   /** Whether most upstreams of the service in the domain are probably lost. */
   isDomainSuspected(service: string, domainId: DomainId): boolean;
   /** Returns this instance's loads and recent losses, for other instances. */
@@ -118,6 +124,8 @@
 const lossReportMs = 1_000;
 /** Control sends a load summary twice a second. */
 const maxRemoteSummaryAgeMs = 2_000;
+/** Covers the pauses between the responses that one instance gets. */
+const maxSlownessAgeMs = 10_000;
 const zeroLoad: RemoteLoad = {
   runningCount: 0,
   unreadTokens: 0,
@@ -147,6 +155,8 @@
   /** Services with several versions, computed once per list. */
   let multiVersionServices = new Set<string>();
   let remoteSummaryAtMs = -Infinity;
+  /** By service: when one of its upstreams last stated its slowness. */
+  const slownessStatedAtMs = new Map<string, number>();
   return {
     update,
     listUsable,
@@ -154,10 +164,10 @@
     get: (upstreamId) => entries.get(upstreamId),
     trackRequest,
     trackCopy,
-    recordLoad: (upstreamId, load) => {
-      const entry = entries.get(upstreamId);
-      if (entry) entry.reported = { load, atMs: clock.nowMs() };
-    },
+    recordLoad,
+    hasStatedSlowness: (service) =>
+      clock.nowMs() - (slownessStatedAtMs.get(service) ?? -Infinity) <=
+        maxSlownessAgeMs,
     recordActivity: (upstreamId) => {
       const entry = entries.get(upstreamId);
       if (entry) entry.lastActivityAtMs = clock.nowMs();
@@ -216,6 +226,16 @@
     return isCandidateTurn || fullShare.length === 0 ? candidates : fullShare;
   }
 
+  function recordLoad(upstreamId: UpstreamId, load: ReportedLoad): void {
+    const entry = entries.get(upstreamId);
+    if (!entry) return;
+    const nowMs = clock.nowMs();
+    entry.reported = { load, atMs: nowMs };
+    if (load.slowness !== undefined) {
+      slownessStatedAtMs.set(entry.info.service, nowMs);
+    }
+  }
+
   /**
    * A wait is kept apart from suspensions, which end with the next response:
    * requests that were already at the upstream may still be answered.
@@ -506,6 +526,7 @@
     memoryTokens: 0,
     unreadTokens: 0,
     reported: undefined,
+    speed: unknownSpeed,
     others: zeroLoad,
     failureRatio: 0,
     suspendedUntilMs: -Infinity,
--- a/src/forwarding/upstream_types.ts
+++ b/src/forwarding/upstream_types.ts
@@ -16,6 +16,7 @@
   readonly reported:
     | { readonly load: ReportedLoad; readonly atMs: number }
     | undefined;
+  readonly speed: LearnedSpeed;
   /** Load of other entry instances, from the last load summary of control. */
   readonly others: RemoteLoad;
   /** Moving average of failures among recent responses, 0 to 1. */
@@ -30,6 +31,29 @@
   readonly lastActivityAtMs: number;
 }
 
+/** What the responses of an upstream show about its speed. */
+export interface LearnedSpeed {
+  /** Expected time of a call without queueing; undefined if nothing is known. */
+  readonly callMs: number | undefined;
+  /** Expected prefill time of a token; undefined if nothing is known. */
+  readonly prefillMsPerToken: number | undefined;
+  /** Time of a call relative to the mean of the service; 1 if unknown. */
+  readonly callFactor: number;
+  /** Prefill time of a token relative to the mean of the service. */
+  readonly prefillFactor: number;
+  /** Mean of the slowness that the upstream stated; undefined if it stated none. */
+  readonly meanSlowness: number | undefined;
+}
+
+/** The speed of an upstream of which nothing is known. */
+export const unknownSpeed: LearnedSpeed = {
+  callMs: undefined,
+  prefillMsPerToken: undefined,
+  callFactor: 1,
+  prefillFactor: 1,
+  meanSlowness: undefined,
+};
+
 export interface RemoteLoad {
   readonly runningCount: number;
   readonly unreadTokens: number;
