Tell engines the rank of streams

Engines treated streams of all priorities alike, so in the ranked deployment the urgent kind waited behind the other one. The rank is the position of a stream's priority among those of its service's streaming routes; first sends and resumes carry it. Services with one rank state none, as before.

--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -285,7 +285,10 @@
     }),
     metrics: createForwardingMetrics(createMetricsRegistry()),
     heldResponses: createByteBudget(maxHeldResponseBytes),
-    isLoadAware: () => false,
+    getStreamPriorities: (service) =>
+      routes?.getStreamPriorities(service) ?? [],
+    isLoadAware: (service) =>
+      (routes?.getStreamPriorities(service).length ?? 0) > 1,
     recordPlacement: () => {},
     getUnreportedPlacementCount: () => 0,
     budget: createRetryBudget({
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -156,6 +156,8 @@
     limits,
     limitQueue,
     demand,
+    getStreamPriorities: (service) =>
+      routes?.getStreamPriorities(service) ?? [],
     isLoadAware: (service) =>
       (routes?.getStreamPriorities(service).length ?? 0) > 1,
     successors: createSuccessorDiscovery({
--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -43,6 +43,11 @@
    * of their machines.
    */
   isLoadAware(service: string): boolean;
+  /**
+   * The different priorities of the streaming routes to the service, the most
+   * urgent first.
+   */
+  getStreamPriorities(service: string): readonly number[];
   /** Counts a stream that this instance has placed. */
   recordPlacement(): void;
   /**
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -45,6 +45,7 @@
   type AdmissionDecision,
   decideStreamAdmission,
 } from "./stream_admission.ts";
+import { getEnginePriority, getStreamRank } from "./stream_scheduling.ts";
 import { createCopyManager } from "./copy_manager.ts";
 import { createPaceMeter } from "./pace_meter.ts";
 import { isBrokenOff } from "./response_framing.ts";
@@ -116,6 +117,10 @@
   const { description } = caller;
   const { requestId } = description;
   const traits = service.engine ?? defaultEngineTraits;
+  const rank = getStreamRank(
+    context.getStreamPriorities(service.name),
+    admitted.priority,
+  );
   const budgetKey = { service: service.name, customerId: "" };
   const triedIds = new Set<string>();
   const crashGuard = createCrashGuard(context, admitted);
@@ -413,7 +418,7 @@
         lastEventId,
         copyHolderAddress: copyHolder && getAddress(copyHolder),
         resumeFrom: source,
-        enginePriority: undefined,
+        enginePriority: getEnginePriority(rank),
         bodyBytes: body.length,
       }),
       body,
