--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -285,7 +285,11 @@
     }),
     metrics: createForwardingMetrics(createMetricsRegistry()),
     heldResponses: createByteBudget(maxHeldResponseBytes),
-    isLoadAware: directory.hasStatedSlowness,
+    getStreamPriorities: (service) =>
+      routes?.getStreamPriorities(service) ?? [],
+    isLoadAware: (service) =>
+      (routes?.getStreamPriorities(service).length ?? 0) > 1 ||
+      directory.hasStatedSlowness(service),
     recordPlacement: () => {},
     getUnreportedPlacementCount: () => 0,
     budget: createRetryBudget({
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -167,6 +167,8 @@
     limits,
     limitQueue,
     demand,
+    getStreamPriorities: (service) =>
+      routes?.getStreamPriorities(service) ?? [],
     isLoadAware,
     successors: createSuccessorDiscovery({
       logger,
