Exchange a heartbeat with control on demand

The loads of other instances are half a second to a second old, so that at 40 streams a second many are placed beside others that are not visible yet. Lets a caller of the membership ask for them now, within a round trip.

--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -290,6 +290,8 @@
     isLoadAware: (service) =>
       (routes?.getStreamPriorities(service).length ?? 0) > 1 ||
       directory.hasStatedSlowness(service),
+    refreshLoads: () => Promise.resolve(),
+    announceLoads: () => {},
     recordPlacement: () => {},
     getUnreportedPlacementCount: () => 0,
     budget: createRetryBudget({
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -56,6 +56,12 @@
  */
 const minBudgetUnits = 2;
 
+/**
+ * A reply takes a round trip within the failure domain. Later, a stream is
+ * placed by what is known; its caller waits for seconds, not for this.
+ */
+const maxRefreshMs = 25;
+
 export function startEntryInstance(
   options: InstanceOptions,
 ): ResultAsync<RunningInstance, SystemError> {
@@ -170,6 +176,12 @@
     getStreamPriorities: (service) =>
       routes?.getStreamPriorities(service) ?? [],
     isLoadAware,
+    refreshLoads: async () => {
+      await core.membership.exchangeHeartbeat(maxRefreshMs);
+    },
+    announceLoads: () => {
+      void core.membership.exchangeHeartbeat(maxRefreshMs);
+    },
     successors: createSuccessorDiscovery({
       logger,
       protocol,
--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -48,6 +48,13 @@
    * urgent first.
    */
   getStreamPriorities(service: string): readonly number[];
+  /**
+   * Exchanges loads with the other instances now; resolves when theirs are known
+   * or that takes too long.
+   */
+  refreshLoads(): Promise<void>;
+  /** Tells the other instances of the load of a stream that was placed. */
+  announceLoads(): void;
   /** Counts a stream that this instance has placed. */
   recordPlacement(): void;
   /**
--- a/src/membership/seed_membership.ts
+++ b/src/membership/seed_membership.ts
@@ -43,6 +43,11 @@
    * regular one.
    */
   scheduleHeartbeat(): void;
+  /**
+   * Exchanges a heartbeat with the first reachable control instance now.
+   * Resolves with whether its reply arrived in time.
+   */
+  exchangeHeartbeat(timeoutMs: number): Promise<boolean>;
 }
 
 export interface SeedMembershipOptions {
@@ -79,7 +84,8 @@
   info: InstanceInfo;
   lastSeenAtMs: number;
   isReachable: boolean;
-  isHeartbeatPending: boolean;
+  /** Settles when the heartbeat in flight was replied to or has failed. */
+  pendingHeartbeat: Promise<boolean> | undefined;
 }
 
 /**
@@ -132,6 +138,7 @@
       sendHeartbeats();
     },
     scheduleHeartbeat,
+    exchangeHeartbeat,
   };
 
   function listMembers(): Member[] {
@@ -195,7 +202,7 @@
       info,
       lastSeenAtMs: clock.nowMs(),
       isReachable: false,
-      isHeartbeatPending: false,
+      pendingHeartbeat: undefined,
     };
   }
 
@@ -226,7 +233,7 @@
         options.getPeers().dropConnection(instanceId);
         continue;
       }
-      const mustSend = member.info.isControl && !member.isHeartbeatPending;
+      const mustSend = member.info.isControl && !member.pendingHeartbeat;
       if (mustSend) void sendHeartbeat(member, lostAfterMs);
     }
   }
@@ -240,32 +247,53 @@
       const member = controlId === undefined
         ? undefined
         : members.get(controlId);
-      if (member && !member.isHeartbeatPending) {
+      if (member && !member.pendingHeartbeat) {
         void sendHeartbeat(member, lostAfterMs);
       }
     }, scheduledHeartbeatDelayMs).unref();
   }
 
-  async function sendHeartbeat(
+  function exchangeHeartbeat(timeoutMs: number): Promise<boolean> {
+    const controlId = listReachableControlIds()[0];
+    const member = controlId === undefined ? undefined : members.get(controlId);
+    if (!member) return Promise.resolve(false);
+    const reply = member.pendingHeartbeat ??
+      sendHeartbeat(member, lostAfterMs);
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => resolve(false), timeoutMs);
+      void reply.then((isReplied) => {
+        clearTimeout(timer);
+        resolve(isReplied);
+      });
+    });
+  }
+
+  function sendHeartbeat(member: Member, timeoutMs: number): Promise<boolean> {
+    const pending = callWithHeartbeat(member, timeoutMs);
+    member.pendingHeartbeat = pending;
+    return pending;
+  }
+
+  async function callWithHeartbeat(
     member: Member,
     timeoutMs: number,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const { instanceId } = member.info;
-    member.isHeartbeatPending = true;
     const reply = await options.getPeers().call(
       instanceId,
       PeerCallKind.Heartbeat,
       { body: getHeartbeat(instanceId), timeoutMs },
     );
-    member.isHeartbeatPending = false;
+    member.pendingHeartbeat = undefined;
     if (reply.isOk()) recordHeartbeat(reply.value);
     // A connection may stay silent permanently while a new one works.
     else options.getPeers().dropConnection(instanceId);
+    return reply.isOk();
   }
 
   function probeInstance(instanceId: InstanceId): void {
     const member = members.get(instanceId);
-    if (!member?.info.isControl || member.isHeartbeatPending) return;
+    if (!member?.info.isControl || member.pendingHeartbeat) return;
     void sendHeartbeat(member, heartbeatIntervalMs);
   }
 
--- a/src/membership/seed_membership_test.ts
+++ b/src/membership/seed_membership_test.ts
@@ -168,3 +168,25 @@
   await network.advance(35_000);
   expect(entry.listControlIds()).toEqual(["c1"]);
 });
+
+test("an instance learns the news of others at once when it asks", async () => {
+  // Guards against placements by loads that are as old as the last heartbeat.
+  const network = createNetwork();
+  network.add("c1", { seedIds, isControl: true });
+  const entry = network.add("e1", { seedIds });
+  await network.advance(500);
+  network.add("e2", { seedIds });
+  await network.advance(1);
+  expect(await entry.exchangeHeartbeat(100)).toBe(true);
+  expect(entry.getEntryCount()).toBe(2);
+});
+
+test("an exchange with an isolated control instance ends without a reply", async () => {
+  // Guards against streams that wait for control during a partition.
+  const network = createNetwork();
+  network.add("c1", { seedIds, isControl: true });
+  const entry = network.add("e1", { seedIds });
+  await network.advance(500);
+  network.isolatedIds.add("c1");
+  expect(await entry.exchangeHeartbeat(100)).toBe(false);
+});
