Split the stream forwarder by job

Its state is now an object that the modules share which place a stream, start its attempts, receive their responses and handle their losses.

--- /dev/null
+++ b/src/forwarding/stream_losses.ts
@@ -0,0 +1,207 @@
+/**
+ * Handles the loss of a stream's attempt: whether and where the stream goes on,
+ * and whether it leaves an engine that is silent.
+ */
+import { assertNever } from "../core/assert_never.ts";
+import { ErrorKind } from "../core/errors.ts";
+import { logEvents } from "../core/log_events.ts";
+import type { CrashDecision } from "../quarantine/crash_decisions.ts";
+import type { KvCacheCopy } from "./forwarding_protocol.ts";
+import { getWritingMs, type StreamAttempt } from "./stream_attempt.ts";
+import { decideAfterLoss, mayLeaveSilentRun } from "./stream_decisions.ts";
+import type { StreamMonitor } from "./stream_monitor.ts";
+import type { StreamPlacement } from "./stream_placement.ts";
+import { isStreamResumable, type StreamState } from "./stream_state.ts";
+import type { Upstream } from "./upstream_types.ts";
+import { WaitEnd } from "./version_answers.ts";
+
+export interface AttemptLoss {
+  readonly wasSent: boolean;
+  /** The connection ended, as it does when an engine crashes. */
+  readonly hasEngineEnded?: boolean;
+  /** The engine received a request, probably this one, and did not run it. */
+  readonly isRefused?: boolean;
+  /** The response may be right, so it says nothing about the engine. */
+  readonly mayBeSound?: boolean;
+  readonly reason: string;
+  /** Where the stream goes on without a copy; chosen now by default. */
+  readonly nextEngine?: Upstream;
+}
+
+export interface StreamLosses {
+  handleLoss(lost: StreamAttempt, loss: AttemptLoss): void;
+  /**
+   * Ends a run at a silent engine only if the stream can go on elsewhere, since
+   * a sound engine goes on as well.
+   */
+  handleSilence(current: StreamAttempt, reason: string): void;
+  endAttempt(ended: StreamAttempt, isCopyUsed: boolean): void;
+}
+
+export interface StreamLossesOptions {
+  readonly stream: StreamState;
+  readonly monitor: StreamMonitor;
+  readonly placement: StreamPlacement;
+  startAttempt(engine: Upstream, source?: KvCacheCopy): void;
+  fail(kind: ErrorKind, reason: string): void;
+}
+
+export function createStreamLosses(
+  { stream, monitor, placement, startAttempt, fail }: StreamLossesOptions,
+): StreamLosses {
+  const { context, admitted } = stream;
+  const { clock, logger, directory, budget, metrics } = context;
+  const { route, deadlineAtMs } = admitted;
+  const { requestId } = admitted.caller.description;
+  return { handleLoss, handleSilence, endAttempt };
+
+  function handleSilence(current: StreamAttempt, reason: string): void {
+    if (stream.run !== current || stream.isFinished) return;
+    const { upstream } = current;
+    const silentMs = clock.nowMs() -
+      Math.max(
+        current.lastEventAtMs ?? current.startedAtMs,
+        current.resumedAtMs,
+      );
+    // A run that is ended and can't be repeated yet would be a loss.
+    const mayLeave = budget.hasReserve(stream.budgetKey, 1) &&
+      mayLeaveSilentRun({
+        remainingMs: deadlineAtMs - clock.nowMs(),
+        isResumable: isStreamResumable(stream),
+        ranCount: stream.ranCount + 1,
+        maxAttempts: route.maxAttempts,
+        silentMs,
+      });
+    const target = mayLeave ? findTarget(current) : undefined;
+    if (target) {
+      stream.hasLeftRun = true;
+      handleLoss(current, { wasSent: true, reason, nextEngine: target });
+      return;
+    }
+    if (current.isSilenceLogged) return;
+    current.isSilenceLogged = true;
+    logger.log(logEvents.streamStaysAtSilentEngine, {
+      request: requestId,
+      engine: upstream.info.upstreamId,
+      reason,
+      lastEventId: stream.lastEventId,
+      ranCount: stream.ranCount,
+      mayLeave,
+    });
+  }
+
+  /** Returns an engine at which the stream can go on instead. */
+  function findTarget(current: StreamAttempt): Upstream | undefined {
+    const copy = current.lastEventAtMs === undefined
+      ? undefined
+      : findUsableCopy(current);
+    if (copy) return copy.holder;
+    const { upstreamId } = current.upstream.info;
+    const others = placement.listCandidates().filter(({ info }) =>
+      info.upstreamId !== upstreamId
+    );
+    return placement.chooseAdmitting(
+      others,
+      placement.getPlacementContext(),
+    );
+  }
+
+  function handleLoss(
+    lost: StreamAttempt,
+    {
+      wasSent,
+      isRefused = false,
+      hasEngineEnded = false,
+      mayBeSound = false,
+      reason,
+      nextEngine,
+    }: AttemptLoss,
+  ): void {
+    if (stream.run !== lost || stream.isFinished) return;
+    const { upstreamId } = lost.upstream.info;
+    const afterCrash: CrashDecision = hasEngineEnded && !lost.isPastStart
+      ? stream.crashGuard.recordCrash(lost.upstream.info, lost.startedAtMs)
+      : { kind: "resume" };
+    const mayUseCopy = wasSent && lost.lastEventAtMs !== undefined &&
+      afterCrash.kind === "resume";
+    const copy = mayUseCopy ? findUsableCopy(lost) : undefined;
+    const saysNothing = hasEngineEnded || isRefused || mayBeSound || !wasSent;
+    lost.wait.end(saysNothing ? WaitEnd.Cancelled : WaitEnd.Abandoned);
+    if (!saysNothing) lost.pace.recordSilence(clock.nowMs());
+    endAttempt(lost, copy !== undefined);
+    stream.triedIds.add(upstreamId);
+    if (wasSent) stream.ranCount += 1;
+    if (!isRefused && !mayBeSound) directory.recordLoss(upstreamId, reason);
+    const decision = decideAfterLoss({
+      isResumable: isStreamResumable(stream),
+      ranCount: stream.ranCount,
+      maxAttempts: route.maxAttempts,
+      remainingMs: deadlineAtMs - clock.nowMs(),
+      hasCopy: copy !== undefined,
+      wasNotRun: !wasSent,
+    });
+    metrics.lostAttempts.add({ decision });
+    logger.log(logEvents.streamAttemptFailed, {
+      request: requestId,
+      lost: upstreamId,
+      reason,
+      lastEventId: stream.lastEventId,
+      silentMs: Math.round(
+        clock.nowMs() - (lost.lastEventAtMs ?? lost.startedAtMs),
+      ),
+      writingMs: getWritingMs(lost, clock.nowMs()),
+      copyAt: copy?.holder.info.upstreamId,
+      decision,
+      ranCount: stream.ranCount,
+    });
+    if (afterCrash.kind === "stop") {
+      fail(
+        ErrorKind.UpstreamsCrashed,
+        "engines crashed each time that they started to run the request",
+      );
+      return;
+    }
+    switch (decision) {
+      case "fail":
+        fail(
+          stream.ranCount > 0 ? ErrorKind.UpstreamFailed : ErrorKind.NoUpstream,
+          reason,
+        );
+        return;
+      case "resumeFromCopy":
+        if (budget.tryDrawReserve(stream.budgetKey, 1)) {
+          startAttempt(copy!.holder, copy!.source);
+        } else placement.waitForBudget();
+        return;
+      case "resume":
+        // A request that never reached an engine has caused no work there, so
+        // it does not draw on the budget.
+        if ((wasSent || isRefused) && !placement.drawForRepeat(wasSent)) {
+          placement.waitForBudget();
+        } else if (afterCrash.kind === "delay") {
+          placement.placeAttemptAfter(afterCrash.delayMs);
+        } else if (nextEngine) startAttempt(nextEngine);
+        else placement.placeAttempt();
+        return;
+      default:
+        assertNever(decision);
+    }
+  }
+
+  /** A holder whose limit has no room is of no use. */
+  function findUsableCopy({ copyManager }: StreamAttempt) {
+    const copy = copyManager.getUsableCopy();
+    return copy && context.limits.hasRoom(copy.holder.info.upstreamId)
+      ? copy
+      : undefined;
+  }
+
+  function endAttempt(ended: StreamAttempt, isCopyUsed: boolean): void {
+    ended.wait.end(WaitEnd.Abandoned);
+    monitor.remove(ended);
+    ended.exchange?.cancel();
+    ended.requestLoad.release();
+    ended.copyManager.end(isCopyUsed);
+    stream.run = undefined;
+  }
+}
--- /dev/null
+++ b/src/forwarding/stream_placement.ts
@@ -0,0 +1,265 @@
+/**
+ * Chooses the engine of a stream's next attempt. While none can be chosen, the
+ * stream waits for an engine, for room below the limits that engines state, or
+ * for the retry budget.
+ */
+import { assertNever } from "../core/assert_never.ts";
+import { ErrorKind } from "../core/errors.ts";
+import { createPlacementContext, limitReason } from "./forwarding_steps.ts";
+import {
+  chooseForStream,
+  listReachable,
+  type PlacementContext,
+} from "./placement.ts";
+import {
+  type AdmissionDecision,
+  decideStreamAdmission,
+} from "./stream_admission.ts";
+import { minResumeMs } from "./stream_decisions.ts";
+import { getStreamDemand, type StreamState } from "./stream_state.ts";
+import type { Upstream } from "./upstream_types.ts";
+
+export interface StreamPlacement {
+  /** Starts the next attempt, now or as soon as an engine can be chosen. */
+  placeAttempt(): void;
+  placeAttemptAfter(delayMs: number): void;
+  /** Draws on the retry budget; `hasRun` if the last attempt may have run. */
+  drawForRepeat(hasRun: boolean): boolean;
+  /** Starts the next attempt when the retry budget allows it. */
+  waitForBudget(): void;
+  getPlacementContext(): PlacementContext;
+  /** The engines that may get the next attempt. */
+  listCandidates(): Upstream[];
+  /** Chooses among the engines that can prefill the prompt in time. */
+  chooseAdmitting(
+    engines: readonly Upstream[],
+    placement: PlacementContext,
+  ): Upstream | undefined;
+  refuseQuarantined(partId: string): void;
+  /** Ends any wait. */
+  end(): void;
+}
+
+export interface StreamPlacementOptions {
+  readonly stream: StreamState;
+  startAttempt(engine: Upstream): void;
+  fail(kind: ErrorKind, reason: string, backlogMs?: number): void;
+}
+
+/** Engines that fail briefly are available again within this time. */
+const maxEngineWaitMs = 1_500;
+const enginePollIntervalMs = 50;
+/** Interval at which a stream that the retry budget does not cover asks again. */
+const budgetPollIntervalMs = 250;
+
+export function createStreamPlacement(
+  { stream, startAttempt, fail }: StreamPlacementOptions,
+): StreamPlacement {
+  const { context, admitted } = stream;
+  const { clock, directory, budget } = context;
+  const { route, service, deadlineAtMs } = admitted;
+  let waitingSinceMs: number | undefined;
+  let waitTimer: NodeJS.Timeout | undefined;
+  let endWaiting: (() => void) | undefined;
+  return {
+    placeAttempt,
+    placeAttemptAfter: (delayMs) => {
+      waitTimer = setTimeout(placeAttempt, delayMs);
+    },
+    drawForRepeat,
+    waitForBudget,
+    getPlacementContext,
+    listCandidates,
+    chooseAdmitting,
+    refuseQuarantined,
+    end: () => {
+      endWaiting?.();
+      clearTimeout(waitTimer);
+    },
+  };
+
+  function getPlacementContext(): PlacementContext {
+    return createPlacementContext(context, {
+      service: service.name,
+      triedIds: stream.triedIds,
+      unreportedPlacementCount: context.getUnreportedPlacementCount(
+        directory.isDomainSuspected(service.name, context.domainId),
+      ),
+    });
+  }
+
+  /**
+   * Leaves out the engine that ended the stream without a further event, if the
+   * service has others, since only another one can confirm that.
+   */
+  function listCandidates(): Upstream[] {
+    const engines = directory.listUsable(service.name);
+    if (
+      stream.emptyEnd === undefined ||
+      stream.emptyEnd.lastEventId !== stream.lastEventId
+    ) {
+      return engines;
+    }
+    const { upstreamId } = stream.emptyEnd;
+    const others = engines.filter(({ info }) => info.upstreamId !== upstreamId);
+    return others.length > 0 ? others : engines;
+  }
+
+  function placeAttempt(): void {
+    if (stream.isFinished) return;
+    const quarantinedId = stream.hasRunPastStart
+      ? undefined
+      : stream.crashGuard.findQuarantinedPart();
+    if (quarantinedId !== undefined) {
+      refuseQuarantined(quarantinedId);
+      return;
+    }
+    const engines = listCandidates();
+    const placement = getPlacementContext();
+    const engine = chooseAdmitting(engines, placement) ??
+      chooseForStream(engines, getStreamDemand(stream), placement);
+    if (engine) placeAt(engine);
+    else if (listReachable(engines, placement).length > 0) waitForRoom();
+    else waitForEngine(engines.length);
+  }
+
+  function placeAt(engine: Upstream): void {
+    waitingSinceMs = undefined;
+    const admission = decideAdmission(engine);
+    switch (admission.kind) {
+      case "admit":
+        startAttempt(engine);
+        return;
+      case "refuse":
+        // The run that this instance ended might have been in time.
+        if (stream.hasLeftRun) {
+          startAttempt(engine);
+          return;
+        }
+        fail(
+          stream.ranCount > 0 ? ErrorKind.UpstreamFailed : ErrorKind.Overloaded,
+          "the prompt cannot be prefilled before the deadline",
+          admission.backlogMs,
+        );
+        return;
+      default:
+        assertNever(admission);
+    }
+  }
+
+  /** Chooses among the engines that can prefill the prompt in time. */
+  function chooseAdmitting(
+    engines: readonly Upstream[],
+    placement: PlacementContext,
+  ): Upstream | undefined {
+    const admitting = engines.filter((engine) =>
+      decideAdmission(engine).kind === "admit"
+    );
+    return chooseForStream(admitting, getStreamDemand(stream), placement);
+  }
+
+  function decideAdmission(engine: Upstream): AdmissionDecision {
+    return decideStreamAdmission({
+      remainingMs: deadlineAtMs - clock.nowMs(),
+      prefillTokens: getStreamDemand(stream).prefillTokens,
+      backlogTokens: engine.unreadTokens + engine.others.unreadTokens,
+      fastestTokensPerMs: directory.getPrefillRateTracker(service.name)
+        .getFastestTokensPerMs(),
+    });
+  }
+
+  /** Waits until a limit that an engine states has room. */
+  function waitForRoom(): void {
+    endWaiting?.();
+    const remove = context.limitQueue.add(service.name, {
+      // The caller of a stream that has begun waits for its next event.
+      priority: stream.eventCount > 0 ? -1 : admitted.priority,
+      // One that has begun can't keep its objective any more.
+      sendBeforeMs: deadlineAtMs -
+        (stream.eventCount > 0 || stream.hasLeftRun
+          ? minResumeMs
+          : route.objectiveMs),
+      send: () => {
+        const engines = listCandidates();
+        const placement = getPlacementContext();
+        const engine = chooseAdmitting(engines, placement) ??
+          chooseForStream(engines, getStreamDemand(stream), placement);
+        if (!engine) return false;
+        endWaiting = undefined;
+        placeAt(engine);
+        return true;
+      },
+      refuse: (backlogMs) =>
+        fail(
+          stream.ranCount > 0 ? ErrorKind.UpstreamFailed : ErrorKind.Overloaded,
+          limitReason,
+          backlogMs,
+        ),
+    });
+    if (!stream.isFinished) endWaiting = remove;
+  }
+
+  /** Repeating the request is useless, so the error says that. */
+  function refuseQuarantined(partId: string): void {
+    const mayHaveRun = stream.ranCount > 0 || stream.run !== undefined;
+    fail(
+      mayHaveRun ? ErrorKind.UpstreamsCrashed : ErrorKind.RequestQuarantined,
+      `requests with ${partId} crash engines`,
+    );
+  }
+
+  function waitForEngine(listedCount: number): void {
+    const nowMs = clock.nowMs();
+    waitingSinceMs ??= nowMs;
+    stream.triedIds.clear();
+    // A run that this instance ended is made up for until the deadline.
+    const isWaitOver = !stream.hasLeftRun &&
+      nowMs - waitingSinceMs >= maxEngineWaitMs;
+    const hasBegun = stream.eventCount > 0 || stream.hasLeftRun;
+    const isUseless = listedCount === 0 || areAllWaiting(nowMs);
+    if ((isUseless && !hasBegun) || isWaitOver) {
+      fail(
+        stream.ranCount > 0 ? ErrorKind.UpstreamFailed : ErrorKind.NoUpstream,
+        "no engine is available",
+      );
+      return;
+    }
+    waitTimer = setTimeout(placeAttempt, enginePollIntervalMs);
+  }
+
+  /** Whether all engines have stated that they want no requests for longer. */
+  function areAllWaiting(nowMs: number): boolean {
+    return directory.listUsable(service.name).every(({ waitsUntilMs }) =>
+      waitsUntilMs - nowMs > maxEngineWaitMs
+    );
+  }
+
+  /** The reserve is for streams that have lost a run. */
+  function drawForRepeat(hasRun: boolean): boolean {
+    return hasRun
+      ? budget.tryDrawReserve(stream.budgetKey, 1)
+      : budget.tryDraw(stream.budgetKey, 1);
+  }
+
+  /**
+   * Waits until the work of others has paid for one more repeat. The caller of a
+   * stream that has not run is refused instead if that takes long.
+   */
+  function waitForBudget(): void {
+    const hasRun = stream.ranCount > 0;
+    waitingSinceMs ??= clock.nowMs();
+    if (!hasRun && clock.nowMs() - waitingSinceMs >= maxEngineWaitMs) {
+      fail(ErrorKind.NoUpstream, "the retry budget is used up");
+      return;
+    }
+    waitTimer = setTimeout(() => {
+      if (!drawForRepeat(hasRun)) {
+        waitForBudget();
+        return;
+      }
+      // The time to wait for an engine begins now.
+      if (hasRun) waitingSinceMs = undefined;
+      placeAttempt();
+    }, budgetPollIntervalMs);
+  }
+}
