--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -288,7 +288,8 @@
     getStreamPriorities: (service) =>
       routes?.getStreamPriorities(service) ?? [],
     isLoadAware: (service) =>
-      (routes?.getStreamPriorities(service).length ?? 0) > 1,
+      (routes?.getStreamPriorities(service).length ?? 0) > 1 ||
+      directory.hasStatedSlowness(service),
     recordPlacement: () => {},
     getUnreportedPlacementCount: () => 0,
     budget: createRetryBudget({
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -264,7 +264,8 @@
   );
 
   function isLoadAware(service: string): boolean {
-    return (routes?.getStreamPriorities(service).length ?? 0) > 1;
+    return (routes?.getStreamPriorities(service).length ?? 0) > 1 ||
+      directory.hasStatedSlowness(service);
   }
 
   function applyConfiguration({ forwarding, revision }: Configuration): void {
