Place streams of a loaded service by the loads of this moment

An entry instance now exchanges a heartbeat before it places a stream and after it, and those of a domain report to the same control instance. Forwarding, membership and two platform tests pass (126). Not measured yet.

--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -61,7 +61,7 @@
    * Estimated number of streams that domain peers have placed since the loads
    * that they last reported.
    */
-  getUnreportedPlacementCount(isBurst: boolean): number;
+  getUnreportedPlacementCount(isBurst: boolean, loadAgeMs?: number): number;
 }
 
 /**
--- a/src/forwarding/placement_estimator.ts
+++ b/src/forwarding/placement_estimator.ts
@@ -8,8 +8,12 @@
 
 export interface PlacementEstimator {
   recordPlacement(): void;
-  /** `isBurst` if the instances of the failure domain have just lost engines. */
-  getUnreportedPlacementCount(isBurst: boolean): number;
+  /**
+   * `isBurst` if the instances of the failure domain have just lost engines.
+   * `loadAgeMs` is the age of the loads of domain peers that announce each
+   * placement; by default, they report their loads from time to time.
+   */
+  getUnreportedPlacementCount(isBurst: boolean, loadAgeMs?: number): number;
 }
 
 export interface PlacementEstimatorOptions {
@@ -33,10 +37,11 @@
   let placedAtMs: number[] = [];
   return {
     recordPlacement: () => placedAtMs.push(clock.nowMs()),
-    getUnreportedPlacementCount: (isBurst) => {
+    getUnreportedPlacementCount: (isBurst, loadAgeMs = loadSummaryAgeMs) => {
       const sinceMs = clock.nowMs() - windowMs;
       placedAtMs = placedAtMs.filter((atMs) => atMs >= sinceMs);
-      const usualCount = placedAtMs.length / windowMs * loadSummaryAgeMs;
+      const usualCount = placedAtMs.length / windowMs *
+        Math.min(loadAgeMs, loadSummaryAgeMs);
       const perInstance = isBurst
         ? Math.max(usualCount, burstPlacements)
         : usualCount;
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -80,7 +80,11 @@
   });
   budget.recordUseful(stream.budgetKey, 1);
   context.demand.recordRequest(service.name);
-  placement.placeAttempt();
+  if (context.isLoadAware(service.name)) {
+    // Other instances place streams at the same moment; what they have placed
+    // is worth a round trip within the failure domain.
+    void context.refreshLoads().then(placement.placeAttempt);
+  } else placement.placeAttempt();
 
   function handleDeadline(): void {
     fail(
--- a/src/forwarding/stream_placement.ts
+++ b/src/forwarding/stream_placement.ts
@@ -48,6 +48,8 @@
 
 /** Engines that fail briefly are available again within this time. */
 const maxEngineWaitMs = 1_500;
+/** Time until a placement that another instance announces is visible here. */
+const announcementAgeMs = 50;
 const enginePollIntervalMs = 50;
 /** Interval at which a stream that the retry budget does not cover asks again. */
 const budgetPollIntervalMs = 250;
@@ -84,6 +86,9 @@
       triedIds: stream.triedIds,
       unreportedPlacementCount: context.getUnreportedPlacementCount(
         directory.isDomainSuspected(service.name, context.domainId),
+        context.isLoadAware(service.name)
+          ? directory.getRemoteLoadAgeMs() + announcementAgeMs
+          : undefined,
       ),
     });
   }
--- a/src/forwarding/stream_start.ts
+++ b/src/forwarding/stream_start.ts
@@ -100,6 +100,7 @@
     stream.usedVersions.add(info.version);
     stream.attemptCount += 1;
     context.recordPlacement();
+    if (context.isLoadAware(service.name)) context.announceLoads();
     context.limits.recordSend(info.upstreamId);
     logger.log(logEvents.streamPlaced, {
       ...describePlacement(started, {
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -84,6 +84,8 @@
   getLocalLoadSummary(): EngineLoadSummary;
   /** Replaces the loads, and records the losses, of other entry instances. */
   setRemoteLoadSummary(summary: EngineLoadSummary): void;
+  /** Time since the loads of the other instances arrived; may be infinite. */
+  getRemoteLoadAgeMs(): number;
   count(): number;
   /** Number of failure domains with upstreams, at least 1. */
   countDomains(): number;
@@ -203,6 +205,7 @@
       ).size,
     getLocalLoadSummary,
     setRemoteLoadSummary,
+    getRemoteLoadAgeMs: () => clock.nowMs() - remoteSummaryAtMs,
     count: () => entries.size,
     countDomains: () =>
       Math.max(
--- a/src/membership/seed_membership.ts
+++ b/src/membership/seed_membership.ts
@@ -158,7 +158,11 @@
   function listReachableControlIds(): InstanceId[] {
     const reachable = listMembers().filter(({ info, isReachable }) =>
       info.isControl && isReachable
-    ).map(({ info }) => info);
+    ).map(({ info }) => info).sort((left, right) =>
+      // The entry instances of a domain report their loads to the same one, and
+      // learn of each other's placements there without a delay.
+      left.instanceId.localeCompare(right.instanceId)
+    );
     const isInOwnDomain = ({ domainId }: InstanceInfo) =>
       domainId === self.domainId;
     return [
