Leave an engine before the first event only if its backlog doesn't explain it

A stream left its engine after 8 s without a first event. Where a service is scheduled under load the limit follows the expected time to the first event. Not measured yet.

--- a/src/forwarding/decisions_test.ts
+++ b/src/forwarding/decisions_test.ts
@@ -12,6 +12,7 @@
 import {
   decideAfterLoss,
   decideOnSilence,
+  getFirstEventLimitMs,
   type LossState,
   mayLeaveSilentRun,
   SilenceDecision,
@@ -84,6 +85,7 @@
   streamSilentMs: 0,
   engineSilentMs: 0,
   hasEvents: true,
+  firstEventLimitMs: undefined,
   isProbing: false,
   processPauseMs: 0,
 };
@@ -111,6 +113,26 @@
     .toBe(SilenceDecision.Wait);
 });
 
+test("a prompt stays at an engine whose backlog explains its wait", () => {
+  // Guards against a storm of repeats after a burst: each prompt that left its
+  // engine was read again behind the backlog of another one.
+  const decide = (expectedMs: number, streamSilentMs: number) =>
+    decideOnSilence({
+      ...silence,
+      hasEvents: false,
+      streamSilentMs,
+      firstEventLimitMs: getFirstEventLimitMs({
+        expectedMs,
+        remainingMs: 25_000,
+      }),
+    });
+  expect(decide(4_000, 9_000)).toBe(SilenceDecision.Wait);
+  // An idle engine would have sent the first event long ago.
+  expect(decide(1_500, 9_000)).toBe(SilenceDecision.Suspect);
+  // Time is left for another engine.
+  expect(decide(20_000, 12_600)).toBe(SilenceDecision.Suspect);
+});
+
 test("a silent run is left only with attempts to spare, or when its engine is surely lost", () => {
   const silent = {
     remainingMs: 5_000,
--- a/src/forwarding/stream_decisions.ts
+++ b/src/forwarding/stream_decisions.ts
@@ -9,6 +9,8 @@
   /** Time since the engine last sent anything on any connection. */
   readonly engineSilentMs: number;
   readonly hasEvents: boolean;
+  /** How long the first event may take; undefined if nothing is known. */
+  readonly firstEventLimitMs: number | undefined;
   /** A probe of the engine is in flight. */
   readonly isProbing: boolean;
   /** Pause of this process that the last check detected. */
@@ -36,7 +38,7 @@
   if (silence.processPauseMs > 0) return SilenceDecision.Wait;
   const lostAfterMs = silence.hasEvents
     ? maxStreamSilenceMs
-    : maxFirstEventSilenceMs;
+    : Math.max(maxFirstEventSilenceMs, silence.firstEventLimitMs ?? 0);
   if (silence.streamSilentMs >= lostAfterMs) return SilenceDecision.Suspect;
   if (silence.isProbing) return SilenceDecision.Wait;
   const silenceLimitMs = silence.hasEvents
@@ -47,6 +49,25 @@
   return isSilent ? SilenceDecision.Probe : SilenceDecision.Wait;
 }
 
+/** A prompt that takes this many times as long is more than delayed. */
+const firstEventMargin = 3;
+/** The other half is left to another engine. */
+const maxWaitPart = 0.5;
+
+/**
+ * How long a prompt may wait at a loaded engine. Leaving one that only has a
+ * backlog throws away what it has read, and adds to the backlog of another one:
+ * with a fixed limit of 8 s, a burst was followed by a storm of such repeats.
+ */
+export function getFirstEventLimitMs(
+  { expectedMs, remainingMs }: {
+    readonly expectedMs: number;
+    readonly remainingMs: number;
+  },
+): number {
+  return Math.min(firstEventMargin * expectedMs, maxWaitPart * remainingMs);
+}
+
 export interface SilentRun {
   readonly remainingMs: number;
   readonly isResumable: boolean;
--- a/src/forwarding/stream_monitor.ts
+++ b/src/forwarding/stream_monitor.ts
@@ -20,6 +20,8 @@
   readonly startedAtMs: number;
   /** Time of the last event; undefined before the first event. */
   readonly lastEventAtMs: number | undefined;
+  /** How long the first event may take; undefined if nothing is known. */
+  readonly firstEventLimitMs: number | undefined;
   /** No events are read because the caller has not read earlier ones. */
   readonly isPaused: boolean;
   /** When events were read again; -Infinity if they always were. */
@@ -112,6 +114,7 @@
       streamSilentMs,
       engineSilentMs: nowMs - upstream.lastActivityAtMs,
       hasEvents: lastEventAtMs !== undefined,
+      firstEventLimitMs: stream.firstEventLimitMs,
       isProbing: probing.has(upstreamId) ||
         nowMs < (nextProbeAtMs.get(upstreamId) ?? -Infinity),
       processPauseMs,
--- a/src/forwarding/stream_monitor_test.ts
+++ b/src/forwarding/stream_monitor_test.ts
@@ -53,6 +53,7 @@
     startedAtMs: clock.nowMs() - 250,
     lastEventAtMs: clock.nowMs() - 250,
     isPaused: false,
+    firstEventLimitMs: undefined,
     resumedAtMs: -Infinity,
     onSuspected: (reason: string) => losses.push(reason),
     onCheck: () => {},
--- a/src/forwarding/stream_start.ts
+++ b/src/forwarding/stream_start.ts
@@ -6,10 +6,12 @@
 import { logEvents } from "../core/log_events.ts";
 import { createCopyManager } from "./copy_manager.ts";
 import { createEventSplitter } from "./event_splitter.ts";
+import { estimateFirstEventMs } from "./expected_time.ts";
 import type { KvCacheCopy } from "./forwarding_protocol.ts";
 import { createPaceMeter } from "./pace_meter.ts";
 import { chooseForCopy } from "./placement.ts";
 import { describePlacement, type StreamAttempt } from "./stream_attempt.ts";
+import { getFirstEventLimitMs } from "./stream_decisions.ts";
 import type { StreamLosses } from "./stream_losses.ts";
 import type { StreamMonitor } from "./stream_monitor.ts";
 import type { StreamPlacement } from "./stream_placement.ts";
@@ -48,6 +50,12 @@
   ): void {
     const { info } = engine;
     const demand = getStreamDemand(stream);
+    const firstEventLimitMs = context.isLoadAware(service.name) && !source
+      ? getFirstEventLimitMs({
+        expectedMs: estimateFirstEventMs(engine, demand, clock.nowMs()),
+        remainingMs: deadlineAtMs - clock.nowMs(),
+      })
+      : undefined;
     const requestLoad = directory.trackRequest(info.upstreamId);
     requestLoad.addMemoryTokens(demand.totalTokens);
     if (!source) requestLoad.addUncachedTokens(demand.prefillTokens);
@@ -76,6 +84,7 @@
       firstEventAtMs: undefined,
       isPastStart: false,
       lastEventAtMs: undefined,
+      firstEventLimitMs,
       highestEventId: undefined,
       bytesWithoutProgress: 0,
       isPaused: false,
