Learn the speed of upstreams, and share it with the load summaries

Instances placed by used slots and constants because nothing measured how fast an upstream is. For services that are scheduled under load, each entry now keeps decaying sums of call times without their queue, and of times to the first event per token that was to be read before it. Instances exchange the sums of their samples of the last 8 to 10 s in the optional field speeds of the load summary, as whole numbers, so that control adds and subtracts them exactly. Calls in flight to such services are shared too.

--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -72,6 +72,7 @@
     onUpstreamLost: () => core.membership.scheduleHeartbeat(),
     canRouteToCandidates: () =>
       core.upstreams.getState().ageMs < maxCandidateViewAgeMs,
+    isLoadAware,
   });
   const demand = createDemandShare({
     clock,
@@ -156,9 +157,7 @@
     limits,
     limitQueue,
     demand,
-    isLoadAware: (service) =>
-      (routes?.getStreamPriorities(service).length ?? 0) > 1 ||
-      directory.hasStatedSlowness(service),
+    isLoadAware,
     successors: createSuccessorDiscovery({
       logger,
       protocol,
@@ -246,6 +245,11 @@
     }))
   );
 
+  function isLoadAware(service: string): boolean {
+    return (routes?.getStreamPriorities(service).length ?? 0) > 1 ||
+      directory.hasStatedSlowness(service);
+  }
+
   function applyConfiguration({ forwarding, revision }: Configuration): void {
     const table = forwarding[forwardingTableName];
     if (!table) return;
--- a/src/forwarding/call_attempt.ts
+++ b/src/forwarding/call_attempt.ts
@@ -196,6 +196,10 @@
     const durationMs = clock.nowMs() - sentAtMs;
     if (head!.status >= 500) directory.recordFailure(upstreamId);
     else directory.recordSuccess(upstreamId, durationMs);
+    // A refused request costs no work, and a relayed one waits for its caller.
+    if (head!.status < 300 && !isRelaying) {
+      directory.recordCallDuration(upstreamId, durationMs);
+    }
     if (isRelaying) {
       caller.endResponse();
       settle({ kind: "passedOn" });
--- a/src/forwarding/expected_time.ts
+++ b/src/forwarding/expected_time.ts
@@ -19,7 +19,9 @@
 const defaultPrefillMsPerToken = 1 / 8;
 /** Upstreams that list no slots have at least this number. */
 const defaultSlots = 6;
-/** The weight of a reported load halves in this time. */
+/** Queues of some ten calls of 43 ms at 6 slots drain within this time. */
+const reportFreshnessHalfLifeMs = 200;
+/** Without another figure, the weight of a reported load halves in this time. */
 const reportHalfLifeMs = 1_000;
 /** Machines were observed to change their slowness this often. */
 const slownessPeriodMs = 600;
@@ -33,8 +35,7 @@
 
 export function estimateCall(upstream: Upstream, nowMs: number): CallEstimate {
   const slots = getSlots(upstream);
-  const serviceMs = (upstream.speed.callMs ?? defaultCallMs) *
-    getMomentaryFactor(upstream, nowMs);
+  const serviceMs = getServiceMs(upstream, nowMs);
   const aheadCount = countAhead(upstream, nowMs);
   return {
     waitMs: Math.max(0, aheadCount + 1 - slots) * serviceMs / slots,
@@ -42,32 +43,80 @@
   };
 }
 
+/** Expected time of a call from the start of the work to the response. */
+export function getServiceMs(upstream: Upstream, nowMs: number): number {
+  return (upstream.speed.callMs ?? defaultCallMs) *
+    getMomentaryFactor(upstream, nowMs);
+}
+
 export function estimateFirstEventMs(
   upstream: Upstream,
   { prefillTokens }: Pick<StreamDemand, "prefillTokens">,
   nowMs: number,
 ): number {
-  const { speed, unreadTokens, others } = upstream;
-  const msPerToken = speed.prefillMsPerToken ?? defaultPrefillMsPerToken;
-  const tokens = unreadTokens + others.unreadTokens + prefillTokens +
-    countAhead(upstream, nowMs) * tokensPerRunningRequest;
-  return tokens * msPerToken * getMomentaryFactor(upstream, nowMs);
+  return getPrefillWork(upstream, prefillTokens) *
+    getPrefillMsPerToken(upstream, nowMs);
+}
+
+/** Expected prefill time of a token at this moment. */
+export function getPrefillMsPerToken(
+  upstream: Upstream,
+  nowMs: number,
+): number {
+  return (upstream.speed.prefillMsPerToken ?? defaultPrefillMsPerToken) *
+    getMomentaryFactor(upstream, nowMs);
+}
+
+/**
+ * Tokens that the upstream reads before the first event of a request, with the
+ * requests that run beside it. The learned prefill time of a token is the time
+ * to the first event divided by this figure.
+ */
+export function getPrefillWork(
+  { unreadTokens, others, inFlightCount }: Pick<
+    Upstream,
+    "unreadTokens" | "others" | "inFlightCount"
+  >,
+  prefillTokens: number,
+  ownRunningCount = inFlightCount,
+): number {
+  return unreadTokens + others.unreadTokens + prefillTokens +
+    (ownRunningCount + others.runningCount) * tokensPerRunningRequest;
 }
 
 export function getSlots({ info, reported }: Upstream): number {
   return info.maxRunning || reported?.load.maxRunning || defaultSlots;
 }
 
-/** Requests at the upstream; what it reported loses weight with its age. */
-function countAhead(
-  { inFlightCount, others, reported }: Upstream,
-  nowMs: number,
-): number {
+/**
+ * Expected number of requests at the upstream. Requests of this instance are
+ * certain. A report counts most while it is fresh; then what instances exchange
+ * through control counts, or the old report if that is more.
+ */
+export function countAhead(upstream: Upstream, nowMs: number): number {
+  const { inFlightCount, others, reported } = upstream;
   const known = inFlightCount + others.runningCount;
   if (!reported) return known;
   const { runningCount, waitingCount } = reported.load;
-  const weight = 0.5 ** ((nowMs - reported.atMs) / reportHalfLifeMs);
-  return Math.max(known, (runningCount + waitingCount) * weight);
+  const reportedCount = runningCount + waitingCount;
+  const ageMs = nowMs - reported.atMs;
+  const freshness = getReportFreshness(upstream, nowMs);
+  const weight = 0.5 ** (ageMs / reportHalfLifeMs);
+  const other = Math.max(known, reportedCount * weight);
+  return Math.max(
+    inFlightCount,
+    freshness * reportedCount + (1 - freshness) * other,
+  );
+}
+
+/** How much the last report shows of the present queue, 0 to 1. */
+export function getReportFreshness(
+  { reported }: Pick<Upstream, "reported">,
+  nowMs: number,
+): number {
+  return reported
+    ? 0.5 ** ((nowMs - reported.atMs) / reportFreshnessHalfLifeMs)
+    : 0;
 }
 
 /**
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -16,13 +16,19 @@
   createPrefillRateTracker,
   type PrefillRateTracker,
 } from "./stream_admission.ts";
+import { createServiceSpeeds } from "./service_speeds.ts";
 import {
-  type CopyLoad,
-  type RemoteLoad,
-  type RequestLoad,
-  type Successor,
-  unknownSpeed,
-  type Upstream,
+  createCopyLoad,
+  createRequestLoad,
+  createUpstreamEntry,
+  type UpstreamEntry as Entry,
+  zeroLoad,
+} from "./upstream_entry.ts";
+import type {
+  CopyLoad,
+  RequestLoad,
+  Successor,
+  Upstream,
 } from "./upstream_types.ts";
 import {
   type AnswerWait,
@@ -48,6 +54,8 @@
   recordSuccess(upstreamId: UpstreamId, durationMs: number | undefined): void;
   /** Records an error response of the upstream. */
   recordFailure(upstreamId: UpstreamId): void;
+  /** Records the time of a call that succeeded, with the load of its response. */
+  recordCallDuration(upstreamId: UpstreamId, durationMs: number): void;
   /** Records the time per event at the beginning of a stream. */
   recordPace(upstreamId: UpstreamId, paceMs: number): void;
   /** Counts a stream that waits for its first event, until the wait ends. */
@@ -97,14 +105,11 @@
   onUpstreamLost(): void;
   /** Whether control's version shares are recent enough to be applied. */
   canRouteToCandidates(): boolean;
-}
-
-type Mutable<T> = { -readonly [K in keyof T]: T[K] };
-interface Entry extends Mutable<Upstream> {
-  /** Set while the list names only the predecessor at this address. */
-  succeeds: Pick<Successor, "predecessorId" | "isFoundHere"> | undefined;
-  consecutiveLosses: number;
-  localLossAtMs: number;
+  /**
+   * Whether requests to the service are scheduled under load. By default, only
+   * if its upstreams state the slowness of their machines.
+   */
+  isLoadAware?(service: string): boolean;
 }
 
 /** Crashed engines restart within one to two seconds. */
@@ -124,13 +129,6 @@
 const lossReportMs = 1_000;
 /** Control sends a load summary twice a second. */
 const maxRemoteSummaryAgeMs = 2_000;
-/** Covers the pauses between the responses that one instance gets. */
-const maxSlownessAgeMs = 10_000;
-const zeroLoad: RemoteLoad = {
-  runningCount: 0,
-  unreadTokens: 0,
-  memoryTokens: 0,
-};
 
 export function createUpstreamDirectory(
   {
@@ -139,6 +137,7 @@
     random,
     onUpstreamLost,
     canRouteToCandidates,
+    isLoadAware,
   }: UpstreamDirectoryOptions,
 ): UpstreamDirectory {
   const answers = createVersionAnswerCounter({
@@ -155,25 +154,27 @@
   /** Services with several versions, computed once per list. */
   let multiVersionServices = new Set<string>();
   let remoteSummaryAtMs = -Infinity;
-  /** By service: when one of its upstreams last stated its slowness. */
-  const slownessStatedAtMs = new Map<string, number>();
+  const speeds = createServiceSpeeds({ clock, isLoadAware });
   return {
     update,
     listUsable,
     getAnswerReport: answers.getReport,
     get: (upstreamId) => entries.get(upstreamId),
     trackRequest,
-    trackCopy,
+    trackCopy: (upstreamId, tokens) =>
+      createCopyLoad(getListedEntry(upstreamId), tokens),
     recordLoad,
-    hasStatedSlowness: (service) =>
-      clock.nowMs() - (slownessStatedAtMs.get(service) ?? -Infinity) <=
-        maxSlownessAgeMs,
+    hasStatedSlowness: speeds.hasStatedSlowness,
     recordActivity: (upstreamId) => {
       const entry = entries.get(upstreamId);
       if (entry) entry.lastActivityAtMs = clock.nowMs();
     },
     recordSuccess: (upstreamId, durationMs) =>
       recordResponse(upstreamId, 0, durationMs),
+    recordCallDuration: (upstreamId, durationMs) => {
+      const entry = entries.get(upstreamId);
+      if (entry) speeds.recordCall(entry, durationMs);
+    },
     recordFailure: (upstreamId) => recordResponse(upstreamId, 1, undefined),
     recordPace: (upstreamId, paceMs) => {
       const entry = entries.get(upstreamId);
@@ -216,6 +217,7 @@
     const active = [...entries.values()].filter(({ info }) =>
       info.service === service && !info.isLeaving
     );
+    speeds.update(service, active);
     const fullShare = active.filter(({ info }) => info.versionShare === 1);
     if (fullShare.length === active.length) return active;
     const candidates = active.filter(({ info }) =>
@@ -231,9 +233,7 @@
     if (!entry) return;
     const nowMs = clock.nowMs();
     entry.reported = { load, atMs: nowMs };
-    if (load.slowness !== undefined) {
-      slownessStatedAtMs.set(entry.info.service, nowMs);
-    }
+    speeds.recordLoad(entry, load);
   }
 
   /**
@@ -276,7 +276,7 @@
     const { info } = predecessor;
     if (info.isLeaving) return;
     entries.set(successorId, {
-      ...createEntry({ ...info, upstreamId: successorId }),
+      ...createUpstreamEntry({ ...info, upstreamId: successorId }),
       succeeds: { predecessorId, isFoundHere },
     });
     // The engines of a failure domain crash together and restart together.
@@ -296,8 +296,9 @@
         ? [[succeeds.predecessorId, info.upstreamId] as const]
         : []
     );
+    const recentSpeeds = speeds.listRecent(entries.values());
     return {
-      loads: all.filter(({ memoryTokens }) => memoryTokens > 0)
+      loads: all.filter(hasSharedLoad)
         .map((entry) => [
           entry.info.upstreamId,
           entry.inFlightCount,
@@ -309,13 +310,28 @@
       )
         .map(({ info }) => info.upstreamId),
       ...(successors.length > 0 ? { successors } : {}),
+      ...(recentSpeeds.length > 0 ? { speeds: recentSpeeds } : {}),
     };
   }
 
+  /**
+   * Calls hold no tokens. They are shared only where they are placed by
+   * expected time.
+   */
+  function hasSharedLoad({ info, memoryTokens, inFlightCount }: Entry) {
+    return memoryTokens > 0 ||
+      (inFlightCount > 0 && speeds.isLoadAware(info.service));
+  }
+
   function setRemoteLoadSummary(
-    { loads, lostIds, successors }: EngineLoadSummary,
+    { loads, lostIds, successors, speeds: remoteSpeeds }: EngineLoadSummary,
   ): void {
     const nowMs = clock.nowMs();
+    speeds.addRecentOfOthers(
+      remoteSpeeds ?? [],
+      (upstreamId) => entries.get(upstreamId),
+      nowMs - remoteSummaryAtMs,
+    );
     remoteSummaryAtMs = nowMs;
     for (const entry of entries.values()) entry.others = zeroLoad;
     for (const [id, runningCount, unreadTokens, memoryTokens] of loads) {
@@ -378,7 +394,7 @@
   function updateEntry(info: ListedUpstream): void {
     const entry = entries.get(info.upstreamId);
     if (!entry) {
-      entries.set(info.upstreamId, createEntry(info));
+      entries.set(info.upstreamId, createUpstreamEntry(info));
       logger.log(logEvents.upstreamAdded, {
         upstream: info.upstreamId,
         service: info.service,
@@ -395,49 +411,11 @@
 
   function trackRequest(upstreamId: UpstreamId): RequestLoad {
     const entry = getListedEntry(upstreamId);
-    let memoryTokens = 0;
-    let unreadTokens = 0;
-    let isReleased = false;
-    entry.inFlightCount += 1;
-    return {
-      upstream: entry,
-      addMemoryTokens: (tokens) => {
-        if (isReleased) return;
-        memoryTokens += tokens;
-        entry.memoryTokens += tokens;
-      },
-      addUncachedTokens: (tokens) => {
-        if (isReleased) return;
-        unreadTokens += tokens;
-        entry.unreadTokens += tokens;
-      },
-      releaseUncachedTokens,
-      release: () => {
-        if (isReleased) return;
-        releaseUncachedTokens();
-        isReleased = true;
-        entry.inFlightCount -= 1;
-        entry.memoryTokens -= memoryTokens;
-      },
-    };
-
-    function releaseUncachedTokens(): void {
-      entry.unreadTokens -= unreadTokens;
-      unreadTokens = 0;
-    }
-  }
-
-  function trackCopy(upstreamId: UpstreamId, tokens: number): CopyLoad {
-    const entry = getListedEntry(upstreamId);
-    let heldTokens = tokens;
-    entry.memoryTokens += tokens;
-    return {
-      upstream: entry,
-      release: () => {
-        entry.memoryTokens -= heldTokens;
-        heldTokens = 0;
-      },
-    };
+    return createRequestLoad(entry, {
+      getNowMs: clock.nowMs,
+      onPrefilled: (workTokens, durationMs) =>
+        speeds.recordPrefill(entry, workTokens, durationMs),
+    });
   }
 
   function getListedEntry(upstreamId: UpstreamId): Entry {
@@ -517,23 +495,3 @@
   }
   return multiple;
 }
-
-function createEntry(info: ListedUpstream): Entry {
-  return {
-    info,
-    succeeds: undefined,
-    inFlightCount: 0,
-    memoryTokens: 0,
-    unreadTokens: 0,
-    reported: undefined,
-    speed: unknownSpeed,
-    others: zeroLoad,
-    failureRatio: 0,
-    suspendedUntilMs: -Infinity,
-    waitsUntilMs: -Infinity,
-    lastActivityAtMs: -Infinity,
-    lostAtMs: -Infinity,
-    consecutiveLosses: 0,
-    localLossAtMs: -Infinity,
-  };
-}
--- a/src/upstreams/engine_load_summary.ts
+++ b/src/upstreams/engine_load_summary.ts
@@ -13,6 +13,20 @@
   z.number().min(0),
 ]);
 
+/**
+ * Upstream, number of calls, their time in tenths of a millisecond, number of
+ * prompts, their tokens, and the milliseconds to their first events: the
+ * samples of the last 8 to 10 s. Whole numbers, so that sums are exact.
+ */
+export const speedEntrySchema = z.tuple([
+  upstreamIdSchema,
+  z.int().min(0),
+  z.int().min(0),
+  z.int().min(0),
+  z.int().min(0),
+  z.int().min(0),
+]);
+
 export const engineLoadSummarySchema = z.object({
   loads: z.array(loadEntrySchema).max(10_000),
   /** Engines that were lost recently. */
@@ -24,6 +38,11 @@
   successors: z.array(
     z.tuple([upstreamIdSchema, upstreamIdSchema]).readonly(),
   ).max(10_000).optional(),
+  /**
+   * Speeds of upstreams that responded recently, at most one entry each. Absent
+   * in summaries of earlier builds, which also leave it out of their sums.
+   */
+  speeds: z.array(speedEntrySchema).max(10_000).optional(),
   /**
    * Requests for a service, in thousandths per second. Absent in summaries of
    * earlier builds.
@@ -34,4 +53,5 @@
 });
 
 export type LoadEntry = z.output<typeof loadEntrySchema>;
+export type SpeedEntry = z.output<typeof speedEntrySchema>;
 export type EngineLoadSummary = z.output<typeof engineLoadSummarySchema>;
--- a/src/upstreams/load_totals.ts
+++ b/src/upstreams/load_totals.ts
@@ -3,7 +3,11 @@
  * subtracted. Every summary that is subtracted must have been added before.
  */
 import type { UpstreamId } from "../core/types.ts";
-import type { EngineLoadSummary, LoadEntry } from "./engine_load_summary.ts";
+import type {
+  EngineLoadSummary,
+  LoadEntry,
+  SpeedEntry,
+} from "./engine_load_summary.ts";
 
 export interface LoadTotals {
   add(summary: EngineLoadSummary): void;
@@ -32,6 +36,7 @@
   const successors = new Map<string, SuccessorTotal>();
   /** In thousandths per second, so that sums are exact. */
   const demands = new Map<string, number>();
+  const speeds = new Map<UpstreamId, SpeedEntry>();
   return {
     add: (summary) => apply(summary, 1),
     subtract: (summary) => apply(summary, -1),
@@ -50,6 +55,11 @@
       if (sum > 0) demands.set(service, sum);
       else demands.delete(service);
     }
+    for (const entry of summary.speeds ?? []) {
+      const sum = addSpeeds(speeds.get(entry[0]), entry, sign);
+      if (hasSamples(sum)) speeds.set(entry[0], sum);
+      else speeds.delete(entry[0]);
+    }
     for (const [formerId, newId] of summary.successors ?? []) {
       const key = getSuccessorKey(formerId, newId);
       const total = successors.get(key) ??
@@ -103,7 +113,12 @@
       service,
       milliPerS - (without.demands.get(service) ?? 0),
     ]).filter(([, milliPerS]) => milliPerS > 0);
+    const remainingSpeeds = [...speeds.values()].map((sum) => {
+      const own = without.speeds.get(sum[0]);
+      return own ? addSpeeds(sum, own, -1) : sum;
+    }).filter(hasSamples);
     return {
+      ...(remainingSpeeds.length > 0 ? { speeds: remainingSpeeds } : {}),
       ...(remainingDemands.length > 0 ? { demands: remainingDemands } : {}),
       loads: remainingLoads,
       lostIds: [...lossCounts].filter(([upstreamId, count]) =>
@@ -125,6 +140,7 @@
     loads: new Map(summary?.loads.map((entry) => [entry[0], entry])),
     lostIds: new Set(summary?.lostIds),
     demands: new Map(summary?.demands),
+    speeds: new Map(summary?.speeds?.map((entry) => [entry[0], entry])),
     successorKeys: new Set(
       summary?.successors?.map(([formerId, newId]) =>
         getSuccessorKey(formerId, newId)
@@ -133,6 +149,27 @@
   };
 }
 
+function addSpeeds(
+  sum: SpeedEntry | undefined,
+  entry: SpeedEntry,
+  sign: 1 | -1,
+): SpeedEntry {
+  const [upstreamId, ...values] = entry;
+  const [calls, callTenthMs, prompts, promptTokens, promptMs] = values;
+  return [
+    upstreamId,
+    (sum?.[1] ?? 0) + sign * calls,
+    (sum?.[2] ?? 0) + sign * callTenthMs,
+    (sum?.[3] ?? 0) + sign * prompts,
+    (sum?.[4] ?? 0) + sign * promptTokens,
+    (sum?.[5] ?? 0) + sign * promptMs,
+  ];
+}
+
+function hasSamples([, callCount, , promptCount]: SpeedEntry): boolean {
+  return callCount > 0 || promptCount > 0;
+}
+
 function getSuccessorKey(formerId: UpstreamId, newId: UpstreamId): string {
   return `${formerId}\n${newId}`;
 }
