Place requests of loaded services by expected completion

Used slots send as many calls to an upstream of factor 1.7 as its slots allow, also when its machine is slow. Where a service is scheduled under load, calls, streams and copies are now compared by expected completion, from learned and stated speed, and spread by how fast each upstream takes further requests. Other services choose as before.

--- a/src/forwarding/forwarding_steps.ts
+++ b/src/forwarding/forwarding_steps.ts
@@ -17,7 +17,8 @@
 import type { Upstream } from "./upstream_types.ts";
 
 export function createPlacementContext(
-  { clock, domainId, random, directory, limits }: ForwardingContext,
+  { clock, domainId, random, directory, limits, isLoadAware }:
+    ForwardingContext,
   { service, triedIds, unreportedPlacementCount }: {
     readonly service: string;
     readonly triedIds: ReadonlySet<UpstreamId>;
@@ -29,6 +30,7 @@
     getDomainCost: (id) => getDefaultDomainCost(id, domainId),
     triedIds,
     random,
+    isLoadAware: isLoadAware(service),
     unreportedPlacementCount,
     hasRoom: limits.hasRoom,
     isDomainSuspected: (id) => directory.isDomainSuspected(service, id),
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -8,7 +8,19 @@
 import type { Random } from "../core/random.ts";
 import type { DomainId, UpstreamId } from "../core/types.ts";
 import type { EngineTraits } from "./forwarding_table.ts";
-import { chooseSpread } from "./spread_choice.ts";
+import {
+  countAhead,
+  estimateFirstEventMs,
+  getPrefillMsPerToken,
+  getReportFreshness,
+  getServiceMs,
+  getSlots,
+} from "./expected_time.ts";
+import {
+  chooseSpread,
+  chooseUnevenSpread,
+  type UnevenAlternative,
+} from "./spread_choice.ts";
 import type { Upstream } from "./upstream_types.ts";
 
 export interface PlacementContext {
@@ -16,6 +28,11 @@
   /** Upstreams that this request has already tried. */
   readonly triedIds: ReadonlySet<UpstreamId>;
   readonly random: Random;
+  /**
+   * Whether upstreams are compared by the expected completion instead of used
+   * slots.
+   */
+  readonly isLoadAware: boolean;
   /**
    * Estimated number of streams that other entry instances of the same failure
    * domain have placed since the loads that they last reported.
@@ -62,6 +79,13 @@
  * it for about a second, and their prefills slow down this request later.
  */
 const runningDelayMs = 400;
+/** The same delay for an engine whose prefill rate was observed. */
+const runningDelayTokens = runningDelayMs * prefillTokensPerMs;
+/** Part of the calls that are placed to learn the speed of upstreams. */
+const explorationRatio = 0.01;
+const maxExploredFailureRatio = 0.1;
+/** Costs within this part of the shortest call count as equal. */
+const serviceToleranceRatio = 0.15;
 /** Exceeds any backlog, so a suspected domain is used only as the last resort. */
 const suspicionDelayMs = 8_000;
 const suspicionPenaltyLoads = 6;
@@ -85,11 +109,15 @@
   return domainId === ownDomainId ? ownDomainCost : otherDomainCost;
 }
 
-/** Chooses the upstream of a non-streaming call by the ratio of used slots. */
+/**
+ * Chooses the upstream of a non-streaming call by the expected completion, or by
+ * the ratio of used slots.
+ */
 export function chooseForCall(
   upstreams: readonly Upstream[],
   context: PlacementContext,
 ): Upstream | undefined {
+  if (context.isLoadAware) return chooseByCompletion(upstreams, context);
   return chooseCheapest(
     listAvailable(upstreams, context),
     (upstream) => getCallCost(upstream, context),
@@ -103,6 +131,21 @@
   demand: StreamDemand,
   context: PlacementContext,
 ): Upstream | undefined {
+  if (context.isLoadAware) {
+    return chooseUnevenSpread(
+      listAvailable(upstreams, context).map((upstream) => ({
+        value: upstream,
+        cost: getExpectedStreamDelayMs(upstream, demand, context),
+        costPerChoice: (demand.prefillTokens + runningDelayTokens) *
+          getPrefillMsPerToken(upstream, context.nowMs),
+      })),
+      {
+        unseenChoiceCount: context.unreportedPlacementCount,
+        tolerance: delayToleranceMs,
+      },
+      context.random,
+    );
+  }
   return chooseSpread(
     listAvailable(upstreams, context),
     (upstream) => getStreamDelayMs(upstream, demand, context),
@@ -168,14 +211,26 @@
       getSampleSize(fitting.length, context),
       context.random,
     ),
-    (upstream) =>
-      getStreamDelayMs(upstream, demand, context) +
-      (upstream.memoryTokens + upstream.others.memoryTokens) /
-        copyTokensPerMs,
+    (upstream) => getCopyCostMs(upstream, demand, context),
     { tolerance: delayToleranceMs, random: context.random },
   );
 }
 
+function getCopyCostMs(
+  upstream: Upstream,
+  demand: StreamDemand,
+  context: PlacementContext,
+): number {
+  const heldTokens = upstream.memoryTokens + upstream.others.memoryTokens;
+  if (!context.isLoadAware) {
+    return getStreamDelayMs(upstream, demand, context) +
+      heldTokens / copyTokensPerMs;
+  }
+  return getExpectedStreamDelayMs(upstream, demand, context) +
+    heldTokens * prefillTokensPerMs / copyTokensPerMs *
+      getPrefillMsPerToken(upstream, context.nowMs);
+}
+
 /** Lists the upstreams that can be tried and whose limits have room. */
 function listAvailable(
   upstreams: readonly Upstream[],
@@ -233,19 +288,114 @@
     (info.isCold ? coldPenaltyLoads : 0);
 }
 
+/**
+ * The calls that others have in flight were placed after the figures that are
+ * known of them, and end before these are known. So they are assumed to be
+ * spread by cost, as this instance would do, instead of where they were seen.
+ */
+function chooseByCompletion(
+  upstreams: readonly Upstream[],
+  context: PlacementContext,
+): Upstream | undefined {
+  const { random, nowMs } = context;
+  const available = listAvailable(upstreams, context);
+  const alternatives = available.map((upstream) =>
+    getCallAlternative(upstream, context)
+  );
+  if (random.next() < explorationRatio) {
+    const explored = alternatives[random.nextInt(alternatives.length)];
+    if (explored && isWorthExploring(explored.value, context)) {
+      return explored.value;
+    }
+  }
+  let unseenChoiceCount = 0;
+  let leastMs = Infinity;
+  for (const upstream of available) {
+    const otherCount = countAhead(upstream, nowMs) - upstream.inFlightCount;
+    unseenChoiceCount += otherCount *
+      (1 - getReportFreshness(upstream, nowMs));
+    leastMs = Math.min(leastMs, getServiceMs(upstream, nowMs));
+  }
+  return chooseUnevenSpread(
+    alternatives,
+    { unseenChoiceCount, tolerance: leastMs * serviceToleranceRatio },
+    random,
+  );
+}
+
+function getCallAlternative(
+  upstream: Upstream,
+  context: PlacementContext,
+): UnevenAlternative<Upstream> {
+  const { info, inFlightCount, reported, failureRatio } = upstream;
+  const serviceMs = getServiceMs(upstream, context.nowMs);
+  const slots = getSlots(upstream);
+  const reportedCount = reported
+    ? reported.load.runningCount + reported.load.waitingCount
+    : 0;
+  const knownCount = Math.max(
+    inFlightCount,
+    reportedCount * getReportFreshness(upstream, context.nowMs),
+  );
+  const penaltyLoads = failureRatio * failurePenaltyLoads +
+    (context.isDomainSuspected(info.domainId) ? suspicionPenaltyLoads : 0) +
+    (info.isCold ? coldPenaltyLoads : 0);
+  return {
+    value: upstream,
+    // A full upstream takes one service time longer than an idle one.
+    cost: serviceMs * (1 + knownCount / slots + penaltyLoads +
+      context.getDomainCost(info.domainId).slots),
+    costPerChoice: serviceMs / slots,
+  };
+}
+
+/**
+ * An upstream that is too slow to be chosen may have become faster. One that
+ * fails, or that costs more to reach, isn't tried just for that.
+ */
+function isWorthExploring(
+  { info, failureRatio }: Upstream,
+  context: PlacementContext,
+): boolean {
+  return failureRatio < maxExploredFailureRatio && !info.isCold &&
+    !context.isDomainSuspected(info.domainId) &&
+    context.getDomainCost(info.domainId).slots === 0;
+}
+
+function getExpectedStreamDelayMs(
+  upstream: Upstream,
+  demand: StreamDemand,
+  context: PlacementContext,
+): number {
+  const { nowMs } = context;
+  return estimateFirstEventMs(upstream, demand, nowMs) +
+    countAhead(upstream, nowMs) * runningDelayTokens *
+      getPrefillMsPerToken(upstream, nowMs) +
+    getStreamPenaltyMs(upstream, demand, context);
+}
+
 export function getStreamDelayMs(
   upstream: Upstream,
   demand: StreamDemand,
   context: PlacementContext,
 ): number {
-  const { info, unreadTokens, inFlightCount, others, failureRatio } = upstream;
+  const { unreadTokens, inFlightCount, others } = upstream;
   const running = Math.max(
     inFlightCount + others.runningCount,
     getReportedCount(upstream, context.nowMs),
   );
   return (unreadTokens + others.unreadTokens) / prefillTokensPerMs +
     running * runningDelayMs +
-    context.getDomainCost(info.domainId).delayMs +
+    getStreamPenaltyMs(upstream, demand, context);
+}
+
+function getStreamPenaltyMs(
+  upstream: Upstream,
+  demand: StreamDemand,
+  context: PlacementContext,
+): number {
+  const { info, failureRatio } = upstream;
+  return context.getDomainCost(info.domainId).delayMs +
     (info.isCold ? coldDelayMs : 0) +
     (context.isDomainSuspected(info.domainId) ? suspicionDelayMs : 0) +
     (hasCapacity(upstream, demand) ? 0 : noMemoryDelayMs) +
--- a/src/forwarding/placement_herd_test.ts
+++ b/src/forwarding/placement_herd_test.ts
@@ -103,6 +103,7 @@
       triedIds: new Set(),
       random,
       unreportedPlacementCount,
+      isLoadAware: false,
       isDomainSuspected: () => false,
       hasRoom: () => true,
     })!;
--- a/src/forwarding/placement_test.ts
+++ b/src/forwarding/placement_test.ts
@@ -49,6 +49,7 @@
   triedIds: new Set(),
   random: createRandom(1),
   unreportedPlacementCount: 0,
+  isLoadAware: false,
   isDomainSuspected: () => false,
   hasRoom: () => true,
 };
--- a/src/forwarding/spread_choice.ts
+++ b/src/forwarding/spread_choice.ts
@@ -61,3 +61,74 @@
   // Rounding may leave a rest of the total.
   return alternatives[costs.indexOf(cheapest)];
 }
+
+export interface UnevenAlternative<T> {
+  readonly value: T;
+  readonly cost: number;
+  /** How much one choice raises the cost of this alternative. */
+  readonly costPerChoice: number;
+}
+
+/**
+ * Like `chooseSpread` for alternatives whose costs rise unevenly: a fast one
+ * takes more choices than a slow one until both cost the same.
+ */
+export function chooseUnevenSpread<T>(
+  alternatives: readonly UnevenAlternative<T>[],
+  { unseenChoiceCount, tolerance }: Pick<
+    SpreadOptions,
+    "unseenChoiceCount" | "tolerance"
+  >,
+  random: Random,
+): T | undefined {
+  const cheapest = findCheapest(alternatives);
+  if (!cheapest) return undefined;
+  const level = Math.max(
+    cheapest.cost + tolerance,
+    getUnevenFillLevel(alternatives, unseenChoiceCount),
+  );
+  const getWeight = ({ cost, costPerChoice }: UnevenAlternative<T>) =>
+    Math.max(0, level - cost) / costPerChoice;
+  let total = 0;
+  for (const alternative of alternatives) total += getWeight(alternative);
+  let point = random.next() * total;
+  for (const alternative of alternatives) {
+    point -= getWeight(alternative);
+    if (point < 0) return alternative.value;
+  }
+  // Rounding may leave a rest of the total.
+  return cheapest.value;
+}
+
+function findCheapest<T>(
+  alternatives: readonly UnevenAlternative<T>[],
+): UnevenAlternative<T> | undefined {
+  let cheapest = alternatives[0];
+  for (const alternative of alternatives) {
+    if (alternative.cost < cheapest!.cost) cheapest = alternative;
+  }
+  return cheapest;
+}
+
+/** Returns the cost that the cheapest ones reach with so many choices. */
+export function getUnevenFillLevel(
+  alternatives: readonly Omit<UnevenAlternative<unknown>, "value">[],
+  choiceCount: number,
+): number {
+  const sorted = [...alternatives].sort((left, right) =>
+    left.cost - right.cost
+  );
+  let remaining = choiceCount;
+  /** Choices that raise all alternatives so far by 1. */
+  let choicesPerCost = 0;
+  let level = 0;
+  for (const [index, { cost, costPerChoice }] of sorted.entries()) {
+    level = cost;
+    choicesPerCost += 1 / costPerChoice;
+    const next = sorted[index + 1]?.cost ?? Infinity;
+    const needed = (next - cost) * choicesPerCost;
+    if (needed >= remaining) return level + remaining / choicesPerCost;
+    remaining -= needed;
+  }
+  return level;
+}
