--- a/src/forwarding/expected_time.ts
+++ b/src/forwarding/expected_time.ts
@@ -88,35 +88,41 @@
   return info.maxRunning || reported?.load.maxRunning || defaultSlots;
 }
 
+export interface ExpectedQueue {
+  /** Requests that run or wait at the upstream. */
+  readonly aheadCount: number;
+  /** How much the last report shows of the present queue, 0 to 1. */
+  readonly freshness: number;
+}
+
+/** Expected number of requests at the upstream. */
+export function countAhead(upstream: Upstream, nowMs: number): number {
+  return estimateQueue(upstream, nowMs).aheadCount;
+}
+
 /**
- * Expected number of requests at the upstream. Requests of this instance are
- * certain. A report counts most while it is fresh; then what instances exchange
- * through control counts, or the old report if that is more.
+ * Requests of this instance are certain. A report counts most while it is
+ * fresh; then what instances exchange through control counts, or the old report
+ * if that is more.
  */
-export function countAhead(upstream: Upstream, nowMs: number): number {
-  const { inFlightCount, others, reported } = upstream;
+export function estimateQueue(
+  { inFlightCount, others, reported }: Upstream,
+  nowMs: number,
+): ExpectedQueue {
   const known = inFlightCount + others.runningCount;
-  if (!reported) return known;
-  const { runningCount, waitingCount } = reported.load;
-  const reportedCount = runningCount + waitingCount;
+  if (!reported) return { aheadCount: known, freshness: 0 };
+  const reportedCount = reported.load.runningCount + reported.load.waitingCount;
   const ageMs = nowMs - reported.atMs;
-  const freshness = getReportFreshness(upstream, nowMs);
+  const freshness = 0.5 ** (ageMs / reportFreshnessHalfLifeMs);
   const weight = 0.5 ** (ageMs / reportHalfLifeMs);
-  const other = Math.max(known, reportedCount * weight);
-  return Math.max(
-    inFlightCount,
-    freshness * reportedCount + (1 - freshness) * other,
-  );
-}
-
-/** How much the last report shows of the present queue, 0 to 1. */
-export function getReportFreshness(
-  { reported }: Pick<Upstream, "reported">,
-  nowMs: number,
-): number {
-  return reported
-    ? 0.5 ** ((nowMs - reported.atMs) / reportFreshnessHalfLifeMs)
-    : 0;
+  const unreported = Math.max(known, reportedCount * weight);
+  return {
+    aheadCount: Math.max(
+      inFlightCount,
+      freshness * reportedCount + (1 - freshness) * unreported,
+    ),
+    freshness,
+  };
 }
 
 /**
--- a/src/forwarding/expected_time_test.ts
+++ b/src/forwarding/expected_time_test.ts
@@ -195,6 +195,21 @@
   expect(get("queued").speed.callFactor).toBeCloseTo(1, 1);
 });
 
+// Guards against avoiding an upstream after one request that was stuck.
+test("a single long call changes the learned speed little", () => {
+  const { list, respond, get, pass } = createFixture();
+  list("u1", "u2");
+  for (let count = 0; count < 30; count++) {
+    respond("u1", { durationMs: 50 });
+    respond("u2", { durationMs: 50 });
+  }
+  pass(500);
+  get("u1");
+  respond("u1", { durationMs: 5_000 });
+  pass(500);
+  expect(get("u1").speed.callFactor).toBeLessThan(1.1);
+});
+
 // Guards against relying on a figure that has been redrawn since.
 test("a stated slowness counts while it is fresh, compared with the usual one", () => {
   const { list, respond, get, pass } = createFixture();
--- a/src/forwarding/placement.ts
+++ b/src/forwarding/placement.ts
@@ -11,8 +11,8 @@
 import {
   countAhead,
   estimateFirstEventMs,
+  estimateQueue,
   getPrefillMsPerToken,
-  getReportFreshness,
   getServiceMs,
   getSlots,
 } from "./expected_time.ts";
@@ -298,24 +298,27 @@
   context: PlacementContext,
 ): Upstream | undefined {
   const { random, nowMs } = context;
-  const available = listAvailable(upstreams, context);
-  const alternatives = available.map((upstream) =>
-    getCallAlternative(upstream, context)
-  );
+  let unseenChoiceCount = 0;
+  let leastMs = Infinity;
+  const alternatives: UnevenAlternative<Upstream>[] = [];
+  for (const upstream of listAvailable(upstreams, context)) {
+    const serviceMs = getServiceMs(upstream, nowMs);
+    const { aheadCount, freshness } = estimateQueue(upstream, nowMs);
+    unseenChoiceCount += (aheadCount - upstream.inFlightCount) *
+      (1 - freshness);
+    leastMs = Math.min(leastMs, serviceMs);
+    alternatives.push({
+      value: upstream,
+      cost: serviceMs * getCallLoads(upstream, freshness, context),
+      costPerChoice: serviceMs / getSlots(upstream),
+    });
+  }
   if (random.next() < explorationRatio) {
     const explored = alternatives[random.nextInt(alternatives.length)];
     if (explored && isWorthExploring(explored.value, context)) {
       return explored.value;
     }
   }
-  let unseenChoiceCount = 0;
-  let leastMs = Infinity;
-  for (const upstream of available) {
-    const otherCount = countAhead(upstream, nowMs) - upstream.inFlightCount;
-    unseenChoiceCount += otherCount *
-      (1 - getReportFreshness(upstream, nowMs));
-    leastMs = Math.min(leastMs, getServiceMs(upstream, nowMs));
-  }
   return chooseUnevenSpread(
     alternatives,
     { unseenChoiceCount, tolerance: leastMs * serviceToleranceRatio },
@@ -323,30 +326,25 @@
   );
 }
 
-function getCallAlternative(
+/**
+ * The expected time of a call, in times that it takes alone. A call at a full
+ * upstream takes about twice as long.
+ */
+function getCallLoads(
   upstream: Upstream,
+  freshness: number,
   context: PlacementContext,
-): UnevenAlternative<Upstream> {
+): number {
   const { info, inFlightCount, reported, failureRatio } = upstream;
-  const serviceMs = getServiceMs(upstream, context.nowMs);
-  const slots = getSlots(upstream);
   const reportedCount = reported
     ? reported.load.runningCount + reported.load.waitingCount
     : 0;
-  const knownCount = Math.max(
-    inFlightCount,
-    reportedCount * getReportFreshness(upstream, context.nowMs),
-  );
-  const penaltyLoads = failureRatio * failurePenaltyLoads +
+  const knownCount = Math.max(inFlightCount, reportedCount * freshness);
+  return 1 + knownCount / getSlots(upstream) +
+    failureRatio * failurePenaltyLoads +
     (context.isDomainSuspected(info.domainId) ? suspicionPenaltyLoads : 0) +
-    (info.isCold ? coldPenaltyLoads : 0);
-  return {
-    value: upstream,
-    // A full upstream takes one service time longer than an idle one.
-    cost: serviceMs * (1 + knownCount / slots + penaltyLoads +
-      context.getDomainCost(info.domainId).slots),
-    costPerChoice: serviceMs / slots,
-  };
+    (info.isCold ? coldPenaltyLoads : 0) +
+    context.getDomainCost(info.domainId).slots;
 }
 
 /**
--- a/src/forwarding/service_speeds.ts
+++ b/src/forwarding/service_speeds.ts
@@ -56,6 +56,8 @@
 /** After a longer pause, samples of others are no longer all known. */
 const maxGapMs = 2_000;
 
+/** Machines that are slow for a moment are 2.5 times slower. */
+const maxSampleRatio = 4;
 /** Smaller changes are mostly noise of few samples. */
 const loggedRatio = 1.25;
 const minLogIntervalMs = 30_000;
@@ -76,14 +78,23 @@
       if (!isLearning(entry)) return;
       const waitingCount = entry.reported?.load.waitingCount ?? 0;
       const slots = getSlots(entry);
+      const unqueuedMs = getUnqueuedMs({ durationMs, waitingCount, slots });
       entry.speedMemory.recordCall(
-        getUnqueuedMs({ durationMs, waitingCount, slots }),
+        limitSample(unqueuedMs, entry.speed.callMs),
         clock.nowMs(),
       );
     },
     recordPrefill: (entry, workTokens, durationMs) => {
       if (!isLearning(entry)) return;
-      entry.speedMemory.recordPrefill(workTokens, durationMs, clock.nowMs());
+      const { prefillMsPerToken } = entry.speed;
+      entry.speedMemory.recordPrefill(
+        workTokens,
+        limitSample(
+          durationMs,
+          prefillMsPerToken && prefillMsPerToken * workTokens,
+        ),
+        clock.nowMs(),
+      );
     },
     update,
     listRecent: (entries) =>
@@ -164,6 +175,13 @@
   }
 }
 
+/** One request that was stuck must not outweigh many others. */
+function limitSample(ms: number, expectedMs: number | undefined): number {
+  return expectedMs === undefined
+    ? ms
+    : Math.min(ms, maxSampleRatio * expectedMs);
+}
+
 function round(value: number): number {
   return Math.round(value * 1_000) / 1_000;
 }
--- a/src/forwarding/spread_choice.ts
+++ b/src/forwarding/spread_choice.ts
@@ -110,25 +110,30 @@
   return cheapest;
 }
 
-/** Returns the cost that the cheapest ones reach with so many choices. */
+/**
+ * Returns the cost that the cheapest ones reach with so many choices. Assumes
+ * first that all are filled, and leaves out those above the level until none
+ * is, so it needs no sorting.
+ */
 export function getUnevenFillLevel(
   alternatives: readonly Omit<UnevenAlternative<unknown>, "value">[],
   choiceCount: number,
 ): number {
-  const sorted = [...alternatives].sort((left, right) =>
-    left.cost - right.cost
-  );
-  let remaining = choiceCount;
-  /** Choices that raise all alternatives so far by 1. */
-  let choicesPerCost = 0;
-  let level = 0;
-  for (const [index, { cost, costPerChoice }] of sorted.entries()) {
-    level = cost;
-    choicesPerCost += 1 / costPerChoice;
-    const next = sorted[index + 1]?.cost ?? Infinity;
-    const needed = (next - cost) * choicesPerCost;
-    if (needed >= remaining) return level + remaining / choicesPerCost;
-    remaining -= needed;
+  let level = Infinity;
+  for (;;) {
+    let choicesPerCost = 0;
+    let choicesAtLevel = choiceCount;
+    let cheapest = Infinity;
+    for (const { cost, costPerChoice } of alternatives) {
+      if (cost >= level) continue;
+      choicesPerCost += 1 / costPerChoice;
+      choicesAtLevel += cost / costPerChoice;
+      cheapest = Math.min(cheapest, cost);
+    }
+    if (choicesPerCost === 0) return level;
+    // Rounding must not leave out the cheapest one too.
+    const next = Math.max(cheapest, choicesAtLevel / choicesPerCost);
+    if (next >= level) return level;
+    level = next;
   }
-  return level;
 }
--- a/src/forwarding/spread_choice_test.ts
+++ b/src/forwarding/spread_choice_test.ts
@@ -6,7 +6,12 @@
 import fc from "fast-check";
 import { expect, test } from "vitest";
 import { createRandom } from "../core/random.ts";
-import { chooseSpread, getFillLevel } from "./spread_choice.ts";
+import {
+  chooseSpread,
+  chooseUnevenSpread,
+  getFillLevel,
+  getUnevenFillLevel,
+} from "./spread_choice.ts";
 
 const costsArbitrary = fc.array(fc.nat(5_000), { minLength: 1, maxLength: 40 });
 
@@ -73,3 +78,47 @@
   const options = { unseenChoiceCount: 1, costPerChoice: 1, tolerance: 1 };
   expect(chooseSpread([], () => 0, options, createRandom(1))).toBeUndefined();
 });
+
+const unevenArbitrary = fc.array(
+  fc.record({
+    cost: fc.nat(5_000),
+    costPerChoice: fc.integer({ min: 1, max: 90 }),
+  }),
+  { minLength: 1, maxLength: 40 },
+);
+
+// Guards against a level that leaves choices over, or that rises more with slow
+// alternatives than the choices they take.
+test("the uneven fill level takes exactly the choices", () => {
+  fc.assert(fc.property(unevenArbitrary, fc.nat(2_000), (all, choiceCount) => {
+    const level = getUnevenFillLevel(all, choiceCount);
+    const taken = all.reduce(
+      (sum, { cost, costPerChoice }) =>
+        sum + Math.max(0, level - cost) / costPerChoice,
+      0,
+    );
+    expect(taken).toBeCloseTo(choiceCount, 3);
+  }));
+});
+
+// Guards against an even split, which overloads slow alternatives, and against
+// choosing one that costs more than the level.
+test("choices are spread by how fast the alternatives take them", () => {
+  const random = createRandom(1);
+  const counts = { fast: 0, slow: 0, costly: 0 };
+  for (let choice = 0; choice < 3_000; choice++) {
+    const chosen = chooseUnevenSpread<keyof typeof counts>(
+      [
+        { value: "fast", cost: 30, costPerChoice: 5 },
+        { value: "slow", cost: 30, costPerChoice: 15 },
+        { value: "costly", cost: 500, costPerChoice: 1 },
+      ],
+      { unseenChoiceCount: 40, tolerance: 1 },
+      random,
+    );
+    counts[chosen!] += 1;
+  }
+  expect(counts.costly).toBe(0);
+  expect(counts.fast / counts.slow).toBeGreaterThan(2.5);
+  expect(counts.fast / counts.slow).toBeLessThan(3.5);
+});
