--- a/src/upstreams/load_totals.ts
+++ b/src/upstreams/load_totals.ts
@@ -7,6 +7,7 @@
   EngineLoadSummary,
   LoadEntry,
   RepeatCounts,
+  SpeedEntry,
 } from "./engine_load_summary.ts";
 
 export interface LoadTotals {
@@ -44,6 +45,7 @@
   /** In thousandths per second, so that sums are exact. */
   const demands = new Map<string, number>();
   const repeats = new Map<string, RepeatTotal>();
+  const speeds = new Map<UpstreamId, SpeedEntry>();
   return {
     add: (summary) => apply(summary, 1),
     subtract: (summary) => apply(summary, -1),
@@ -63,6 +65,11 @@
       else demands.delete(service);
     }
     for (const counts of summary.repeats ?? []) applyRepeats(counts, sign);
+    for (const entry of summary.speeds ?? []) {
+      const sum = addSpeeds(speeds.get(entry[0]), entry, sign);
+      if (hasSamples(sum)) speeds.set(entry[0], sum);
+      else speeds.delete(entry[0]);
+    }
     for (const [formerId, newId] of summary.successors ?? []) {
       const key = getSuccessorKey(formerId, newId);
       const total = successors.get(key) ??
@@ -141,8 +148,13 @@
     }).filter(([, requestCount, repeatCount]) =>
       requestCount > 0 || repeatCount > 0
     );
+    const remainingSpeeds = [...speeds.values()].map((sum) => {
+      const own = without.speeds.get(sum[0]);
+      return own ? addSpeeds(sum, own, -1) : sum;
+    }).filter(hasSamples);
     return {
       ...(remainingRepeats.length > 0 ? { repeats: remainingRepeats } : {}),
+      ...(remainingSpeeds.length > 0 ? { speeds: remainingSpeeds } : {}),
       ...(remainingDemands.length > 0 ? { demands: remainingDemands } : {}),
       loads: remainingLoads,
       lostIds: [...lossCounts].filter(([upstreamId, count]) =>
@@ -165,6 +177,7 @@
     lostIds: new Set(summary?.lostIds),
     demands: new Map(summary?.demands),
     repeats: new Map(summary?.repeats?.map((counts) => [counts[0], counts])),
+    speeds: new Map(summary?.speeds?.map((entry) => [entry[0], entry])),
     successorKeys: new Set(
       summary?.successors?.map(([formerId, newId]) =>
         getSuccessorKey(formerId, newId)
@@ -173,6 +186,27 @@
   };
 }
 
+function addSpeeds(
+  sum: SpeedEntry | undefined,
+  entry: SpeedEntry,
+  sign: 1 | -1,
+): SpeedEntry {
+  const [upstreamId, ...values] = entry;
+  const [calls, callTenthMs, prompts, promptTokens, promptMs] = values;
+  return [
+    upstreamId,
+    (sum?.[1] ?? 0) + sign * calls,
+    (sum?.[2] ?? 0) + sign * callTenthMs,
+    (sum?.[3] ?? 0) + sign * prompts,
+    (sum?.[4] ?? 0) + sign * promptTokens,
+    (sum?.[5] ?? 0) + sign * promptMs,
+  ];
+}
+
+function hasSamples([, callCount, , promptCount]: SpeedEntry): boolean {
+  return callCount > 0 || promptCount > 0;
+}
+
 function getSuccessorKey(formerId: UpstreamId, newId: UpstreamId): string {
   return `${formerId}\n${newId}`;
 }
