Let calls wait for capacity instead of sending each at once

Cause: 75 instances send to 3 or 4 upstreams with 6 slots and a queue of 24 each on figures that are a second old. At the crests upstreams with a full queue refuse calls, and callers get an error although capacity is free soon.

Change, for services that are scheduled under load only: call_scheduling.ts decides for each call that arrives, waits or comes back from a refusing upstream whether it is sent, waits here or is refused; call_queue.ts holds the waiting calls in the queue of limit_queue.ts, whose order takes objectives, customers' shares and early repetitions into account. A refusal states a delay within what callers honour, and callers that return as told go first.

--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -9,6 +9,7 @@
 import { createByteBudget } from "../src/core/byte_budget.ts";
 import { createSystemClock } from "../src/core/clock.ts";
 import { createMetricsRegistry } from "../src/core/metrics_registry.ts";
+import { createCallQueue } from "../src/forwarding/call_queue.ts";
 import { createForwardingMetrics } from "../src/forwarding/forwarding_metrics.ts";
 import { createSilentLogger, type Logger } from "../src/core/logger.ts";
 import { createRandom } from "../src/core/random.ts";
@@ -254,6 +255,13 @@
   });
   let routes: ReturnType<typeof createRouteTable> | undefined =
     createRouteTable(table, 1);
+  const metrics = createForwardingMetrics(createMetricsRegistry());
+  const limitQueue = createLimitQueue({
+    clock,
+    listUpstreamIds: (service) =>
+      directory.listUsable(service).map(({ info }) => info.upstreamId),
+    getRatePerS: limits.getRatePerS,
+  });
   const context: ForwardingContext = {
     clock,
     logger,
@@ -269,11 +277,15 @@
       onCrash: () => {},
     }),
     limits,
-    limitQueue: createLimitQueue({
+    limitQueue,
+    callQueue: createCallQueue({
       clock,
-      listUpstreamIds: (service) =>
-        directory.listUsable(service).map(({ info }) => info.upstreamId),
-      getRatePerS: limits.getRatePerS,
+      random: createRandom(3),
+      logger,
+      limitQueue,
+      directory,
+      demand,
+      metrics,
     }),
     demand,
     successors: createSuccessorDiscovery({
@@ -283,7 +295,7 @@
       directory,
       getSoleEngineService: () => routes?.soleEngineService,
     }),
-    metrics: createForwardingMetrics(createMetricsRegistry()),
+    metrics,
     heldResponses: createByteBudget(maxHeldResponseBytes),
     isLoadAware: directory.hasStatedSlowness,
     recordPlacement: () => {},
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -360,5 +360,15 @@
     Info,
     "connection ended before its response was complete; see who ended it",
   ),
+  callWaited: event(
+    7240,
+    Info,
+    "call waited here until an upstream was expected to start it soon",
+  ),
+  callRefused: event(
+    7241,
+    Info,
+    "call refused because no upstream would take it in time; see the refusal",
+  ),
   retryRefused: event(7103, Info, "retry refused by the retry budget"),
 } as const satisfies Record<string, LogEvent>;
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -10,6 +10,7 @@
 import { createSupervisor } from "../core/supervisor.ts";
 import { createEntryServer } from "../forwarding/entry_server.ts";
 import { createForwardingMetrics } from "../forwarding/forwarding_metrics.ts";
+import { createCallQueue } from "../forwarding/call_queue.ts";
 import type { ForwardingContext } from "../forwarding/forwarding_context.ts";
 import { forwardingTableName } from "../forwarding/forwarding_table.ts";
 import {
@@ -142,6 +143,16 @@
       directory.listUsable(service).map(({ info }) => info.upstreamId),
     getRatePerS: limits.getRatePerS,
   });
+  const metrics = createForwardingMetrics(registry);
+  const callQueue = createCallQueue({
+    clock,
+    random,
+    logger,
+    limitQueue,
+    directory,
+    demand,
+    metrics,
+  });
   const protocol = adapter.createForwardingProtocol();
   const connections = createUpstreamConnections();
   const context: ForwardingContext = {
@@ -155,6 +166,7 @@
     quarantine,
     limits,
     limitQueue,
+    callQueue,
     demand,
     isLoadAware: (service) =>
       (routes?.getStreamPriorities(service).length ?? 0) > 1 ||
@@ -173,7 +185,7 @@
       getDomainPeerCount: () =>
         membership.getEntryCount() / directory.countDomains() - 1,
     }),
-    metrics: createForwardingMetrics(registry),
+    metrics,
     heldResponses: createByteBudget(maxHeldResponseBytes),
     budget: createRetryBudget({
       ratio: bounds.retryRatio * budgetSafetyRatio,
@@ -203,7 +215,12 @@
   registry.createGauge(
     "waiting_for_limits",
     "Requests that wait until the limit of an upstream allows them.",
-    limitQueue.count,
+    () => limitQueue.count() - callQueue.count(),
+  );
+  registry.createGauge(
+    "waiting_calls",
+    "Calls that wait until an upstream is expected to start them soon.",
+    callQueue.count,
   );
   registry.createGauge(
     "open_requests",
--- a/src/forwarding/call_decisions.ts
+++ b/src/forwarding/call_decisions.ts
@@ -18,11 +18,15 @@
   readonly hasBudget: boolean;
   /** An upstream that this call has not tried is available. */
   readonly hasUpstream: boolean;
+  /** The call can wait here until an upstream has capacity. */
+  readonly canWait: boolean;
 }
 
 export type CallDecision =
   | { readonly kind: "relay" }
   | { readonly kind: "retry" }
+  /** The call has not run and waits for an upstream like one that arrives. */
+  | { readonly kind: "schedule" }
   | { readonly kind: "fail"; readonly error: ErrorKind };
 
 /** An attempt with less time left would be cut off by the deadline. */
@@ -44,9 +48,12 @@
       return { kind: mayRetry ? "retry" : "relay" };
     }
     case "notRun": {
-      const mayRetry = progress.notRunCount <= maxRefusals &&
-        progress.ranCount < progress.maxAttempts && canRetry(progress);
-      if (mayRetry) return { kind: "retry" };
+      const maySend = progress.notRunCount <= maxRefusals &&
+        progress.ranCount < progress.maxAttempts && canSendAgain(progress);
+      if (maySend && progress.canWait && progress.ranCount === 0) {
+        return { kind: "schedule" };
+      }
+      if (maySend && progress.hasUpstream) return { kind: "retry" };
       // NoUpstream guarantees to the caller that the request did not run. That
       // does not hold if an earlier attempt may have run.
       const isCertainlyNotRun = progress.ranCount === 0;
@@ -67,6 +74,9 @@
 }
 
 function canRetry(progress: CallProgress): boolean {
-  return progress.remainingMs >= minAttemptMs && progress.hasBudget &&
-    progress.hasUpstream;
+  return canSendAgain(progress) && progress.hasUpstream;
+}
+
+function canSendAgain({ remainingMs, hasBudget }: CallProgress): boolean {
+  return remainingMs >= minAttemptMs && hasBudget;
 }
--- a/src/forwarding/call_forwarder.ts
+++ b/src/forwarding/call_forwarder.ts
@@ -12,6 +12,8 @@
 } from "./call_attempt.ts";
 import { createCallCrashGuard } from "./call_crash_guard.ts";
 import { decideAfterAttempt } from "./call_decisions.ts";
+import type { QueuedCall } from "./call_queue.ts";
+import { CallRefusal } from "./call_scheduling.ts";
 import type {
   AdmittedRequest,
   ForwardingContext,
@@ -27,11 +29,25 @@
   listReachable,
   type PlacementContext,
 } from "./placement.ts";
+import { getRequestDigest } from "./request_digest.ts";
 import type { Upstream } from "./upstream_types.ts";
 
+interface StartedAttempt {
+  /** Undefined if the call ended while it waited. */
+  readonly upstream: Upstream | undefined;
+  readonly started: Promise<AttemptOutcome> | undefined;
+}
+
 /** An attempt takes about this part of the route's objective. */
 const attemptTimeRatio = 0.5;
 
+const refusalReasons: Readonly<Record<CallRefusal, string>> = {
+  [CallRefusal.Deadline]: "no upstream would complete the call in time",
+  [CallRefusal.NoUpstream]: "no upstream is available",
+  [CallRefusal.StatedLimit]: limitReason,
+  [CallRefusal.QueueFull]: "too many calls wait for the service",
+};
+
 export async function forwardCall(
   context: ForwardingContext,
   admitted: AdmittedRequest,
@@ -60,9 +76,23 @@
   if (refuseIfSuspected()) return;
   budget.recordUseful(budgetKey, 1);
   context.demand.recordRequest(service.name);
-  let upstream = chooseUpstream();
+  const isScheduled = context.isLoadAware(service.name);
+  const queuedCall: QueuedCall = {
+    requestId,
+    service: service.name,
+    customerId: admitted.customerId,
+    priority,
+    objectiveAtMs: clock.nowMs() + route.objectiveMs,
+    deadlineAtMs,
+    getCallerKey: () => getRequestDigest(admitted),
+  };
+  let upstream: Upstream | undefined;
   let started: Promise<AttemptOutcome> | undefined;
-  if (!upstream && isAtLimit()) ({ upstream, started } = await waitForRoom());
+  if (isScheduled) ({ upstream, started } = await waitForTurn());
+  else {
+    upstream = chooseUpstream();
+    if (!upstream && isAtLimit()) ({ upstream, started } = await waitForRoom());
+  }
   while (!isFinished) {
     if (!upstream) {
       failCall(ErrorKind.NoUpstream, "no upstream is available");
@@ -72,8 +102,10 @@
     started = undefined;
     crashGuard.recordOutcome(upstream.info, outcome, attemptSentAtMs);
     if (isFinished) break;
-    if (outcome.kind === "notRun") notRunCount += 1;
-    else ranCount += 1;
+    if (outcome.kind === "notRun") {
+      notRunCount += 1;
+      currentAttempt = undefined;
+    } else ranCount += 1;
     const next = isFailure(outcome) ? chooseUpstream() : undefined;
     const decision = decideAfterAttempt(outcome, {
       kind: route.kind,
@@ -83,6 +115,7 @@
       remainingMs: deadlineAtMs - clock.nowMs(),
       hasBudget: budget.getAvailable(budgetKey) >= 1,
       hasUpstream: next !== undefined,
+      canWait: isScheduled,
     });
     logAttempt(upstream, outcome, decision.kind);
     switch (decision.kind) {
@@ -94,6 +127,13 @@
         budget.tryDraw(budgetKey, 1);
         upstream = next;
         break;
+      case "schedule":
+        if (refuseIfSuspected()) break;
+        budget.tryDraw(budgetKey, 1);
+        // No upstream ran the call, and one that refused it is suspended.
+        triedIds.clear();
+        ({ upstream, started } = await waitForTurn());
+        break;
       case "fail":
         if (failIfSuspected()) break;
         failCall(decision.error, getReason(outcome));
@@ -124,11 +164,37 @@
     return listReachable(usable, getPlacementContext()).length > 0;
   }
 
+  /** Waits for the call's turn, and starts the attempt in that moment. */
+  function waitForTurn(): Promise<StartedAttempt> {
+    return new Promise((resolve) => {
+      endWaiting = () => resolve({ upstream: undefined, started: undefined });
+      const remove = context.callQueue.add(queuedCall, {
+        send: (upstreams) => {
+          if (refuseIfSuspected()) return true;
+          const next = chooseForCall(upstreams, getPlacementContext());
+          if (!next) return false;
+          resolve({ upstream: next, started: startAttempt(next) });
+          return true;
+        },
+        refuse: (refusal, backlogMs) => {
+          const kind = refusal === CallRefusal.NoUpstream
+            ? ErrorKind.NoUpstream
+            : ErrorKind.Overloaded;
+          failCall(kind, refusalReasons[refusal], backlogMs);
+        },
+      });
+      if (isFinished) remove();
+      else {
+        endWaiting = () => {
+          remove();
+          resolve({ upstream: undefined, started: undefined });
+        };
+      }
+    });
+  }
+
   /** Waits until a limit has room, and starts the attempt in that moment. */
-  function waitForRoom(): Promise<{
-    upstream: Upstream | undefined;
-    started: Promise<AttemptOutcome> | undefined;
-  }> {
+  function waitForRoom(): Promise<StartedAttempt> {
     return new Promise((resolve) => {
       endWaiting = () => resolve({ upstream: undefined, started: undefined });
       const remove = context.limitQueue.add(service.name, {
@@ -251,7 +317,17 @@
       notRunCount,
       revision: admitted.revision,
     });
-    failRequest(context, admitted, { kind, reason, backlogMs });
+    failRequest(context, admitted, {
+      kind,
+      reason,
+      backlogMs,
+      ...(isScheduled
+        ? {
+          getRetryAfterMs: () =>
+            context.callQueue.getReturnDelayMs(queuedCall, backlogMs),
+        }
+        : {}),
+    });
   }
 
   function stop(): void {
--- a/src/forwarding/decisions_test.ts
+++ b/src/forwarding/decisions_test.ts
@@ -26,6 +26,7 @@
   remainingMs: 500,
   hasBudget: true,
   hasUpstream: true,
+  canWait: false,
 };
 const unknown: AttemptOutcome = { kind: "unknown", reason: "reset" };
 const notRun: AttemptOutcome = { kind: "notRun", reason: "full" };
--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -13,6 +13,7 @@
 import type { UpstreamLimits } from "../limits/upstream_limits.ts";
 import type { RetryBudget } from "../limits/retry_budget.ts";
 import type { RequestQuarantine } from "../quarantine/request_quarantine.ts";
+import type { CallQueue } from "./call_queue.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { ForwardingMetrics } from "./forwarding_metrics.ts";
 import type { ForwardingProtocol } from "./forwarding_protocol.ts";
@@ -33,6 +34,7 @@
   readonly quarantine: RequestQuarantine;
   readonly limits: UpstreamLimits;
   readonly limitQueue: LimitQueue;
+  readonly callQueue: CallQueue;
   readonly demand: Pick<DemandShare, "recordRequest">;
   readonly metrics: ForwardingMetrics;
   /** For responses that are held until they are complete. */
--- a/src/forwarding/forwarding_metrics.ts
+++ b/src/forwarding/forwarding_metrics.ts
@@ -14,6 +14,10 @@
   readonly incompleteResponses: MetricCounter;
   /** Requests refused before an attempt, by kind of error. */
   readonly refusals: MetricCounter;
+  /** Calls refused by the scheduling under load, by reason. */
+  readonly refusedCalls: MetricCounter;
+  /** Time that calls waited here before they were sent, by priority. */
+  readonly callWaitTime: MetricTimer;
   /** Failed attempts of non-streaming calls, by outcome. */
   readonly failedAttempts: MetricCounter;
   /** Lost attempts of streams, by the decision that followed. */
@@ -47,6 +51,17 @@
       "Requests that were refused before an attempt, by kind of error.",
       ["kind"],
     ),
+    refusedCalls: registry.createCounter(
+      "refused_calls",
+      "Calls that were refused because no upstream would take them in time, " +
+        "by reason.",
+      ["reason"],
+    ),
+    callWaitTime: registry.createTimer(
+      "call_wait",
+      "Time that a call waited here until it was sent to an upstream.",
+      ["priority"],
+    ),
     failedAttempts: registry.createCounter(
       "failed_attempts",
       "Attempts of plain calls that failed, by outcome.",
--- a/src/forwarding/forwarding_steps.ts
+++ b/src/forwarding/forwarding_steps.ts
@@ -127,11 +127,13 @@
 export function failRequest(
   { clock, random, directory }: ForwardingContext,
   { caller, service }: AdmittedRequest,
-  { kind, reason, backlogMs }: {
+  { kind, reason, backlogMs, getRetryAfterMs: getOwnRetryAfterMs }: {
     readonly kind: ErrorKind;
     readonly reason: string;
     /** Time that the upstreams need for the work that they already have. */
     readonly backlogMs: number;
+    /** Replaces the delay that follows from the upstreams and the backlog. */
+    readonly getRetryAfterMs?: () => number;
   },
 ): void {
   if (caller.getState() !== CallerState.Waiting) {
@@ -146,7 +148,7 @@
     kind === ErrorKind.Overloaded;
   const details = isNoUpstream
     ? {
-      retryAfterMs: getRetryAfterMs(
+      retryAfterMs: getOwnRetryAfterMs?.() ?? getRetryAfterMs(
         directory.listUsable(service.name),
         { nowMs: clock.nowMs(), random, backlogMs },
       ),
--- a/src/forwarding/retry_after.ts
+++ b/src/forwarding/retry_after.ts
@@ -35,3 +35,39 @@
   const delayMs = Math.max(minDelayMs, firstAvailableAtMs - nowMs, backlogMs);
   return Math.round(delayMs * (1 + random.next() * jitterRatio));
 }
+
+/** Callers honour a delay up to a third of their time; some of it is spent. */
+const honouredRatio = 0.3;
+/** A response and the repetition after it take about this long. */
+const minReturnMs = 20;
+
+/**
+ * The retry-after delay of a caller that was refused for lack of capacity:
+ * spread over the time in which capacity becomes free, within what the caller
+ * honours if that allows a delay at all.
+ */
+export function getCapacityRetryAfterMs(
+  { freeInMs, spreadMs, remainingMs, random }: {
+    /** Time until the first capacity becomes free. */
+    readonly freeInMs: number;
+    /** Time in which what waits now is started. */
+    readonly spreadMs: number;
+    readonly remainingMs: number;
+    readonly random: Random;
+  },
+): number {
+  const fromMs = Math.min(maxDelayMs, Math.max(minReturnMs, freeInMs));
+  const usefulMs = remainingMs * honouredRatio - fromMs;
+  const rangeMs = usefulMs > 0 ? Math.min(spreadMs, usefulMs) : spreadMs;
+  return Math.round(
+    Math.min(maxDelayMs, fromMs + random.next() * Math.max(0, rangeMs)),
+  );
+}
+
+/** How long a caller with so much time left waits when it is told the delay. */
+export function getHonouredDelayMs(
+  delayMs: number,
+  remainingMs: number,
+): number {
+  return Math.min(delayMs, Math.max(0, remainingMs * honouredRatio));
+}
