--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -73,6 +73,7 @@
     onUpstreamLost: () => core.membership.scheduleHeartbeat(),
     canRouteToCandidates: () =>
       core.upstreams.getState().ageMs < maxCandidateViewAgeMs,
+    isLoadAware,
   });
   const demand = createDemandShare({
     clock,
@@ -168,9 +169,7 @@
     limitQueue,
     callQueue,
     demand,
-    isLoadAware: (service) =>
-      (routes?.getStreamPriorities(service).length ?? 0) > 1 ||
-      directory.hasStatedSlowness(service),
+    isLoadAware,
     successors: createSuccessorDiscovery({
       logger,
       protocol,
@@ -202,6 +201,11 @@
     "Upstreams that this instance knows.",
     directory.count,
   );
+  registry.createGauge(
+    "slowest_upstream_factor",
+    "Highest learned time of an upstream, relative to its service.",
+    directory.getSlowestFactor,
+  );
   registry.createGauge(
     "quarantined_parts",
     "Prompt parts and requests that are refused.",
@@ -263,6 +267,11 @@
     }))
   );
 
+  function isLoadAware(service: string): boolean {
+    return (routes?.getStreamPriorities(service).length ?? 0) > 1 ||
+      directory.hasStatedSlowness(service);
+  }
+
   function applyConfiguration({ forwarding, revision }: Configuration): void {
     const table = forwarding[forwardingTableName];
     if (!table) return;
