--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -172,7 +172,6 @@
   });
   const protocol = adapter.createForwardingProtocol();
   const connections = createUpstreamConnections();
-  const metrics = createForwardingMetrics(registry);
   const context: ForwardingContext = {
     clock,
     logger,
