Let less urgent streams wait for room at the engines

Every stream was sent to an engine at once, so in overload urgent prompts shared engines with as many others as came. Where a service ranks its streams, one of a lower rank now waits here while no engine could read its prompt and still have an urgent one that follows on time, beside the places kept for the urgent streams about to come; their rate and size are exchanged in load summaries. Waiting ends when the objective would be missed, and after a maximum time. Streams that wait for an engine or the retry budget share the queue, and under load a stream waits for the budget while its deadline can be met.

--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -24,6 +24,7 @@
   RequestKind,
 } from "../src/forwarding/forwarding_table.ts";
 import { createRouteTable } from "../src/forwarding/route_table.ts";
+import { createStreamQueue } from "../src/forwarding/stream_queue.ts";
 import { createSuccessorDiscovery } from "../src/forwarding/successor_discovery.ts";
 import { createUpstreamConnections } from "../src/forwarding/upstream_connections.ts";
 import { createUpstreamDirectory } from "../src/forwarding/upstream_directory.ts";
@@ -32,6 +33,7 @@
   type DemandShare,
 } from "../src/limits/demand_share.ts";
 import { createLimitQueue } from "../src/limits/limit_queue.ts";
+import { createRankDemand } from "../src/limits/rank_demand.ts";
 import { createUpstreamLimits } from "../src/limits/upstream_limits.ts";
 import { createRetryBudget } from "../src/limits/retry_budget.ts";
 import { createRequestQuarantine } from "../src/quarantine/request_quarantine.ts";
@@ -276,6 +278,12 @@
       getRatePerS: limits.getRatePerS,
     }),
     demand,
+    rankDemand: createRankDemand({
+      clock,
+      getInstanceCount: () => instanceCount,
+    }),
+    streamQueue: createStreamQueue(),
+    getUrgentObjectiveMs: (service) => routes?.getUrgentObjectiveMs(service),
     successors: createSuccessorDiscovery({
       logger,
       protocol,
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -345,6 +345,17 @@
     Info,
     "first event of a stream after the loss of an attempt",
   ),
+  streamWaits: event(
+    7240,
+    Info,
+    "stream waits at this instance; see the reason",
+  ),
+  streamWaitEnded: event(7241, Info, "wait of a stream ended"),
+  streamRefused: event(
+    7242,
+    Info,
+    "stream refused, since its deadline can't be met",
+  ),
   streamStaysAtSilentEngine: event(
     7213,
     Info,
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -17,12 +17,14 @@
   type RouteTable,
 } from "../forwarding/route_table.ts";
 import { createPlacementEstimator } from "../forwarding/placement_estimator.ts";
+import { createStreamQueue } from "../forwarding/stream_queue.ts";
 import { createSuccessorDiscovery } from "../forwarding/successor_discovery.ts";
 import { createUpstreamConnections } from "../forwarding/upstream_connections.ts";
 import { createUpstreamDirectory } from "../forwarding/upstream_directory.ts";
 import { createDemandShare } from "../limits/demand_share.ts";
 import { createLimitQueue } from "../limits/limit_queue.ts";
 import { createUpstreamLimits } from "../limits/upstream_limits.ts";
+import { createRankDemand } from "../limits/rank_demand.ts";
 import { createRepeatWindow } from "../limits/repeat_window.ts";
 import { createRetryBudget } from "../limits/retry_budget.ts";
 import { createSharedRetryBudget } from "../limits/shared_retry_budget.ts";
@@ -79,6 +81,10 @@
     clock,
     getInstanceCount: () => core.membership.getEntryCount(),
   });
+  const rankDemand = createRankDemand({
+    clock,
+    getInstanceCount: () => core.membership.getEntryCount(),
+  });
   const repeatWindow = createRepeatWindow({
     clock,
     ratio: bounds.retryRatio,
@@ -130,6 +136,7 @@
           ...directory.getLocalLoadSummary(),
           demands: demand.getDemands(),
           repeats: repeatWindow.getCounts(),
+          rankDemands: rankDemand.getOwnDemands(),
         }
         : undefined,
     onEngineLoadSummary: ({ instanceId }, summary) => {
@@ -138,6 +145,7 @@
       directory.setRemoteLoadSummary(summary);
       demand.setRemoteDemands(summary.demands ?? []);
       repeatWindow.setRemoteCounts(summary.repeats ?? []);
+      rankDemand.setRemoteDemands(summary.rankDemands ?? []);
     },
   });
   const { membership, peers, configuration } = core;
@@ -152,6 +160,7 @@
       directory.listUsable(service).map(({ info }) => info.upstreamId),
     getRatePerS: limits.getRatePerS,
   });
+  const streamQueue = createStreamQueue();
   const protocol = adapter.createForwardingProtocol();
   const connections = createUpstreamConnections();
   const metrics = createForwardingMetrics(registry);
@@ -167,8 +176,11 @@
     limits,
     limitQueue,
     demand,
+    rankDemand,
+    streamQueue,
     getStreamPriorities: (service) =>
       routes?.getStreamPriorities(service) ?? [],
+    getUrgentObjectiveMs: (service) => routes?.getUrgentObjectiveMs(service),
     isLoadAware,
     successors: createSuccessorDiscovery({
       logger,
@@ -222,6 +234,11 @@
     "Requests that wait until the limit of an upstream allows them.",
     limitQueue.count,
   );
+  registry.createGauge(
+    "waiting_streams",
+    "Streams that wait here for an engine or the retry budget.",
+    streamQueue.count,
+  );
   registry.createGauge(
     "open_requests",
     "Requests that have no final answer yet.",
--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -10,6 +10,7 @@
 import type { SuccessorDiscovery } from "./successor_discovery.ts";
 import type { DemandShare } from "../limits/demand_share.ts";
 import type { LimitQueue } from "../limits/limit_queue.ts";
+import type { RankDemand } from "../limits/rank_demand.ts";
 import type { UpstreamLimits } from "../limits/upstream_limits.ts";
 import type { RetryBudget } from "../limits/retry_budget.ts";
 import type { RequestQuarantine } from "../quarantine/request_quarantine.ts";
@@ -17,6 +18,7 @@
 import type { ForwardingMetrics } from "./forwarding_metrics.ts";
 import type { ForwardingProtocol } from "./forwarding_protocol.ts";
 import type { ForwardingRoute, ForwardingService } from "./forwarding_table.ts";
+import type { StreamQueue } from "./stream_queue.ts";
 import type { UpstreamConnections } from "./upstream_connections.ts";
 import type { UpstreamDirectory } from "./upstream_directory.ts";
 
@@ -33,7 +35,12 @@
   readonly quarantine: RequestQuarantine;
   readonly limits: UpstreamLimits;
   readonly limitQueue: LimitQueue;
-  readonly demand: Pick<DemandShare, "recordRequest">;
+  readonly demand: Pick<DemandShare, "recordRequest" | "getShare">;
+  readonly rankDemand: Pick<
+    RankDemand,
+    "recordStream" | "getMoreUrgent" | "getAll"
+  >;
+  readonly streamQueue: StreamQueue;
   readonly metrics: ForwardingMetrics;
   /** For responses that are held until they are complete. */
   readonly heldResponses: ByteBudget;
@@ -48,6 +55,8 @@
    * urgent first.
    */
   getStreamPriorities(service: string): readonly number[];
+  /** The shortest objective of the most urgent streaming routes. */
+  getUrgentObjectiveMs(service: string): number | undefined;
   /** Counts a stream that this instance has placed. */
   recordPlacement(): void;
   /**
--- a/src/forwarding/forwarding_metrics.ts
+++ b/src/forwarding/forwarding_metrics.ts
@@ -24,6 +24,10 @@
   readonly copies: MetricCounter;
   /** Responses whose stated load has a figure that states nothing. */
   readonly invalidLoads: MetricCounter;
+  /** Waits of streams at this instance, by rank and reason. */
+  readonly streamWaitTime: MetricTimer;
+  /** Streams that were refused or given up while they waited here. */
+  readonly refusedStreams: MetricCounter;
   readonly answerTime: MetricTimer;
   readonly firstEventTime: MetricTimer;
   /** Longest gap between two events of a stream. */
@@ -73,6 +77,16 @@
       "invalid_load_reports",
       "Responses whose stated load has an unreadable or huge figure.",
     ),
+    streamWaitTime: registry.createTimer(
+      "stream_wait",
+      "Time for which a stream waited here, by rank and reason.",
+      ["rank", "reason"],
+    ),
+    refusedStreams: registry.createCounter(
+      "refused_streams",
+      "Streams that were refused when they arrived or waited, by reason.",
+      ["rank", "reason"],
+    ),
     answerTime: registry.createTimer(
       "answer",
       "Time from the arrival of a request to the end of its answer.",
--- a/src/forwarding/route_table.ts
+++ b/src/forwarding/route_table.ts
@@ -25,6 +25,11 @@
    * urgent first.
    */
   getStreamPriorities(service: string): readonly number[];
+  /**
+   * The shortest objective of the most urgent streaming routes to the service;
+   * undefined without streaming routes.
+   */
+  getUrgentObjectiveMs(service: string): number | undefined;
   /** The only service whose upstreams are model engines, if there is one. */
   readonly soleEngineService: string | undefined;
 }
@@ -44,6 +49,7 @@
   const engineServices = table.services.filter(({ engine }) => engine !== null);
   const services = new Map(table.services.map((entry) => [entry.name, entry]));
   const streamPriorities = listStreamPriorities(table);
+  const urgentObjectives = findUrgentObjectives(table, streamPriorities);
   return {
     revision,
     limits: table.limits,
@@ -52,6 +58,7 @@
     findCustomer: (apiKey) => customers.get(apiKey),
     getService: (name) => services.get(name),
     getStreamPriorities: (service) => streamPriorities.get(service) ?? [],
+    getUrgentObjectiveMs: (service) => urgentObjectives.get(service),
     soleEngineService: engineServices.length === 1
       ? engineServices[0]!.name
       : undefined,
@@ -92,6 +99,22 @@
   );
 }
 
+function findUrgentObjectives(
+  { routes }: ForwardingTable,
+  streamPriorities: ReadonlyMap<string, readonly number[]>,
+): Map<string, number> {
+  const objectives = new Map<string, number>();
+  for (const { kind, targets, priority, objectiveMs } of routes) {
+    if (kind !== RequestKind.Streaming) continue;
+    for (const { service } of targets) {
+      if (priority !== streamPriorities.get(service)![0]) continue;
+      const shortest = objectives.get(service) ?? Infinity;
+      objectives.set(service, Math.min(shortest, objectiveMs));
+    }
+  }
+  return objectives;
+}
+
 function getRouteKey(host: string, pathPrefix: string): string {
   return `${host}\0${pathPrefix}`;
 }
--- a/src/forwarding/stream_admission.ts
+++ b/src/forwarding/stream_admission.ts
@@ -32,17 +32,29 @@
 export function decideStreamAdmission(
   estimate: StreamEstimate,
 ): AdmissionDecision {
-  const { remainingMs, prefillTokens, backlogTokens, fastestTokensPerMs } =
-    estimate;
+  const { remainingMs, fastestTokensPerMs } = estimate;
   if (fastestTokensPerMs === undefined) return { kind: "admit" };
-  const backlogMs = Math.max(
-    0,
-    backlogTokens / fastestTokensPerMs - backlogAgeMs,
-  );
-  const prefillMs = prefillTokens / fastestTokensPerMs;
-  return backlogMs + prefillMs < remainingMs
+  return getEarliestFirstEventMs(estimate) < remainingMs
     ? { kind: "admit" }
-    : { kind: "refuse", backlogMs };
+    : { kind: "refuse", backlogMs: getLeastBacklogMs(estimate) };
+}
+
+/** The first event can't come sooner; 0 as long as nothing is known. */
+export function getEarliestFirstEventMs(
+  estimate: Omit<StreamEstimate, "remainingMs">,
+): number {
+  const { prefillTokens, fastestTokensPerMs } = estimate;
+  return fastestTokensPerMs === undefined
+    ? 0
+    : getLeastBacklogMs(estimate) + prefillTokens / fastestTokensPerMs;
+}
+
+function getLeastBacklogMs(
+  { backlogTokens, fastestTokensPerMs }: Omit<StreamEstimate, "remainingMs">,
+): number {
+  return fastestTokensPerMs === undefined
+    ? 0
+    : Math.max(0, backlogTokens / fastestTokensPerMs - backlogAgeMs);
 }
 
 export interface PrefillRateTracker {
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -80,6 +80,13 @@
   });
   budget.recordUseful(stream.budgetKey, 1);
   context.demand.recordRequest(service.name);
+  if (stream.rank !== undefined) {
+    context.rankDemand.recordStream(
+      service.name,
+      stream.rank,
+      caller.description.promptTokens,
+    );
+  }
   placement.placeAttempt();
 
   function handleDeadline(): void {
--- a/src/forwarding/stream_placement.ts
+++ b/src/forwarding/stream_placement.ts
@@ -1,10 +1,11 @@
 /**
  * Chooses the engine of a stream's next attempt. While none can be chosen, the
- * stream waits for an engine, for room below the limits that engines state, or
- * for the retry budget.
+ * stream waits for an engine, for room at the engines, for room below the limits
+ * that engines state, or for the retry budget.
  */
 import { assertNever } from "../core/assert_never.ts";
 import { ErrorKind } from "../core/errors.ts";
+import { logEvents } from "../core/log_events.ts";
 import { createPlacementContext, limitReason } from "./forwarding_steps.ts";
 import {
   chooseForStream,
@@ -16,6 +17,10 @@
   decideStreamAdmission,
 } from "./stream_admission.ts";
 import { minResumeMs } from "./stream_decisions.ts";
+import { defaultMsPerToken, listChoice } from "./engine_room.ts";
+import { decideScheduling, WaitReason } from "./stream_scheduling.ts";
+import { createSchedulingView } from "./scheduling_view.ts";
+import { createStreamWait } from "./stream_wait.ts";
 import { getStreamDemand, type StreamState } from "./stream_state.ts";
 import type { Upstream } from "./upstream_types.ts";
 
@@ -56,11 +61,14 @@
   { stream, startAttempt, fail }: StreamPlacementOptions,
 ): StreamPlacement {
   const { context, admitted } = stream;
-  const { clock, directory, budget } = context;
+  const { clock, logger, directory, budget, metrics } = context;
   const { route, service, deadlineAtMs } = admitted;
+  const { requestId } = admitted.caller.description;
   let waitingSinceMs: number | undefined;
   let waitTimer: NodeJS.Timeout | undefined;
   let endWaiting: (() => void) | undefined;
+  const view = createSchedulingView(stream);
+  const wait = createStreamWait({ stream, getOrder: view.getOrder });
   return {
     placeAttempt,
     placeAttemptAfter: (delayMs) => {
@@ -74,6 +82,7 @@
     refuseQuarantined,
     end: () => {
       endWaiting?.();
+      wait.end();
       clearTimeout(waitTimer);
     },
   };
@@ -116,31 +125,121 @@
     }
     const engines = listCandidates();
     const placement = getPlacementContext();
-    const engine = chooseAdmitting(engines, placement) ??
-      chooseForStream(engines, getStreamDemand(stream), placement);
+    const reachable = listReachable(engines, placement);
+    const isScheduled = stream.rank !== undefined &&
+      context.isLoadAware(service.name);
+    if (isScheduled && reachable.length > 0) {
+      schedule(engines, reachable, placement);
+      return;
+    }
+    const engine = choose(engines, placement);
     if (engine) placeAt(engine);
-    else if (listReachable(engines, placement).length > 0) waitForRoom();
+    else if (reachable.length > 0) waitForLimit();
     else waitForEngine(engines.length);
   }
 
+  function choose(
+    engines: readonly Upstream[],
+    placement: PlacementContext,
+  ): Upstream | undefined {
+    return chooseAdmitting(engines, placement) ??
+      chooseForStream(engines, getStreamDemand(stream), placement);
+  }
+
+  /** Decides whether the stream is placed now, by its rank and the room. */
+  function schedule(
+    engines: readonly Upstream[],
+    reachable: readonly Upstream[],
+    placement: PlacementContext,
+  ): void {
+    const state = view.update(engines, reachable);
+    const decision = decideScheduling(state);
+    switch (decision.kind) {
+      case "place":
+        placeScheduled(reachable, placement, {
+          isCertain: decision.isCertain,
+          preferred: listChoice(decision.choice, reachable, state),
+        });
+        return;
+      case "wait":
+        view.recordWait();
+        wait.begin(decision.reason, placeAttempt, {
+          placeCount: state.room.placeCount,
+          unseenPlacements: Math.round(state.unseenPlacements),
+          reservedPlaces: Math.round(state.reservedPlaces * 10) / 10,
+          aheadCount: state.aheadCount,
+        });
+        return;
+      case "refuse":
+        logger.log(logEvents.streamRefused, {
+          request: requestId,
+          rank: stream.rank,
+          placeCount: state.room.placeCount,
+          aheadCount: state.aheadCount,
+          backlogMs: Math.round(decision.backlogMs),
+        });
+        refuse(
+          "the first event cannot be sent before the deadline",
+          decision.backlogMs,
+        );
+        return;
+      default:
+        assertNever(decision);
+    }
+  }
+
+  function placeScheduled(
+    engines: readonly Upstream[],
+    placement: PlacementContext,
+    { isCertain, preferred }: {
+      readonly isCertain: boolean;
+      readonly preferred: readonly Upstream[];
+    },
+  ): void {
+    const engine = choose(preferred, placement) ?? choose(engines, placement);
+    if (!engine) {
+      waitForLimit();
+      return;
+    }
+    if (!isCertain) {
+      placeAt(engine);
+      return;
+    }
+    waitingSinceMs = undefined;
+    begin(engine);
+  }
+
+  function begin(engine: Upstream): void {
+    wait.end();
+    view.recordPlacement();
+    startAttempt(engine);
+  }
+
+  function refuse(reason: string, backlogMs: number): void {
+    metrics.refusedStreams.add({ rank: String(stream.rank ?? 0), reason });
+    fail(
+      stream.ranCount > 0 ? ErrorKind.UpstreamFailed : ErrorKind.Overloaded,
+      reason,
+      backlogMs,
+    );
+  }
+
   function placeAt(engine: Upstream): void {
     waitingSinceMs = undefined;
     const admission = decideAdmission(engine);
     switch (admission.kind) {
       case "admit":
-        startAttempt(engine);
+        begin(engine);
         return;
       case "refuse":
         // The run that this instance ended might have been in time.
-        if (stream.hasLeftRun) {
-          startAttempt(engine);
-          return;
+        if (stream.hasLeftRun) begin(engine);
+        else {
+          refuse(
+            "the prompt cannot be prefilled before the deadline",
+            admission.backlogMs,
+          );
         }
-        fail(
-          stream.ranCount > 0 ? ErrorKind.UpstreamFailed : ErrorKind.Overloaded,
-          "the prompt cannot be prefilled before the deadline",
-          admission.backlogMs,
-        );
         return;
       default:
         assertNever(admission);
@@ -152,10 +251,15 @@
     engines: readonly Upstream[],
     placement: PlacementContext,
   ): Upstream | undefined {
-    const admitting = engines.filter((engine) =>
-      decideAdmission(engine).kind === "admit"
+    return chooseForStream(
+      engines.filter(canAdmit),
+      getStreamDemand(stream),
+      placement,
     );
-    return chooseForStream(admitting, getStreamDemand(stream), placement);
+  }
+
+  function canAdmit(engine: Upstream): boolean {
+    return decideAdmission(engine).kind === "admit";
   }
 
   function decideAdmission(engine: Upstream): AdmissionDecision {
@@ -169,7 +273,8 @@
   }
 
   /** Waits until a limit that an engine states has room. */
-  function waitForRoom(): void {
+  function waitForLimit(): void {
+    wait.end();
     endWaiting?.();
     const remove = context.limitQueue.add(service.name, {
       // The caller of a stream that has begun waits for its next event.
@@ -182,8 +287,7 @@
       send: () => {
         const engines = listCandidates();
         const placement = getPlacementContext();
-        const engine = chooseAdmitting(engines, placement) ??
-          chooseForStream(engines, getStreamDemand(stream), placement);
+        const engine = choose(engines, placement);
         if (!engine) return false;
         endWaiting = undefined;
         placeAt(engine);
@@ -224,7 +328,9 @@
       );
       return;
     }
-    waitTimer = setTimeout(placeAttempt, enginePollIntervalMs);
+    if (context.isLoadAware(service.name)) {
+      wait.begin(WaitReason.Engine, placeAttempt, {});
+    } else waitTimer = setTimeout(placeAttempt, enginePollIntervalMs);
   }
 
   /** Whether all engines have stated that they want no requests for longer. */
@@ -243,23 +349,43 @@
 
   /**
    * Waits until the work of others has paid for one more repeat. The caller of a
-   * stream that has not run is refused instead if that takes long.
+   * stream that has not run is refused instead if that takes too long.
    */
   function waitForBudget(): void {
     const hasRun = stream.ranCount > 0;
     waitingSinceMs ??= clock.nowMs();
-    if (!hasRun && clock.nowMs() - waitingSinceMs >= maxEngineWaitMs) {
-      fail(ErrorKind.NoUpstream, "the retry budget is used up");
+    if (!hasRun && isBudgetWaitOver(waitingSinceMs)) {
+      const reason = "the retry budget is used up";
+      metrics.refusedStreams.add({ rank: String(stream.rank ?? 0), reason });
+      fail(ErrorKind.NoUpstream, reason);
       return;
     }
-    waitTimer = setTimeout(() => {
-      if (!drawForRepeat(hasRun)) {
-        waitForBudget();
-        return;
-      }
-      // The time to wait for an engine begins now.
-      if (hasRun) waitingSinceMs = undefined;
-      placeAttempt();
-    }, budgetPollIntervalMs);
+    if (context.isLoadAware(service.name)) {
+      wait.begin(WaitReason.Budget, () => drawAgain(hasRun), {});
+    } else {
+      waitTimer = setTimeout(() => drawAgain(hasRun), budgetPollIntervalMs);
+    }
+  }
+
+  /**
+   * Under load, a stream waits as long as it can be served before its deadline:
+   * a repeat of its caller would draw on the same budget.
+   */
+  function isBudgetWaitOver(sinceMs: number): boolean {
+    if (clock.nowMs() - sinceMs < maxEngineWaitMs) return false;
+    if (!context.isLoadAware(service.name)) return true;
+    const remainingMs = deadlineAtMs - clock.nowMs();
+    const prefillMs = getStreamDemand(stream).prefillTokens * defaultMsPerToken;
+    return remainingMs <= prefillMs || !listCandidates().some(canAdmit);
+  }
+
+  function drawAgain(hasRun: boolean): void {
+    if (!drawForRepeat(hasRun)) {
+      waitForBudget();
+      return;
+    }
+    // The time to wait for an engine begins now.
+    if (hasRun || context.isLoadAware(service.name)) waitingSinceMs = undefined;
+    placeAttempt();
   }
 }
--- a/src/upstreams/engine_load_summary.ts
+++ b/src/upstreams/engine_load_summary.ts
@@ -19,6 +19,14 @@
   z.int().min(0),
 ]).readonly();
 
+/** Service, rank, streams in thousandths per second, prompt tokens per second. */
+export const rankDemandSchema = z.tuple([
+  z.string().min(1).max(200),
+  z.int().min(0).max(9),
+  z.int().min(0),
+  z.int().min(0),
+]).readonly();
+
 export const engineLoadSummarySchema = z.object({
   loads: z.array(loadEntrySchema).max(10_000),
   /** Engines that were lost recently. */
@@ -42,8 +50,14 @@
    * limited. Absent in summaries of earlier builds.
    */
   repeats: z.array(repeatCountsSchema).max(10_000).optional(),
+  /**
+   * Streams that arrive, by rank, of services that rank their streams. Absent in
+   * summaries of earlier builds.
+   */
+  rankDemands: z.array(rankDemandSchema).max(10_000).optional(),
 });
 
 export type RepeatCounts = z.output<typeof repeatCountsSchema>;
+export type RankDemandEntry = z.output<typeof rankDemandSchema>;
 export type LoadEntry = z.output<typeof loadEntrySchema>;
 export type EngineLoadSummary = z.output<typeof engineLoadSummarySchema>;
--- a/src/upstreams/load_totals.ts
+++ b/src/upstreams/load_totals.ts
@@ -8,6 +8,7 @@
   LoadEntry,
   RepeatCounts,
 } from "./engine_load_summary.ts";
+import { createRankDemandTotals } from "./rank_demand_totals.ts";
 
 export interface LoadTotals {
   add(summary: EngineLoadSummary): void;
@@ -44,6 +45,7 @@
   /** In thousandths per second, so that sums are exact. */
   const demands = new Map<string, number>();
   const repeats = new Map<string, RepeatTotal>();
+  const rankDemands = createRankDemandTotals();
   return {
     add: (summary) => apply(summary, 1),
     subtract: (summary) => apply(summary, -1),
@@ -63,6 +65,7 @@
       else demands.delete(service);
     }
     for (const counts of summary.repeats ?? []) applyRepeats(counts, sign);
+    rankDemands.apply(summary.rankDemands ?? [], sign);
     for (const [formerId, newId] of summary.successors ?? []) {
       const key = getSuccessorKey(formerId, newId);
       const total = successors.get(key) ??
@@ -141,7 +144,9 @@
     }).filter(([, requestCount, repeatCount]) =>
       requestCount > 0 || repeatCount > 0
     );
+    const remainingRanks = rankDemands.getWithout(excepted?.rankDemands ?? []);
     return {
+      ...(remainingRanks.length > 0 ? { rankDemands: remainingRanks } : {}),
       ...(remainingRepeats.length > 0 ? { repeats: remainingRepeats } : {}),
       ...(remainingDemands.length > 0 ? { demands: remainingDemands } : {}),
       loads: remainingLoads,
