Leave out copies of the lowest rank while memory is short

Copies double the memory of a stream, and engines out of memory preempt running streams, whose prompts are then read again. Copies of the lowest rank are not made while the engines of the other domains have less free memory than the more urgent streams of one timeout need with their copies, and no copy fills up its engine.

--- a/src/forwarding/copy_decisions.ts
+++ b/src/forwarding/copy_decisions.ts
@@ -4,6 +4,8 @@
  * stream. Pure.
  */
 
+import type { Upstream } from "./upstream_types.ts";
+
 export interface CopyState {
   /** Time at which copying started; undefined if there is no copy. */
   readonly createdAtMs: number | undefined;
@@ -56,3 +58,48 @@
   const ageMs = nowMs - copy.refreshedAtMs;
   return ageMs >= conditions.ttlMs * refreshRatio ? "refresh" : "none";
 }
+
+export interface CopyRoom {
+  /** The stream is of the service's lowest rank; false without ranks. */
+  readonly isLowestRank: boolean;
+  readonly memoryTokens: number;
+  /** Tokens of one copy. */
+  readonly totalTokens: number;
+  /** Prompt tokens of more urgent streams that arrive in a second. */
+  readonly urgentTokensPerS: number;
+  /** Time until a stream that arrives now has ended at the latest. */
+  readonly timeoutMs: number;
+}
+
+/**
+ * Lists the engines that may hold a copy of the stream. A copy of the lowest rank
+ * is not made while the engines of the other domains have less free memory than
+ * the more urgent streams need that arrive within a stream's timeout, with a copy
+ * of each: engines out of memory would preempt running streams, whose prompts
+ * are then read again.
+ */
+export function listCopyHolders(
+  engines: readonly Upstream[],
+  running: Upstream,
+  room: CopyRoom,
+): readonly Upstream[] {
+  if (!room.isLowestRank) return engines;
+  const others = engines.filter(({ info }) =>
+    info.domainId !== running.info.domainId
+  );
+  const getFreeTokens = (engine: Upstream) =>
+    Math.max(
+      0,
+      room.memoryTokens - engine.memoryTokens - engine.others.memoryTokens,
+    );
+  const freeTokens = others.reduce(
+    (sum, engine) => sum + getFreeTokens(engine),
+    0,
+  );
+  const neededTokens = 2 * room.urgentTokensPerS * room.timeoutMs / 1_000;
+  if (freeTokens < neededTokens) return [];
+  // The engine still has room for one more stream of this size.
+  return others.filter((engine) =>
+    getFreeTokens(engine) >= 2 * room.totalTokens
+  );
+}
--- a/src/forwarding/stream_start.ts
+++ b/src/forwarding/stream_start.ts
@@ -4,6 +4,7 @@
  */
 import { createByteCollector } from "../core/byte_collector.ts";
 import { logEvents } from "../core/log_events.ts";
+import { listCopyHolders } from "./copy_decisions.ts";
 import { createCopyManager } from "./copy_manager.ts";
 import { createEventSplitter } from "./event_splitter.ts";
 import type { KvCacheCopy } from "./forwarding_protocol.ts";
@@ -61,7 +62,7 @@
       chooseHolder: () =>
         chooseForCopy(
           // An engine of another version cannot use the KV cache.
-          directory.listUsable(service.name).filter((other) =>
+          listHolders(engine).filter((other) =>
             other.info.version === engine.info.version
           ),
           engine,
@@ -142,4 +143,22 @@
         }),
     });
   }
+
+  /** Under load, copies of the lowest rank give way to more urgent streams. */
+  function listHolders(running: Upstream): readonly Upstream[] {
+    const { rank } = stream;
+    const engines = directory.listUsable(service.name);
+    const rankCount = context.getStreamPriorities(service.name).length;
+    const isLowestRank = rank !== undefined && rank > 0 &&
+      rank >= rankCount - 1 && context.isLoadAware(service.name);
+    if (!isLowestRank) return engines;
+    const urgent = context.rankDemand.getMoreUrgent(service.name, rank);
+    return listCopyHolders(engines, running, {
+      isLowestRank,
+      memoryTokens: traits.memoryTokens,
+      totalTokens: getStreamDemand(stream).totalTokens,
+      urgentTokensPerS: urgent.promptTokensPerS,
+      timeoutMs: route.timeoutMs,
+    });
+  }
 }
