--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -18,12 +18,14 @@
   type RouteTable,
 } from "../forwarding/route_table.ts";
 import { createPlacementEstimator } from "../forwarding/placement_estimator.ts";
+import { createStreamQueue } from "../forwarding/stream_queue.ts";
 import { createSuccessorDiscovery } from "../forwarding/successor_discovery.ts";
 import { createUpstreamConnections } from "../forwarding/upstream_connections.ts";
 import { createUpstreamDirectory } from "../forwarding/upstream_directory.ts";
 import { createDemandShare } from "../limits/demand_share.ts";
 import { createLimitQueue } from "../limits/limit_queue.ts";
 import { createUpstreamLimits } from "../limits/upstream_limits.ts";
+import { createRankDemand } from "../limits/rank_demand.ts";
 import { createRepeatWindow } from "../limits/repeat_window.ts";
 import { createRetryBudget } from "../limits/retry_budget.ts";
 import { createSharedRetryBudget } from "../limits/shared_retry_budget.ts";
@@ -87,6 +89,10 @@
     clock,
     getInstanceCount: () => core.membership.getEntryCount(),
   });
+  const rankDemand = createRankDemand({
+    clock,
+    getInstanceCount: () => core.membership.getEntryCount(),
+  });
   const repeatWindow = createRepeatWindow({
     clock,
     ratio: bounds.retryRatio,
@@ -138,6 +144,7 @@
           ...directory.getLocalLoadSummary(),
           demands: demand.getDemands(),
           repeats: repeatWindow.getCounts(),
+          rankDemands: rankDemand.getOwnDemands(),
         }
         : undefined,
     onEngineLoadSummary: ({ instanceId }, summary) => {
@@ -146,6 +153,7 @@
       directory.setRemoteLoadSummary(summary);
       demand.setRemoteDemands(summary.demands ?? []);
       repeatWindow.setRemoteCounts(summary.repeats ?? []);
+      rankDemand.setRemoteDemands(summary.rankDemands ?? []);
     },
   });
   const { membership, peers, configuration } = core;
@@ -170,6 +178,7 @@
     demand,
     metrics,
   });
+  const streamQueue = createStreamQueue();
   const protocol = adapter.createForwardingProtocol();
   const connections = createUpstreamConnections();
   const context: ForwardingContext = {
@@ -185,8 +194,11 @@
     limitQueue,
     callQueue,
     demand,
+    rankDemand,
+    streamQueue,
     getStreamPriorities: (service) =>
       routes?.getStreamPriorities(service) ?? [],
+    getUrgentObjectiveMs: (service) => routes?.getUrgentObjectiveMs(service),
     isLoadAware,
     refreshLoads: async () => {
       await core.membership.exchangeHeartbeat(maxRefreshMs);
@@ -256,6 +268,11 @@
     "Calls that wait until an upstream is expected to start them soon.",
     callQueue.count,
   );
+  registry.createGauge(
+    "waiting_streams",
+    "Streams that wait here for an engine or the retry budget.",
+    streamQueue.count,
+  );
   registry.createGauge(
     "open_requests",
     "Requests that have no final answer yet.",
--- a/src/forwarding/call_forwarder.ts
+++ b/src/forwarding/call_forwarder.ts
@@ -73,9 +73,6 @@
     Math.max(0, deadlineAtMs - clock.nowMs()),
   );
   const crashGuard = createCallCrashGuard(context, admitted);
-  if (refuseIfSuspected()) return;
-  budget.recordUseful(budgetKey, 1);
-  context.demand.recordRequest(service.name);
   const isScheduled = context.isLoadAware(service.name);
   const queuedCall: QueuedCall = {
     requestId,
@@ -86,6 +83,9 @@
     deadlineAtMs,
     getCallerKey: () => getRequestDigest(admitted),
   };
+  if (refuseIfSuspected()) return;
+  budget.recordUseful(budgetKey, 1);
+  context.demand.recordRequest(service.name);
   let upstream: Upstream | undefined;
   let started: Promise<AttemptOutcome> | undefined;
   if (isScheduled) ({ upstream, started } = await waitForTurn());
--- a/src/upstreams/load_totals.ts
+++ b/src/upstreams/load_totals.ts
@@ -9,6 +9,7 @@
   RepeatCounts,
   SpeedEntry,
 } from "./engine_load_summary.ts";
+import { createRankDemandTotals } from "./rank_demand_totals.ts";
 
 export interface LoadTotals {
   add(summary: EngineLoadSummary): void;
@@ -46,6 +47,7 @@
   const demands = new Map<string, number>();
   const repeats = new Map<string, RepeatTotal>();
   const speeds = new Map<UpstreamId, SpeedEntry>();
+  const rankDemands = createRankDemandTotals();
   return {
     add: (summary) => apply(summary, 1),
     subtract: (summary) => apply(summary, -1),
@@ -70,6 +72,7 @@
       if (hasSamples(sum)) speeds.set(entry[0], sum);
       else speeds.delete(entry[0]);
     }
+    rankDemands.apply(summary.rankDemands ?? [], sign);
     for (const [formerId, newId] of summary.successors ?? []) {
       const key = getSuccessorKey(formerId, newId);
       const total = successors.get(key) ??
@@ -152,7 +155,9 @@
       const own = without.speeds.get(sum[0]);
       return own ? addSpeeds(sum, own, -1) : sum;
     }).filter(hasSamples);
+    const remainingRanks = rankDemands.getWithout(excepted?.rankDemands ?? []);
     return {
+      ...(remainingRanks.length > 0 ? { rankDemands: remainingRanks } : {}),
       ...(remainingRepeats.length > 0 ? { repeats: remainingRepeats } : {}),
       ...(remainingSpeeds.length > 0 ? { speeds: remainingSpeeds } : {}),
       ...(remainingDemands.length > 0 ? { demands: remainingDemands } : {}),
