--- a/src/forwarding/call_queue.ts
+++ b/src/forwarding/call_queue.ts
@@ -14,6 +14,7 @@
   WaitEnd,
   type WaitingRequest,
 } from "../limits/limit_queue.ts";
+import { type CallPace, createCallPace } from "./call_pace.ts";
 import { CallerStanding, createCallReturns } from "./call_returns.ts";
 import {
   type CallForecast,
@@ -22,6 +23,7 @@
   decideCall,
   getServiceMs,
   getStartMs,
+  getStartsPerMs,
 } from "./call_scheduling.ts";
 import { estimateCall, getSlots } from "./expected_time.ts";
 import type { ForwardingMetrics } from "./forwarding_metrics.ts";
@@ -83,6 +85,14 @@
 const maxWaitingCalls = 64;
 /** A call with less time left would be cut off by its deadline. */
 const minServiceMs = 20;
+/**
+ * Part of this instance's capacity up to which it also starts calls that can't
+ * be on time; the rest is left to those that can. With 0.5 and more, calls that
+ * could have been on time were late behind them in the replayed crests.
+ */
+const turnRatio = 0.3;
+/** A call that is sent still waits a little in the queue of its upstream. */
+const onTimeMargin = 1.5;
 /** A full upstream is tried again after 100 ms, a lost one after 600 or more. */
 const maxFullMs = 150;
 
@@ -91,6 +101,8 @@
     CallQueueOptions,
 ): CallQueue {
   const returns = createCallReturns({ clock });
+  /** By service; there are as many as services in the configuration. */
+  const paces = new Map<string, CallPace>();
   let waitingCount = 0;
   return { add, getReturnDelayMs, count: () => waitingCount };
 
@@ -113,7 +125,7 @@
       customerId,
       isEarlyReturn: standing === CallerStanding.ReturnedEarly,
       isReturn: standing === CallerStanding.ReturnedAsTold,
-      onTimeBeforeMs: call.objectiveAtMs - serviceMs,
+      onTimeBeforeMs: call.objectiveAtMs - serviceMs * onTimeMargin,
       sendBeforeMs: call.deadlineAtMs - serviceMs,
       getWaitMs: (position) => getStartMs(getState(service), position),
       send: () => attempt(getState(service), 0) !== "wait",
@@ -158,6 +170,7 @@
     }
 
     function recordSent(): void {
+      getPace(service).recordStart();
       const waitMs = clock.nowMs() - addedAtMs;
       if (isWaiting) {
         logger.log(logEvents.callWaited, {
@@ -221,9 +234,11 @@
     const nowMs = clock.nowMs();
     const usable = directory.listUsable(service);
     const reachable = listReachable(usable, { nowMs, triedIds: noneTried });
+    const forecasts = reachable.map((upstream) => forecast(upstream, nowMs));
+    const share = demand.getShare(service);
     return {
       nowMs,
-      forecasts: reachable.map((upstream) => forecast(upstream, nowMs)),
+      forecasts,
       availableInMs: Math.max(
         0,
         Math.min(...usable.map(getAvailableAtMs)) - nowMs,
@@ -231,9 +246,21 @@
       isOutage: usable.every(({ suspendedUntilMs }) =>
         suspendedUntilMs - nowMs > maxFullMs
       ),
-      share: demand.getShare(service),
+      share,
+      hasTurn: getPace(service).hasTurn(
+        turnRatio * getStartsPerMs({ forecasts, share }),
+      ),
     };
   }
+
+  function getPace(service: string): CallPace {
+    let pace = paces.get(service);
+    if (!pace) {
+      pace = createCallPace({ clock });
+      paces.set(service, pace);
+    }
+    return pace;
+  }
 }
 
 const noneTried: ReadonlySet<string> = new Set();
--- a/src/forwarding/call_scheduling.ts
+++ b/src/forwarding/call_scheduling.ts
@@ -4,11 +4,11 @@
  *
  * An upstream has a short queue of its own, and instances learn its length only
  * from the responses to their own calls, which may be a second old. A call is
- * therefore sent as soon as an upstream is expected to start it within the time
- * that its queue keeps the slots busy anyway: a round trip plus the age of the
- * figures. A call that would wait longer there waits at this instance, where a
- * more urgent one can pass it and another upstream can still be chosen. The
- * older the figures, the shorter is the wait.
+ * sent at once if an upstream is expected to answer it within its objective, or
+ * to start it within the time that its queue keeps the slots busy anyway: a
+ * round trip plus the age of the figures. Any other call is late wherever it is
+ * sent. It waits here, so that it doesn't take the place of one that can still
+ * be on time.
  */
 
 /** What is expected of one upstream that can be tried now. */
@@ -33,6 +33,8 @@
   readonly isOutage: boolean;
   /** Part of the service's capacity that this instance may expect to use. */
   readonly share: number;
+  /** This instance has not yet used its part of the capacity. */
+  readonly hasTurn: boolean;
 }
 
 export interface CallTimes {
@@ -69,6 +71,8 @@
 const roundTripMs = 20;
 /** Machines change their speed within this time, so older figures say nothing. */
 const maxReportAgeMs = 600;
+/** An upstream without free slots is assumed to have none for this time. */
+const maxCongestionMs = 3_000;
 
 export function decideCall<T>(
   { objectiveAtMs, deadlineAtMs }: CallTimes,
@@ -78,7 +82,8 @@
   const { nowMs, forecasts } = state;
   if (place.aheadCount === 0) {
     const startable = forecasts.filter((forecast) =>
-      canStartSoon(forecast, place.jitter)
+      isOnTime(forecast) ||
+      canStartSoon(forecast, { jitter: place.jitter, hasTurn: state.hasTurn })
     );
     const onTime = startable.filter(isOnTime);
     // A slow upstream with free slots is not used while another one can still
@@ -107,13 +112,17 @@
 
 /**
  * The jitter spreads the calls of the instances that wait for the same upstream
- * over the time in which one of its slots becomes free.
+ * over the time in which one of its slots becomes free. An upstream that had
+ * calls waiting gets more from this instance only in its turn: figures that are
+ * older than the queue would let all instances refill it at once.
  */
 function canStartSoon(
   { waitMs, serviceMs, freeSlots, reportAgeMs }: CallForecast<unknown>,
-  jitter: number,
+  { jitter, hasTurn }: { readonly jitter: number; readonly hasTurn: boolean },
 ): boolean {
-  if (freeSlots > 0 || reportAgeMs > maxReportAgeMs) return true;
+  if (freeSlots > 0 || reportAgeMs > maxCongestionMs) return true;
+  if (!hasTurn) return false;
+  if (reportAgeMs > maxReportAgeMs) return true;
   return waitMs + jitter * serviceMs <= roundTripMs + reportAgeMs;
 }
 
@@ -138,11 +147,18 @@
   if (forecasts.length === 0) return availableInMs;
   const firstMs = Math.min(...forecasts.map(getKnownWaitMs));
   if (aheadCount === 0) return firstMs;
-  const startsPerMs = share * forecasts.reduce(
+  const startsPerMs = getStartsPerMs({ forecasts, share });
+  return firstMs + aheadCount / Math.max(startsPerMs, Number.EPSILON);
+}
+
+/** Calls that the upstreams can start for this instance. */
+export function getStartsPerMs(
+  { forecasts, share }: Pick<CapacityState<unknown>, "forecasts" | "share">,
+): number {
+  return share * forecasts.reduce(
     (sum, { slots, serviceMs }) => sum + slots / Math.max(1, serviceMs),
     0,
   );
-  return firstMs + aheadCount / Math.max(startsPerMs, Number.EPSILON);
 }
 
 /** Time of a call at the fastest upstream; undefined if none can be tried. */
