--- a/src/limits/limit_queue_test.ts
+++ b/src/limits/limit_queue_test.ts
@@ -78,3 +78,46 @@
   expect(queue.count()).toBe(0);
   expect(vi.getTimerCount()).toBe(0);
 });
+
+// Guards against callers that repeat at once, late calls, and a customer with
+// many calls displacing the others.
+test("the order counts repetitions, objectives and customers", () => {
+  const queue = createLimitQueue({
+    clock: { nowMs: () => Date.now() },
+    listUpstreamIds: () => ["upstream-1"],
+    getRatePerS: () => undefined,
+  });
+  const sent: string[] = [];
+  const refused: string[] = [];
+  let isFree = false;
+  const add = (name: string, request: Partial<WaitingRequest>, maxCount = 9) =>
+    queue.add("app", {
+      priority: 1,
+      customerId: "many",
+      onTimeBeforeMs: Date.now() + 100,
+      sendBeforeMs: Date.now() + 5_000,
+      send: () => isFree && sent.push(name) > 0,
+      refuse: (_backlogMs, reason) => refused.push(`${name} ${reason}`),
+      ...request,
+    }, maxCount);
+  add("repeats early", { isEarlyReturn: true, priority: 0 });
+  add("late", { onTimeBeforeMs: Date.now() - 1 });
+  for (const name of ["1", "2", "3"]) add(name, {});
+  add("other customer", { customerId: "few" });
+  add("returned", { isReturn: true });
+  add("urgent", { priority: 0 });
+  add("too many", { isEarlyReturn: true }, 8);
+  expect(refused).toEqual(["too many queueFull"]);
+  isFree = true;
+  vi.advanceTimersByTime(20);
+  expect(sent).toEqual([
+    "urgent",
+    "returned",
+    "1",
+    "2",
+    "other customer",
+    "3",
+    "late",
+    "repeats early",
+  ]);
+});
