Initialise the state of a call before it may be refused

Cause: a call that the crash guard refused on arrival ended with 502, because the refusal read variables that were not yet initialised (six tests of crashing_call_test failed since the calls wait for capacity).

Result: crashing_call_test, call_queueing_test, entry_server_test and drain_test pass (50).

--- a/src/forwarding/call_forwarder.ts
+++ b/src/forwarding/call_forwarder.ts
@@ -63,6 +63,16 @@
   let attemptSentAtMs = 0;
   let endWaiting: (() => void) | undefined;
   let isFinished = false;
+  const isScheduled = context.isLoadAware(service.name);
+  const queuedCall: QueuedCall = {
+    requestId,
+    service: service.name,
+    customerId: admitted.customerId,
+    priority,
+    objectiveAtMs: clock.nowMs() + route.objectiveMs,
+    deadlineAtMs,
+    getCallerKey: () => getRequestDigest(admitted),
+  };
   caller.onDisconnect(() => {
     stop();
     logger.log(logEvents.callerLeft, { request: requestId, ranCount });
@@ -76,16 +86,6 @@
   if (refuseIfSuspected()) return;
   budget.recordUseful(budgetKey, 1);
   context.demand.recordRequest(service.name);
-  const isScheduled = context.isLoadAware(service.name);
-  const queuedCall: QueuedCall = {
-    requestId,
-    service: service.name,
-    customerId: admitted.customerId,
-    priority,
-    objectiveAtMs: clock.nowMs() + route.objectiveMs,
-    deadlineAtMs,
-    getCallerKey: () => getRequestDigest(admitted),
-  };
   let upstream: Upstream | undefined;
   let started: Promise<AttemptOutcome> | undefined;
   if (isScheduled) ({ upstream, started } = await waitForTurn());
