--- a/src/forwarding/call_forwarder.ts
+++ b/src/forwarding/call_forwarder.ts
@@ -63,16 +63,6 @@
   let attemptSentAtMs = 0;
   let endWaiting: (() => void) | undefined;
   let isFinished = false;
-  caller.onDisconnect(() => {
-    stop();
-    logger.log(logEvents.callerLeft, { request: requestId, ranCount });
-  });
-  caller.onShutdown(handleShutdown);
-  const timer = setTimeout(
-    handleDeadline,
-    Math.max(0, deadlineAtMs - clock.nowMs()),
-  );
-  const crashGuard = createCallCrashGuard(context, admitted);
   const isScheduled = context.isLoadAware(service.name);
   const queuedCall: QueuedCall = {
     requestId,
@@ -83,6 +73,16 @@
     deadlineAtMs,
     getCallerKey: () => getRequestDigest(admitted),
   };
+  caller.onDisconnect(() => {
+    stop();
+    logger.log(logEvents.callerLeft, { request: requestId, ranCount });
+  });
+  caller.onShutdown(handleShutdown);
+  const timer = setTimeout(
+    handleDeadline,
+    Math.max(0, deadlineAtMs - clock.nowMs()),
+  );
+  const crashGuard = createCallCrashGuard(context, admitted);
   if (refuseIfSuspected()) return;
   budget.recordUseful(budgetKey, 1);
   context.demand.recordRequest(service.name);
