--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -181,6 +181,11 @@
     Info,
     "upstream wants no requests from this instance for a time",
   ),
+  upstreamSpeedChanged: event(
+    4220,
+    Info,
+    "learned speed of an upstream changed; factors above 1 are slower than its service",
+  ),
   // 5xxx: peers and membership
   peerConnected: event(5001, Debug, "peer connection established"),
   peerLost: event(5002, Warn, "peer connection lost"),
@@ -371,5 +376,15 @@
     Info,
     "connection ended before its response was complete; see who ended it",
   ),
+  callWaited: event(
+    7240,
+    Info,
+    "call waited here until an upstream was expected to start it soon",
+  ),
+  callRefused: event(
+    7241,
+    Info,
+    "call refused because no upstream would take it in time; see the refusal",
+  ),
   retryRefused: event(7103, Info, "retry refused by the retry budget"),
 } as const satisfies Record<string, LogEvent>;
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -10,6 +10,7 @@
 import { createSupervisor } from "../core/supervisor.ts";
 import { createEntryServer } from "../forwarding/entry_server.ts";
 import { createForwardingMetrics } from "../forwarding/forwarding_metrics.ts";
+import { createCallQueue } from "../forwarding/call_queue.ts";
 import type { ForwardingContext } from "../forwarding/forwarding_context.ts";
 import { forwardingTableName } from "../forwarding/forwarding_table.ts";
 import {
@@ -58,6 +59,12 @@
  */
 const minBudgetUnits = 2;
 
+/**
+ * A reply takes a round trip within the failure domain. Later, a stream is
+ * placed by what is known; its caller waits for seconds, not for this.
+ */
+const maxRefreshMs = 25;
+
 export function startEntryInstance(
   options: InstanceOptions,
 ): ResultAsync<RunningInstance, SystemError> {
@@ -76,6 +83,7 @@
     onUpstreamLost: () => core.membership.scheduleHeartbeat(),
     canRouteToCandidates: () =>
       core.upstreams.getState().ageMs < maxCandidateViewAgeMs,
+    isLoadAware,
   });
   const demand = createDemandShare({
     clock,
@@ -161,9 +169,18 @@
     getRatePerS: limits.getRatePerS,
   });
   const streamQueue = createStreamQueue();
+  const metrics = createForwardingMetrics(registry);
+  const callQueue = createCallQueue({
+    clock,
+    random,
+    logger,
+    limitQueue,
+    directory,
+    demand,
+    metrics,
+  });
   const protocol = adapter.createForwardingProtocol();
   const connections = createUpstreamConnections();
-  const metrics = createForwardingMetrics(registry);
   const context: ForwardingContext = {
     clock,
     logger,
@@ -175,6 +192,7 @@
     quarantine,
     limits,
     limitQueue,
+    callQueue,
     demand,
     rankDemand,
     streamQueue,
@@ -182,6 +200,12 @@
       routes?.getStreamPriorities(service) ?? [],
     getUrgentObjectiveMs: (service) => routes?.getUrgentObjectiveMs(service),
     isLoadAware,
+    refreshLoads: async () => {
+      await core.membership.exchangeHeartbeat(maxRefreshMs);
+    },
+    announceLoads: () => {
+      void core.membership.exchangeHeartbeat(maxRefreshMs);
+    },
     successors: createSuccessorDiscovery({
       logger,
       protocol,
@@ -219,6 +243,11 @@
     "Upstreams that this instance knows.",
     directory.count,
   );
+  registry.createGauge(
+    "slowest_upstream_factor",
+    "Highest learned time of an upstream, relative to its service.",
+    directory.getSlowestFactor,
+  );
   registry.createGauge(
     "quarantined_parts",
     "Prompt parts and requests that are refused.",
@@ -232,7 +261,12 @@
   registry.createGauge(
     "waiting_for_limits",
     "Requests that wait until the limit of an upstream allows them.",
-    limitQueue.count,
+    () => limitQueue.count() - callQueue.count(),
+  );
+  registry.createGauge(
+    "waiting_calls",
+    "Calls that wait until an upstream is expected to start them soon.",
+    callQueue.count,
   );
   registry.createGauge(
     "waiting_streams",
--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -14,6 +14,7 @@
 import type { UpstreamLimits } from "../limits/upstream_limits.ts";
 import type { RetryBudget } from "../limits/retry_budget.ts";
 import type { RequestQuarantine } from "../quarantine/request_quarantine.ts";
+import type { CallQueue } from "./call_queue.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { ForwardingMetrics } from "./forwarding_metrics.ts";
 import type { ForwardingProtocol } from "./forwarding_protocol.ts";
@@ -41,6 +42,7 @@
     "recordStream" | "getMoreUrgent" | "getAll"
   >;
   readonly streamQueue: StreamQueue;
+  readonly callQueue: CallQueue;
   readonly metrics: ForwardingMetrics;
   /** For responses that are held until they are complete. */
   readonly heldResponses: ByteBudget;
@@ -57,13 +59,20 @@
   getStreamPriorities(service: string): readonly number[];
   /** The shortest objective of the most urgent streaming routes. */
   getUrgentObjectiveMs(service: string): number | undefined;
+  /**
+   * Exchanges loads with the other instances now; resolves when theirs are known
+   * or that takes too long.
+   */
+  refreshLoads(): Promise<void>;
+  /** Tells the other instances of the load of a stream that was placed. */
+  announceLoads(): void;
   /** Counts a stream that this instance has placed. */
   recordPlacement(): void;
   /**
    * Estimated number of streams that domain peers have placed since the loads
    * that they last reported.
    */
-  getUnreportedPlacementCount(isBurst: boolean): number;
+  getUnreportedPlacementCount(isBurst: boolean, loadAgeMs?: number): number;
 }
 
 /**
--- a/src/forwarding/forwarding_steps.ts
+++ b/src/forwarding/forwarding_steps.ts
@@ -17,7 +17,8 @@
 import type { Upstream } from "./upstream_types.ts";
 
 export function createPlacementContext(
-  { clock, domainId, random, directory, limits }: ForwardingContext,
+  { clock, domainId, random, directory, limits, isLoadAware }:
+    ForwardingContext,
   { service, triedIds, unreportedPlacementCount }: {
     readonly service: string;
     readonly triedIds: ReadonlySet<UpstreamId>;
@@ -29,6 +30,7 @@
     getDomainCost: (id) => getDefaultDomainCost(id, domainId),
     triedIds,
     random,
+    isLoadAware: isLoadAware(service),
     unreportedPlacementCount,
     hasRoom: limits.hasRoom,
     isDomainSuspected: (id) => directory.isDomainSuspected(service, id),
@@ -127,11 +129,13 @@
 export function failRequest(
   { clock, random, directory }: ForwardingContext,
   { caller, service }: AdmittedRequest,
-  { kind, reason, backlogMs }: {
+  { kind, reason, backlogMs, getRetryAfterMs: getOwnRetryAfterMs }: {
     readonly kind: ErrorKind;
     readonly reason: string;
     /** Time that the upstreams need for the work that they already have. */
     readonly backlogMs: number;
+    /** Replaces the delay that follows from the upstreams and the backlog. */
+    readonly getRetryAfterMs?: () => number;
   },
 ): void {
   if (caller.getState() !== CallerState.Waiting) {
@@ -146,7 +150,7 @@
     kind === ErrorKind.Overloaded;
   const details = isNoUpstream
     ? {
-      retryAfterMs: getRetryAfterMs(
+      retryAfterMs: getOwnRetryAfterMs?.() ?? getRetryAfterMs(
         directory.listUsable(service.name),
         { nowMs: clock.nowMs(), random, backlogMs },
       ),
--- a/src/forwarding/stream_forwarder.ts
+++ b/src/forwarding/stream_forwarder.ts
@@ -87,7 +87,11 @@
       caller.description.promptTokens,
     );
   }
-  placement.placeAttempt();
+  if (context.isLoadAware(service.name)) {
+    // Other instances place streams at the same moment; what they have placed
+    // is worth a round trip within the failure domain.
+    void context.refreshLoads().then(placement.placeAttempt);
+  } else placement.placeAttempt();
 
   function handleDeadline(): void {
     fail(
--- a/src/forwarding/stream_start.ts
+++ b/src/forwarding/stream_start.ts
@@ -7,10 +7,12 @@
 import { listCopyHolders } from "./copy_decisions.ts";
 import { createCopyManager } from "./copy_manager.ts";
 import { createEventSplitter } from "./event_splitter.ts";
+import { estimateFirstEventMs } from "./expected_time.ts";
 import type { KvCacheCopy } from "./forwarding_protocol.ts";
 import { createPaceMeter } from "./pace_meter.ts";
 import { chooseForCopy } from "./placement.ts";
 import { describePlacement, type StreamAttempt } from "./stream_attempt.ts";
+import { getFirstEventLimitMs } from "./stream_decisions.ts";
 import type { StreamLosses } from "./stream_losses.ts";
 import type { StreamMonitor } from "./stream_monitor.ts";
 import type { StreamPlacement } from "./stream_placement.ts";
@@ -49,6 +51,12 @@
   ): void {
     const { info } = engine;
     const demand = getStreamDemand(stream);
+    const firstEventLimitMs = context.isLoadAware(service.name) && !source
+      ? getFirstEventLimitMs({
+        expectedMs: estimateFirstEventMs(engine, demand, clock.nowMs()),
+        remainingMs: deadlineAtMs - clock.nowMs(),
+      })
+      : undefined;
     const requestLoad = directory.trackRequest(info.upstreamId);
     requestLoad.addMemoryTokens(demand.totalTokens);
     if (!source) requestLoad.addUncachedTokens(demand.prefillTokens);
@@ -77,6 +85,7 @@
       firstEventAtMs: undefined,
       isPastStart: false,
       lastEventAtMs: undefined,
+      firstEventLimitMs,
       highestEventId: undefined,
       bytesWithoutProgress: 0,
       isPaused: false,
@@ -101,6 +110,7 @@
     stream.usedVersions.add(info.version);
     stream.attemptCount += 1;
     context.recordPlacement();
+    if (context.isLoadAware(service.name)) context.announceLoads();
     context.limits.recordSend(info.upstreamId);
     logger.log(logEvents.streamPlaced, {
       ...describePlacement(started, {
