Decide on waiting by the actual age of the known loads

Instances now exchange loads when a stream arrives, so the fixed age of 750 ms would have taken engines for emptier than they are, and placements for unseen that are known. The log events of waiting streams get numbers of their own.

--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -351,13 +351,13 @@
     "first event of a stream after the loss of an attempt",
   ),
   streamWaits: event(
-    7240,
+    7260,
     Info,
     "stream waits at this instance; see the reason",
   ),
-  streamWaitEnded: event(7241, Info, "wait of a stream ended"),
+  streamWaitEnded: event(7261, Info, "wait of a stream ended"),
   streamRefused: event(
-    7242,
+    7262,
     Info,
     "stream refused, since its deadline can't be met",
   ),
--- a/src/forwarding/engine_room.ts
+++ b/src/forwarding/engine_room.ts
@@ -15,6 +15,8 @@
   /** Mean prompt of the more urgent streams. */
   readonly urgentPromptTokens: number;
   readonly urgentObjectiveMs: number;
+  /** Age of the known loads of other instances. */
+  readonly loadAgeMs: number;
 }
 
 export interface EngineRoom {
@@ -38,11 +40,11 @@
 /** A running request delays a prefill like this number of tokens. */
 const tokensPerRunningRequest = 400;
 /**
- * Age of the known loads of other instances: half a heartbeat interval until
- * control has them, and as much until its next reply. In this time the engines
- * have read on.
+ * The loads of other instances are not older than that: half a heartbeat
+ * interval until control has them, and as much until its next reply. In this
+ * time the engines have read on.
  */
-export const summaryAgeMs = 750;
+export const maxLoadAgeMs = 750;
 /** A reported queue says nothing about the present after this time. */
 const maxReportAgeMs = 2_000;
 /**
@@ -71,7 +73,11 @@
   for (const engine of engines) {
     const msPerToken = engine.speed.prefillMsPerToken ?? defaultMsPerToken;
     const running = engine.inFlightCount + engine.others.runningCount;
-    const backlogTokens = getBacklogTokens(engine, msPerToken);
+    const backlogTokens = getBacklogTokens(
+      engine,
+      msPerToken,
+      demand.loadAgeMs,
+    );
     const aheadTokens = backlogTokens + running * tokensPerRunningRequest;
     const timelyTokens = usedObjectiveRatio * demand.urgentObjectiveMs /
         msPerToken - aheadTokens - urgentPromptTokens;
@@ -119,9 +125,10 @@
 export function listChoice(
   choice: EngineChoice,
   engines: readonly Upstream[],
-  { room, reservedPlaces }: {
+  { room, reservedPlaces, loadAgeMs }: {
     readonly room: EngineRoom;
     readonly reservedPlaces: number;
+    readonly loadAgeMs: number;
   },
 ): readonly Upstream[] {
   switch (choice) {
@@ -130,7 +137,7 @@
     case EngineChoice.WithPlace:
       return room.enginesWithPlace;
     case EngineChoice.Unreserved:
-      return listUnreserved(engines, reservedPlaces);
+      return listUnreserved(engines, { reservedPlaces, loadAgeMs });
     default:
       return assertNever(choice);
   }
@@ -142,11 +149,14 @@
  */
 function listUnreserved(
   engines: readonly Upstream[],
-  reservedPlaces: number,
+  { reservedPlaces, loadAgeMs }: {
+    readonly reservedPlaces: number;
+    readonly loadAgeMs: number;
+  },
 ): Upstream[] {
   const getWaitMs = (engine: Upstream) => {
     const msPerToken = engine.speed.prefillMsPerToken ?? defaultMsPerToken;
-    return getBacklogTokens(engine, msPerToken) * msPerToken;
+    return getBacklogTokens(engine, msPerToken, loadAgeMs) * msPerToken;
   };
   return engines.map((engine) => ({ engine, waitMs: getWaitMs(engine) }))
     .sort((left, right) => left.waitMs - right.waitMs)
@@ -168,17 +178,18 @@
  * engines and are resumed elsewhere.
  */
 export function countUnseenPlacements(
-  { engines, streamsPerS, nowMs }: {
+  { engines, streamsPerS, loadAgeMs, nowMs }: {
     readonly engines: readonly Upstream[];
     /** Arrivals at all instances. */
     readonly streamsPerS: number;
+    readonly loadAgeMs: number;
     readonly nowMs: number;
   },
 ): number {
   const displacedCount = engines.filter(({ suspendedUntilMs, lostAtMs }) =>
-    suspendedUntilMs > nowMs && nowMs - lostAtMs <= 2 * summaryAgeMs
+    suspendedUntilMs > nowMs && nowMs - lostAtMs <= 2 * maxLoadAgeMs
   ).reduce((sum, { others }) => sum + others.runningCount, 0);
-  return streamsPerS * summaryAgeMs / 1_000 + displacedCount;
+  return streamsPerS * loadAgeMs / 1_000 + displacedCount;
 }
 
 function countKept(engineCount: number, reservedPlaces: number): number {
@@ -188,9 +199,10 @@
 function getBacklogTokens(
   { unreadTokens, others }: Upstream,
   msPerToken: number,
+  loadAgeMs: number,
 ): number {
   return unreadTokens +
-    Math.max(0, others.unreadTokens - summaryAgeMs / msPerToken);
+    Math.max(0, others.unreadTokens - loadAgeMs / msPerToken);
 }
 
 function getWaitingCount({ reported }: Upstream, nowMs: number): number {
--- a/src/forwarding/scheduling_view.ts
+++ b/src/forwarding/scheduling_view.ts
@@ -2,7 +2,11 @@
  * What this instance knows when it decides whether a stream is placed: the room
  * at the engines, the more urgent demand, and the streams that wait here.
  */
-import { countUnseenPlacements, getEngineRoom } from "./engine_room.ts";
+import {
+  countUnseenPlacements,
+  getEngineRoom,
+  maxLoadAgeMs,
+} from "./engine_room.ts";
 import { getEarliestFirstEventMs } from "./stream_admission.ts";
 import {
   getReservedPlaces,
@@ -28,6 +32,9 @@
   recordPlacement(): void;
 }
 
+/** Time until a placement that another instance announces is visible here. */
+const announcementAgeMs = 50;
+
 export function createSchedulingView(stream: StreamState): SchedulingView {
   const { context, admitted, traits } = stream;
   const { clock, directory, streamQueue } = context;
@@ -66,6 +73,10 @@
     waitingSinceMs ??= nowMs;
     const { prefillTokens, totalTokens } = getStreamDemand(stream);
     const urgent = context.rankDemand.getMoreUrgent(service.name, rank);
+    const loadAgeMs = Math.min(
+      maxLoadAgeMs,
+      directory.getRemoteLoadAgeMs() + announcementAgeMs,
+    );
     const room = getEngineRoom(reachable, {
       traits,
       prefillTokens,
@@ -75,6 +86,7 @@
         : 0,
       urgentObjectiveMs: context.getUrgentObjectiveMs(service.name) ??
         objectiveMs,
+      loadAgeMs,
     }, nowMs);
     const { prefillMs } = room;
     const state = {
@@ -86,16 +98,19 @@
       deadlineAtMs,
       waitingSinceMs,
       hasWaited,
+      loadAgeMs,
       lastReleaseAtMs: streamQueue.getLastReleaseAtMs(service.name),
       room,
       reservedPlaces: getReservedPlaces(urgent, {
         prefillMs,
+        loadAgeMs,
         prefillTokens,
         engineCount: reachable.length,
       }),
       unseenPlacements: countUnseenPlacements({
         engines,
         streamsPerS: context.rankDemand.getAll(service.name).streamsPerS,
+        loadAgeMs,
         nowMs,
       }),
       waitingCount: streamQueue.countOf(service.name),
--- a/src/forwarding/stream_scheduling.ts
+++ b/src/forwarding/stream_scheduling.ts
@@ -11,7 +11,6 @@
   EngineChoice,
   type EngineRoom,
   getUnreservedWaitMs,
-  summaryAgeMs,
 } from "./engine_room.ts";
 
 /** Engines know the priorities 0 to 9. */
@@ -83,14 +82,15 @@
  */
 export function getReservedPlaces(
   { streamsPerS, promptTokensPerS }: ArrivalRate,
-  { prefillMs, prefillTokens, engineCount }: {
+  { prefillMs, loadAgeMs, prefillTokens, engineCount }: {
+    readonly loadAgeMs: number;
     readonly prefillMs: number;
     readonly prefillTokens: number;
     readonly engineCount: number;
   },
 ): number {
   if (streamsPerS === 0) return 0;
-  const arrivals = streamsPerS * (prefillMs + summaryAgeMs) / 1_000;
+  const arrivals = streamsPerS * (prefillMs + loadAgeMs) / 1_000;
   const relativeSize = promptTokensPerS / streamsPerS /
     Math.max(1, prefillTokens);
   const places = (arrivals + Math.sqrt(arrivals)) * Math.max(1, relativeSize);
@@ -110,6 +110,8 @@
   readonly waitingSinceMs: number | undefined;
   readonly room: EngineRoom;
   readonly reservedPlaces: number;
+  /** Age of the known loads of other instances. */
+  readonly loadAgeMs: number;
   /** Placements of other instances that the known loads don't show. */
   readonly unseenPlacements: number;
   /** Streams that wait here and go first. */
@@ -141,6 +143,8 @@
 /** Bounds the streams that wait at one instance, whose bodies it holds. */
 const maxWaitingCount = 1_000;
 const minCapacityShare = 0.001;
+/** Time until other instances see a placement, if they are told at once. */
+const minReleaseAgeMs = 100;
 
 /** Latest start by which the first event is expected within the objective. */
 export function getStartByMs(
@@ -210,7 +214,7 @@
   if (waitingCount === 0 && !state.hasWaited) {
     return freePlaces - state.unseenPlacements >= 1;
   }
-  const intervalMs = summaryAgeMs /
+  const intervalMs = Math.max(minReleaseAgeMs, state.loadAgeMs) /
     (freePlaces * Math.max(minCapacityShare, capacityShare));
   return state.nowMs - state.lastReleaseAtMs >= intervalMs;
 }
--- a/src/forwarding/stream_scheduling_replay_test.ts
+++ b/src/forwarding/stream_scheduling_replay_test.ts
@@ -279,6 +279,7 @@
       totalTokens,
       urgentPromptTokens: promptTokens,
       urgentObjectiveMs: objectivesMs[0]!,
+      loadAgeMs: viewAgeMs,
     }, nowMs);
     const state = {
       nowMs,
@@ -291,13 +292,16 @@
       hasWaited: stream.waitedMs > 0,
       lastReleaseAtMs: releasedAtMs[instance]!,
       room,
+      loadAgeMs: viewAgeMs,
       reservedPlaces: getReservedPlaces(arrivals, {
         prefillMs: room.prefillMs,
+        loadAgeMs: viewAgeMs,
         prefillTokens: promptTokens,
         engineCount: engines.length,
       }),
       unseenPlacements: countUnseenPlacements({
         engines: all,
+        loadAgeMs: viewAgeMs,
         streamsPerS: scenario.getRatesPerS(Math.max(0, nowMs - 1_500))
           .reduce((sum, ratePerS) => sum + ratePerS, 0),
         nowMs,
