--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -168,6 +168,7 @@
       directory.listUsable(service).map(({ info }) => info.upstreamId),
     getRatePerS: limits.getRatePerS,
   });
+  const streamQueue = createStreamQueue();
   const metrics = createForwardingMetrics(registry);
   const callQueue = createCallQueue({
     clock,
@@ -178,7 +179,6 @@
     demand,
     metrics,
   });
-  const streamQueue = createStreamQueue();
   const protocol = adapter.createForwardingProtocol();
   const connections = createUpstreamConnections();
   const context: ForwardingContext = {
--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -36,13 +36,13 @@
   readonly quarantine: RequestQuarantine;
   readonly limits: UpstreamLimits;
   readonly limitQueue: LimitQueue;
-  readonly callQueue: CallQueue;
   readonly demand: Pick<DemandShare, "recordRequest" | "getShare">;
   readonly rankDemand: Pick<
     RankDemand,
     "recordStream" | "getMoreUrgent" | "getAll"
   >;
   readonly streamQueue: StreamQueue;
+  readonly callQueue: CallQueue;
   readonly metrics: ForwardingMetrics;
   /** For responses that are held until they are complete. */
   readonly heldResponses: ByteBudget;
@@ -57,6 +57,8 @@
    * urgent first.
    */
   getStreamPriorities(service: string): readonly number[];
+  /** The shortest objective of the most urgent streaming routes. */
+  getUrgentObjectiveMs(service: string): number | undefined;
   /**
    * Exchanges loads with the other instances now; resolves when theirs are known
    * or that takes too long.
@@ -64,8 +66,6 @@
   refreshLoads(): Promise<void>;
   /** Tells the other instances of the load of a stream that was placed. */
   announceLoads(): void;
-  /** The shortest objective of the most urgent streaming routes. */
-  getUrgentObjectiveMs(service: string): number | undefined;
   /** Counts a stream that this instance has placed. */
   recordPlacement(): void;
   /**
--- a/src/upstreams/load_totals.ts
+++ b/src/upstreams/load_totals.ts
@@ -46,8 +46,8 @@
   /** In thousandths per second, so that sums are exact. */
   const demands = new Map<string, number>();
   const repeats = new Map<string, RepeatTotal>();
-  const speeds = new Map<UpstreamId, SpeedEntry>();
   const rankDemands = createRankDemandTotals();
+  const speeds = new Map<UpstreamId, SpeedEntry>();
   return {
     add: (summary) => apply(summary, 1),
     subtract: (summary) => apply(summary, -1),
@@ -67,12 +67,12 @@
       else demands.delete(service);
     }
     for (const counts of summary.repeats ?? []) applyRepeats(counts, sign);
+    rankDemands.apply(summary.rankDemands ?? [], sign);
     for (const entry of summary.speeds ?? []) {
       const sum = addSpeeds(speeds.get(entry[0]), entry, sign);
       if (hasSamples(sum)) speeds.set(entry[0], sum);
       else speeds.delete(entry[0]);
     }
-    rankDemands.apply(summary.rankDemands ?? [], sign);
     for (const [formerId, newId] of summary.successors ?? []) {
       const key = getSuccessorKey(formerId, newId);
       const total = successors.get(key) ??
@@ -151,11 +151,11 @@
     }).filter(([, requestCount, repeatCount]) =>
       requestCount > 0 || repeatCount > 0
     );
+    const remainingRanks = rankDemands.getWithout(excepted?.rankDemands ?? []);
     const remainingSpeeds = [...speeds.values()].map((sum) => {
       const own = without.speeds.get(sum[0]);
       return own ? addSpeeds(sum, own, -1) : sum;
     }).filter(hasSamples);
-    const remainingRanks = rankDemands.getWithout(excepted?.rankDemands ?? []);
     return {
       ...(remainingRanks.length > 0 ? { rankDemands: remainingRanks } : {}),
       ...(remainingRepeats.length > 0 ? { repeats: remainingRepeats } : {}),
