Decide by the load which share leaves a failure domain

Cause: leaving cost a constant (700 ms, 0.5 slots). Instances of all domains compared the engines of all domains by the same outdated figures, so under load nearly half of the streams crossed domains without being faster for it.

Change: entry instances exchange the demand of each domain's callers (an optional field of the load summaries, services times domains). From it and from the upstreams' backlog each computes the same plan: the share that leaves a domain whose expected time misses its target, no more than the other domains have to spare. Each request draws whether it leaves; the others stay unless an upstream outside is better by twice the backlog at home. Shares change by bounded steps, and return to the constants when the figures are unknown. It acts only on services that are load-aware. The price of a round trip and of a megabyte are settings; their defaults are 0.

--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -24,6 +24,7 @@
   RequestKind,
 } from "../src/forwarding/forwarding_table.ts";
 import { createRouteTable } from "../src/forwarding/route_table.ts";
+import { getDefaultDomainCost } from "../src/forwarding/placement.ts";
 import { createSuccessorDiscovery } from "../src/forwarding/successor_discovery.ts";
 import { createUpstreamConnections } from "../src/forwarding/upstream_connections.ts";
 import { createUpstreamDirectory } from "../src/forwarding/upstream_directory.ts";
@@ -286,6 +287,9 @@
     metrics: createForwardingMetrics(createMetricsRegistry()),
     heldResponses: createByteBudget(maxHeldResponseBytes),
     isLoadAware: () => false,
+    domainTraffic: {
+      drawCosts: () => (domainId) => getDefaultDomainCost(domainId, "domain-a"),
+    },
     recordPlacement: () => {},
     getUnreportedPlacementCount: () => 0,
     budget: createRetryBudget({
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -360,5 +360,10 @@
     Info,
     "connection ended before its response was complete; see who ended it",
   ),
+  domainShareChanged: event(
+    7231,
+    Info,
+    "share sent to other failure domains changed; see the reason",
+  ),
   retryRefused: event(7103, Info, "retry refused by the retry budget"),
 } as const satisfies Record<string, LogEvent>;
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -9,6 +9,8 @@
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import { createSupervisor } from "../core/supervisor.ts";
 import { createEntryServer } from "../forwarding/entry_server.ts";
+import { meterDomainTraffic } from "../forwarding/domain_metering.ts";
+import { createDomainTraffic } from "../forwarding/domain_traffic.ts";
 import { createForwardingMetrics } from "../forwarding/forwarding_metrics.ts";
 import type { ForwardingContext } from "../forwarding/forwarding_context.ts";
 import { forwardingTableName } from "../forwarding/forwarding_table.ts";
@@ -65,14 +67,35 @@
     return errAsync(createError(ErrorKind.InvalidSettings, message));
   }
   let routes: RouteTable | undefined;
-  const directory = createUpstreamDirectory({
+  const metrics = createForwardingMetrics(registry);
+  const domainTraffic = createDomainTraffic({
     clock,
-    logger,
     random,
-    onUpstreamLost: () => core.membership.scheduleHeartbeat(),
-    canRouteToCandidates: () =>
-      core.upstreams.getState().ageMs < maxCandidateViewAgeMs,
+    logger,
+    domainId: settings.domainId,
+    prices: settings.domainTraffic,
+    attempts: metrics.domainAttempts,
+    bytes: metrics.domainBytes,
+    listUsable: (service) => directory.listUsable(service),
+    isLoadAware,
+    isDomainSuspected: (service, domainId) =>
+      directory.isDomainSuspected(service, domainId),
+    getObjectives: (service) =>
+      routes?.getObjectives(service) ??
+        { firstEventMs: undefined, callMs: undefined },
+    getRelativeTime: () => 1,
   });
+  const { directory, connections } = meterDomainTraffic({
+    directory: createUpstreamDirectory({
+      clock,
+      logger,
+      random,
+      onUpstreamLost: () => core.membership.scheduleHeartbeat(),
+      canRouteToCandidates: () =>
+        core.upstreams.getState().ageMs < maxCandidateViewAgeMs,
+    }),
+    connections: createUpstreamConnections(),
+  }, domainTraffic);
   const demand = createDemandShare({
     clock,
     getInstanceCount: () => core.membership.getEntryCount(),
@@ -121,6 +144,7 @@
         ? {
           ...directory.getLocalLoadSummary(),
           demands: demand.getDemands(),
+          domainDemands: domainTraffic.getDemands(),
         }
         : undefined,
     onEngineLoadSummary: ({ instanceId }, summary) => {
@@ -128,6 +152,7 @@
       if (preferredId !== instanceId) return;
       directory.setRemoteLoadSummary(summary);
       demand.setRemoteDemands(summary.demands ?? []);
+      domainTraffic.setRemoteDemands(summary.domainDemands);
     },
   });
   const { membership, peers, configuration } = core;
@@ -143,7 +168,6 @@
     getRatePerS: limits.getRatePerS,
   });
   const protocol = adapter.createForwardingProtocol();
-  const connections = createUpstreamConnections();
   const context: ForwardingContext = {
     clock,
     logger,
@@ -155,9 +179,14 @@
     quarantine,
     limits,
     limitQueue,
-    demand,
-    isLoadAware: (service) =>
-      (routes?.getStreamPriorities(service).length ?? 0) > 1,
+    demand: {
+      recordRequest: (service) => {
+        demand.recordRequest(service);
+        domainTraffic.recordRequest(service);
+      },
+    },
+    domainTraffic,
+    isLoadAware,
     successors: createSuccessorDiscovery({
       logger,
       protocol,
@@ -172,7 +201,7 @@
       getDomainPeerCount: () =>
         membership.getEntryCount() / directory.countDomains() - 1,
     }),
-    metrics: createForwardingMetrics(registry),
+    metrics,
     heldResponses: createByteBudget(maxHeldResponseBytes),
     budget: createRetryBudget({
       ratio: bounds.retryRatio * budgetSafetyRatio,
@@ -245,6 +274,10 @@
     }))
   );
 
+  function isLoadAware(service: string): boolean {
+    return (routes?.getStreamPriorities(service).length ?? 0) > 1;
+  }
+
   function applyConfiguration({ forwarding, revision }: Configuration): void {
     const table = forwarding[forwardingTableName];
     if (!table) return;
--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -7,6 +7,7 @@
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import type { DomainId } from "../core/types.ts";
+import type { DomainTraffic } from "./domain_traffic.ts";
 import type { SuccessorDiscovery } from "./successor_discovery.ts";
 import type { DemandShare } from "../limits/demand_share.ts";
 import type { LimitQueue } from "../limits/limit_queue.ts";
@@ -34,6 +35,7 @@
   readonly limits: UpstreamLimits;
   readonly limitQueue: LimitQueue;
   readonly demand: Pick<DemandShare, "recordRequest">;
+  readonly domainTraffic: Pick<DomainTraffic, "drawCosts">;
   readonly metrics: ForwardingMetrics;
   /** For responses that are held until they are complete. */
   readonly heldResponses: ByteBudget;
--- a/src/forwarding/forwarding_metrics.ts
+++ b/src/forwarding/forwarding_metrics.ts
@@ -20,6 +20,10 @@
   readonly lostAttempts: MetricCounter;
   /** Replacements of lost KV cache copies, by outcome. */
   readonly copies: MetricCounter;
+  /** Attempts by service, failure domain, and why requests leave or stay. */
+  readonly domainAttempts: MetricCounter;
+  /** Bytes to and from other failure domains, by service. */
+  readonly domainBytes: MetricCounter;
   readonly answerTime: MetricTimer;
   readonly firstEventTime: MetricTimer;
   /** Longest gap between two events of a stream. */
@@ -60,6 +64,16 @@
       "Copies of runs that were made anew, by outcome.",
       ["outcome"],
     ),
+    domainAttempts: registry.createCounter(
+      "domain_attempts",
+      "Attempts of services under load, by domain and state of the choice.",
+      ["service", "domain", "reason"],
+    ),
+    domainBytes: registry.createCounter(
+      "domain_bytes",
+      "Bytes of requests and responses to and from other failure domains.",
+      ["service", "domain"],
+    ),
     answerTime: registry.createTimer(
       "answer",
       "Time from the arrival of a request to the end of its answer.",
--- a/src/forwarding/forwarding_steps.ts
+++ b/src/forwarding/forwarding_steps.ts
@@ -17,16 +17,21 @@
 import type { Upstream } from "./upstream_types.ts";
 
 export function createPlacementContext(
-  { clock, domainId, random, directory, limits }: ForwardingContext,
-  { service, triedIds, unreportedPlacementCount }: {
+  { clock, domainId, random, directory, limits, domainTraffic }:
+    ForwardingContext,
+  { service, triedIds, unreportedPlacementCount, isForCopy = false }: {
     readonly service: string;
     readonly triedIds: ReadonlySet<UpstreamId>;
     readonly unreportedPlacementCount: number;
+    /** A copy is always placed in another domain than its stream. */
+    readonly isForCopy?: boolean;
   },
 ): PlacementContext {
   return {
     nowMs: clock.nowMs(),
-    getDomainCost: (id) => getDefaultDomainCost(id, domainId),
+    getDomainCost: isForCopy
+      ? (id) => getDefaultDomainCost(id, domainId)
+      : domainTraffic.drawCosts(service),
     triedIds,
     random,
     unreportedPlacementCount,
--- a/src/forwarding/route_table.ts
+++ b/src/forwarding/route_table.ts
@@ -11,6 +11,11 @@
   RequestKind,
 } from "./forwarding_table.ts";
 
+export interface ServiceObjectives {
+  readonly firstEventMs: number | undefined;
+  readonly callMs: number | undefined;
+}
+
 export interface RouteTable {
   readonly revision: number;
   readonly limits: CallerLimits;
@@ -25,6 +30,8 @@
    * urgent first.
    */
   getStreamPriorities(service: string): readonly number[];
+  /** The strictest objectives of the routes to the service. */
+  getObjectives(service: string): ServiceObjectives;
   /** The only service whose upstreams are model engines, if there is one. */
   readonly soleEngineService: string | undefined;
 }
@@ -43,6 +50,7 @@
   }
   const engineServices = table.services.filter(({ engine }) => engine !== null);
   const services = new Map(table.services.map((entry) => [entry.name, entry]));
+  const objectives = listObjectives(table);
   const streamPriorities = listStreamPriorities(table);
   return {
     revision,
@@ -52,6 +60,7 @@
     findCustomer: (apiKey) => customers.get(apiKey),
     getService: (name) => services.get(name),
     getStreamPriorities: (service) => streamPriorities.get(service) ?? [],
+    getObjectives: (service) => objectives.get(service) ?? noObjectives,
     soleEngineService: engineServices.length === 1
       ? engineServices[0]!.name
       : undefined,
@@ -73,6 +82,29 @@
   }
 }
 
+const noObjectives: ServiceObjectives = {
+  firstEventMs: undefined,
+  callMs: undefined,
+};
+
+function listObjectives(
+  { routes }: ForwardingTable,
+): Map<string, ServiceObjectives> {
+  const byService = new Map<string, ServiceObjectives>();
+  for (const { kind, targets, objectiveMs } of routes) {
+    if (objectiveMs <= 0) continue;
+    const field = kind === RequestKind.Streaming ? "firstEventMs" : "callMs";
+    for (const { service } of targets) {
+      const known = byService.get(service) ?? noObjectives;
+      byService.set(service, {
+        ...known,
+        [field]: Math.min(known[field] ?? Infinity, objectiveMs),
+      });
+    }
+  }
+  return byService;
+}
+
 function listStreamPriorities(
   { routes }: ForwardingTable,
 ): Map<string, number[]> {
--- a/src/settings/forwarding_settings.ts
+++ b/src/settings/forwarding_settings.ts
@@ -36,6 +36,16 @@
   retrySlack: z.number().min(0).default(0),
 }).prefault({});
 
+/** What the choice between failure domains takes into account. */
+const domainTrafficSchema = strictFields({
+  /** Additional time of a request that runs in another failure domain. */
+  roundTripMs: z.number().min(0).max(60_000).default(0),
+  /** Cost of a millisecond between domains, in milliseconds of a caller's wait. */
+  priceMsPerMs: z.number().min(0).max(1_000).default(1),
+  /** Cost of a megabyte between domains, in milliseconds of a caller's wait. */
+  priceMsPerMegabyte: z.number().min(0).max(1_000_000).default(0),
+}).prefault({});
+
 export const forwardingSettingsSchema = strictFields({
   role: z.enum(InstanceRole),
   /** The name in logs; the host address identifies the instance. */
@@ -61,6 +71,7 @@
   }),
   heartbeatIntervalMs: durationMsSchema.default(500),
   bounds: boundsSchema,
+  domainTraffic: domainTrafficSchema,
   log: strictFields({
     level: z.enum(LogLevel).default(LogLevel.Info),
     format: z.enum(["json", "text"]).default("json"),
--- a/src/upstreams/engine_load_summary.ts
+++ b/src/upstreams/engine_load_summary.ts
@@ -13,6 +13,17 @@
   z.number().min(0),
 ]);
 
+/**
+ * Service, failure domain of the callers, and in thousandths per second their
+ * requests and prompt tokens.
+ */
+const domainDemandSchema = z.tuple([
+  z.string().min(1).max(200),
+  z.string().min(1).max(200),
+  z.int().min(0),
+  z.int().min(0),
+]).readonly();
+
 export const engineLoadSummarySchema = z.object({
   loads: z.array(loadEntrySchema).max(10_000),
   /** Engines that were lost recently. */
@@ -31,7 +42,10 @@
   demands: z.array(
     z.tuple([z.string().min(1).max(200), z.int().min(0)]).readonly(),
   ).max(10_000).optional(),
+  /** Demand by service and failure domain. Absent in earlier builds. */
+  domainDemands: z.array(domainDemandSchema).max(10_000).optional(),
 });
 
+export type DomainDemandEntry = z.output<typeof domainDemandSchema>;
 export type LoadEntry = z.output<typeof loadEntrySchema>;
 export type EngineLoadSummary = z.output<typeof engineLoadSummarySchema>;
--- a/src/upstreams/load_totals.ts
+++ b/src/upstreams/load_totals.ts
@@ -3,6 +3,7 @@
  * subtracted. Every summary that is subtracted must have been added before.
  */
 import type { UpstreamId } from "../core/types.ts";
+import { createDomainDemandTotals } from "./domain_demand_totals.ts";
 import type { EngineLoadSummary, LoadEntry } from "./engine_load_summary.ts";
 
 export interface LoadTotals {
@@ -32,6 +33,7 @@
   const successors = new Map<string, SuccessorTotal>();
   /** In thousandths per second, so that sums are exact. */
   const demands = new Map<string, number>();
+  const domainDemands = createDomainDemandTotals();
   return {
     add: (summary) => apply(summary, 1),
     subtract: (summary) => apply(summary, -1),
@@ -50,6 +52,7 @@
       if (sum > 0) demands.set(service, sum);
       else demands.delete(service);
     }
+    domainDemands.apply(summary.domainDemands ?? [], sign);
     for (const [formerId, newId] of summary.successors ?? []) {
       const key = getSuccessorKey(formerId, newId);
       const total = successors.get(key) ??
@@ -103,7 +106,13 @@
       service,
       milliPerS - (without.demands.get(service) ?? 0),
     ]).filter(([, milliPerS]) => milliPerS > 0);
+    const remainingDomainDemands = domainDemands.listWithout(
+      excepted?.domainDemands ?? [],
+    );
     return {
+      ...(remainingDomainDemands.length > 0
+        ? { domainDemands: remainingDomainDemands }
+        : {}),
       ...(remainingDemands.length > 0 ? { demands: remainingDemands } : {}),
       loads: remainingLoads,
       lostIds: [...lossCounts].filter(([upstreamId, count]) =>
