--- a/measure/domain_replay.ts
+++ b/measure/domain_replay.ts
@@ -95,7 +95,7 @@
           firstEventMs: replayObjectiveMs,
           callMs: undefined,
         }),
-        getRelativeTime: () => 1,
+        getTimes: () => ({}),
       }),
   );
   const sent: { atMs: number; demands: DomainDemandEntry[][] }[] = [];
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -83,7 +83,7 @@
     getObjectives: (service) =>
       routes?.getObjectives(service) ??
         { firstEventMs: undefined, callMs: undefined },
-    getRelativeTime: () => 1,
+    getTimes: () => ({}),
   });
   const { directory, connections } = meterDomainTraffic({
     directory: createUpstreamDirectory({
--- a/src/forwarding/domain_figures.ts
+++ b/src/forwarding/domain_figures.ts
@@ -23,14 +23,20 @@
   readonly demands: ReadonlyMap<DomainId, DomainDemand> | undefined;
   /** Most upstreams of a suspected domain are probably lost. */
   isDomainSuspected(domainId: DomainId): boolean;
-  /** Time of an upstream relative to its service; 1 is average. */
-  getRelativeTime(upstream: Upstream): number;
+  getTimes(upstream: Upstream): UpstreamTimes;
+}
+
+/** Learned times of an upstream; undefined where none is known. */
+export interface UpstreamTimes {
+  /** Time of a call at the upstream without a queue. */
+  readonly callMs?: number;
+  readonly prefillMsPerToken?: number;
 }
 
 /** Reported loads older than this say nothing. */
 const maxReportAgeMs = 2_000;
-/** Approximate prefill rate of an engine. */
-const prefillTokensPerMs = 8;
+/** Approximate prefill time of an engine. */
+const defaultPrefillMsPerToken = 1 / 8;
 /** Assumed until prompts are known. */
 const defaultPromptTokens = 1_000;
 /** A demand further above the capacity is taken for a wrong figure. */
@@ -42,7 +48,14 @@
 export function getStreamFigures(facts: DomainFacts): DomainFigures[] {
   const promptTokens = getMeanPromptTokens(facts.demands);
   return mapDomains(facts, (reachable, demand) => {
-    const tokensPerMs = prefillTokensPerMs * getSpeed(reachable, facts);
+    const tokensPerMs = sumOver(
+      reachable,
+      (upstream) =>
+        1 / getTime(
+          facts.getTimes(upstream).prefillMsPerToken,
+          defaultPrefillMsPerToken,
+        ),
+    );
     const unreadTokens = sumOver(
       reachable,
       ({ unreadTokens, others }) => unreadTokens + others.unreadTokens,
@@ -66,32 +79,32 @@
 /** Figures of a service whose upstreams run a number of calls at once. */
 export function getCallFigures(
   facts: DomainFacts,
-  /** Time of a call at an average upstream without a queue. */
-  callMs: number,
+  /** Time of a call at upstreams whose time is not known. */
+  defaultCallMs: number,
 ): DomainFigures[] {
   return mapDomains(facts, (reachable, demand) => {
-    const slotSpeed = sumOver(
+    const callsPerMs = sumOver(
       reachable,
-      (upstream) => getSlots(upstream) / getTime(upstream, facts),
+      (upstream) =>
+        getSlots(upstream) /
+        getTime(facts.getTimes(upstream).callMs, defaultCallMs),
     );
     const waitingCount = sumOver(
       reachable,
       (upstream) =>
         Math.max(0, getCallCount(upstream, facts.nowMs) - getSlots(upstream)),
     );
-    const capacityPerS = slotSpeed / callMs * 1_000;
+    const capacityPerS = callsPerMs * 1_000;
     return {
       demandPerS: demand && limitDemand(demand.requestsPerS, capacityPerS),
       capacityPerS,
-      backlogMs: slotSpeed > 0 ? waitingCount * callMs / slotSpeed : 0,
-      serviceMs: slotSpeed > 0
-        ? callMs * sumOver(reachable, getSlots) / slotSpeed
-        : 0,
+      backlogMs: callsPerMs > 0 ? waitingCount / callsPerMs : 0,
+      serviceMs: callsPerMs > 0 ? sumOver(reachable, getSlots) / callsPerMs : 0,
     };
   });
 }
 
-export function getSlots({ info, reported }: Upstream): number {
+function getSlots({ info, reported }: Upstream): number {
   return Math.max(
     defaultSlots,
     info.maxRunning > 0 ? info.maxRunning : reported?.load.maxRunning ?? 0,
@@ -133,13 +146,10 @@
   return Math.max(inFlightCount, runningCount + waitingCount);
 }
 
-function getSpeed(upstreams: readonly Upstream[], facts: DomainFacts): number {
-  return sumOver(upstreams, (upstream) => 1 / getTime(upstream, facts));
-}
-
-function getTime(upstream: Upstream, { getRelativeTime }: DomainFacts): number {
-  const time = getRelativeTime(upstream);
-  return Number.isFinite(time) && time > 0 ? time : 1;
+function getTime(learned: number | undefined, nominal: number): number {
+  return learned !== undefined && Number.isFinite(learned) && learned > 0
+    ? learned
+    : nominal;
 }
 
 function limitDemand(demandPerS: number, capacityPerS: number): number {
--- a/src/forwarding/domain_metering.ts
+++ b/src/forwarding/domain_metering.ts
@@ -20,7 +20,7 @@
   { directory, connections }: MeteredUpstreams,
   traffic: Pick<
     DomainTraffic,
-    "recordAttempt" | "recordPromptTokens" | "recordCallTime" | "recordBytes"
+    "recordAttempt" | "recordPromptTokens" | "recordBytes"
   >,
 ): MeteredUpstreams {
   let byAddress = new Map<string, ListedUpstream>();
@@ -45,13 +45,6 @@
           },
         };
       },
-      recordSuccess: (upstreamId, durationMs) => {
-        directory.recordSuccess(upstreamId, durationMs);
-        const upstream = directory.get(upstreamId);
-        if (durationMs === undefined || !upstream?.reported) return;
-        if (upstream.reported.load.waitingCount > 0) return;
-        traffic.recordCallTime(upstream.info.service, durationMs);
-      },
     },
     connections: {
       ...connections,
--- a/src/forwarding/domain_traffic.ts
+++ b/src/forwarding/domain_traffic.ts
@@ -23,8 +23,8 @@
 import {
   type DomainDemand,
   getCallFigures,
-  getSlots,
   getStreamFigures,
+  type UpstreamTimes,
 } from "./domain_figures.ts";
 import { type DomainCost, getDefaultDomainCost } from "./placement.ts";
 import type { ServiceObjectives } from "./route_table.ts";
@@ -42,8 +42,6 @@
   /** Records an attempt; `promptTokens` are those that it has to prefill. */
   recordAttempt(service: string, domainId: DomainId): void;
   recordPromptTokens(service: string, tokens: number): void;
-  /** Records the time of a call whose upstream had no queue. */
-  recordCallTime(service: string, durationMs: number): void;
   /** Records bytes that were sent to and received from a domain. */
   recordBytes(service: string, domainId: DomainId, bytes: number): void;
   /** Demands of this instance's callers, for other instances. */
@@ -68,8 +66,7 @@
   isLoadAware(service: string): boolean;
   getObjectives(service: string): ServiceObjectives;
   isDomainSuspected(service: string, domainId: DomainId): boolean;
-  /** Time of an upstream relative to its service; 1 is average. */
-  getRelativeTime(upstream: Upstream): number;
+  getTimes(upstream: Upstream): UpstreamTimes;
 }
 
 /** Time over which a demand is averaged. */
@@ -80,9 +77,8 @@
 const staleAgeMs = 2_000;
 /** Greatest share that leaves while only this instance's knowledge is there. */
 const maxOwnKnowledgeShare = 0.25;
-/** Until a call has been measured, it is assumed to take this part. */
+/** Part of its objective that a call is assumed to take without a queue. */
 const callTimeRatio = 0.3;
-const callSmoothing = 0.1;
 const logIntervalMs = 5_000;
 const loggedShareChange = 0.1;
 const bytesPerMegabyte = 1_000_000;
@@ -96,8 +92,6 @@
   tokens: DecayingSum;
   bytes: DecayingSum;
   attempts: DecayingSum;
-  callMs: number | undefined;
-  slotsPerUpstream: number;
   stream: DomainState;
   call: DomainState;
 }
@@ -136,11 +130,6 @@
     },
     recordPromptTokens: (service, tokens) =>
       add(getState(service).tokens, tokens),
-    recordCallTime: (service, durationMs) => {
-      const state = getState(service);
-      const known = state.callMs ?? durationMs;
-      state.callMs = known + (durationMs - known) * callSmoothing;
-    },
     recordBytes: (service, domainId, bytes) => {
       add(getState(service).bytes, bytes);
       if (domainId === homeId) return;
@@ -193,9 +182,8 @@
     const callDomain = drawDomain(state.call.shares, point);
     const priceMs = getPriceMs(state);
     const { firstEventMs = 0, callMs = 0 } = objectives;
-    // A request waits this long for one slot's worth of others.
-    const slotMs = getCallMs(state, callMs) / state.slotsPerUpstream;
-    const slotsPerMs = slotMs > 0 ? 1 / slotMs : 0;
+    // The cost of calls is stated in times of a call.
+    const slotsPerMs = callMs > 0 ? 1 / (callMs * callTimeRatio) : 0;
     const costs = new Map<DomainId, DomainCost>();
     return (domainId) => {
       const known = costs.get(domainId);
@@ -251,13 +239,10 @@
       nowMs,
       upstreams: options.listUsable(service),
       demands: getDomainDemands(service, state),
-      getRelativeTime: options.getRelativeTime,
+      getTimes: options.getTimes,
       isDomainSuspected: (id: DomainId) =>
         options.isDomainSuspected(service, id),
     };
-    state.slotsPerUpstream = facts.upstreams[0]
-      ? getSlots(facts.upstreams[0])
-      : 1;
     if (needsStreams) {
       replan(service, state, state.stream, {
         figures: getStreamFigures(facts),
@@ -267,7 +252,7 @@
     }
     if (needsCalls) {
       replan(service, state, state.call, {
-        figures: getCallFigures(facts, getCallMs(state, callMs)),
+        figures: getCallFigures(facts, callMs * callTimeRatio),
         objectiveMs: callMs,
         traffic: "calls",
       });
@@ -393,10 +378,6 @@
   }
 }
 
-function getCallMs({ callMs }: ServiceState, objectiveMs: number): number {
-  return callMs ?? objectiveMs * callTimeRatio;
-}
-
 function createServiceState(): ServiceState {
   const createSum = () => ({ weight: 0, atMs: 0 });
   return {
@@ -404,8 +385,6 @@
     tokens: createSum(),
     bytes: createSum(),
     attempts: createSum(),
-    callMs: undefined,
-    slotsPerUpstream: 1,
     stream: createDomainState(),
     call: createDomainState(),
   };
--- a/src/forwarding/domain_traffic_test.ts
+++ b/src/forwarding/domain_traffic_test.ts
@@ -62,7 +62,7 @@
     isLoadAware: () => isLoadAware,
     isDomainSuspected: () => false,
     getObjectives: () => ({ firstEventMs: 4_000, callMs: 200 }),
-    getRelativeTime: () => 1,
+    getTimes: () => ({}),
   });
   /** Part of 1,000 requests that were drawn to leave. */
   function measureShare(): number {
