--- a/src/forwarding/domain_choice.ts
+++ b/src/forwarding/domain_choice.ts
@@ -57,9 +57,9 @@
  * Part of the objective in which a request is expected to be answered. The rest
  * covers that upstreams of a domain differ and that figures are a second old.
  */
-const targetRatio = 0.5;
+const targetRatio = 0.6;
 /** Once a share leaves, it does so until the expected time is below this. */
-const returnRatio = 0.4;
+const returnRatio = 0.5;
 /**
  * Time over which a backlog is removed. Figures are up to a second old and
  * refreshed twice a second: correcting a backlog within a shorter time would
