Keep calls at home while they are in time there

Cause: with a constant of half a slot, more than half of all calls crossed domains although home was idle enough. Change: calls that were not drawn to leave cost up to one more call's time, by how busy home is.

--- a/src/forwarding/domain_choice.ts
+++ b/src/forwarding/domain_choice.ts
@@ -216,7 +216,7 @@
   return undefined;
 }
 
-/** In milliseconds for streams, and in slots for calls. */
+/** In milliseconds for streams, and in times of a call for calls. */
 export interface CostBasis {
   readonly kind: DomainPlanKind;
   /** The constant cost of leaving. */
@@ -224,9 +224,8 @@
   readonly price: number;
   /** Whether the request was drawn to go to the domain. */
   readonly isDrawn: boolean;
-  /** Mean backlog of home's upstreams. */
-  readonly homeBacklog: number;
-  readonly objective: number;
+  /** What keeps a request at home that was not drawn to leave. */
+  readonly hold: number;
 }
 
 /**
@@ -237,9 +236,32 @@
  */
 const holdRatio = 2;
 
+export function getStreamHoldMs(
+  { backlogMs }: Pick<DomainFigures, "backlogMs">,
+  objectiveMs: number,
+): number {
+  return Math.min(holdRatio * backlogMs, objectiveMs);
+}
+
+/**
+ * Calls that were not drawn to leave are in time at home. The less idle it is,
+ * the more of them would leave for a time that no caller needs: up to the time
+ * of one call. Without a known demand they are not held.
+ */
+export function getCallHold(
+  { demandPerS, capacityPerS }: Pick<
+    DomainFigures,
+    "demandPerS" | "capacityPerS"
+  >,
+): number {
+  return demandPerS === undefined || capacityPerS <= 0
+    ? 0
+    : Math.min(1, demandPerS / capacityPerS);
+}
+
 /** The cost of another domain, in the unit of the basis. */
 export function getLeavingCost(
-  { kind, constant, price, isDrawn, homeBacklog, objective }: CostBasis,
+  { kind, constant, price, isDrawn, hold }: CostBasis,
 ): number {
   const usual = constant + price;
   if (isDrawn) return price;
@@ -250,7 +272,7 @@
     case DomainPlanKind.HomeHasRoom:
     case DomainPlanKind.Leave:
     case DomainPlanKind.NothingGained:
-      return usual + Math.min(holdRatio * homeBacklog, objective);
+      return usual + hold;
     default:
       return assertNever(kind);
   }
--- a/src/forwarding/domain_choice_test.ts
+++ b/src/forwarding/domain_choice_test.ts
@@ -3,7 +3,9 @@
   type DomainFigures,
   DomainPlanKind,
   drawDomain,
+  getCallHold,
   getLeavingCost,
+  getStreamHoldMs,
   planDomains,
   stepShares,
 } from "./domain_choice.ts";
@@ -107,6 +109,13 @@
   expect(drawDomain(shares, 0.5)).toBeUndefined();
 });
 
+test("calls are held by up to one call's time, and not without a known demand", () => {
+  expect(getCallHold(createFigures("a"))).toBe(0.5);
+  expect(getCallHold(createFigures("a", { demandPerS: 90 }))).toBe(1);
+  expect(getCallHold(createFigures("a", { demandPerS: undefined }))).toBe(0);
+  expect(getCallHold(createFigures("a", { capacityPerS: 0 }))).toBe(0);
+});
+
 test("without load the cost is the constant, exactly", () => {
   for (const kind of Object.values(DomainPlanKind)) {
     expect(getLeavingCost({
@@ -114,8 +123,7 @@
       constant: 700,
       price: 0,
       isDrawn: false,
-      homeBacklog: 0,
-      objective: 4_000,
+      hold: getStreamHoldMs({ backlogMs: 0 }, 4_000),
     })).toBe(700);
   }
 });
--- a/src/forwarding/domain_replay_test.ts
+++ b/src/forwarding/domain_replay_test.ts
@@ -1,9 +1,13 @@
 /**
- * Replays waves and losses of streams in three failure domains, with the
+ * Replays waves and losses of streams and calls in three failure domains, with the
  * constant cost of leaving and with the planned shares on the same arrivals. A
  * request that crosses domains costs the same bytes either way.
  */
 import { expect, test } from "vitest";
+import {
+  type CallReplayResult,
+  replayCalls,
+} from "../../measure/domain_call_replay.ts";
 import {
   domainCount,
   type Replay,
@@ -115,3 +119,43 @@
   // The queue at home is short again after the objective at the latest.
   expect(sum(25, 60)).toBeLessThan(sum(10, 20) / 4);
 });
+
+test.each<[string, string, (domain: number, nowMs: number) => number]>([
+  [
+    "calls in waves out of phase",
+    "calls cross domains while home has room",
+    (domain, nowMs) => 10 * getWave(domain, nowMs),
+  ],
+  [
+    "calls in waves above the capacity of a domain",
+    "calls are late because they stay",
+    (domain, nowMs) => 19 * getWave(domain, nowMs),
+  ],
+  [
+    "calls when all domains are full",
+    "calls are exchanged although nothing is gained",
+    () => 145,
+  ],
+])("%s: no more late at fewer bytes, not: %s", (_name, _failure, getDemand) => {
+  const replay = (isLoadAware: boolean) =>
+    seeds.map((seed) =>
+      replayCalls({
+        seed,
+        durationMs,
+        isLoadAware,
+        getDemandPerS: getDemand,
+        getSlowness: () => 1,
+      })
+    );
+  const sum = (
+    results: readonly CallReplayResult[],
+    field: keyof CallReplayResult,
+  ) => results.reduce((total, result) => total + result[field], 0);
+  const constant = replay(false);
+  const planned = replay(true);
+  expect(sum(planned, "callCount")).toBe(sum(constant, "callCount"));
+  expect(sum(planned, "lateCount"))
+    .toBeLessThanOrEqual(sum(constant, "lateCount"));
+  expect(sum(planned, "crossedCount"))
+    .toBeLessThan(sum(constant, "crossedCount"));
+});
--- a/src/forwarding/domain_traffic.ts
+++ b/src/forwarding/domain_traffic.ts
@@ -16,7 +16,9 @@
   type DomainPlan,
   DomainPlanKind,
   drawDomain,
+  getCallHold,
   getLeavingCost,
+  getStreamHoldMs,
   planDomains,
   stepShares,
 } from "./domain_choice.ts";
@@ -184,6 +186,13 @@
     const { firstEventMs = 0, callMs = 0 } = objectives;
     // The cost of calls is stated in times of a call.
     const slotsPerMs = callMs > 0 ? 1 / (callMs * callTimeRatio) : 0;
+    const weight = getRemoteWeight();
+    const streamHome = getHome(state.stream);
+    const streamHoldMs = streamHome
+      ? getStreamHoldMs(streamHome, firstEventMs) * weight
+      : 0;
+    const callHome = getHome(state.call);
+    const callHold = callHome ? getCallHold(callHome) * weight : 0;
     const costs = new Map<DomainId, DomainCost>();
     return (domainId) => {
       const known = costs.get(domainId);
@@ -202,26 +211,21 @@
           constant: constant.delayMs,
           price: priceMs,
           isDrawn: domainId === streamDomain,
-          homeBacklog: getHomeBacklogMs(state.stream),
-          objective: firstEventMs,
+          hold: streamHoldMs,
         }),
         slots: getLeavingCost({
           kind: state.call.plan.kind,
           constant: constant.slots,
           price: priceMs * slotsPerMs,
           isDrawn: domainId === callDomain,
-          // A domain has one or two upstreams for calls, which do not differ
-          // from their mean.
-          homeBacklog: 0,
-          objective: callMs * slotsPerMs,
+          hold: callHold,
         }),
       };
     }
   }
 
-  function getHomeBacklogMs({ figures }: DomainState): number {
-    const home = figures.find(({ domainId }) => domainId === homeId);
-    return (home?.backlogMs ?? 0) * getRemoteWeight();
+  function getHome({ figures }: DomainState): DomainFigures | undefined {
+    return figures.find(({ domainId }) => domainId === homeId);
   }
 
   function update(
