--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -26,6 +26,7 @@
 } from "../src/forwarding/forwarding_table.ts";
 import { createRouteTable } from "../src/forwarding/route_table.ts";
 import { createStreamQueue } from "../src/forwarding/stream_queue.ts";
+import { getDefaultDomainCost } from "../src/forwarding/placement.ts";
 import { createSuccessorDiscovery } from "../src/forwarding/successor_discovery.ts";
 import { createUpstreamConnections } from "../src/forwarding/upstream_connections.ts";
 import { createUpstreamDirectory } from "../src/forwarding/upstream_directory.ts";
@@ -312,6 +313,9 @@
       directory.hasStatedSlowness(service),
     refreshLoads: () => Promise.resolve(),
     announceLoads: () => {},
+    domainTraffic: {
+      drawCosts: () => (domainId) => getDefaultDomainCost(domainId, "domain-a"),
+    },
     recordPlacement: () => {},
     getUnreportedPlacementCount: () => 0,
     budget: createRetryBudget({
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -386,5 +386,10 @@
     Info,
     "call refused because no upstream would take it in time; see the refusal",
   ),
+  domainShareChanged: event(
+    7231,
+    Info,
+    "share sent to other failure domains changed; see the reason",
+  ),
   retryRefused: event(7103, Info, "retry refused by the retry budget"),
 } as const satisfies Record<string, LogEvent>;
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -9,6 +9,8 @@
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import { createSupervisor } from "../core/supervisor.ts";
 import { createEntryServer } from "../forwarding/entry_server.ts";
+import { meterDomainTraffic } from "../forwarding/domain_metering.ts";
+import { createDomainTraffic } from "../forwarding/domain_traffic.ts";
 import { createForwardingMetrics } from "../forwarding/forwarding_metrics.ts";
 import { createCallQueue } from "../forwarding/call_queue.ts";
 import type { ForwardingContext } from "../forwarding/forwarding_context.ts";
@@ -20,6 +22,10 @@
 import { createPlacementEstimator } from "../forwarding/placement_estimator.ts";
 import { createStreamQueue } from "../forwarding/stream_queue.ts";
 import { createSuccessorDiscovery } from "../forwarding/successor_discovery.ts";
+import {
+  getPrefillMsPerToken,
+  getServiceMs,
+} from "../forwarding/expected_time.ts";
 import { createUpstreamConnections } from "../forwarding/upstream_connections.ts";
 import { createUpstreamDirectory } from "../forwarding/upstream_directory.ts";
 import { createDemandShare } from "../limits/demand_share.ts";
@@ -76,15 +82,42 @@
     return errAsync(createError(ErrorKind.InvalidSettings, message));
   }
   let routes: RouteTable | undefined;
-  const directory = createUpstreamDirectory({
+  const metrics = createForwardingMetrics(registry);
+  const domainTraffic = createDomainTraffic({
     clock,
-    logger,
     random,
-    onUpstreamLost: () => core.membership.scheduleHeartbeat(),
-    canRouteToCandidates: () =>
-      core.upstreams.getState().ageMs < maxCandidateViewAgeMs,
     isLoadAware,
+    logger,
+    domainId: settings.domainId,
+    prices: settings.domainTraffic,
+    attempts: metrics.domainAttempts,
+    bytes: metrics.domainBytes,
+    listUsable: (service) => directory.listUsable(service),
+    isDomainSuspected: (service, domainId) =>
+      directory.isDomainSuspected(service, domainId),
+    getObjectives: (service) =>
+      routes?.getObjectives(service) ??
+        { firstEventMs: undefined, callMs: undefined },
+    getTimes: (upstream) => {
+      const nowMs = clock.nowMs();
+      return {
+        callMs: getServiceMs(upstream, nowMs),
+        prefillMsPerToken: getPrefillMsPerToken(upstream, nowMs),
+      };
+    },
   });
+  const { directory, connections } = meterDomainTraffic({
+    directory: createUpstreamDirectory({
+      clock,
+      logger,
+      random,
+      onUpstreamLost: () => core.membership.scheduleHeartbeat(),
+      canRouteToCandidates: () =>
+        core.upstreams.getState().ageMs < maxCandidateViewAgeMs,
+      isLoadAware,
+    }),
+    connections: createUpstreamConnections(),
+  }, domainTraffic);
   const demand = createDemandShare({
     clock,
     getInstanceCount: () => core.membership.getEntryCount(),
@@ -145,6 +178,7 @@
           demands: demand.getDemands(),
           repeats: repeatWindow.getCounts(),
           rankDemands: rankDemand.getOwnDemands(),
+          domainDemands: domainTraffic.getDemands(),
         }
         : undefined,
     onEngineLoadSummary: ({ instanceId }, summary) => {
@@ -154,6 +188,7 @@
       demand.setRemoteDemands(summary.demands ?? []);
       repeatWindow.setRemoteCounts(summary.repeats ?? []);
       rankDemand.setRemoteDemands(summary.rankDemands ?? []);
+      domainTraffic.setRemoteDemands(summary.domainDemands);
     },
   });
   const { membership, peers, configuration } = core;
@@ -169,7 +204,6 @@
     getRatePerS: limits.getRatePerS,
   });
   const streamQueue = createStreamQueue();
-  const metrics = createForwardingMetrics(registry);
   const callQueue = createCallQueue({
     clock,
     random,
@@ -180,7 +214,6 @@
     metrics,
   });
   const protocol = adapter.createForwardingProtocol();
-  const connections = createUpstreamConnections();
   const context: ForwardingContext = {
     clock,
     logger,
@@ -193,7 +226,6 @@
     limits,
     limitQueue,
     callQueue,
-    demand,
     rankDemand,
     streamQueue,
     getStreamPriorities: (service) =>
@@ -206,6 +238,14 @@
     announceLoads: () => {
       void core.membership.exchangeHeartbeat(maxRefreshMs);
     },
+    demand: {
+      getShare: demand.getShare,
+      recordRequest: (service) => {
+        demand.recordRequest(service);
+        domainTraffic.recordRequest(service);
+      },
+    },
+    domainTraffic,
     successors: createSuccessorDiscovery({
       logger,
       protocol,
--- a/src/forwarding/forwarding_metrics.ts
+++ b/src/forwarding/forwarding_metrics.ts
@@ -32,6 +32,10 @@
   readonly streamWaitTime: MetricTimer;
   /** Streams that were refused or given up while they waited here. */
   readonly refusedStreams: MetricCounter;
+  /** Attempts by service, failure domain, and why requests leave or stay. */
+  readonly domainAttempts: MetricCounter;
+  /** Bytes to and from other failure domains, by service. */
+  readonly domainBytes: MetricCounter;
   readonly answerTime: MetricTimer;
   readonly firstEventTime: MetricTimer;
   /** Longest gap between two events of a stream. */
@@ -102,6 +106,16 @@
       "Streams that were refused when they arrived or waited, by reason.",
       ["rank", "reason"],
     ),
+    domainAttempts: registry.createCounter(
+      "domain_attempts",
+      "Attempts of services under load, by domain and state of the choice.",
+      ["service", "domain", "reason"],
+    ),
+    domainBytes: registry.createCounter(
+      "domain_bytes",
+      "Bytes of requests and responses to and from other failure domains.",
+      ["service", "domain"],
+    ),
     answerTime: registry.createTimer(
       "answer",
       "Time from the arrival of a request to the end of its answer.",
--- a/src/forwarding/forwarding_steps.ts
+++ b/src/forwarding/forwarding_steps.ts
@@ -17,20 +17,24 @@
 import type { Upstream } from "./upstream_types.ts";
 
 export function createPlacementContext(
-  { clock, domainId, random, directory, limits, isLoadAware }:
-    ForwardingContext,
-  { service, triedIds, unreportedPlacementCount }: {
+  context: ForwardingContext,
+  { service, triedIds, unreportedPlacementCount, isForCopy = false }: {
     readonly service: string;
     readonly triedIds: ReadonlySet<UpstreamId>;
     readonly unreportedPlacementCount: number;
+    /** A copy is always placed in another domain than its stream. */
+    readonly isForCopy?: boolean;
   },
 ): PlacementContext {
+  const { clock, domainId, random, directory, limits, domainTraffic } = context;
   return {
     nowMs: clock.nowMs(),
-    getDomainCost: (id) => getDefaultDomainCost(id, domainId),
+    getDomainCost: isForCopy
+      ? (id) => getDefaultDomainCost(id, domainId)
+      : domainTraffic.drawCosts(service),
     triedIds,
     random,
-    isLoadAware: isLoadAware(service),
+    isLoadAware: context.isLoadAware(service),
     unreportedPlacementCount,
     hasRoom: limits.hasRoom,
     isDomainSuspected: (id) => directory.isDomainSuspected(service, id),
--- a/src/upstreams/engine_load_summary.ts
+++ b/src/upstreams/engine_load_summary.ts
@@ -40,6 +40,17 @@
   z.int().min(0),
 ]).readonly();
 
+/**
+ * Service, failure domain of the callers, and in thousandths per second their
+ * requests and prompt tokens.
+ */
+const domainDemandSchema = z.tuple([
+  z.string().min(1).max(200),
+  z.string().min(1).max(200),
+  z.int().min(0),
+  z.int().min(0),
+]).readonly();
+
 export const engineLoadSummarySchema = z.object({
   loads: z.array(loadEntrySchema).max(10_000),
   /** Engines that were lost recently. */
@@ -73,10 +84,13 @@
    * summaries of earlier builds.
    */
   rankDemands: z.array(rankDemandSchema).max(10_000).optional(),
+  /** Demand by service and failure domain. Absent in earlier builds. */
+  domainDemands: z.array(domainDemandSchema).max(10_000).optional(),
 });
 
 export type RepeatCounts = z.output<typeof repeatCountsSchema>;
 export type RankDemandEntry = z.output<typeof rankDemandSchema>;
+export type DomainDemandEntry = z.output<typeof domainDemandSchema>;
 export type LoadEntry = z.output<typeof loadEntrySchema>;
 export type SpeedEntry = z.output<typeof speedEntrySchema>;
 export type EngineLoadSummary = z.output<typeof engineLoadSummarySchema>;
--- a/src/upstreams/load_totals.ts
+++ b/src/upstreams/load_totals.ts
@@ -10,6 +10,7 @@
   SpeedEntry,
 } from "./engine_load_summary.ts";
 import { createRankDemandTotals } from "./rank_demand_totals.ts";
+import { createDomainDemandTotals } from "./domain_demand_totals.ts";
 
 export interface LoadTotals {
   add(summary: EngineLoadSummary): void;
@@ -48,6 +49,7 @@
   const repeats = new Map<string, RepeatTotal>();
   const rankDemands = createRankDemandTotals();
   const speeds = new Map<UpstreamId, SpeedEntry>();
+  const domainDemands = createDomainDemandTotals();
   return {
     add: (summary) => apply(summary, 1),
     subtract: (summary) => apply(summary, -1),
@@ -73,6 +75,7 @@
       if (hasSamples(sum)) speeds.set(entry[0], sum);
       else speeds.delete(entry[0]);
     }
+    domainDemands.apply(summary.domainDemands ?? [], sign);
     for (const [formerId, newId] of summary.successors ?? []) {
       const key = getSuccessorKey(formerId, newId);
       const total = successors.get(key) ??
@@ -156,10 +159,16 @@
       const own = without.speeds.get(sum[0]);
       return own ? addSpeeds(sum, own, -1) : sum;
     }).filter(hasSamples);
+    const remainingDomainDemands = domainDemands.listWithout(
+      excepted?.domainDemands ?? [],
+    );
     return {
       ...(remainingRanks.length > 0 ? { rankDemands: remainingRanks } : {}),
       ...(remainingRepeats.length > 0 ? { repeats: remainingRepeats } : {}),
       ...(remainingSpeeds.length > 0 ? { speeds: remainingSpeeds } : {}),
+      ...(remainingDomainDemands.length > 0
+        ? { domainDemands: remainingDomainDemands }
+        : {}),
       ...(remainingDemands.length > 0 ? { demands: remainingDemands } : {}),
       loads: remainingLoads,
       lostIds: [...lossCounts].filter(([upstreamId, count]) =>
