Bound what callers outside the limits make an instance hold

Node.js parses up to 64 KiB of a connection at once and creates the objects of each request in it, also while the responses are unread; bodies up to the limit were held for any number of requests; a response that nobody read was held without end. So four crowds of requests sent ahead ended a process, one stopped it, and bodies without end took over 300 MB.

src/core/caller_limits.ts now protects all HTTP servers of both roles. Requests are given to the parser one by one, and the rest of a buffer is held while responses are due. Unparsed bytes, bodies, unread responses, connections and the rate of large reads are bounded in total; a connection that takes nothing of a response for 30 s is closed; a body far over the limit is refused before it is read, and one that is not complete at the deadline gets 504. Each limit is a setting, a label of caller_limits_total and part of event 7215.

They take their flags from deploy/system.toml now, so that they start processes as the deployment does.

--- a/measure/callers_outside_limits_process_test.ts
+++ b/measure/callers_outside_limits_process_test.ts
@@ -143,6 +143,7 @@
     });
     writeFileSync(settingsPath, JSON.stringify(settings));
     const child = spawn(process.execPath, [
+      ...readFlags(role),
       `--max-old-space-size=${heapMb}`,
       programPath,
     ], {
@@ -154,6 +155,14 @@
   }
 }
 
+/** The flags of Node.js with which the deployment starts the role. */
+function readFlags(role: string): readonly string[] {
+  const system = readFileSync("deploy/system.toml", "utf8");
+  const [, section = ""] = system.split(`[roles.${role}]`);
+  const [, flags = ""] = /run = "node (.*?)target/.exec(section) ?? [];
+  return flags.split(" ").filter((flag) => flag !== "");
+}
+
 function createDocument(): string {
   return JSON.stringify({
     version: 1,
--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -10,6 +10,10 @@
 import { createSystemClock } from "../src/core/clock.ts";
 import { createMetricsRegistry } from "../src/core/metrics_registry.ts";
 import { createForwardingMetrics } from "../src/forwarding/forwarding_metrics.ts";
+import {
+  callerLimitsSchema,
+  createCallerGuard,
+} from "../src/core/caller_limits.ts";
 import { createSilentLogger, type Logger } from "../src/core/logger.ts";
 import { createRandom } from "../src/core/random.ts";
 import {
@@ -295,12 +299,19 @@
       getReserveUnits: () => 10,
     }),
   };
+  const callerLimits = callerLimitsSchema.parse(undefined);
   return {
     ...await listenOnFreePorts(({ port, readinessPort }) =>
       createEntryServer({
         context,
         callers: { host: "127.0.0.1", port },
         readiness: { host: "127.0.0.1", port: readinessPort },
+        guard: createCallerGuard({
+          limits: callerLimits,
+          logger,
+          registry: createMetricsRegistry(),
+        }),
+        callerLimits,
         getRouteTable: () => routes,
       })
     ),
--- a/scripts/reference_pages.ts
+++ b/scripts/reference_pages.ts
@@ -83,7 +83,32 @@
 \`src/settings/forwarding_settings.ts\`; times without \`Ms\` end in \`S\`,
 seconds.
 
-${formatSettingsTable(forwardingSettingsSchema)}`;
+${formatSettingsTable(forwardingSettingsSchema)}
+\`callerLimits\` bounds what callers can make an instance hold. Callers inside
+the limits of the configuration don't reach the defaults. The metric
+\`apricotyoke_caller_limits_total\` counts by limit what was refused, closed or
+delayed, and event 7215 reports it at most once a second.
+
+- \`maxConnections\`: connections of callers; null is half of the process's
+  descriptors. At the limit, the connection that has been idle or unread for
+  longest is closed, or else the new one.
+- \`maxServiceConnections\`: the same for each of the readiness, metrics and
+  operators' servers.
+- \`maxWaitingRequests\`, \`maxTotalWaitingRequests\`: requests sent ahead that
+  are read, of one connection and of all. Others are read later, in order.
+- \`maxUnparsedBytes\`: incomplete heads and requests sent ahead that are not
+  parsed, of all connections. The connection with most is closed after the
+  responses that it is owed.
+- \`maxBodyBytes\`: bodies of requests that have no response yet, of all
+  connections; a quarter is left to bodies up to 64 KiB. Others are refused with
+  503, as not run.
+- \`maxReadBytesPerS\`: reads of 16 KiB and more, of all connections. Others are
+  delayed.
+- \`maxUnreadBytes\`: responses that wait for their callers, of all connections.
+  Those that have been without progress for longest are closed.
+- \`unreadTimeoutMs\`: a connection whose caller takes no byte of a response for
+  so long is closed.
+`;
 }
 
 function formatSettingsTable(settings: z.ZodType): string {
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -355,6 +355,11 @@
     Info,
     "caller's connection sent no valid request, or too slowly",
   ),
+  callerLimitReached: event(
+    7215,
+    Warn,
+    "callers were beyond limits; counts per limit in the last second",
+  ),
   responseIncomplete: event(
     7212,
     Info,
--- a/src/core/metrics_server.ts
+++ b/src/core/metrics_server.ts
@@ -3,6 +3,7 @@
  */
 import { createServer, type Server } from "node:http";
 import type { ResultAsync } from "neverthrow";
+import type { CallerGuard } from "./caller_limits.ts";
 import type { SystemError } from "./errors.ts";
 import { type ListenAddress, listenOn } from "./listen_on.ts";
 import type { MetricsRegistry } from "./metrics_registry.ts";
@@ -12,6 +13,10 @@
 export function startMetricsServer(
   registry: MetricsRegistry,
   address: ListenAddress,
+  { guard, maxConnections }: {
+    readonly guard: CallerGuard;
+    readonly maxConnections: number;
+  },
 ): ResultAsync<Server, SystemError> {
   const server = createServer((request, response) => {
     if (request.url !== metricsPath) {
@@ -24,5 +29,6 @@
       response.end(text);
     });
   });
+  guard.protect(server, { maxConnections, mayPipeline: false });
   return listenOn(server, address).map(() => server);
 }
--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -46,7 +46,7 @@
 export function startControlInstance(
   options: InstanceOptions,
 ): ResultAsync<RunningInstance, SystemError> {
-  const { settings, adapter, clock, logger, random, registry } = options;
+  const { settings, adapter, clock, logger, random, registry, guard } = options;
   const { dataFolder, operators: operatorsAddress } = settings;
   if (dataFolder === null || operatorsAddress === null) {
     const message =
@@ -228,8 +228,14 @@
       },
     },
   }).andThen((peerServer) => {
-    const http = createServer(adapter.createOperatorApi(operators));
+    const http = createServer(
+      adapter.createOperatorApi(operators, guard.bodies),
+    );
     closeOnlyIdleConnections(http);
+    guard.protect(http, {
+      maxConnections: settings.callerLimits.maxServiceConnections,
+      mayPipeline: false,
+    });
     return listenOn(http, operatorsAddress).map((): RunningInstance => ({
       task: createSupervisor({
         name: "control-instance",
--- a/src/daemon/deployment_adapter.ts
+++ b/src/daemon/deployment_adapter.ts
@@ -4,6 +4,7 @@
  */
 import type { RequestListener } from "node:http";
 import type { ResultAsync } from "neverthrow";
+import type { BodyStore } from "../core/body_store.ts";
 import type { OperatorService } from "../control/operator_service.ts";
 import type { SystemError } from "../core/errors.ts";
 import type { ForwardingProtocol } from "../forwarding/forwarding_protocol.ts";
@@ -12,7 +13,11 @@
 
 export interface DeploymentAdapter {
   createForwardingProtocol(): ForwardingProtocol;
-  createOperatorApi(operators: OperatorService): RequestListener;
+  /** The store limits the bodies of all requests together. */
+  createOperatorApi(
+    operators: OperatorService,
+    bodies: BodyStore,
+  ): RequestListener;
   readUpstreamList(
     address: ListenAddress,
   ): ResultAsync<readonly ListedUpstream[], SystemError>;
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -57,7 +57,7 @@
 export function startEntryInstance(
   options: InstanceOptions,
 ): ResultAsync<RunningInstance, SystemError> {
-  const { settings, adapter, clock, logger, random, registry } = options;
+  const { settings, adapter, clock, logger, random, registry, guard } = options;
   const { callers, readiness, bounds } = settings;
   if (callers === null || readiness === null) {
     const message =
@@ -213,6 +213,8 @@
     context,
     callers,
     readiness,
+    guard,
+    callerLimits: settings.callerLimits,
     getRouteTable: () => configuration.isKnown() ? routes : undefined,
   });
   return startPeerServer({
--- a/src/daemon/forwarding_instance.ts
+++ b/src/daemon/forwarding_instance.ts
@@ -3,6 +3,7 @@
  */
 import { okAsync, ResultAsync } from "neverthrow";
 import { assertNever } from "../core/assert_never.ts";
+import { createCallerGuard } from "../core/caller_limits.ts";
 import { createSystemClock } from "../core/clock.ts";
 import type { SystemError } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
@@ -38,7 +39,20 @@
   }).with({ instance: settings.instanceName });
   const random = createRandom(Date.now() ^ (Math.random() * 2 ** 31));
   const registry = createMetricsRegistry();
-  const options = { settings, adapter, clock, logger, random, registry };
+  const guard = createCallerGuard({
+    limits: settings.callerLimits,
+    logger,
+    registry,
+  });
+  const options = {
+    settings,
+    adapter,
+    clock,
+    logger,
+    random,
+    registry,
+    guard,
+  };
   return startRole(options).andThen((running) =>
     startMetrics().map(() => running)
   ).map((running) => {
@@ -72,7 +86,10 @@
   function startMetrics(): ResultAsync<void, SystemError> {
     const { host, metricsPort: port } = settings;
     if (port === null) return okAsync(undefined);
-    return startMetricsServer(registry, { host, port }).map(() => {});
+    return startMetricsServer(registry, { host, port }, {
+      guard,
+      maxConnections: settings.callerLimits.maxServiceConnections,
+    }).map(() => {});
   }
 }
 
--- a/src/daemon/instance_types.ts
+++ b/src/daemon/instance_types.ts
@@ -2,6 +2,7 @@
  * What the roles of a forwarding deployment are started with, and what they
  * return.
  */
+import type { CallerGuard } from "../core/caller_limits.ts";
 import type { Clock } from "../core/clock.ts";
 import type { Logger } from "../core/logger.ts";
 import type { MetricsRegistry } from "../core/metrics_registry.ts";
@@ -18,6 +19,7 @@
   readonly logger: Logger;
   readonly random: Random;
   readonly registry: MetricsRegistry;
+  readonly guard: CallerGuard;
 }
 
 /** Result of starting a role; `startForwardingInstance` runs its task. */
--- a/src/forwarding/caller_exchange.ts
+++ b/src/forwarding/caller_exchange.ts
@@ -4,13 +4,15 @@
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { createByteCollector } from "../core/byte_collector.ts";
+import type { Result } from "neverthrow";
+import type { BodyStore } from "../core/body_store.ts";
 import {
   createError,
   ErrorKind,
   getErrorMessage,
   type SystemError,
 } from "../core/errors.ts";
+import { getAnnouncedBytes, readRequestBody } from "../core/request_body.ts";
 import type {
   ForwardingProtocol,
   RawHeaders,
@@ -63,13 +65,17 @@
   /** Ends the exchange because this instance stops. */
   shutDown(): void;
   /**
-   * Reads the whole body. Returns undefined if the body exceeds the limit or
-   * the caller disconnects.
+   * Reads the whole body, which counts as held until the exchange ends. Fails if
+   * it exceeds the limit or the room of all bodies, is not complete in time,
+   * or the caller disconnects.
    */
-  readBody(maxBytes: number): Promise<Buffer | undefined>;
+  readBody(
+    maxBytes: number,
+    timeoutMs?: number,
+  ): Promise<Result<Buffer, SystemError>>;
   /** Whether the connection is closed after the response. */
   willClose(): boolean;
-  /** Reads the body without keeping it. */
+  /** Reads the body without keeping it, unless it is far over the limit. */
   discardBody(): Promise<void>;
   startResponse(status: number, headers: RawHeaders): void;
   /**
@@ -90,6 +96,8 @@
   readonly response: ServerResponse;
   readonly protocol: ForwardingProtocol;
   readonly arrivedAtMs: number;
+  /** For the bodies of all requests. */
+  readonly bodies: BodyStore;
   /** Whether the connection is closed after this response. */
   shouldCloseConnection(): boolean;
   onFinished(exchange: CallerExchange, status: number): void;
@@ -106,6 +114,8 @@
   });
 }
 
+/** Twice the largest body that callers may send. */
+const maxDiscardBytes = 8 * 1024 * 1024;
 export function createCallerExchange(
   options: CallerExchangeOptions,
 ): CallerExchange {
@@ -117,6 +127,9 @@
   let disconnectCallback: (() => void) | undefined;
   let shutdownCallback: (() => void) | undefined;
   let abortReason: string | undefined;
+  /** The rest of the body is not wanted. */
+  let isBodyRefused = false;
+  const heldBody = options.bodies.open();
   const drainCallbacks = new Set<() => void>();
   response.on("finish", () => finish(CallerState.Completed));
   response.on("close", () => {
@@ -171,6 +184,7 @@
     if (state === CallerState.Completed || state === CallerState.Closed) return;
     const wasStarted = state === CallerState.Responding;
     state = next;
+    heldBody.release();
     options.onFinished(exchange, next === CallerState.Completed ? status : 0);
     if (next === CallerState.Completed) return;
     options.onIncomplete(exchange, {
@@ -215,23 +229,24 @@
     }
   }
 
-  function readBody(maxBytes: number): Promise<Buffer | undefined> {
-    const body = createByteCollector();
-    let sizeBytes = 0;
-    return new Promise((resolve) => {
-      request.on("data", (chunk: Buffer) => {
-        sizeBytes += chunk.length;
-        if (sizeBytes <= maxBytes) body.add(chunk);
-        else resolve(undefined);
-      });
-      request.on("end", () => resolve(body.takeAll()));
-      request.on("error", () => resolve(undefined));
-      request.on("close", () => resolve(undefined));
+  async function readBody(
+    maxBytes: number,
+    timeoutMs?: number,
+  ): Promise<Result<Buffer, SystemError>> {
+    const body = await readRequestBody({
+      request,
+      held: heldBody,
+      maxBytes,
+      ...(timeoutMs === undefined ? {} : { timeoutMs }),
     });
+    isBodyRefused = body.isErr();
+    return body;
   }
 
   function discardBody(): Promise<void> {
-    if (request.complete) return Promise.resolve();
+    if (request.complete || getAnnouncedBytes(request) > maxDiscardBytes) {
+      return Promise.resolve();
+    }
     return new Promise((resolve) => {
       request.on("close", resolve);
       request.resume();
@@ -253,9 +268,8 @@
       requestId: description.requestId,
     });
     // Keeping the connection open for the next request would require reading
-    // the rest of the oversized body.
-    const isBodyTooLarge = error.kind === ErrorKind.PayloadTooLarge;
-    if (isBodyTooLarge && !request.complete) response.shouldKeepAlive = false;
+    // the rest of the body.
+    if (isBodyRefused && !request.complete) response.shouldKeepAlive = false;
     startResponse(answer.status, answer.headers);
     response.end(answer.body);
   }
--- a/src/forwarding/caller_exchange_test.ts
+++ b/src/forwarding/caller_exchange_test.ts
@@ -6,6 +6,7 @@
 import net from "node:net";
 import process from "node:process";
 import { afterEach, expect, test } from "vitest";
+import { createBodyStore } from "../core/body_store.ts";
 import { createForwardingProtocol } from "../../platform/forwarding_protocol.ts";
 import {
   type CallerExchange,
@@ -45,6 +46,7 @@
         response,
         protocol: createForwardingProtocol(),
         arrivedAtMs: 0,
+        bodies: createBodyStore(1_000),
         shouldCloseConnection: () => false,
         onFinished: () => {},
         onIncomplete: (_exchange, details) => resolve(details),
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -9,6 +9,12 @@
   type ServerResponse,
 } from "node:http";
 import type { ResultAsync } from "neverthrow";
+import {
+  type CallerGuard,
+  CallerLimit,
+  type CallerLimits,
+  getMaxConnections,
+} from "../core/caller_limits.ts";
 import { closeOnlyIdleConnections } from "../core/idle_connections.ts";
 import { type ListenAddress, listenOn } from "../core/listen_on.ts";
 import { waitForReads } from "../core/timeout_after_reads.ts";
@@ -51,6 +57,8 @@
   readonly context: ForwardingContext;
   readonly callers: ListenAddress;
   readonly readiness: ListenAddress;
+  readonly guard: CallerGuard;
+  readonly callerLimits: CallerLimits;
   /** Undefined until a configuration is known. */
   getRouteTable(): RouteTable | undefined;
 }
@@ -76,7 +84,7 @@
 const flushMarginMs = 200;
 
 export function createEntryServer(options: EntryServerOptions): EntryServer {
-  const { context } = options;
+  const { context, guard, callerLimits } = options;
   const streamMonitor = createStreamMonitor(context);
   const { clock, logger, random, protocol } = context;
   const openExchanges = new Set<CallerExchange>();
@@ -100,6 +108,14 @@
     response.writeHead(isReady ? 200 : 503);
     response.end();
   });
+  guard.protect(server, {
+    maxConnections: getMaxConnections(callerLimits),
+    mayPipeline: true,
+  });
+  guard.protect(readinessServer, {
+    maxConnections: callerLimits.maxServiceConnections,
+    mayPipeline: false,
+  });
   return {
     listen: () =>
       listenOn(server, options.callers).andThen(() =>
@@ -134,6 +150,7 @@
       response,
       protocol,
       arrivedAtMs,
+      bodies: guard.bodies,
       // A request that was read is answered before its connection is closed.
       shouldCloseConnection: () =>
         isDraining && !connections.hasWaiting(request.socket),
@@ -204,12 +221,13 @@
       );
       return;
     }
-    const body = await caller.readBody(table!.limits.maxBodyBytes);
-    if (!body) {
-      await refuseRequest(
-        caller,
-        createError(ErrorKind.PayloadTooLarge, "body too large"),
-      );
+    const read = await caller.readBody(
+      table!.limits.maxBodyBytes,
+      deadlineAtMs - clock.nowMs(),
+    );
+    if (read.isErr()) {
+      recordBodyRefusal(read.error);
+      await refuseRequest(caller, read.error);
       return;
     }
     // This instance may have answered it while its body was read.
@@ -223,7 +241,7 @@
       route,
       service,
       customerId,
-      body,
+      body: read.value,
       revision: table!.revision,
       priority,
       deadlineAtMs,
@@ -245,6 +263,12 @@
       clock.nowMs() - drainStartedAtMs < loadBalancerDelayMs;
   }
 
+  function recordBodyRefusal({ kind }: SystemError): void {
+    if (kind === ErrorKind.Overloaded || kind === ErrorKind.PayloadTooLarge) {
+      guard.record(CallerLimit.BodyBytes);
+    }
+  }
+
   async function refuseRequest(
     caller: CallerExchange,
     error: SystemError,
@@ -259,7 +283,12 @@
     // Bytes of the request that are not read when the connection is closed
     // reset it, and the caller may lose the response.
     if (caller.willClose() || error.kind === ErrorKind.PayloadTooLarge) {
-      await Promise.race([caller.discardBody(), clock.sleep(maxDiscardMs)]);
+      const read = new AbortController();
+      await Promise.race([
+        caller.discardBody(),
+        clock.sleep(maxDiscardMs, read.signal),
+      ]);
+      read.abort();
     }
     caller.fail(error);
   }
--- a/src/settings/forwarding_settings.ts
+++ b/src/settings/forwarding_settings.ts
@@ -5,6 +5,7 @@
  * settings; they are submitted as tickets.
  */
 import * as z from "zod";
+import { callerLimitsSchema } from "../core/caller_limits.ts";
 import type { ListenAddress } from "../core/listen_on.ts";
 import { LogLevel } from "../core/log_events.ts";
 import { strictFields } from "../core/strict_fields.ts";
@@ -61,6 +62,7 @@
   }),
   heartbeatIntervalMs: durationMsSchema.default(500),
   bounds: boundsSchema,
+  callerLimits: callerLimitsSchema,
   log: strictFields({
     level: z.enum(LogLevel).default(LogLevel.Info),
     format: z.enum(["json", "text"]).default("json"),
