--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -74,7 +74,7 @@
 export function startEntryInstance(
   options: InstanceOptions,
 ): ResultAsync<RunningInstance, SystemError> {
-  const { settings, adapter, clock, logger, random, registry } = options;
+  const { settings, adapter, clock, logger, random, registry, guard } = options;
   const { callers, readiness, bounds } = settings;
   if (callers === null || readiness === null) {
     const message =
@@ -322,6 +322,8 @@
     context,
     callers,
     readiness,
+    guard,
+    callerLimits: settings.callerLimits,
     getRouteTable: () => configuration.isKnown() ? routes : undefined,
   });
   return startPeerServer({
