--- a/src/forwarding/stream_placement.ts
+++ b/src/forwarding/stream_placement.ts
@@ -373,15 +373,17 @@
   }
 
   /**
-   * Under load, a stream waits as long as it can be served before its deadline:
-   * a repeat of its caller would draw on the same budget.
+   * Under load, a stream waits as long as it could still meet its objective: a
+   * repeat of its caller would draw on the same budget.
    */
   function isBudgetWaitOver(sinceMs: number): boolean {
-    if (clock.nowMs() - sinceMs < maxEngineWaitMs) return false;
+    const waitedMs = clock.nowMs() - sinceMs;
+    if (waitedMs < maxEngineWaitMs) return false;
     if (!context.isLoadAware(service.name)) return true;
     const remainingMs = deadlineAtMs - clock.nowMs();
     const prefillMs = getStreamDemand(stream).prefillTokens * defaultMsPerToken;
-    return remainingMs <= prefillMs || !listCandidates().some(canAdmit);
+    return waitedMs >= route.objectiveMs || remainingMs <= prefillMs ||
+      !listCandidates().some(canAdmit);
   }
 
   function drawAgain(hasRun: boolean): void {
