Name the shared constants of scheduling once, and describe its capacity

Four modules each had their own prefill time of an unknown engine, two their own age of an announcement. Copies are placed by the constant cost of a domain, as the note on leaving the domain says; nothing passed that on before.

--- a/src/forwarding/domain_figures.ts
+++ b/src/forwarding/domain_figures.ts
@@ -4,6 +4,7 @@
  */
 import type { DomainId } from "../core/types.ts";
 import type { DomainFigures } from "./domain_choice.ts";
+import { defaultPrefillMsPerToken } from "./expected_time.ts";
 import { getAvailableAtMs } from "./placement.ts";
 import type { Upstream } from "./upstream_types.ts";
 
@@ -35,8 +36,6 @@
 
 /** Reported loads older than this say nothing. */
 const maxReportAgeMs = 2_000;
-/** Approximate prefill time of an engine. */
-const defaultPrefillMsPerToken = 1 / 8;
 /** Assumed until prompts are known. */
 const defaultPromptTokens = 1_000;
 /** A demand further above the capacity is taken for a wrong figure. */
--- a/src/forwarding/engine_room.ts
+++ b/src/forwarding/engine_room.ts
@@ -5,6 +5,10 @@
  * after it would still meet its objective at the same engine.
  */
 import { assertNever } from "../core/assert_never.ts";
+import {
+  defaultPrefillMsPerToken,
+  tokensPerRunningRequest,
+} from "./expected_time.ts";
 import type { EngineTraits } from "./forwarding_table.ts";
 import type { Upstream } from "./upstream_types.ts";
 
@@ -35,10 +39,6 @@
   readonly isHalfFree: boolean;
 }
 
-/** Prefill time of a token at an engine without samples. */
-export const defaultMsPerToken = 1 / 8;
-/** A running request delays a prefill like this number of tokens. */
-const tokensPerRunningRequest = 400;
 /**
  * The loads of other instances are not older than that: half a heartbeat
  * interval until control has them, and as much until its next reply. In this
@@ -71,7 +71,8 @@
   let runningCount = 0;
   let waitingCount = 0;
   for (const engine of engines) {
-    const msPerToken = engine.speed.prefillMsPerToken ?? defaultMsPerToken;
+    const msPerToken = engine.speed.prefillMsPerToken ??
+      defaultPrefillMsPerToken;
     const running = engine.inFlightCount + engine.others.runningCount;
     const backlogTokens = getBacklogTokens(
       engine,
@@ -155,7 +156,8 @@
   },
 ): Upstream[] {
   const getWaitMs = (engine: Upstream) => {
-    const msPerToken = engine.speed.prefillMsPerToken ?? defaultMsPerToken;
+    const msPerToken = engine.speed.prefillMsPerToken ??
+      defaultPrefillMsPerToken;
     return getBacklogTokens(engine, msPerToken, loadAgeMs) * msPerToken;
   };
   return engines.map((engine) => ({ engine, waitMs: getWaitMs(engine) }))
--- a/src/forwarding/expected_time.ts
+++ b/src/forwarding/expected_time.ts
@@ -16,7 +16,7 @@
 /** Time of a call at a service without samples. */
 const defaultCallMs = 50;
 /** Prefill time of a token at a service without samples. */
-const defaultPrefillMsPerToken = 1 / 8;
+export const defaultPrefillMsPerToken = 1 / 8;
 /** Upstreams that list no slots have at least this number. */
 const defaultSlots = 6;
 /** Queues of some ten calls of 43 ms at 6 slots drain within this time. */
@@ -31,7 +31,7 @@
  * A running request delays a prefill, which is read in chunks between the
  * tokens of the others, like this number of tokens.
  */
-const tokensPerRunningRequest = 400;
+export const tokensPerRunningRequest = 400;
 
 export function estimateCall(upstream: Upstream, nowMs: number): CallEstimate {
   const slots = getSlots(upstream);
--- a/src/forwarding/placement_estimator.ts
+++ b/src/forwarding/placement_estimator.ts
@@ -24,6 +24,8 @@
   getDomainPeerCount(): number;
 }
 
+/** Time until a placement that another instance announces is visible here. */
+export const announcementAgeMs = 50;
 const windowMs = 10_000;
 /**
  * After a crash in the failure domain each of its instances has streams that it
--- a/src/forwarding/scheduling_view.ts
+++ b/src/forwarding/scheduling_view.ts
@@ -7,6 +7,7 @@
   getEngineRoom,
   maxLoadAgeMs,
 } from "./engine_room.ts";
+import { announcementAgeMs } from "./placement_estimator.ts";
 import { getEarliestFirstEventMs } from "./stream_admission.ts";
 import {
   getReservedPlaces,
@@ -32,9 +33,6 @@
   recordPlacement(): void;
 }
 
-/** Time until a placement that another instance announces is visible here. */
-const announcementAgeMs = 50;
-
 export function createSchedulingView(stream: StreamState): SchedulingView {
   const { context, admitted, traits } = stream;
   const { clock, directory, streamQueue } = context;
--- a/src/forwarding/stream_placement.ts
+++ b/src/forwarding/stream_placement.ts
@@ -16,8 +16,10 @@
   type AdmissionDecision,
   decideStreamAdmission,
 } from "./stream_admission.ts";
+import { announcementAgeMs } from "./placement_estimator.ts";
 import { minResumeMs } from "./stream_decisions.ts";
-import { defaultMsPerToken, listChoice } from "./engine_room.ts";
+import { listChoice } from "./engine_room.ts";
+import { defaultPrefillMsPerToken } from "./expected_time.ts";
 import { decideScheduling, WaitReason } from "./stream_scheduling.ts";
 import { createSchedulingView } from "./scheduling_view.ts";
 import { createStreamWait } from "./stream_wait.ts";
@@ -32,7 +34,8 @@
   drawForRepeat(hasRun: boolean): boolean;
   /** Starts the next attempt when the retry budget allows it. */
   waitForBudget(): void;
-  getPlacementContext(): PlacementContext;
+  /** `isForCopy` for the engine that holds a copy of the KV cache. */
+  getPlacementContext(isForCopy?: boolean): PlacementContext;
   /** The engines that may get the next attempt. */
   listCandidates(): Upstream[];
   /** Chooses among the engines that can prefill the prompt in time. */
@@ -53,8 +56,6 @@
 
 /** Engines that fail briefly are available again within this time. */
 const maxEngineWaitMs = 1_500;
-/** Time until a placement that another instance announces is visible here. */
-const announcementAgeMs = 50;
 const enginePollIntervalMs = 50;
 /** Interval at which a stream that the retry budget does not cover asks again. */
 const budgetPollIntervalMs = 250;
@@ -89,9 +90,10 @@
     },
   };
 
-  function getPlacementContext(): PlacementContext {
+  function getPlacementContext(isForCopy = false): PlacementContext {
     return createPlacementContext(context, {
       service: service.name,
+      isForCopy,
       triedIds: stream.triedIds,
       unreportedPlacementCount: context.getUnreportedPlacementCount(
         directory.isDomainSuspected(service.name, context.domainId),
@@ -381,7 +383,8 @@
     if (waitedMs < maxEngineWaitMs) return false;
     if (!context.isLoadAware(service.name)) return true;
     const remainingMs = deadlineAtMs - clock.nowMs();
-    const prefillMs = getStreamDemand(stream).prefillTokens * defaultMsPerToken;
+    const prefillMs = getStreamDemand(stream).prefillTokens *
+      defaultPrefillMsPerToken;
     return waitedMs >= route.objectiveMs || remainingMs <= prefillMs ||
       !listCandidates().some(canAdmit);
   }
--- a/src/forwarding/stream_scheduling.ts
+++ b/src/forwarding/stream_scheduling.ts
@@ -76,9 +76,10 @@
 
 /**
  * Places that are kept for the more urgent streams that arrive while an engine
- * reads one prompt, and since the loads of the engines were known. Their number varies by about its square root. At most half of
- * the engines are kept, and none for less than one stream, since engines would
- * be idle while others wait.
+ * reads one prompt, or have arrived since the loads of the engines were known.
+ * Their number varies by about its square root. At most half of the engines are
+ * kept, and none for less than one stream, since engines would be idle while
+ * others wait.
  */
 export function getReservedPlaces(
   { streamsPerS, promptTokensPerS }: ArrivalRate,
--- a/src/forwarding/stream_start.ts
+++ b/src/forwarding/stream_start.ts
@@ -75,7 +75,7 @@
           ),
           engine,
           demand,
-          placement.getPlacementContext(),
+          placement.getPlacementContext(true),
         ),
     });
     const copyHolder = copyManager.getInitialHolder();
