--- a/src/forwarding/stream_start.ts
+++ b/src/forwarding/stream_start.ts
@@ -118,6 +118,8 @@
         promptParts: description.promptParts,
       }),
       request: requestId,
+      rank: stream.rank,
+      promptTokens: description.promptTokens,
       copyAt: copyHolder?.info.upstreamId,
       resumesFrom: source?.copyId,
       lastEventId: stream.lastEventId,
