Keep a stream without a copy at an engine that is only slow

An engine whose machine is 2.5 times slower for half a second, and which reads a prompt beside, needs up to a second for an event of 9 tokens (9 x (25 ms x 1.7 x 2.5 + 3 ms)), so streams left it after 450 ms of silence and read their prompts again for more than a second, and it counted as lost for others. Where a service is scheduled under load, an engine that still sends counts as sound: a stream leaves it for its copy, or after 3 s. Decisions, silent engine and broken stream tests pass (84). Not measured yet.

--- a/src/forwarding/decisions_test.ts
+++ b/src/forwarding/decisions_test.ts
@@ -141,8 +141,14 @@
     ranCount: 1,
     maxAttempts: 3,
     silentMs: 450,
+    isSlowWithoutCopy: false,
   };
   expect(mayLeaveSilentRun(silent)).toBe(true);
+  // Reading a prompt again takes longer than an engine's slow half second.
+  expect(mayLeaveSilentRun({ ...silent, isSlowWithoutCopy: true })).toBe(false);
+  expect(
+    mayLeaveSilentRun({ ...silent, isSlowWithoutCopy: true, silentMs: 4_000 }),
+  ).toBe(true);
   expect(mayLeaveSilentRun({ ...silent, ranCount: 2 })).toBe(false);
   expect(mayLeaveSilentRun({ ...silent, ranCount: 2, silentMs: 4_000 }))
     .toBe(true);
--- a/src/forwarding/stream_decisions.ts
+++ b/src/forwarding/stream_decisions.ts
@@ -26,7 +26,7 @@
 }
 
 /** Two engine steps that each prefill a chunk of a prompt take about 180 ms. */
-const probeAfterMs = 220;
+export const probeAfterMs = 220;
 /** An engine sends nothing for about a second while it prefills a prompt. */
 const firstEventProbeAfterMs = 450;
 /** A live engine rarely leaves such a gap between two events of a stream. */
@@ -76,6 +76,11 @@
   readonly maxAttempts: number;
   /** Time since the run's last event or its start. */
   readonly silentMs: number;
+  /**
+   * The engine is known to work, so it may be slow: a run that has begun and has
+   * no copy would read its prompt again, which takes longer than the silence.
+   */
+  readonly isSlowWithoutCopy: boolean;
 }
 
 /** The users' pages: a sound upstream goes on after a second or so. */
@@ -90,9 +95,17 @@
  * sound: ending the run is then a loss, unless another one takes the stream.
  */
 export function mayLeaveSilentRun(
-  { remainingMs, isResumable, ranCount, maxAttempts, silentMs }: SilentRun,
+  {
+    remainingMs,
+    isResumable,
+    ranCount,
+    maxAttempts,
+    silentMs,
+    isSlowWithoutCopy,
+  }: SilentRun,
 ): boolean {
   if (!isResumable || remainingMs < minResumeMs) return false;
+  if (isSlowWithoutCopy && silentMs < soundSilenceMs) return false;
   const remainingAttempts = maxAttempts - ranCount;
   return silentMs < soundSilenceMs
     ? remainingAttempts > reservedAttempts
--- a/src/forwarding/stream_losses.ts
+++ b/src/forwarding/stream_losses.ts
@@ -8,7 +8,11 @@
 import type { CrashDecision } from "../quarantine/crash_decisions.ts";
 import type { KvCacheCopy } from "./forwarding_protocol.ts";
 import { getWritingMs, type StreamAttempt } from "./stream_attempt.ts";
-import { decideAfterLoss, mayLeaveSilentRun } from "./stream_decisions.ts";
+import {
+  decideAfterLoss,
+  mayLeaveSilentRun,
+  probeAfterMs,
+} from "./stream_decisions.ts";
 import type { StreamMonitor } from "./stream_monitor.ts";
 import type { StreamPlacement } from "./stream_placement.ts";
 import { isStreamResumable, type StreamState } from "./stream_state.ts";
@@ -63,6 +67,9 @@
         current.lastEventAtMs ?? current.startedAtMs,
         current.resumedAtMs,
       );
+    // Under load an engine may be slow for half a second, and works on.
+    const isEngineAlive = context.isLoadAware(admitted.service.name) &&
+      clock.nowMs() - upstream.lastActivityAtMs < probeAfterMs;
     // A run that is ended and can't be repeated yet would be a loss.
     const mayLeave = budget.hasReserve(stream.budgetKey, 1) &&
       mayLeaveSilentRun({
@@ -71,11 +78,18 @@
         ranCount: stream.ranCount + 1,
         maxAttempts: route.maxAttempts,
         silentMs,
+        isSlowWithoutCopy: isEngineAlive &&
+          current.lastEventAtMs !== undefined && !findUsableCopy(current),
       });
     const target = mayLeave ? findTarget(current) : undefined;
     if (target) {
       stream.hasLeftRun = true;
-      handleLoss(current, { wasSent: true, reason, nextEngine: target });
+      handleLoss(current, {
+        wasSent: true,
+        mayBeSound: isEngineAlive,
+        reason,
+        nextEngine: target,
+      });
       return;
     }
     if (current.isSilenceLogged) return;
