Let the soak schedule its services under load

Half of the seeds rank the streaming routes, and application upstreams state a slow machine in turn, so waiting, the shared retry budget and placement by expected time run under the injected faults.

--- a/measure/soak/soak_operator.ts
+++ b/measure/soak/soak_operator.ts
@@ -36,8 +36,10 @@
 const attemptCount = 3;
 
 export function createSoakOperator(
-  { random, record, operatorUrls }: {
+  { random, record, operatorUrls, isRanked = false }: {
     readonly random: Random;
+    /** Whether the streaming routes differ in priority. */
+    readonly isRanked?: boolean;
     readonly record: SoakRecord;
     readonly operatorUrls: readonly string[];
   },
@@ -84,7 +86,9 @@
     isValid: boolean,
   ): Promise<void> {
     const sentAtMs = performance.now();
-    const body = JSON.stringify(createConfigurationDocument(number, isValid));
+    const body = JSON.stringify(
+      createConfigurationDocument(number, { isValid, isRanked }),
+    );
     const answer = await requestUntilAnswered("/config", {
       method: "PUT",
       body,
@@ -138,15 +142,26 @@
   }
 }
 
-function createConfigurationDocument(number: number, isValid: boolean) {
-  const route = (name: string, kind: string, service: string) => ({
+function createConfigurationDocument(
+  number: number,
+  { isValid, isRanked }: {
+    readonly isValid: boolean;
+    readonly isRanked: boolean;
+  },
+) {
+  const route = (
+    name: string,
+    kind: string,
+    service: string,
+    priority = 1,
+  ) => ({
     name,
     host: soakHost,
     path_prefix: `/${name}/`,
     kind,
     timeout_ms: kind === "streaming" ? 12_000 : 2_000,
     slo_ms: 500,
-    priority: 1,
+    priority,
     service,
     attempts: attemptCount,
     public: false,
@@ -158,6 +173,7 @@
       route("safe", "safe", appService),
       route("unsafe", "unsafe", isValid ? appService : "unknown"),
       route("gen", "streaming", modelService),
+      ...(isRanked ? [route("urgent", "streaming", modelService, 0)] : []),
       route(`idle-${number}`, "safe", appService),
     ],
     services: [
--- a/measure/soak/soak_run.ts
+++ b/measure/soak/soak_run.ts
@@ -97,6 +97,8 @@
   const operator = createSoakOperator({
     random,
     record,
+    // Every other seed makes the streams wait and share their retry budget.
+    isRanked: options.seed % 2 === 1,
     operatorUrls: control.map(({ host }) =>
       `http://${host}:${forwardingPorts.operators}`
     ),
--- a/measure/soak/soak_upstreams.ts
+++ b/measure/soak/soak_upstreams.ts
@@ -53,6 +53,7 @@
 const eventIntervalMs = 40;
 const prefillMs = 150;
 const maxCallMs = 30;
+const slownessPeriodMs = 600;
 /**
  * Ratios of random failures. A lost response resets the connection after the
  * request was executed.
@@ -255,6 +256,7 @@
       response.writeHead(isFailed ? 500 : 200, {
         "Request-Id": requestId,
         "Response-Seal": "seal",
+        "Server-Load": `1,0,${appSlots},${getSlownessPercent(upstream)}`,
         "Content-Length": Buffer.byteLength(body),
       });
       response.end(body);
@@ -295,6 +297,15 @@
   }
 }
 
+/**
+ * Each upstream in turn states that its machine is slow. No random number is
+ * drawn, so that seeds keep their course.
+ */
+function getSlownessPercent({ upstreamId }: SoakUpstream): number {
+  const period = Math.floor(performance.now() / slownessPeriodMs);
+  return (period + upstreamId.length) % 3 === 0 ? 250 : 100;
+}
+
 function refuse(
   response: http.ServerResponse,
   requestId: string,
