Draw on the last known counts when reports of repeats are missing

Without a report for 2 s an instance fell back to 0.4 of its own share of the retry budget, less its repeats of 10 s. It now draws a smaller part of what was left at the last report.

--- a/src/limits/repeat_window.ts
+++ b/src/limits/repeat_window.ts
@@ -10,8 +10,9 @@
  * report, less what it has drawn since: if all of them draw their part before
  * the next report, the limit still holds.
  *
- * An instance that receives no reports keeps to a part of its own equal share,
- * because the others can't see what it draws.
+ * An instance that receives no reports draws less, because the others can't see
+ * what it draws: a part of what was left at the last report, and after that of
+ * its own equal share.
  */
 import type { Clock } from "../core/clock.ts";
 import type { RepeatCounts } from "../upstreams/engine_load_summary.ts";
@@ -55,7 +56,9 @@
  * instances and replies, and as much for late messages.
  */
 const reportAgeMs = 1_500;
-/** Later, the counts of the others are unknown. */
+/** Age of the other instances' counts when a report arrives. */
+const countAgeMs = 1_000;
+/** Later, reports are missing, and the others miss those of this instance. */
 const maxReportAgeMs = 2_000;
 /**
  * Parts of the limit that are used. With a quarter of the instances without
@@ -63,6 +66,7 @@
  * that are counted elsewhere at another time.
  */
 const sharedPart = 0.85;
+const outdatedPart = 0.5;
 const unreportedPart = 0.4;
 /** Parts of what is available that less urgent repeats leave to others. */
 const reservedParts: Readonly<Record<RepeatUrgency, number>> = {
@@ -123,11 +127,18 @@
     const nowMs = clock.nowMs();
     const own = getCounts(service);
     const instanceCount = Math.max(1, getInstanceCount());
+    const reportedMs = nowMs - reportedAtMs;
+    // All own repeats that the report did not contain.
+    const unseenMs = Math.max(reportAgeMs, reportedMs + countAgeMs);
     const state = {
       requestCount: own.requests.count(nowMs, windowMs),
       repeatCount: own.repeats.count(nowMs, windowMs),
-      recentRepeatCount: own.repeats.count(nowMs, reportAgeMs),
-      remote: nowMs - reportedAtMs <= maxReportAgeMs
+      recentRepeatCount: own.repeats.count(
+        nowMs,
+        Math.min(windowMs, unseenMs),
+      ),
+      isReportCurrent: reportedMs <= maxReportAgeMs,
+      remote: reportedMs <= windowMs
         ? remote.get(service) ?? { requestCount: 0, repeatCount: 0 }
         : undefined,
       instanceCount,
@@ -151,7 +162,9 @@
   readonly repeatCount: number;
   /** Own repeats that the other instances may not know of yet. */
   readonly recentRepeatCount: number;
-  /** Sums of the other instances; undefined without a recent report. */
+  /** Whether reports still arrive. */
+  readonly isReportCurrent: boolean;
+  /** Sums of the other instances; undefined without a report in the window. */
   readonly remote: RemoteCounts | undefined;
   readonly instanceCount: number;
 }
@@ -174,7 +187,8 @@
   const limit = ratio * (state.requestCount + remote.requestCount) + slack;
   const knownRepeatCount = remote.repeatCount +
     state.repeatCount - recentRepeatCount;
-  const part = (sharedPart * limit - knownRepeatCount) / instanceCount;
+  const usedPart = state.isReportCurrent ? sharedPart : outdatedPart;
+  const part = (usedPart * limit - knownRepeatCount) / instanceCount;
   return part * usablePart - recentRepeatCount;
 }
 
