Divide the shared retry budget by the requests of the instances

Instances drew equal parts, but a load balancer that hashes callers gives them between none and eight. The share now follows the requests of the last 10 s; a tenth is divided equally.

--- a/src/limits/repeat_window.ts
+++ b/src/limits/repeat_window.ts
@@ -6,10 +6,15 @@
  * instances have to resume all their streams within a second, while the others
  * repeat nothing. Equal shares of the limit would hold these streams back while
  * most of the limit is unused. Instances therefore exchange their counts, and
- * each may draw an equal part of what was left of the whole limit at the last
+ * each may draw its share of what was left of the whole limit at the last
  * report, less what it has drawn since: if all of them draw their part before
  * the next report, the limit still holds.
  *
+ * The share follows the requests of the window, since an instance with many
+ * requests has many streams that can lose their engines at once. With equal
+ * shares, instances with eight callers waited 2.5 s for repeats in a crash of a
+ * failure domain, while those with one caller left theirs unused.
+ *
  * An instance that receives no reports draws less, because the others can't see
  * what it draws: a part of what was left at the last report, and after that of
  * its own equal share.
@@ -68,6 +73,11 @@
 const sharedPart = 0.85;
 const outdatedPart = 0.5;
 const unreportedPart = 0.4;
+/**
+ * Part of what is left that is divided equally, for instances whose first
+ * requests the shares don't show yet.
+ */
+const equalPart = 0.1;
 /** Parts of what is available that less urgent repeats leave to others. */
 const reservedParts: Readonly<Record<RepeatUrgency, number>> = {
   [RepeatUrgency.Normal]: 0.3,
@@ -80,6 +90,11 @@
   readonly repeats: WindowCounter;
 }
 
+interface OwnRequests {
+  readonly atMs: number;
+  readonly countByService: ReadonlyMap<string, number>;
+}
+
 interface RemoteCounts {
   readonly requestCount: number;
   readonly repeatCount: number;
@@ -91,6 +106,8 @@
   const services = new Map<string, ServiceCounts>();
   let remote: ReadonlyMap<string, RemoteCounts> = new Map();
   let reportedAtMs = -Infinity;
+  /** Own requests in the window at the last reports, oldest first. */
+  let history: OwnRequests[] = [];
   return {
     recordRequest: (service) => getCounts(service).requests.add(clock.nowMs()),
     recordRepeat,
@@ -116,9 +133,28 @@
           { requestCount, repeatCount },
         ]),
       );
+      recordOwnRequests();
     },
   };
 
+  /**
+   * Keeps the counts since the newest one that is as old as those of the other
+   * instances: shares of figures of the same moment add up to 1.
+   */
+  function recordOwnRequests(): void {
+    const countByService = new Map(
+      [...services].map(([service, { requests }]) => [
+        service,
+        requests.count(reportedAtMs, windowMs),
+      ]),
+    );
+    history.push({ atMs: reportedAtMs, countByService });
+    const comparable = history.findLastIndex(({ atMs }) =>
+      atMs <= reportedAtMs - countAgeMs
+    );
+    history = history.slice(Math.max(0, comparable));
+  }
+
   function recordRepeat(service: string): void {
     getCounts(service).repeats.add(clock.nowMs());
   }
@@ -126,7 +162,6 @@
   function getAvailable(service: string, urgency: RepeatUrgency): number {
     const nowMs = clock.nowMs();
     const own = getCounts(service);
-    const instanceCount = Math.max(1, getInstanceCount());
     const reportedMs = nowMs - reportedAtMs;
     // All own repeats that the report did not contain.
     const unseenMs = Math.max(reportAgeMs, reportedMs + countAgeMs);
@@ -141,7 +176,8 @@
       remote: reportedMs <= windowMs
         ? remote.get(service) ?? { requestCount: 0, repeatCount: 0 }
         : undefined,
-      instanceCount,
+      equalShare: 1 / Math.max(1, getInstanceCount()),
+      comparableCount: history[0]?.countByService.get(service) ?? 0,
     };
     return getAvailableRepeats(state, { ratio, slack, urgency });
   }
@@ -166,7 +202,10 @@
   readonly isReportCurrent: boolean;
   /** Sums of the other instances; undefined without a report in the window. */
   readonly remote: RemoteCounts | undefined;
-  readonly instanceCount: number;
+  /** Part of this instance if the limit were divided equally. */
+  readonly equalShare: number;
+  /** Own requests in the window when `remote` was counted. */
+  readonly comparableCount: number;
 }
 
 /** Returns how many repeats this instance may send now. Pure. */
@@ -178,20 +217,29 @@
     readonly urgency: RepeatUrgency;
   },
 ): number {
-  const { remote, instanceCount, recentRepeatCount } = state;
+  const { remote, equalShare, recentRepeatCount } = state;
   const usablePart = 1 - reservedParts[urgency];
   if (remote === undefined) {
-    const share = ratio * state.requestCount + slack / instanceCount;
-    return unreportedPart * share * usablePart - state.repeatCount;
+    const ownLimit = ratio * state.requestCount + slack * equalShare;
+    return unreportedPart * ownLimit * usablePart - state.repeatCount;
   }
   const limit = ratio * (state.requestCount + remote.requestCount) + slack;
   const knownRepeatCount = remote.repeatCount +
     state.repeatCount - recentRepeatCount;
   const usedPart = state.isReportCurrent ? sharedPart : outdatedPart;
-  const part = (usedPart * limit - knownRepeatCount) / instanceCount;
+  const part = (usedPart * limit - knownRepeatCount) * getShare(state, remote);
   return part * usablePart - recentRepeatCount;
 }
 
+function getShare(
+  { comparableCount, equalShare }: RepeatState,
+  { requestCount }: RemoteCounts,
+): number {
+  const sum = comparableCount + requestCount;
+  const byRequests = sum > 0 ? comparableCount / sum : equalShare;
+  return equalPart * equalShare + (1 - equalPart) * byRequests;
+}
+
 interface WindowCounter {
   add(nowMs: number): void;
   count(nowMs: number, spanMs: number): number;
