Rank streams by their routes among customers of one priority

A customer's priority replaced that of the route. The customer's priority now goes first, and the route decides among equal customers, for streams, calls and requests that wait for limits.

--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -357,7 +357,7 @@
   );
 
   function isLoadAware(service: string): boolean {
-    return (routes?.getStreamPriorities(service).length ?? 0) > 1 ||
+    return routes?.hasRankedStreams(service) === true ||
       directory.hasStatedSlowness(service);
   }
 
--- a/src/forwarding/call_queue.ts
+++ b/src/forwarding/call_queue.ts
@@ -28,6 +28,7 @@
 import { estimateCall, getSlots } from "./expected_time.ts";
 import type { ForwardingMetrics } from "./forwarding_metrics.ts";
 import { getAvailableAtMs, listReachable } from "./placement.ts";
+import { getRoutePriority } from "./request_priority.ts";
 import {
   getCapacityRetryAfterMs,
   getHonouredDelayMs,
@@ -40,7 +41,7 @@
   readonly requestId: string;
   readonly service: string;
   readonly customerId: string | undefined;
-  /** 0 is the most urgent. */
+  /** Lower ones go first; see `combinePriorities`. */
   readonly priority: number;
   readonly objectiveAtMs: number;
   readonly deadlineAtMs: number;
@@ -176,13 +177,15 @@
         logger.log(logEvents.callWaited, {
           request: call.requestId,
           service,
-          priority,
+          priority: getRoutePriority(priority),
           waitMs: Math.round(waitMs),
           standing,
         });
       }
       end();
-      metrics.callWaitTime.observeMs(waitMs, { priority: getLabel(priority) });
+      metrics.callWaitTime.observeMs(waitMs, {
+        priority: getLabel(getRoutePriority(priority)),
+      });
     }
 
     function refuse(refusal: CallRefusal, backlogMs = 0): void {
@@ -190,7 +193,7 @@
       logger.log(logEvents.callRefused, {
         request: call.requestId,
         service,
-        priority,
+        priority: getRoutePriority(priority),
         refusal,
         standing,
         waitingCount,
--- a/src/forwarding/forwarding_context.ts
+++ b/src/forwarding/forwarding_context.ts
@@ -55,8 +55,8 @@
    */
   isLoadAware(service: string): boolean;
   /**
-   * The different priorities of the streaming routes to the service, the most
-   * urgent first.
+   * The different priorities of streams of the service, the most urgent first;
+   * see `combinePriorities`.
    */
   getStreamPriorities(service: string): readonly number[];
   /** The shortest objective of the most urgent streaming routes. */
@@ -88,7 +88,7 @@
   readonly customerId: string | undefined;
   readonly body: Buffer;
   readonly revision: number;
-  /** 0 is the most urgent. */
+  /** Lower ones go first; see `combinePriorities`. */
   readonly priority: number;
   /** The earlier of the caller's deadline and the route's timeout. */
   readonly deadlineAtMs: number;
--- a/src/forwarding/forwarding_table.ts
+++ b/src/forwarding/forwarding_table.ts
@@ -5,6 +5,7 @@
  */
 import * as z from "zod";
 import { intInRange, strictFields } from "../core/strict_fields.ts";
+import { maxPriority } from "./request_priority.ts";
 
 export enum RequestKind {
   /** May run more than once. */
@@ -34,7 +35,7 @@
   /** Latency objective: a response within this time has its full value. */
   objectiveMs: z.number().min(0).max(dayMs),
   /** 0 is the most urgent. */
-  priority: z.int().min(0).max(1_000),
+  priority: z.int().min(0).max(maxPriority),
   targets: z.array(routeTargetSchema).min(1).max(100),
   /** Maximum number of attempts that run or may have run, per request. */
   maxAttempts: z.int().min(1).max(1_000),
@@ -69,8 +70,8 @@
 export const forwardingCustomerSchema = strictFields({
   customerId: nameSchema,
   apiKeys: z.array(z.string().min(1).max(1_000)).max(10_000),
-  /** Overrides the route's priority unless null. */
-  priority: z.int().min(0).max(1_000).nullable(),
+  /** Goes before the route's priority unless null. */
+  priority: z.int().min(0).max(maxPriority).nullable(),
 });
 
 export const callerLimitsSchema = strictFields({
--- a/src/forwarding/request_checks.ts
+++ b/src/forwarding/request_checks.ts
@@ -6,6 +6,7 @@
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import type { RawHeaders, RequestDescription } from "./forwarding_protocol.ts";
 import type { ForwardingRoute, ForwardingService } from "./forwarding_table.ts";
+import { combinePriorities } from "./request_priority.ts";
 import type { RouteTable } from "./route_table.ts";
 
 export interface IncomingRequest {
@@ -19,7 +20,7 @@
   readonly route: ForwardingRoute;
   /** Undefined on a public route. */
   readonly customerId: string | undefined;
-  /** The customer's priority if it has one, else the route's. */
+  /** See `combinePriorities`. */
   readonly priority: number;
 }
 
@@ -51,7 +52,11 @@
     return err(createError(ErrorKind.NotFound, "no route for this request"));
   }
   if (route.isPublic || !table.requiresApiKey) {
-    return ok({ route, customerId: undefined, priority: route.priority });
+    return ok({
+      route,
+      customerId: undefined,
+      priority: combinePriorities(null, route.priority),
+    });
   }
   const { apiKey } = request.description;
   const customer = apiKey === undefined
@@ -65,7 +70,7 @@
   return ok({
     route,
     customerId: customer.customerId,
-    priority: customer.priority ?? route.priority,
+    priority: combinePriorities(customer.priority, route.priority),
   });
 }
 
--- a/src/forwarding/route_table.ts
+++ b/src/forwarding/route_table.ts
@@ -10,6 +10,7 @@
   type ForwardingTable,
   RequestKind,
 } from "./forwarding_table.ts";
+import { listCombinedPriorities } from "./request_priority.ts";
 
 export interface ServiceObjectives {
   readonly firstEventMs: number | undefined;
@@ -25,9 +26,11 @@
   findRoute(host: string, path: string): ForwardingRoute | undefined;
   findCustomer(apiKey: string): ForwardingCustomer | undefined;
   getService(name: string): ForwardingService | undefined;
+  /** Whether the streaming routes to the service differ in priority. */
+  hasRankedStreams(service: string): boolean;
   /**
-   * The different priorities of the streaming routes to the service, the most
-   * urgent first.
+   * The different priorities of streams of the service, the most urgent first;
+   * see `combinePriorities`. Empty if its routes do not differ.
    */
   getStreamPriorities(service: string): readonly number[];
   /**
@@ -56,8 +59,13 @@
   const engineServices = table.services.filter(({ engine }) => engine !== null);
   const services = new Map(table.services.map((entry) => [entry.name, entry]));
   const objectives = listObjectives(table);
-  const streamPriorities = listStreamPriorities(table);
-  const urgentObjectives = findUrgentObjectives(table, streamPriorities);
+  const routePriorities = listStreamingRoutePriorities(table);
+  const streamPriorities = new Map(
+    [...routePriorities].filter(([, { length }]) => length > 1).map((
+      [service, priorities],
+    ) => [service, listCombinedPriorities(table, priorities)]),
+  );
+  const urgentObjectives = findUrgentObjectives(table, routePriorities);
   return {
     revision,
     limits: table.limits,
@@ -65,6 +73,7 @@
     findRoute,
     findCustomer: (apiKey) => customers.get(apiKey),
     getService: (name) => services.get(name),
+    hasRankedStreams: (service) => streamPriorities.has(service),
     getStreamPriorities: (service) => streamPriorities.get(service) ?? [],
     getUrgentObjectiveMs: (service) => urgentObjectives.get(service),
     getObjectives: (service) => objectives.get(service) ?? noObjectives,
@@ -112,7 +121,7 @@
   return byService;
 }
 
-function listStreamPriorities(
+function listStreamingRoutePriorities(
   { routes }: ForwardingTable,
 ): Map<string, number[]> {
   const byService = new Map<string, Set<number>>();
@@ -133,13 +142,13 @@
 
 function findUrgentObjectives(
   { routes }: ForwardingTable,
-  streamPriorities: ReadonlyMap<string, readonly number[]>,
+  routePriorities: ReadonlyMap<string, readonly number[]>,
 ): Map<string, number> {
   const objectives = new Map<string, number>();
   for (const { kind, targets, priority, objectiveMs } of routes) {
     if (kind !== RequestKind.Streaming) continue;
     for (const { service } of targets) {
-      if (priority !== streamPriorities.get(service)![0]) continue;
+      if (priority !== routePriorities.get(service)![0]) continue;
       const shortest = objectives.get(service) ?? Infinity;
       objectives.set(service, Math.min(shortest, objectiveMs));
     }
--- a/src/forwarding/stream_scheduling.ts
+++ b/src/forwarding/stream_scheduling.ts
@@ -17,8 +17,8 @@
 const maxEnginePriority = 9;
 
 /**
- * Returns the rank of a priority. One that no route has, because it is that of a
- * customer, takes the position that it would have.
+ * Returns the rank of a priority. One that is not listed takes the position that
+ * it would have.
  */
 export function getStreamRank(
   priorities: readonly number[],
