Let the control leader grant repeats beyond an instance's share

Instances now draw on half of the limit by themselves and ask the leader for more, out of another 0.35.

--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -28,6 +28,7 @@
 import { startPeerServer } from "../peer/peer_server.ts";
 import { createQuarantineCache } from "../quarantine/quarantine_cache.ts";
 import { createQuarantineControl } from "../quarantine/quarantine_task.ts";
+import { createRepeatLedger } from "../limits/repeat_ledger.ts";
 import { createEngineLoadAggregator } from "../upstreams/engine_load_aggregator.ts";
 import { createInstanceCore } from "./instance_core.ts";
 import type { InstanceOptions, RunningInstance } from "./instance_types.ts";
@@ -90,6 +91,7 @@
     onUpstreams: () => {},
     getAnswerReport: () => undefined,
     onHeartbeat: (heartbeat) => {
+      repeatLedger.observeLeadership();
       const { instanceId, answerReport, crashReport } = heartbeat;
       if (answerReport) answerCounts.record(heartbeat, answerReport);
       if (crashReport) quarantine.recordReport(instanceId, crashReport);
@@ -191,6 +193,18 @@
     }),
     log,
   });
+  const repeatLedger = createRepeatLedger({
+    clock,
+    ratio: settings.bounds.retryRatio,
+    slack: settings.bounds.retrySlack,
+    getLeaderTerm: () => log.isLeader() ? log.getTerm() : undefined,
+    getReported: engineLoadAggregator.getRepeatCounts,
+  });
+  const grantedRepeats = registry.createCounter(
+    "granted_repeats",
+    "Repeats of requests that this instance granted as control leader.",
+    ["service", "urgency"],
+  );
   const pauses = createPauseWatch({ clock, limitMs: orderPauseLimitMs });
   const operators = createOperatorService({
     tickets: createTicketService({
@@ -218,6 +232,15 @@
       [PeerCallKind.PushConfiguration]: configuration.handlePush,
       [PeerCallKind.PullConfiguration]: configuration.handlePull,
       [PeerCallKind.PullUpstreams]: upstreams.handlePull,
+      [PeerCallKind.GrantRepeats]: ({ service, units, urgency }) => {
+        const granted = repeatLedger.grant(service, units, urgency);
+        if (granted > 0) grantedRepeats.add({ service, urgency }, granted);
+        return ok({
+          isLeader: log.isLeader(),
+          leaderId: log.getLeaderId() ?? "",
+          granted,
+        });
+      },
       [PeerCallKind.Propose]: createProposeHandler({
         selfId: settings.host,
         log,
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -5,6 +5,7 @@
  */
 import { errAsync, type ResultAsync } from "neverthrow";
 import type { Configuration } from "../control/configuration.ts";
+import { createRepeatGrantClient } from "../control/repeat_grant_client.ts";
 import { createByteBudget } from "../core/byte_budget.ts";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
 import { createSupervisor } from "../core/supervisor.ts";
@@ -32,6 +33,7 @@
 import { createLimitQueue } from "../limits/limit_queue.ts";
 import { createUpstreamLimits } from "../limits/upstream_limits.ts";
 import { createRankDemand } from "../limits/rank_demand.ts";
+import { createRepeatGrants } from "../limits/repeat_grants.ts";
 import { createRepeatWindow } from "../limits/repeat_window.ts";
 import { createRetryBudget } from "../limits/retry_budget.ts";
 import { createSharedRetryBudget } from "../limits/shared_retry_budget.ts";
@@ -264,6 +266,13 @@
     heldResponses: createByteBudget(maxHeldResponseBytes),
     budget: createSharedRetryBudget({
       window: repeatWindow,
+      grants: createRepeatGrants({
+        clock,
+        request: createRepeatGrantClient({
+          peers,
+          listReachableControlIds: membership.listReachableControlIds,
+        }).request,
+      }),
       separate: createRetryBudget({
         ratio: bounds.retryRatio * budgetSafetyRatio,
         initialUnits: minBudgetUnits,
--- a/src/limits/repeat_window.ts
+++ b/src/limits/repeat_window.ts
@@ -15,12 +15,16 @@
  * shares, instances with eight callers waited 2.5 s for repeats in a crash of a
  * failure domain, while those with one caller left theirs unused.
  *
+ * The other part of the limit is granted on request by the control leader (see
+ * `repeat_ledger.ts`), for instances that need more than their share at once.
+ *
  * An instance that receives no reports draws less, because the others can't see
  * what it draws: a part of what was left at the last report, and after that of
  * its own equal share.
  */
 import type { Clock } from "../core/clock.ts";
 import type { RepeatCounts } from "../upstreams/engine_load_summary.ts";
+import { createWindowCounter, type WindowCounter } from "./window_counter.ts";
 
 export enum RepeatUrgency {
   /** The request has not run, or its route is not urgent. */
@@ -35,7 +39,9 @@
   recordRequest(service: string): void;
   /** Counts a repeat that was allowed by another limit. */
   recordRepeat(service: string): void;
-  /** Number of repeats that may be sent now. */
+  /** Counts a repeat that the leader granted. */
+  recordGranted(service: string): void;
+  /** Number of repeats that may be sent now without a grant. */
   getAvailable(service: string, urgency: RepeatUrgency): number;
   tryDraw(service: string, urgency: RepeatUrgency): boolean;
   /** This instance's counts in the window, for the other instances. */
@@ -53,8 +59,7 @@
   getInstanceCount(): number;
 }
 
-const windowMs = 10_000;
-const bucketMs = 250;
+export const repeatWindowMs = 10_000;
 /**
  * Age of what a report says of the other instances: half a heartbeat interval
  * each until control has their counts, has exchanged them with the other control
@@ -66,11 +71,17 @@
 /** Later, reports are missing, and the others miss those of this instance. */
 const maxReportAgeMs = 2_000;
 /**
- * Parts of the limit that are used. With a quarter of the instances without
- * reports both together stay below 0.95 of the limit; the rest is for requests
- * that are counted elsewhere at another time.
+ * Part of the limit that the leader grants. In a crash of one of four failure
+ * domains its instances need some 100 repeats within a second, more than their
+ * shares of what is left.
+ */
+export const grantedPart = 0.35;
+/**
+ * Parts of the limit that instances draw by themselves. With a quarter of them
+ * without reports these and the granted part together stay below 0.95 of the
+ * limit; the rest is for requests that are counted elsewhere at another time.
  */
-const sharedPart = 0.85;
+const sharedPart = 0.5;
 const outdatedPart = 0.5;
 const unreportedPart = 0.4;
 /**
@@ -79,7 +90,7 @@
  */
 const equalPart = 0.1;
 /** Parts of what is available that less urgent repeats leave to others. */
-const reservedParts: Readonly<Record<RepeatUrgency, number>> = {
+export const reservedParts: Readonly<Record<RepeatUrgency, number>> = {
   [RepeatUrgency.Normal]: 0.3,
   [RepeatUrgency.Urgent]: 0.15,
   [RepeatUrgency.Begun]: 0,
@@ -88,6 +99,8 @@
 interface ServiceCounts {
   readonly requests: WindowCounter;
   readonly repeats: WindowCounter;
+  /** Repeats that the leader granted. */
+  readonly granted: WindowCounter;
 }
 
 interface OwnRequests {
@@ -111,6 +124,7 @@
   return {
     recordRequest: (service) => getCounts(service).requests.add(clock.nowMs()),
     recordRepeat,
+    recordGranted: (service) => getCounts(service).granted.add(clock.nowMs()),
     getAvailable,
     tryDraw: (service, urgency) => {
       if (getAvailable(service, urgency) < 1) return false;
@@ -119,10 +133,11 @@
     },
     getCounts: () => {
       const nowMs = clock.nowMs();
-      return [...services].map(([service, { requests, repeats }]) => [
+      return [...services].map(([service, { requests, repeats, granted }]) => [
         service,
-        requests.count(nowMs, windowMs),
-        repeats.count(nowMs, windowMs),
+        requests.count(nowMs, repeatWindowMs),
+        repeats.count(nowMs, repeatWindowMs),
+        granted.count(nowMs, repeatWindowMs),
       ]);
     },
     setRemoteCounts: (counts) => {
@@ -145,7 +160,7 @@
     const countByService = new Map(
       [...services].map(([service, { requests }]) => [
         service,
-        requests.count(reportedAtMs, windowMs),
+        requests.count(reportedAtMs, repeatWindowMs),
       ]),
     );
     history.push({ atMs: reportedAtMs, countByService });
@@ -166,14 +181,14 @@
     // All own repeats that the report did not contain.
     const unseenMs = Math.max(reportAgeMs, reportedMs + countAgeMs);
     const state = {
-      requestCount: own.requests.count(nowMs, windowMs),
-      repeatCount: own.repeats.count(nowMs, windowMs),
+      requestCount: own.requests.count(nowMs, repeatWindowMs),
+      repeatCount: own.repeats.count(nowMs, repeatWindowMs),
       recentRepeatCount: own.repeats.count(
         nowMs,
-        Math.min(windowMs, unseenMs),
+        Math.min(repeatWindowMs, unseenMs),
       ),
       isReportCurrent: reportedMs <= maxReportAgeMs,
-      remote: reportedMs <= windowMs
+      remote: reportedMs <= repeatWindowMs
         ? remote.get(service) ?? { requestCount: 0, repeatCount: 0 }
         : undefined,
       equalShare: 1 / Math.max(1, getInstanceCount()),
@@ -185,7 +200,11 @@
   function getCounts(service: string): ServiceCounts {
     let counts = services.get(service);
     if (!counts) {
-      counts = { requests: createCounter(), repeats: createCounter() };
+      counts = {
+        requests: createWindowCounter(repeatWindowMs),
+        repeats: createWindowCounter(repeatWindowMs),
+        granted: createWindowCounter(repeatWindowMs),
+      };
       services.set(service, counts);
     }
     return counts;
@@ -239,38 +258,3 @@
   const byRequests = sum > 0 ? comparableCount / sum : equalShare;
   return equalPart * equalShare + (1 - equalPart) * byRequests;
 }
-
-interface WindowCounter {
-  add(nowMs: number): void;
-  count(nowMs: number, spanMs: number): number;
-}
-
-/** Counts in buckets; the oldest one counts in full. */
-function createCounter(): WindowCounter {
-  const buckets: { readonly startMs: number; count: number }[] = [];
-  return {
-    add: (nowMs) => {
-      const last = buckets.at(-1);
-      if (last && nowMs - last.startMs < bucketMs) last.count += 1;
-      else buckets.push({ startMs: nowMs, count: 1 });
-      removeOld(nowMs);
-    },
-    count: (nowMs, spanMs) => {
-      removeOld(nowMs);
-      let sum = 0;
-      for (let index = buckets.length - 1; index >= 0; index--) {
-        const { startMs, count } = buckets[index]!;
-        if (nowMs - startMs >= spanMs + bucketMs) break;
-        sum += count;
-      }
-      return sum;
-    },
-  };
-
-  function removeOld(nowMs: number): void {
-    while (
-      buckets.length > 0 &&
-      nowMs - buckets[0]!.startMs >= windowMs + bucketMs
-    ) buckets.shift();
-  }
-}
--- a/src/limits/shared_retry_budget.ts
+++ b/src/limits/shared_retry_budget.ts
@@ -3,11 +3,14 @@
  * repeats draw on what all instances together may send (see
  * `repeat_window.ts`). Other services keep their account of this instance alone.
  */
+import type { RepeatGrants } from "./repeat_grants.ts";
 import { RepeatUrgency, type RepeatWindow } from "./repeat_window.ts";
 import type { RetryBudget, RetryBudgetKey } from "./retry_budget.ts";
 
 export interface SharedRetryBudgetOptions {
   readonly window: RepeatWindow;
+  /** What the control leader has granted beyond this instance's share. */
+  readonly grants: RepeatGrants;
   /** The budget of the services that do not share theirs. */
   readonly separate: RetryBudget;
   isShared(service: string): boolean;
@@ -16,7 +19,8 @@
 }
 
 export function createSharedRetryBudget(
-  { window, separate, isShared, onRefusedDraw }: SharedRetryBudgetOptions,
+  { window, grants, separate, isShared, onRefusedDraw }:
+    SharedRetryBudgetOptions,
 ): RetryBudget {
   return {
     recordUseful: (key, units) => {
@@ -28,7 +32,8 @@
     tryDrawReserve: (key, units) => draw(key, units, RepeatUrgency.Begun),
     hasReserve: (key, units) =>
       isShared(key.service)
-        ? window.getAvailable(key.service, RepeatUrgency.Begun) >= units
+        ? window.getAvailable(key.service, RepeatUrgency.Begun) >= units ||
+          grants.has(key.service, RepeatUrgency.Begun)
         : separate.hasReserve(key, units),
     getAvailable: (key) =>
       isShared(key.service)
@@ -51,8 +56,12 @@
       if (isDrawn) window.recordRepeat(key.service);
       return isDrawn;
     }
-    const isDrawn = window.tryDraw(key.service, urgency);
-    if (!isDrawn) onRefusedDraw(key.service, urgency);
-    return isDrawn;
+    if (window.tryDraw(key.service, urgency)) return true;
+    if (grants.tryTake(key.service, urgency)) {
+      window.recordGranted(key.service);
+      return true;
+    }
+    onRefusedDraw(key.service, urgency);
+    return false;
   }
 }
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -23,6 +23,7 @@
   crashReportSchema,
   quarantineNoticeSchema,
 } from "../quarantine/quarantine_types.ts";
+import { RepeatUrgency } from "../limits/repeat_window.ts";
 import { engineLoadSummarySchema } from "../upstreams/engine_load_summary.ts";
 import { upstreamUpdateSchema } from "../upstreams/upstream_view.ts";
 import { logEnvelopeSchema } from "./control_log_messages.ts";
@@ -43,6 +44,7 @@
   DescribeAnswer = "describeAnswer",
   LogMessage = "logMessage",
   PullUpstreams = "pullUpstreams",
+  GrantRepeats = "grantRepeats",
 }
 
 export const attemptSchema = z.object({
@@ -190,6 +192,20 @@
   result: z.unknown(),
 });
 
+/** Asks the control leader for repeats of requests to a service. */
+const grantRepeatsSchema = z.object({
+  service: idSchema,
+  units: z.int().min(1).max(1_000),
+  urgency: z.enum(RepeatUrgency),
+});
+
+/** `leaderId` is the instance to ask if the sender is not the leader. */
+const grantRepeatsReplySchema = z.object({
+  isLeader: z.boolean(),
+  leaderId: z.string().max(200),
+  granted: z.int().min(0).max(1_000),
+});
+
 export const peerCalls = {
   [PeerCallKind.Heartbeat]: {
     request: heartbeatSchema,
@@ -235,6 +251,10 @@
     request: z.object({ revision: z.int().min(0) }),
     reply: z.object({ update: upstreamUpdateSchema }),
   },
+  [PeerCallKind.GrantRepeats]: {
+    request: grantRepeatsSchema,
+    reply: grantRepeatsReplySchema,
+  },
 } as const;
 
 export type PeerCalls = typeof peerCalls;
--- a/src/upstreams/engine_load_aggregator.ts
+++ b/src/upstreams/engine_load_aggregator.ts
@@ -12,7 +12,7 @@
  */
 import type { InstanceId } from "../core/types.ts";
 import type { EngineLoadSummary } from "./engine_load_summary.ts";
-import { createLoadTotals } from "./load_totals.ts";
+import { createLoadTotals, type RepeatTotal } from "./load_totals.ts";
 
 export interface EngineLoadAggregator {
   record(
@@ -26,6 +26,8 @@
   aggregateOthers(exceptId: InstanceId): EngineLoadSummary;
   /** The sum of what entry instances reported to this control instance. */
   aggregateEntryReports(): EngineLoadSummary;
+  /** Counts of all entry instances; undefined if none has requests. */
+  getRepeatCounts(service: string): RepeatTotal | undefined;
 }
 
 interface Report {
@@ -63,6 +65,10 @@
       removeOutdated();
       return entryTotals.getSummaryWithout(undefined);
     },
+    getRepeatCounts: (service) => {
+      removeOutdated();
+      return allTotals.getRepeatCounts(service);
+    },
   };
 
   function removeOutdated(): void {
--- a/src/upstreams/engine_load_summary.ts
+++ b/src/upstreams/engine_load_summary.ts
@@ -13,11 +13,17 @@
   z.number().min(0),
 ]);
 
+/**
+ * Service, requests, repeats that instances drew on their shares, and repeats
+ * that the leader granted.
+ */
 export const repeatCountsSchema = z.tuple([
   z.string().min(1).max(200),
   z.int().min(0),
   z.int().min(0),
+  z.int().min(0),
 ]).readonly();
+
 /**
  * Upstream, number of calls, their time in tenths of a millisecond, number of
  * prompts, their tokens, and the milliseconds to their first events: the
@@ -75,8 +81,7 @@
     z.tuple([z.string().min(1).max(200), z.int().min(0)]).readonly(),
   ).max(10_000).optional(),
   /**
-   * Service, requests and repeats of requests in the window in which repeats are
-   * limited. Absent in summaries of earlier builds.
+   * Requests and repeats in the window in which repeats are limited. Absent in summaries of earlier builds.
    */
   repeats: z.array(repeatCountsSchema).max(10_000).optional(),
   /**
--- a/src/upstreams/load_totals.ts
+++ b/src/upstreams/load_totals.ts
@@ -17,6 +17,7 @@
   subtract(summary: EngineLoadSummary): void;
   /** The sum of all added summaries, without the given one of them. */
   getSummaryWithout(excepted: EngineLoadSummary | undefined): EngineLoadSummary;
+  getRepeatCounts(service: string): RepeatTotal | undefined;
 }
 
 interface LoadTotal {
@@ -27,11 +28,12 @@
   memoryTokens: number;
 }
 
-interface RepeatTotal {
+export interface RepeatTotal {
   /** Number of summaries that contain the service. */
   summaryCount: number;
   requestCount: number;
   repeatCount: number;
+  grantedCount: number;
 }
 
 interface SuccessorTotal {
@@ -54,6 +56,7 @@
     add: (summary) => apply(summary, 1),
     subtract: (summary) => apply(summary, -1),
     getSummaryWithout,
+    getRepeatCounts: (service) => repeats.get(service),
   };
 
   function apply(summary: EngineLoadSummary, sign: 1 | -1): void {
@@ -87,14 +90,15 @@
   }
 
   function applyRepeats(
-    [service, requestCount, repeatCount]: RepeatCounts,
+    [service, requestCount, repeatCount, grantedCount]: RepeatCounts,
     sign: 1 | -1,
   ): void {
     const total = repeats.get(service) ??
-      { summaryCount: 0, requestCount: 0, repeatCount: 0 };
+      { summaryCount: 0, requestCount: 0, repeatCount: 0, grantedCount: 0 };
     total.summaryCount += sign;
     total.requestCount += sign * requestCount;
     total.repeatCount += sign * repeatCount;
+    total.grantedCount += sign * grantedCount;
     if (total.summaryCount > 0) repeats.set(service, total);
     else repeats.delete(service);
   }
@@ -143,17 +147,16 @@
       milliPerS - (without.demands.get(service) ?? 0),
     ]).filter(([, milliPerS]) => milliPerS > 0);
     const remainingRepeats = [...repeats].map((
-      [service, { requestCount, repeatCount }],
+      [service, { requestCount, repeatCount, grantedCount }],
     ): RepeatCounts => {
       const own = without.repeats.get(service);
       return [
         service,
         requestCount - (own?.[1] ?? 0),
         repeatCount - (own?.[2] ?? 0),
+        grantedCount - (own?.[3] ?? 0),
       ];
-    }).filter(([, requestCount, repeatCount]) =>
-      requestCount > 0 || repeatCount > 0
-    );
+    }).filter(([, ...counts]) => counts.some((count) => count > 0));
     const remainingRanks = rankDemands.getWithout(excepted?.rankDemands ?? []);
     const remainingSpeeds = [...speeds.values()].map((sum) => {
       const own = without.speeds.get(sum[0]);
