Share the steps of acceptance with a configuration check

A check outside the service would have to repeat how a document becomes a ticket and which checks hold without the configuration in force.

The steps from an operators' document to a ticket move to table_document.ts, the list of differing objects to configuration_differences.ts, and the size limit of a ticket to ticket.ts. checkTicketAlone runs the part of checkTicket that does not depend on objects outside the ticket.

--- a/src/control/configuration_checks.ts
+++ b/src/control/configuration_checks.ts
@@ -6,7 +6,9 @@
 import type { FieldIssue } from "../core/strict_fields.ts";
 import { checkForwardingTable } from "../forwarding/forwarding_checks.ts";
 import {
+  applyChanges,
   type Configuration,
+  getEmptyConfiguration,
   getTargetWallMs,
   lookUp,
   objectKinds,
@@ -28,12 +30,32 @@
     ...checkRemovals(check),
     ...checkServices(next),
     ...checkReferences(next),
+    ...checkStates(check),
+  ];
+}
+
+/**
+ * Checks what does not depend on objects that the ticket does not name. An issue
+ * found here makes the ticket invalid in any configuration.
+ */
+export function checkTicketAlone(
+  ticket: Ticket,
+  atWallMs: number,
+): FieldIssue[] {
+  const next = applyChanges(getEmptyConfiguration(), ticket, 0);
+  return checkStates({ ticket, next, atWallMs });
+}
+
+function checkStates(
+  { ticket, next, atWallMs }: Omit<TicketCheck, "current">,
+): FieldIssue[] {
+  return [
     ...checkVersions(next),
     ...Object.entries(next.rollouts).flatMap(([service, rollout]) =>
       checkRollout(next, service, rollout)
     ),
-    ...checkTargetDates(check),
-    ...checkForwarding(check.ticket),
+    ...checkTargetDates({ ticket, atWallMs }),
+    ...checkForwarding(ticket),
   ];
 }
 
@@ -120,7 +142,9 @@
  * Checks only the dates in the ticket: the target dates of running rollouts may
  * have passed.
  */
-function checkTargetDates({ ticket, atWallMs }: TicketCheck): FieldIssue[] {
+function checkTargetDates(
+  { ticket, atWallMs }: Pick<TicketCheck, "ticket" | "atWallMs">,
+): FieldIssue[] {
   return Object.entries(ticket.rollouts ?? {}).flatMap(([service, rollout]) => {
     if (!rollout) return [];
     const earliestMs = atWallMs + rollout.soakMs;
--- a/src/control/operator_service.ts
+++ b/src/control/operator_service.ts
@@ -12,10 +12,7 @@
 } from "neverthrow";
 import type { z } from "zod";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
-import {
-  type ForwardingTable,
-  forwardingTableName,
-} from "../forwarding/forwarding_table.ts";
+import { forwardingTableName } from "../forwarding/forwarding_table.ts";
 import { checkForwardingTable } from "../forwarding/forwarding_checks.ts";
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import type { Clock } from "../core/clock.ts";
@@ -47,16 +44,10 @@
   operatorPatienceMs,
   type OrderOrigin,
 } from "./order_origin.ts";
+import { createTableTicket, type TableDocument } from "./table_document.ts";
 import type { TicketResult } from "./ticket_table.ts";
 import type { TicketService } from "./ticket_service.ts";
 
-export interface TableReplacement {
-  readonly number: number;
-  readonly table: ForwardingTable;
-  /** The operator's document, which reads return unchanged. */
-  readonly source: string;
-}
-
 /** An order to move the service to the target version. */
 export interface MoveRequest {
   readonly service: string;
@@ -67,7 +58,7 @@
 export interface OperatorService {
   /** Submits the table as a ticket with that number. */
   replaceTable(
-    replacement: TableReplacement,
+    document: TableDocument,
   ): ResultAsync<TicketResult, SystemError>;
   /** Reads the newest document that a majority of control instances knows. */
   readDocument(): ResultAsync<string | undefined, SystemError>;
@@ -112,16 +103,12 @@
   const { tickets, control, clock, logger, pauses } = options;
   const { listUpstreams, getConfiguration } = options;
   return {
-    replaceTable: ({ number, table, source }) => {
+    replaceTable: (document) => {
       // The ticket table acknowledges an outdated number without checking its
       // table, so the table is checked here for every number.
-      const issues = checkForwardingTable(table);
+      const issues = checkForwardingTable(document.table);
       if (issues.length > 0) return okAsync({ status: "invalid", issues });
-      return tickets.submit({
-        number,
-        source,
-        forwarding: { [forwardingTableName]: table },
-      });
+      return tickets.submit(createTableTicket(document));
     },
     readDocument: () =>
       tickets.findInForce(objectPath).map((record) => record?.ticket.source),
--- a/src/control/ticket.ts
+++ b/src/control/ticket.ts
@@ -16,6 +16,9 @@
 /** Limits the size of a log entry and the time to check one ticket. */
 export const maxTouchedObjects = 2_000;
 
+/** Limits the document of a ticket in the product's own format. */
+export const maxTicketBytes = 1_048_576;
+
 /**
  * Fits into one frame between instances together with the objects that are made
  * from the document.
--- a/src/control/ticket_service.ts
+++ b/src/control/ticket_service.ts
@@ -14,12 +14,12 @@
   type ReadTicketsCommand,
   readTicketsResultSchema,
 } from "./commands.ts";
-import {
-  applyChanges,
-  type Configuration,
-  objectKinds,
-} from "./configuration.ts";
+import { applyChanges, type Configuration } from "./configuration.ts";
 import { checkTicket } from "./configuration_checks.ts";
+import {
+  type Difference,
+  listObjectDifferences,
+} from "./configuration_differences.ts";
 import { type ControlClient, proposeCommand } from "./control_client.ts";
 import { parseTicket } from "./ticket.ts";
 import {
@@ -28,17 +28,10 @@
   ticketResultSchema,
 } from "./ticket_table.ts";
 
-export interface ObjectDifference {
-  readonly path: string;
-  /** Absent where the object does not exist. */
-  readonly before?: unknown;
-  readonly after?: unknown;
-}
-
 export interface TicketDifference {
   readonly revision: number;
   readonly issues: readonly FieldIssue[];
-  readonly differences: readonly ObjectDifference[];
+  readonly differences: readonly Difference[];
 }
 
 export interface TicketService {
@@ -146,18 +139,11 @@
     const next = applyChanges(current, ticket, revision);
     const atWallMs = clock.wallMs();
     const issues = checkTicket({ ticket, current, next, atWallMs });
-    const differences = objectKinds.flatMap((kind) =>
-      Object.keys(ticket[kind] ?? {}).flatMap((name) => {
-        const before = getOwn(current[kind], name);
-        const after = getOwn(next[kind], name);
-        if (JSON.stringify(before) === JSON.stringify(after)) return [];
-        return [{ path: `${kind}.${name}`, before, after }];
-      })
+    const differences = listObjectDifferences(
+      current,
+      next,
+      (kind) => Object.keys(ticket[kind] ?? {}),
     );
     return { revision, issues, differences };
   }
 }
-
-function getOwn(objects: Record<string, unknown>, name: string): unknown {
-  return Object.hasOwn(objects, name) ? objects[name] : undefined;
-}
--- a/src/entry/ticket_routes.ts
+++ b/src/entry/ticket_routes.ts
@@ -4,6 +4,7 @@
 import { type Context, Hono } from "hono";
 import { bodyLimit } from "hono/body-limit";
 import type { Result } from "neverthrow";
+import { maxTicketBytes } from "../control/ticket.ts";
 import type { TicketRecord, TicketResult } from "../control/ticket_table.ts";
 import type { TicketService } from "../control/ticket_service.ts";
 import { parseJson } from "../core/parse_json.ts";
@@ -16,7 +17,6 @@
   type SystemError,
 } from "../core/errors.ts";
 
-const maxTicketBytes = 1_048_576;
 const defaultListLimit = 50;
 const maxListLimit = 1_000;
 
