--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -35,7 +35,11 @@
 import { createCallerConnections } from "./caller_connections.ts";
 import { forwardCall } from "./call_forwarder.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
-import { type ForwardingRoute, RequestKind } from "./forwarding_table.ts";
+import {
+  type ForwardingRoute,
+  maxParsedHeaderBytes,
+  RequestKind,
+} from "./forwarding_table.ts";
 import { checkRequest, chooseService } from "./request_checks.ts";
 import type { RouteTable } from "./route_table.ts";
 import { forwardStream } from "./stream_forwarder.ts";
@@ -63,8 +67,6 @@
   getRouteTable(): RouteTable | undefined;
 }
 
-/** Node rejects larger headers before the configured limit is checked. */
-const maxHeaderBytes = 64 * 1024;
 const defaultIdleTimeoutMs = 15_000;
 /** Keeps the idle timeout from closing a connection that is still in use. */
 const idleTimeoutMarginMs = 1_000;
@@ -95,7 +97,7 @@
   let isClosing = false;
   let isStopped = false;
   const server = createServer({
-    maxHeaderSize: maxHeaderBytes,
+    maxHeaderSize: maxParsedHeaderBytes,
     connectionsCheckingInterval: timeoutCheckIntervalMs,
     keepAliveTimeout: defaultIdleTimeoutMs + idleTimeoutMarginMs,
     headersTimeout: defaultIdleTimeoutMs,
--- a/src/forwarding/forwarding_table.ts
+++ b/src/forwarding/forwarding_table.ts
@@ -95,5 +95,8 @@
 export type CallerLimits = z.output<typeof callerLimitsSchema>;
 export type ForwardingTable = z.output<typeof forwardingTableSchema>;
 
+/** Node rejects larger headers before the table's limit is checked. */
+export const maxParsedHeaderBytes = 64 * 1024;
+
 /** Name of the table in the configuration that entry instances serve. */
 export const forwardingTableName = "default";
--- a/src/forwarding/route_table.ts
+++ b/src/forwarding/route_table.ts
@@ -152,7 +152,7 @@
 }
 
 /** Returns the host without its port, in lower case. */
-function getHostName(host: string): string {
+export function getHostName(host: string): string {
   const lower = host.toLowerCase();
   const port = lower.lastIndexOf(":");
   const isPort = port > 0 && !lower.endsWith("]");
