--- a/src/cli/admin_client.ts
+++ b/src/cli/admin_client.ts
@@ -40,8 +40,11 @@
 
 export interface AdminClientOptions {
   readonly baseUrl: string;
-  readonly token: string;
+  /** Sends no `authorization` header if undefined. */
+  readonly token: string | undefined;
   readonly timeoutMs: number;
+  /** Precedes all paths; `/admin` by default. */
+  readonly pathPrefix?: string;
 }
 
 const errorBodySchema = z.object({
@@ -49,7 +52,7 @@
 });
 
 export function createAdminClient(options: AdminClientOptions): AdminClient {
-  const { baseUrl, token, timeoutMs } = options;
+  const { baseUrl, token, timeoutMs, pathPrefix = "/admin" } = options;
   return {
     get: (path) => send("GET", path, undefined),
     post: (path, text) => send("POST", path, text),
@@ -61,10 +64,10 @@
     text: string | undefined,
   ): ResultAsync<unknown, AdminFailure> {
     return ResultAsync.fromPromise(
-      request(new URL(`/admin${path}`, baseUrl), {
+      request(new URL(pathPrefix + path, baseUrl), {
         method,
         headers: {
-          authorization: `Bearer ${token}`,
+          ...(token === undefined ? {} : { authorization: `Bearer ${token}` }),
           ...(text === undefined ? {} : { "content-type": "application/json" }),
         },
         ...(text === undefined ? {} : { body: text }),
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -11,6 +11,8 @@
     globalSetup: ["scripts/known_red.ts"],
     setupFiles: ["scripts/test_setup.ts"],
     testTimeout: 20_000,
+    // Its ES modules import a folder, which Node does not resolve.
+    server: { deps: { inline: ["clipanion"] } },
     pool: "forks",
     maxWorkers: 4,
   },
