Show which share of the attempts leaves the failure domain

The counters of attempts and bytes by failure domain could only be read as raw metrics, which do not state the instance's own domain.

"apricotyoke domains METRICS_URL" shows share, attempts, bytes and reasons by service and domain.

--- a/src/cli/command_line.ts
+++ b/src/cli/command_line.ts
@@ -6,6 +6,7 @@
 import { ExitCode } from "./admin_client.ts";
 import type { ToolContext } from "./admin_command.ts";
 import { ConfigCheckCommand } from "./config_check_command.ts";
+import { DomainsCommand } from "./domains_command.ts";
 import {
   ConfigShowCommand,
   InstancesCommand,
@@ -42,6 +43,7 @@
     TicketWaitCommand,
     ConfigShowCommand,
     ConfigCheckCommand,
+    DomainsCommand,
     InstancesCommand,
     UpstreamsCommand,
     StatusCommand,
--- a/src/core/metrics_registry.ts
+++ b/src/core/metrics_registry.ts
@@ -33,6 +33,12 @@
   ): MetricTimer;
   /** Creates a gauge whose value is read whenever the metrics are read. */
   createGauge(name: string, help: string, read: () => number): void;
+  /** Creates a gauge that is always 1 and states facts as labels. */
+  createInfo(
+    name: string,
+    help: string,
+    labels: Readonly<Record<string, string>>,
+  ): void;
   getText(): Promise<string>;
 }
 
@@ -89,6 +95,15 @@
         },
       });
     },
+    createInfo: (name, help, labels) => {
+      const gauge = new (Gauge as unknown as typeof prom.Gauge)({
+        name: prefix + name,
+        help,
+        labelNames: Object.keys(labels),
+        registers: [registry],
+      });
+      gauge.set(labels, 1);
+    },
     getText: () => registry.metrics(),
   };
 }
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -83,6 +83,9 @@
   }
   let routes: RouteTable | undefined;
   const metrics = createForwardingMetrics(registry);
+  registry.createInfo("instance_info", "The instance's failure domain.", {
+    domain: settings.domainId,
+  });
   const domainTraffic = createDomainTraffic({
     clock,
     random,
