State whether references were checked in the configuration check

The note about references that were not checked was printed for documents of the platform too, which have none, and API keys of added or removed customers were hidden without a test: removing that passed all tests.

The report has areReferencesChecked. The new test fails without the hiding.

--- a/src/cli/config_check_report.ts
+++ b/src/cli/config_check_report.ts
@@ -15,25 +15,29 @@
   Severity,
 } from "../control/configuration_findings.ts";
 import type { Ticket } from "../control/ticket.ts";
-import type { ComparedVersion, ReadDocument } from "./version_sources.ts";
+import {
+  type ComparedVersion,
+  DocumentFormat,
+  type ReadDocument,
+} from "./version_sources.ts";
 
 export type Comparison =
   | {
     readonly status: "compared";
     readonly with: string;
-    /** Whether references to objects outside the document were checked. */
-    readonly isComplete: boolean;
     readonly differences: readonly Difference[];
   }
   | { readonly status: "unavailable"; readonly reason: string };
 
 export interface CheckReport {
   readonly findings: readonly Finding[];
+  /** A platform's document has no references to objects outside it. */
+  readonly areReferencesChecked: boolean;
   readonly comparison: Comparison;
 }
 
 export function checkAndCompare(
-  { issues, ticket: value }: ReadDocument,
+  { format, issues, ticket: value }: ReadDocument,
   version: Result<ComparedVersion, string>,
   atWallMs: number,
 ): CheckReport {
@@ -47,6 +51,8 @@
     : checkDocument(value, { current, atWallMs });
   return {
     findings,
+    areReferencesChecked: format === DocumentFormat.Platform ||
+      current !== undefined,
     comparison: version.match(
       (compared): Comparison =>
         ticket
@@ -80,14 +86,13 @@
   return {
     status: "compared",
     with: label,
-    isComplete,
     differences: [...differences, ...onlyBefore].flatMap(listFieldDifferences),
   };
 }
 
 export function formatCheck(
   file: string,
-  { findings, comparison }: CheckReport,
+  { findings, areReferencesChecked, comparison }: CheckReport,
 ): string[] {
   const errors = findings.filter(({ severity }) => severity === Severity.Error);
   return [
@@ -96,17 +101,18 @@
     ...findings.map(({ severity, path, message }) =>
       `${severity.padEnd(7)}  ${path || "(document)"}: ${message}`
     ),
+    ...(areReferencesChecked
+      ? []
+      : ["references to objects outside the document were not checked"]),
     ...formatComparison(comparison),
   ];
 }
 
 function formatComparison(comparison: Comparison): string[] {
-  const unchecked =
-    "references to objects outside the document were not checked";
   if (comparison.status === "unavailable") {
-    return [`not compared: ${comparison.reason}`, unchecked];
+    return [`not compared: ${comparison.reason}`];
   }
-  const { differences, isComplete } = comparison;
+  const { differences } = comparison;
   return [
     `${differences.length} differences to ${comparison.with}`,
     ...differences.flatMap(({ path, before, after }) => [
@@ -114,6 +120,5 @@
       `  - ${JSON.stringify(before) ?? "(none)"}`,
       `  + ${JSON.stringify(after) ?? "(none)"}`,
     ]),
-    ...(isComplete ? [] : [unchecked]),
   ];
 }
--- a/src/cli/config_check_test.ts
+++ b/src/cli/config_check_test.ts
@@ -141,8 +141,10 @@
   );
   const { findings } = checkAndCompare(document, version, 0);
   expect(findings.map(({ path }) => path)).toEqual(["retryBudgets.a"]);
-  const alone = checkAndCompare(document, err("not known"), 0);
-  expect(alone.findings).toEqual([]);
+  expect(checkAndCompare(document, err("not known"), 0)).toMatchObject({
+    findings: [],
+    areReferencesChecked: false,
+  });
 });
 
 test("a version number names a ticket, or the platform's document in force", async () => {
--- a/src/control/configuration_findings_test.ts
+++ b/src/control/configuration_findings_test.ts
@@ -143,6 +143,24 @@
   expect(warnings.map(({ path }) => path)).toEqual(paths);
 });
 
+test("differences contain no API keys of added or removed customers", () => {
+  const full = { ...getEmptyConfiguration(), forwarding: { default: table } };
+  const without = {
+    ...full,
+    forwarding: { default: { ...table, customers: [] } },
+  };
+  for (const base of [without, getEmptyConfiguration()]) {
+    for (const [before, after] of [[base, full], [full, base]] as const) {
+      const text = JSON.stringify(
+        listObjectDifferences(before, after, () => ["default"])
+          .flatMap(listFieldDifferences),
+      );
+      expect(text).toContain("clinic");
+      expect(text).not.toContain("key-1");
+    }
+  }
+});
+
 test("differences name changed fields, not moved elements, and hide API keys", () => {
   const route = table.routes[0]!;
   const added = { ...route, host: "b.example", kind: RequestKind.Unsafe };
