--- a/src/core/caller_limits.ts
+++ b/src/core/caller_limits.ts
@@ -64,6 +64,18 @@
   readonly bodies: BodyStore;
   /** Counts that a limit has refused a request. */
   record(limit: CallerLimit): void;
+  measure(): HeldForCallers;
+}
+
+/** What an instance holds for callers, and what their sockets have taken. */
+export interface HeldForCallers {
+  /** Bytes that were not parsed, bodies and unsent responses. */
+  readonly heldBytes: number;
+  /** Sum of the limits of these. */
+  readonly heldLimitBytes: number;
+  readonly unsentBytes: number;
+  /** Since the start of the process. */
+  readonly sentBytes: number;
 }
 
 export interface ProtectedServerOptions {
@@ -131,6 +143,8 @@
   /** When what was read so far is allowed by the rate. */
   let readUntilMs = 0;
   let unparsedBytes = 0;
+  /** Of connections that are closed. */
+  let pastSentBytes = 0;
   let timer: NodeJS.Timeout | undefined;
   const defer = createTurnQueue(maxMsPerTurn);
   const collectAfter = createMinorCollector();
@@ -155,7 +169,7 @@
     "Bytes of responses that callers have not taken.",
     sumUnreadBytes,
   );
-  return { protect, bodies, record };
+  return { protect, bodies, record, measure };
 
   function protect(server: Server, options: ProtectedServerOptions): void {
     const own = new Map<Socket, Connection>();
@@ -213,6 +227,7 @@
     connections.add(connection);
     socket.once("close", () => {
       connections.delete(connection);
+      pastSentBytes += getSentBytes(connection);
       waitingCount -= Math.max(0, connection.openCount - 1);
       connection.openCount = 0;
       connection.headBytes = 0;
@@ -334,6 +349,19 @@
     return sum;
   }
 
+  function measure(): HeldForCallers {
+    const unsentBytes = sumUnreadBytes();
+    let sentBytes = pastSentBytes;
+    for (const connection of connections) sentBytes += getSentBytes(connection);
+    const { maxUnparsedBytes, maxBodyBytes, maxUnreadBytes } = limits;
+    return {
+      heldBytes: unparsedBytes + bodies.getHeldBytes() + unsentBytes,
+      heldLimitBytes: maxUnparsedBytes + maxBodyBytes + maxUnreadBytes,
+      unsentBytes,
+      sentBytes,
+    };
+  }
+
   async function checkUnread(): Promise<void> {
     bodies.trim();
     const nowMs = performance.now();
@@ -346,7 +374,7 @@
     const unacknowledged = await readUnacknowledgedBytes();
     for (const connection of unread) {
       const { socket, key } = connection;
-      const takenBytes = socket.bytesWritten - socket.writableLength;
+      const takenBytes = getSentBytes(connection);
       const progress = `${takenBytes} ${unacknowledged.get(key)}`;
       if (progress !== connection.progress) connection.progressAtMs = nowMs;
       connection.progress = progress;
@@ -387,6 +415,10 @@
   }
 }
 
+function getSentBytes({ socket }: Pick<Connection, "socket">): number {
+  return socket.bytesWritten - socket.writableLength;
+}
+
 /** Half of the descriptors that the process may open. */
 export function getMaxConnections({ maxConnections }: CallerLimits): number {
   if (maxConnections !== null) return maxConnections;
