Refuse requests at an instance that is short of capacity, if enabled

The settings field `overload`, off by default, lets an entry instance ask the decision for each request that was read and not sent. Readiness doesn't follow load.

Metrics count refusals by what is short and absurd figures; events 7270 and 7271 report the start and end of a shortage.

--- a/measure/forwarding_fakes.ts
+++ b/measure/forwarding_fakes.ts
@@ -12,6 +12,7 @@
 import { createCallQueue } from "../src/forwarding/call_queue.ts";
 import { createForwardingMetrics } from "../src/forwarding/forwarding_metrics.ts";
 import {
+  type CallerGuard,
   callerLimitsSchema,
   createCallerGuard,
 } from "../src/core/caller_limits.ts";
@@ -28,6 +29,7 @@
   type ForwardingTable,
   RequestKind,
 } from "../src/forwarding/forwarding_table.ts";
+import type { InstanceAdmission } from "../src/forwarding/instance_admission.ts";
 import { createRouteTable } from "../src/forwarding/route_table.ts";
 import { createStreamQueue } from "../src/forwarding/stream_queue.ts";
 import { getDefaultDomainCost } from "../src/forwarding/placement.ts";
@@ -231,12 +233,17 @@
     instanceCount = 1,
     logger = createSilentLogger(),
     isControlReachable = false,
+    createAdmission,
   }: {
     /** Instances that share the limits of upstreams. */
     readonly instanceCount?: number;
     readonly logger?: Logger;
     /** Without control, the quarantine decides from its own crashes. */
     readonly isControlReachable?: boolean;
+    readonly createAdmission?: (
+      context: ForwardingContext,
+      guard: CallerGuard,
+    ) => Pick<InstanceAdmission, "refuse">;
   } = {},
 ): Promise<TestEntry> {
   const clock = createSystemClock();
@@ -330,17 +337,20 @@
     }),
   };
   const callerLimits = callerLimitsSchema.parse(undefined);
+  const guard = createCallerGuard({
+    limits: callerLimits,
+    logger,
+    registry: createMetricsRegistry(),
+  });
+  const admission = createAdmission?.(context, guard);
   return {
     ...await listenOnFreePorts(({ port, readinessPort }) =>
       createEntryServer({
         context,
         callers: { host: "127.0.0.1", port },
         readiness: { host: "127.0.0.1", port: readinessPort },
-        guard: createCallerGuard({
-          limits: callerLimits,
-          logger,
-          registry: createMetricsRegistry(),
-        }),
+        guard,
+        admission,
         callerLimits,
         getRouteTable: () => routes,
       })
@@ -388,6 +398,7 @@
 }
 
 export interface CallOptions {
+  readonly address?: string;
   readonly method?: string;
   readonly path?: string;
   readonly host?: string;
@@ -431,7 +442,7 @@
         durationMs: performance.now() - startedAtMs,
       });
     const request = http.request({
-      host: "127.0.0.1",
+      host: options.address ?? "127.0.0.1",
       port,
       method: options.method ?? "GET",
       path: options.path ?? "/app/item",
--- a/scripts/reference_pages.ts
+++ b/scripts/reference_pages.ts
@@ -108,6 +108,25 @@
   Those that have been without progress for longest are closed.
 - \`unreadTimeoutMs\`: a connection whose caller takes no byte of a response for
   so long is closed.
+
+\`overload\` lets an entry instance refuse a part of the requests that it has
+read and not sent, with 503 as not run, while it is short of processor, memory
+or link capacity ([design](design/instance_overload.md)). It is off by default.
+The metric \`apricotyoke_overload_refusals_total\` counts the refusals by what is
+short, and events 7270 and 7271 report the start and end of a shortage.
+
+- \`isEnabled\`: whether requests are refused for this reason.
+- \`objectiveRatio\`: the part of a route's objective (\`objectiveMs\`) that a
+  request may spend at this instance. Beyond it the instance is short of
+  processor or link.
+- \`maxRefusedRatio\`: the greatest part of the requests that is refused, so that
+  instances that are all overloaded still serve.
+- \`maxHeapRatio\`: heap in use after a full collection, as a part of the heap's
+  limit (\`--max-old-space-size\`).
+- \`maxHeldRatio\`: bytes held for callers, as a part of the sum of
+  \`maxUnparsedBytes\`, \`maxBodyBytes\` and \`maxUnreadBytes\`.
+- \`linkBytesPerS\`: capacity of the link to callers in bytes per second. Null is
+  not known; unsent bytes then cause no refusal.
 `;
 }
 
--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -391,6 +391,16 @@
     Info,
     "call refused because no upstream would take it in time; see the refusal",
   ),
+  overloadStarted: event(
+    7270,
+    Warn,
+    "instance is short of capacity and refuses a part of the requests",
+  ),
+  overloadEnded: event(
+    7271,
+    Info,
+    "instance is no longer short of capacity; see how many it refused",
+  ),
   domainShareChanged: event(
     7231,
     Info,
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -7,11 +7,14 @@
 import type { Configuration } from "../control/configuration.ts";
 import { createByteBudget } from "../core/byte_budget.ts";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
+import { createInstanceMeter } from "../core/instance_figures.ts";
+import { createPauseWatch } from "../core/pause_watch.ts";
 import { createSupervisor } from "../core/supervisor.ts";
 import { createEntryServer } from "../forwarding/entry_server.ts";
 import { meterDomainTraffic } from "../forwarding/domain_metering.ts";
 import { createDomainTraffic } from "../forwarding/domain_traffic.ts";
 import { createForwardingMetrics } from "../forwarding/forwarding_metrics.ts";
+import { createInstanceAdmission } from "../forwarding/instance_admission.ts";
 import { createCallQueue } from "../forwarding/call_queue.ts";
 import type { ForwardingContext } from "../forwarding/forwarding_context.ts";
 import { forwardingTableName } from "../forwarding/forwarding_table.ts";
@@ -71,6 +74,9 @@
  */
 const maxRefreshMs = 25;
 
+/** A shorter standstill is in the figures of one interval, which don't suffice. */
+const overloadPauseMs = 250;
+
 export function startEntryInstance(
   options: InstanceOptions,
 ): ResultAsync<RunningInstance, SystemError> {
@@ -318,8 +324,10 @@
     "Requests that have no final answer yet.",
     () => server.getOpenCount(),
   );
+  const overload = settings.overload.isEnabled ? watchOverload() : undefined;
   const server = createEntryServer({
     context,
+    admission: overload?.admission,
     callers,
     readiness,
     guard,
@@ -341,7 +349,7 @@
         name: "entry-instance",
         clock,
         logger,
-        tasks: core.tasks,
+        tasks: [...core.tasks, ...overload?.tasks ?? []],
       }),
       membership,
       drain: async () => {
@@ -349,6 +357,7 @@
         await server.drain(bounds.graceS * 1_000);
       },
       close: async () => {
+        overload?.meter.close();
         context.connections.close();
         peers.close();
         await peerServer.close();
@@ -356,6 +365,26 @@
     }))
   );
 
+  function watchOverload() {
+    const meter = createInstanceMeter(guard.measure);
+    const pauses = createPauseWatch({ clock, limitMs: overloadPauseMs });
+    const admission = createInstanceAdmission({
+      limits: settings.overload,
+      clock,
+      random,
+      logger,
+      metrics,
+      meter,
+      pauses,
+    });
+    registry.createGauge(
+      "overload_refused_ratio",
+      "Part of the requests that this instance refuses for lack of capacity.",
+      admission.getRefusedRatio,
+    );
+    return { meter, admission, tasks: [pauses.task, admission.task] };
+  }
+
   function isLoadAware(service: string): boolean {
     return (routes?.getStreamPriorities(service).length ?? 0) > 1 ||
       directory.hasStatedSlowness(service);
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -36,6 +36,7 @@
 import { forwardCall } from "./call_forwarder.ts";
 import type { ForwardingContext } from "./forwarding_context.ts";
 import { type ForwardingRoute, RequestKind } from "./forwarding_table.ts";
+import type { InstanceAdmission } from "./instance_admission.ts";
 import { checkRequest, chooseService } from "./request_checks.ts";
 import type { RouteTable } from "./route_table.ts";
 import { forwardStream } from "./stream_forwarder.ts";
@@ -59,6 +60,8 @@
   readonly readiness: ListenAddress;
   readonly guard: CallerGuard;
   readonly callerLimits: CallerLimits;
+  /** Undefined if a shortage of this instance refuses no requests. */
+  readonly admission?: Pick<InstanceAdmission, "refuse"> | undefined;
   /** Undefined until a configuration is known. */
   getRouteTable(): RouteTable | undefined;
 }
@@ -246,6 +249,11 @@
       priority,
       deadlineAtMs,
     };
+    const refusal = options.admission?.refuse(admitted);
+    if (refusal) {
+      await refuseRequest(caller, refusal);
+      return;
+    }
     if (route.kind === RequestKind.Streaming) {
       forwardStream({ context, monitor: streamMonitor }, admitted);
     } else await forwardCall(context, admitted);
--- a/src/forwarding/forwarding_metrics.ts
+++ b/src/forwarding/forwarding_metrics.ts
@@ -14,6 +14,10 @@
   readonly incompleteResponses: MetricCounter;
   /** Requests refused before an attempt, by kind of error. */
   readonly refusals: MetricCounter;
+  /** Requests refused because this instance is short of capacity. */
+  readonly overloadRefusals: MetricCounter;
+  /** Figures of this instance that can't be right. */
+  readonly absurdFigures: MetricCounter;
   /** Calls refused by the scheduling under load, by reason. */
   readonly refusedCalls: MetricCounter;
   /** Time that calls waited here before they were sent, by priority. */
@@ -61,6 +65,16 @@
       "Requests that were refused before an attempt, by kind of error.",
       ["kind"],
     ),
+    overloadRefusals: registry.createCounter(
+      "overload_refusals",
+      "Requests that were refused because this instance is short of capacity, " +
+        "by what is short.",
+      ["shortage"],
+    ),
+    absurdFigures: registry.createCounter(
+      "overload_absurd_figures",
+      "Figures of this instance that can't be right and were ignored.",
+    ),
     refusedCalls: registry.createCounter(
       "refused_calls",
       "Calls that were refused because no upstream would take them in time, " +
--- a/src/settings/forwarding_settings.ts
+++ b/src/settings/forwarding_settings.ts
@@ -47,6 +47,21 @@
   priceMsPerMegabyte: z.number().min(0).max(1_000_000).default(0),
 }).prefault({});
 
+/** When an entry instance that is short of capacity refuses requests. */
+const overloadSchema = strictFields({
+  isEnabled: z.boolean().default(false),
+  /** Part of a route's objective that a request may spend at this instance. */
+  objectiveRatio: z.number().min(0.05).max(1).default(0.5),
+  /** Greatest part of the requests that is refused. */
+  maxRefusedRatio: z.number().min(0).max(0.9).default(0.5),
+  /** Heap in use after a full collection, as a part of its limit. */
+  maxHeapRatio: z.number().min(0.1).max(1).default(0.85),
+  /** Bytes held for callers, as a part of the sum of `callerLimits`. */
+  maxHeldRatio: z.number().min(0.1).max(1).default(0.75),
+  /** Capacity of the instance's link to callers; null if it is not known. */
+  linkBytesPerS: z.int().min(1_000).max(2 ** 40).nullable().default(null),
+}).prefault({});
+
 export const forwardingSettingsSchema = strictFields({
   role: z.enum(InstanceRole),
   /** The name in logs; the host address identifies the instance. */
@@ -74,6 +89,7 @@
   bounds: boundsSchema,
   domainTraffic: domainTrafficSchema,
   callerLimits: callerLimitsSchema,
+  overload: overloadSchema,
   log: strictFields({
     level: z.enum(LogLevel).default(LogLevel.Info),
     format: z.enum(["json", "text"]).default("json"),
--- a/src/settings/forwarding_settings_test.ts
+++ b/src/settings/forwarding_settings_test.ts
@@ -34,6 +34,7 @@
   const settings = load(entry)._unsafeUnwrap();
   expect(settings.seeds).toEqual([{ host: "10.1.0.27", port: 8748 }]);
   expect(settings.bounds).toMatchObject({ drainMs: 3_000, graceS: 8 });
+  expect(settings.overload.isEnabled).toBe(false);
 });
 
 test.each<[string, unknown, string]>([
@@ -46,6 +47,21 @@
   ],
   ["a seed without a port", { ...entry, seeds: ["10.1.0.27"] }, "seeds.0"],
   ["an unknown field", { ...entry, seedz: [] }, "seedz"],
+  [
+    "a part of the requests above the bound",
+    { ...entry, overload: { maxRefusedRatio: 1 } },
+    "overload.maxRefusedRatio",
+  ],
+  [
+    "a link without a capacity",
+    { ...entry, overload: { isEnabled: true, linkBytesPerS: 0 } },
+    "overload.linkBytesPerS",
+  ],
+  [
+    "another unit of a link",
+    { ...entry, overload: { linkBytesPerMs: 875 } },
+    "linkBytesPerMs",
+  ],
   ["no JSON", "{", "not JSON"],
 ])(
   "%s is rejected and located by the message",
