--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -40,6 +40,7 @@
   maxParsedHeaderBytes,
   RequestKind,
 } from "./forwarding_table.ts";
+import type { InstanceAdmission } from "./instance_admission.ts";
 import { checkRequest, chooseService } from "./request_checks.ts";
 import type { RouteTable } from "./route_table.ts";
 import { forwardStream } from "./stream_forwarder.ts";
@@ -63,6 +64,8 @@
   readonly readiness: ListenAddress;
   readonly guard: CallerGuard;
   readonly callerLimits: CallerLimits;
+  /** Undefined if a shortage of this instance refuses no requests. */
+  readonly admission?: Pick<InstanceAdmission, "refuse"> | undefined;
   /** Undefined until a configuration is known. */
   getRouteTable(): RouteTable | undefined;
 }
@@ -248,6 +251,11 @@
       priority,
       deadlineAtMs,
     };
+    const refusal = options.admission?.refuse(admitted);
+    if (refusal) {
+      await refuseRequest(caller, refusal);
+      return;
+    }
     if (route.kind === RequestKind.Streaming) {
       forwardStream({ context, monitor: streamMonitor }, admitted);
     } else await forwardCall(context, admitted);
