Tell users of the directory when an address has another id

The directory learned from lists, 421 responses and other instances that an engine had restarted under another id, but nothing that ran at the former id was told. It now notifies listeners.

--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -12,6 +12,10 @@
 import type { ListedUpstream } from "../upstreams/upstream_view.ts";
 import { createDomainHealth, type DomainHealth } from "./domain_health.ts";
 import type { ReportedLoad } from "./forwarding_protocol.ts";
+import {
+  createLifetimeNotifier,
+  type LifetimeListener,
+} from "./lifetime_notifier.ts";
 import {
   createPrefillRateTracker,
   type PrefillRateTracker,
@@ -33,6 +37,7 @@
 import {
   type AnswerWait,
   createVersionAnswerCounter,
+  listMultiVersionServices,
 } from "./version_answers.ts";
 
 export interface UpstreamDirectory {
@@ -77,6 +82,8 @@
    * predecessor, which gets no more requests.
    */
   addSuccessor(successor: Successor): void;
+  /** Calls back when another id has the address of an upstream. */
+  onAddressTaken(listener: LifetimeListener): void;
   /** Number of versions of the service among its listed upstreams. */
   countVersions(service: string): number;
   /** Prefill rates that this instance observed at engines of the service. */
@@ -159,6 +166,7 @@
   let multiVersionServices = new Set<string>();
   let remoteSummaryAtMs = -Infinity;
   const speeds = createServiceSpeeds({ clock, logger, isLoadAware });
+  const lifetimes = createLifetimeNotifier();
   return {
     update,
     listUsable,
@@ -201,6 +209,7 @@
     recordWait,
     recordAddressReuse,
     addSuccessor,
+    onAddressTaken: lifetimes.subscribe,
     countVersions: (service) =>
       new Set(
         [...entries.values()].filter(({ info }) => info.service === service)
@@ -277,6 +286,7 @@
     // replaced at the same time, so this counts as a loss in the domain.
     const { service, domainId } = entry.info;
     getDomainHealth(service).recordLoss(domainId, upstreamId, nowMs);
+    lifetimes.notify(upstreamId, "another upstream has its address");
   }
 
   function addSuccessor(
@@ -298,6 +308,7 @@
       predecessor: predecessorId,
       isFoundHere,
     });
+    lifetimes.notify(predecessorId, `${successorId} has its address`);
   }
 
   function getLocalLoadSummary(): EngineLoadSummary {
@@ -393,6 +404,7 @@
 
   function update(listed: readonly ListedUpstream[]): void {
     const listedIds = new Set(listed.map(({ upstreamId }) => upstreamId));
+    lifetimes.notifyOfList(entries.values(), listed);
     for (const [upstreamId, { succeeds }] of entries) {
       if (listedIds.has(upstreamId)) continue;
       if (succeeds && listedIds.has(succeeds.predecessorId)) continue;
@@ -495,15 +507,3 @@
 export function getAddress({ info }: Upstream): string {
   return `${info.host}:${info.port}`;
 }
-
-function listMultiVersionServices(
-  listed: readonly ListedUpstream[],
-): Set<string> {
-  const versions = new Map<string, string>();
-  const multiple = new Set<string>();
-  for (const { service, version } of listed) {
-    if ((versions.get(service) ?? version) !== version) multiple.add(service);
-    versions.set(service, version);
-  }
-  return multiple;
-}
--- a/src/forwarding/version_answers.ts
+++ b/src/forwarding/version_answers.ts
@@ -204,3 +204,15 @@
 function getKey(service: string, version: string): string {
   return `${service}/${version}`;
 }
+
+export function listMultiVersionServices(
+  listed: readonly ListedUpstream[],
+): Set<string> {
+  const versions = new Map<string, string>();
+  const multiple = new Set<string>();
+  for (const { service, version } of listed) {
+    if ((versions.get(service) ?? version) !== version) multiple.add(service);
+    versions.set(service, version);
+  }
+  return multiple;
+}
