Leave lost runs at once, and ask about suspected ones at each check

Streams waited 8 s for a first event at engines that had crashed without a reset and restarted, since the restarted engine answered report requests, and a stream that might not leave when its engine was found silent was not asked again. The monitor now keeps the health of each run: a later start in a report or another id at the address ends the run as a reset does, and under load a suspected run is asked about at each check.

--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -366,6 +366,11 @@
     Info,
     "stream waits at its silent engine, since no other can take it",
   ),
+  streamRunsLost: event(
+    7216,
+    Info,
+    "engine has a new lifetime; the streams that ran on it are lost",
+  ),
   callerConnectionFailed: event(
     7214,
     Info,
--- a/src/forwarding/stream_losses.ts
+++ b/src/forwarding/stream_losses.ts
@@ -7,6 +7,7 @@
 import { logEvents } from "../core/log_events.ts";
 import type { CrashDecision } from "../quarantine/crash_decisions.ts";
 import type { KvCacheCopy } from "./forwarding_protocol.ts";
+import { LostCause, mayEndLostRun } from "./run_health.ts";
 import { getWritingMs, type StreamAttempt } from "./stream_attempt.ts";
 import {
   decideAfterLoss,
@@ -25,6 +26,8 @@
   readonly hasEngineEnded?: boolean;
   /** The engine received a request, probably this one, and did not run it. */
   readonly isRefused?: boolean;
+  /** The directory has recorded already that the engine's id is gone. */
+  readonly isRecorded?: boolean;
   /** The response may be right, so it says nothing about the engine. */
   readonly mayBeSound?: boolean;
   readonly reason: string;
@@ -39,6 +42,12 @@
    * a sound engine goes on as well.
    */
   handleSilence(current: StreamAttempt, reason: string): void;
+  /** Ends a run whose engine has a new lifetime, if the stream may go on. */
+  handleNewLifetime(
+    current: StreamAttempt,
+    cause: LostCause,
+    reason: string,
+  ): void;
   endAttempt(ended: StreamAttempt, isCopyUsed: boolean): void;
 }
 
@@ -57,7 +66,32 @@
   const { clock, logger, directory, budget, metrics } = context;
   const { route, deadlineAtMs } = admitted;
   const { requestId } = admitted.caller.description;
-  return { handleLoss, handleSilence, endAttempt };
+  return { handleLoss, handleSilence, handleNewLifetime, endAttempt };
+
+  function handleNewLifetime(
+    current: StreamAttempt,
+    cause: LostCause,
+    reason: string,
+  ): void {
+    if (stream.run !== current || stream.isFinished) return;
+    const mayEnd = mayEndLostRun({
+      hasBudget: budget.hasReserve(stream.budgetKey, 1),
+      remainingMs: deadlineAtMs - clock.nowMs(),
+      isResumable: isStreamResumable(stream),
+      ranCount: stream.ranCount + 1,
+      maxAttempts: route.maxAttempts,
+    });
+    if (!mayEnd) {
+      logStay(current, reason, false);
+      return;
+    }
+    handleLoss(current, {
+      wasSent: true,
+      hasEngineEnded: true,
+      isRecorded: cause === LostCause.AddressTaken,
+      reason,
+    });
+  }
 
   function handleSilence(current: StreamAttempt, reason: string): void {
     if (stream.run !== current || stream.isFinished) return;
@@ -92,11 +126,19 @@
       });
       return;
     }
+    logStay(current, reason, mayLeave);
+  }
+
+  function logStay(
+    current: StreamAttempt,
+    reason: string,
+    mayLeave: boolean,
+  ): void {
     if (current.isSilenceLogged) return;
     current.isSilenceLogged = true;
     logger.log(logEvents.streamStaysAtSilentEngine, {
       request: requestId,
-      engine: upstream.info.upstreamId,
+      engine: current.upstream.info.upstreamId,
       reason,
       lastEventId: stream.lastEventId,
       ranCount: stream.ranCount,
@@ -126,6 +168,7 @@
       wasSent,
       isRefused = false,
       hasEngineEnded = false,
+      isRecorded = false,
       mayBeSound = false,
       reason,
       nextEngine,
@@ -145,7 +188,9 @@
     endAttempt(lost, copy !== undefined);
     stream.triedIds.add(upstreamId);
     if (wasSent) stream.ranCount += 1;
-    if (!isRefused && !mayBeSound) directory.recordLoss(upstreamId, reason);
+    if (!isRefused && !mayBeSound && !isRecorded) {
+      directory.recordLoss(upstreamId, reason);
+    }
     const decision = decideAfterLoss({
       isResumable: isStreamResumable(stream),
       ranCount: stream.ranCount,
--- a/src/forwarding/stream_monitor.ts
+++ b/src/forwarding/stream_monitor.ts
@@ -1,18 +1,35 @@
 /**
  * Checks open streams for silence at short intervals and probes silent engines.
- * The timer runs only while streams are open.
+ * Keeps what reports and the directory show about each run, and asks for the
+ * runs of lost engines to be left. The timer runs only while streams are open.
  */
 import { Buffer } from "node:buffer";
 import { assertNever } from "../core/assert_never.ts";
+import {
+  type ByteCollector,
+  createByteCollector,
+} from "../core/byte_collector.ts";
 import type { Clock } from "../core/clock.ts";
 import { createPauseDetector } from "../core/pause_detector.ts";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
 import { setTimeoutAfterReads } from "../core/timeout_after_reads.ts";
-import type { ForwardingProtocol } from "./forwarding_protocol.ts";
+import type {
+  EngineReport,
+  ForwardingProtocol,
+} from "./forwarding_protocol.ts";
+import {
+  decideOnRun,
+  type LostCause,
+  newRun,
+  type RunEvent,
+  type RunKnowledge,
+  updateRun,
+} from "./run_health.ts";
 import { decideOnSilence, SilenceDecision } from "./stream_decisions.ts";
 import type { UpstreamConnections } from "./upstream_connections.ts";
-import type { UpstreamDirectory } from "./upstream_directory.ts";
+import type { SuccessorDiscovery } from "./successor_discovery.ts";
+import { getAddress, type UpstreamDirectory } from "./upstream_directory.ts";
 import type { Upstream } from "./upstream_types.ts";
 
 export interface MonitoredStream {
@@ -26,8 +43,12 @@
   readonly isPaused: boolean;
   /** When events were read again; -Infinity if they always were. */
   readonly resumedAtMs: number;
+  /** Whether the stream's service is scheduled under load. */
+  isLoadAware(): boolean;
   /** The engine is silent and may be lost; called until the stream leaves it. */
   onSuspected(reason: string): void;
+  /** The engine has a new lifetime; called until the stream leaves it. */
+  onLost(cause: LostCause, reason: string): void;
   /** Called at every check while the stream is open. */
   onCheck(): void;
 }
@@ -44,6 +65,21 @@
   readonly protocol: ForwardingProtocol;
   readonly connections: UpstreamConnections;
   readonly directory: UpstreamDirectory;
+  /** Told of ids that answer in place of an engine. */
+  readonly successors?: SuccessorDiscovery;
+}
+
+interface MonitoredRun {
+  knowledge: RunKnowledge;
+  /** Whether a report is still to be requested for the engine's start. */
+  needsStart: boolean;
+}
+
+interface ReportResponse {
+  /** The id that answered in place of the engine, if it was another one. */
+  readonly otherId: string | undefined;
+  /** Undefined if the response is no valid report. */
+  readonly report: EngineReport | undefined;
 }
 
 const checkIntervalMs = 40;
@@ -53,13 +89,17 @@
 const probeTimeoutMs = 120;
 /** Streams may stay at a silent engine, which is then probed less often. */
 const repeatedProbeDelayMs = 500;
+/** Reports have some hundred bytes; more is no report. */
+const maxReportBytes = 64 * 1024;
 
 export function createStreamMonitor(
   options: StreamMonitorOptions,
 ): StreamMonitor {
-  const { clock, logger, directory } = options;
-  const streams = new Set<MonitoredStream>();
+  const { clock, logger, directory, protocol } = options;
+  const streams = new Map<MonitoredStream, MonitoredRun>();
   const probing = new Set<string>();
+  /** Engines whose start is being requested. */
+  const requestingStart = new Set<string>();
   /** By engine, after its last probe failed. */
   const nextProbeAtMs = new Map<string, number>();
   let timer: NodeJS.Timeout | undefined;
@@ -69,9 +109,10 @@
     intervalMs: checkIntervalMs,
     limitMs: pauseLimitMs,
   });
+  directory.onAddressTaken(handleAddressTaken);
   return {
     add: (stream) => {
-      streams.add(stream);
+      streams.set(stream, { knowledge: newRun, needsStart: true });
       if (timer) return;
       pauseDetector.reset();
       timer = setInterval(scheduleCheck, checkIntervalMs);
@@ -95,15 +136,74 @@
   function check(): void {
     const nowMs = clock.nowMs();
     const processPauseMs = pauseDetector.measurePauseMs();
-    for (const stream of [...streams]) {
-      checkStream(stream, { nowMs, processPauseMs });
-      if (streams.has(stream)) stream.onCheck();
+    for (const [stream, run] of [...streams]) {
+      const isAsked = processPauseMs === 0 && askToLeave(stream, run);
+      // Asking may end other streams as well.
+      if (!streams.has(stream)) continue;
+      checkStream(stream, { nowMs, processPauseMs, isAsked });
+      if (!streams.has(stream)) continue;
+      requestStart(stream, run);
+      stream.onCheck();
     }
   }
 
+  /** Asks for a lost or suspected run to be left; tells whether it did. */
+  function askToLeave(stream: MonitoredStream, run: MonitoredRun): boolean {
+    const { lastEventAtMs, isPaused, resumedAtMs, upstream } = stream;
+    const decision = decideOnRun(run.knowledge.health, {
+      lastEventAtMs,
+      isPaused,
+      resumedAtMs,
+      engineActivityAtMs: upstream.lastActivityAtMs,
+    }, clock.nowMs());
+    switch (decision.kind) {
+      case "stay":
+        return false;
+      case "clear":
+        run.knowledge = { ...run.knowledge, health: newRun.health };
+        return false;
+      case "leaveSuspected":
+        // Elsewhere, a run is asked about only at its limits.
+        if (!stream.isLoadAware()) return false;
+        stream.onSuspected(decision.reason);
+        return true;
+      case "leaveLost":
+        stream.onLost(decision.cause, decision.reason);
+        return true;
+      default:
+        assertNever(decision);
+    }
+  }
+
+  /**
+   * A restart shows only beside an earlier start of the run's engine, which a
+   * crashed engine no longer states.
+   */
+  function requestStart(stream: MonitoredStream, run: MonitoredRun): void {
+    if (!run.needsStart || run.knowledge.start) return;
+    const { upstream } = stream;
+    const { upstreamId } = upstream.info;
+    if (requestingStart.has(upstreamId)) return;
+    run.needsStart = false;
+    if (!stream.isLoadAware()) return;
+    requestingStart.add(upstreamId);
+    requestReport(upstream, {
+      onResponse: (response) => {
+        requestingStart.delete(upstreamId);
+        handleReport(upstream, response);
+      },
+      onFailure: () => requestingStart.delete(upstreamId),
+    });
+  }
+
   function checkStream(
     stream: MonitoredStream,
-    { nowMs, processPauseMs }: { nowMs: number; processPauseMs: number },
+    { nowMs, processPauseMs, isAsked }: {
+      readonly nowMs: number;
+      readonly processPauseMs: number;
+      /** Whether the stream was already asked to leave its run. */
+      readonly isAsked: boolean;
+    },
   ): void {
     const { upstream, startedAtMs, lastEventAtMs, resumedAtMs } = stream;
     if (stream.isPaused) return;
@@ -126,6 +226,7 @@
         probe(upstream);
         return;
       case SilenceDecision.Suspect:
+        if (isAsked) return;
         stream.onSuspected(`no event for ${Math.round(streamSilentMs)} ms`);
         return;
       default:
@@ -134,44 +235,141 @@
   }
 
   function probe(upstream: Upstream): void {
-    const { info } = upstream;
-    const { upstreamId } = info;
+    const { upstreamId } = upstream.info;
     probing.add(upstreamId);
     const startedAtMs = clock.nowMs();
+    requestReport(upstream, {
+      onResponse: (response) => {
+        probing.delete(upstreamId);
+        handleReport(upstream, response);
+      },
+      onFailure: (reason, isConnectionRefused) => {
+        probing.delete(upstreamId);
+        // A leaving engine may refuse new connections while it still serves.
+        if (isConnectionRefused && isLeaving(upstream)) return;
+        const isLate = clock.nowMs() - startedAtMs >
+          probeTimeoutMs + pauseLimitMs;
+        // The report alone may be delayed, such as by a lost packet.
+        const hasSentSince = upstream.lastActivityAtMs >= startedAtMs;
+        if (isLate || hasSentSince) return;
+        delayNextProbe(upstreamId);
+        handleSilentEngine(upstreamId, reason);
+      },
+    });
+  }
+
+  /** Calls back exactly once. */
+  function requestReport(
+    { info }: Upstream,
+    { onResponse, onFailure }: {
+      onResponse(response: ReportResponse): void;
+      onFailure(reason: string, isConnectionRefused: boolean): void;
+    },
+  ): void {
+    const { upstreamId, host, port } = info;
+    const received = createByteCollector();
+    let status = 0;
+    let otherId: string | undefined;
     let isEnded = false;
     const exchange = options.connections.send({
-      host: info.host,
-      port: info.port,
+      host,
+      port,
       method: "GET",
-      path: options.protocol.reportPath,
-      headers: ["Host", `${info.host}:${info.port}`],
+      path: protocol.reportPath,
+      headers: ["Host", `${host}:${port}`],
       body: emptyBody,
       mayReuseConnection: true,
     }, {
-      onHead: () => directory.recordActivity(upstreamId),
-      onData: () => {},
-      onEnd: () => end(undefined),
-      // A leaving engine may refuse new connections while it still serves.
+      onHead: (value, headers) => {
+        status = value;
+        const { responderId } = protocol.describeResponse(status, headers);
+        if (responderId !== upstreamId) otherId = responderId || undefined;
+        if (!otherId) directory.recordActivity(upstreamId);
+      },
+      onData: (chunk) => {
+        if (received.getSizeBytes() <= maxReportBytes) received.add(chunk);
+      },
+      onEnd: () =>
+        end(() =>
+          onResponse({ otherId, report: parseReport(status, received) })
+        ),
       onFailure: ({ isConnectionRefused, reason }) =>
-        end(isConnectionRefused && isLeaving(upstream) ? undefined : reason),
+        end(() => onFailure(reason, isConnectionRefused)),
     });
     const cancelTimeout = setTimeoutAfterReads(() => {
       exchange.cancel();
-      end(`no report in ${probeTimeoutMs} ms`);
+      end(() => onFailure(`no report in ${probeTimeoutMs} ms`, false));
     }, probeTimeoutMs);
 
-    function end(failure: string | undefined): void {
+    function end(callBack: () => void): void {
       if (isEnded) return;
       isEnded = true;
       cancelTimeout();
-      probing.delete(upstreamId);
-      const isLate = clock.nowMs() - startedAtMs >
-        probeTimeoutMs + pauseLimitMs;
-      // The report alone may be delayed, such as by a lost packet.
-      const hasSentSince = upstream.lastActivityAtMs >= startedAtMs;
-      if (failure === undefined || isLate || hasSentSince) return;
-      delayNextProbe(upstreamId);
-      handleSilentEngine(upstreamId, failure);
+      callBack();
+    }
+  }
+
+  function parseReport(
+    status: number,
+    received: ByteCollector,
+  ): EngineReport | undefined {
+    if (status !== 200 || received.getSizeBytes() > maxReportBytes) return;
+    return protocol.parseReport(received.takeAll()).unwrapOr(undefined);
+  }
+
+  function handleReport(
+    upstream: Upstream,
+    { otherId, report }: ReportResponse,
+  ): void {
+    const { info } = upstream;
+    if (otherId !== undefined) {
+      directory.recordAddressReuse(info.upstreamId);
+      options.successors?.handleMisdirected(info, otherId);
+      return;
+    }
+    updateRuns(info.upstreamId, {
+      kind: "reportArrived",
+      address: getAddress(upstream),
+      startedAtWallMs: report?.startedAtWallMs,
+    });
+  }
+
+  function handleAddressTaken(upstreamId: string, reason: string): void {
+    updateRuns(upstreamId, { kind: "addressTaken", reason });
+  }
+
+  function updateRuns(upstreamId: string, event: RunEvent): void {
+    const nowMs = clock.nowMs();
+    const lost: MonitoredStream[] = [];
+    for (const [stream, run] of streams) {
+      if (stream.upstream.info.upstreamId !== upstreamId) continue;
+      const before = run.knowledge.health.kind;
+      run.knowledge = updateRun(run.knowledge, event, nowMs);
+      const after = run.knowledge.health.kind;
+      if (after === "lost" && before !== "lost") lost.push(stream);
+    }
+    if (lost.length === 0) return;
+    // The attempt whose response showed the loss is ended by its own handler
+    // before this, since it may not have run.
+    setImmediate(() => leaveLost(upstreamId, lost));
+  }
+
+  function leaveLost(
+    upstreamId: string,
+    lost: readonly MonitoredStream[],
+  ): void {
+    const open = lost.filter((stream) => streams.has(stream));
+    if (open.length === 0) return;
+    const { health } = streams.get(open[0]!)!.knowledge;
+    logger.log(logEvents.streamRunsLost, {
+      upstream: upstreamId,
+      cause: health.kind === "lost" ? health.cause : undefined,
+      reason: health.kind === "lost" ? health.reason : undefined,
+      streams: open.length,
+    });
+    for (const stream of open) {
+      const run = streams.get(stream);
+      if (run) askToLeave(stream, run);
     }
   }
 
@@ -189,7 +387,8 @@
 
   /** Reports the suspicion to all streams of the engine at once. */
   function handleSilentEngine(upstreamId: string, reason: string): void {
-    const affected = [...streams].filter(({ upstream }) =>
+    updateRuns(upstreamId, { kind: "reportMissing", reason });
+    const affected = [...streams.keys()].filter(({ upstream }) =>
       upstream.info.upstreamId === upstreamId
     );
     logger.log(logEvents.engineLost, {
--- a/src/forwarding/stream_monitor_test.ts
+++ b/src/forwarding/stream_monitor_test.ts
@@ -55,6 +55,8 @@
     isPaused: false,
     firstEventLimitMs: undefined,
     resumedAtMs: -Infinity,
+    isLoadAware: () => false,
+    onLost: (_cause: unknown, reason: string) => losses.push(reason),
     onSuspected: (reason: string) => losses.push(reason),
     onCheck: () => {},
   };
--- a/src/forwarding/stream_start.ts
+++ b/src/forwarding/stream_start.ts
@@ -93,7 +93,10 @@
       hasAddedEvents: false,
       isSilenceLogged: false,
       prefillTokens: source ? 0 : demand.prefillTokens,
+      isLoadAware: () => context.isLoadAware(service.name),
       onSuspected: (reason) => losses.handleSilence(started, reason),
+      onLost: (cause, reason) =>
+        losses.handleNewLifetime(started, cause, reason),
       onCheck: () => copyManager.check(started.lastEventAtMs !== undefined),
       requestLoad,
       copyManager,
