--- a/src/forwarding/stream_queue_test.ts
+++ b/src/forwarding/stream_queue_test.ts
@@ -64,3 +64,38 @@
   expect(calls).toEqual(["waits", "waits"]);
   expect(queue.countOf("model")).toBe(1);
 });
+
+// Guards against checks that hold up the process: each stream counted all others.
+test("a check of all streams that may wait compares each one with few others", () => {
+  const streamCount = 1_000;
+  const queue = createStreamQueue();
+  let readCount = 0;
+  let goneCount = 0;
+  const aheadCounts: number[] = [];
+  const add = (index: number) => {
+    const order = {
+      ...usual,
+      get startByMs() {
+        readCount += 1;
+        return index * 7 % streamCount;
+      },
+    };
+    queue.add({
+      service: "model",
+      getOrder: () => order,
+      goOn: () => {
+        goneCount += 1;
+        aheadCounts.push(queue.countAhead("model", order));
+        queue.countOf("model");
+        add(index);
+      },
+    });
+  };
+  for (let index = 0; index < streamCount; index++) add(index);
+  readCount = 0;
+  vi.advanceTimersByTime(60);
+  expect(goneCount).toBe(streamCount);
+  expect(aheadCounts).toEqual(aheadCounts.map((_, index) => index));
+  // Sorting once and four searches each: 5 n log2(n) comparisons of two orders.
+  expect(readCount).toBeLessThan(2 * 5 * streamCount * Math.log2(streamCount));
+});
