Send what was announced during a heartbeat when it ends

A placement that was announced while a heartbeat was in flight joined that heartbeat, which does not contain it, so the others learned of it with the next regular heartbeat. Another heartbeat now follows as soon as the one in flight ends, one for all announcements in that time, to the first control instance that is reachable then.

The new test fails without the change: no further heartbeat is received.

--- a/src/membership/seed_membership.ts
+++ b/src/membership/seed_membership.ts
@@ -44,8 +44,10 @@
    */
   scheduleHeartbeat(): void;
   /**
-   * Exchanges a heartbeat with the first reachable control instance now.
-   * Resolves with whether its reply arrived in time.
+   * Exchanges a heartbeat with the first reachable control instance now, or joins
+   * the one in flight. What has changed since that one was sent is sent in
+   * another one as soon as it ends. Resolves with whether the reply of the first
+   * one arrived in time.
    */
   exchangeHeartbeat(timeoutMs: number): Promise<boolean>;
 }
@@ -86,6 +88,8 @@
   isReachable: boolean;
   /** Settles when the heartbeat in flight was replied to or has failed. */
   pendingHeartbeat: Promise<boolean> | undefined;
+  /** Something has changed since the heartbeat in flight was sent. */
+  mustSendAgain: boolean;
 }
 
 /**
@@ -171,6 +175,11 @@
     ].map(({ instanceId }) => instanceId);
   }
 
+  function getFirstControl(): Member | undefined {
+    const controlId = listReachableControlIds()[0];
+    return controlId === undefined ? undefined : members.get(controlId);
+  }
+
   function countEntries(): number {
     return listMembers().filter(({ info, isReachable }) =>
       !info.isControl && isReachable
@@ -207,6 +216,7 @@
       lastSeenAtMs: clock.nowMs(),
       isReachable: false,
       pendingHeartbeat: undefined,
+      mustSendAgain: false,
     };
   }
 
@@ -247,10 +257,7 @@
     isHeartbeatScheduled = true;
     setTimeout(() => {
       isHeartbeatScheduled = false;
-      const controlId = listReachableControlIds()[0];
-      const member = controlId === undefined
-        ? undefined
-        : members.get(controlId);
+      const member = getFirstControl();
       if (member && !member.pendingHeartbeat) {
         void sendHeartbeat(member, lostAfterMs);
       }
@@ -258,11 +265,9 @@
   }
 
   function exchangeHeartbeat(timeoutMs: number): Promise<boolean> {
-    const controlId = listReachableControlIds()[0];
-    const member = controlId === undefined ? undefined : members.get(controlId);
+    const member = getFirstControl();
     if (!member) return Promise.resolve(false);
-    const reply = member.pendingHeartbeat ??
-      sendHeartbeat(member, lostAfterMs);
+    const reply = sendLatest(member);
     return new Promise((resolve) => {
       const timer = setTimeout(() => resolve(false), timeoutMs);
       void reply.then((isReplied) => {
@@ -272,6 +277,13 @@
     });
   }
 
+  /** The heartbeat in flight does not contain what has changed since. */
+  function sendLatest(member: Member): Promise<boolean> {
+    if (!member.pendingHeartbeat) return sendHeartbeat(member, lostAfterMs);
+    member.mustSendAgain = true;
+    return member.pendingHeartbeat;
+  }
+
   function sendHeartbeat(member: Member, timeoutMs: number): Promise<boolean> {
     const pending = callWithHeartbeat(member, timeoutMs);
     member.pendingHeartbeat = pending;
@@ -292,6 +304,12 @@
     if (reply.isOk()) recordHeartbeat(reply.value);
     // A connection may stay silent permanently while a new one works.
     else options.getPeers().dropConnection(instanceId);
+    if (member.mustSendAgain) {
+      member.mustSendAgain = false;
+      // Another control instance may be the first reachable one by now.
+      const next = getFirstControl();
+      if (next) void sendLatest(next);
+    }
     return reply.isOk();
   }
 
--- a/src/membership/seed_membership_test.ts
+++ b/src/membership/seed_membership_test.ts
@@ -1,5 +1,4 @@
-import { okAsync } from "neverthrow";
-import { errAsync, type ResultAsync } from "neverthrow";
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
 import { expect, test } from "vitest";
 import type { Clock } from "../core/clock.ts";
 import { createError, ErrorKind, type SystemError } from "../core/errors.ts";
@@ -17,6 +16,10 @@
   let nowMs = 0;
   const instances = new Map<string, SeedMembership>();
   const isolatedIds = new Set<string>();
+  const received: { from: string; load: number }[] = [];
+  /** Included in heartbeats, as the load of placed streams is. */
+  const loads = new Map<string, number>();
+  let held: Promise<void> | undefined;
   const dropped: string[] = [];
   const sleepers: { atMs: number; wake: () => void }[] = [];
   const clock: Clock = {
@@ -25,7 +28,26 @@
     sleep: (delayMs) =>
       new Promise((wake) => sleepers.push({ atMs: nowMs + delayMs, wake })),
   };
-  return { add, advance, isolatedIds, instances, dropped };
+  return {
+    add,
+    advance,
+    isolatedIds,
+    instances,
+    dropped,
+    received,
+    loads,
+    /** Replies to heartbeats are held until the returned function is called. */
+    holdReplies: () => {
+      let release = () => {};
+      held = new Promise((resolve) => {
+        release = () => {
+          held = undefined;
+          resolve();
+        };
+      });
+      return () => release();
+    },
+  };
 
   function add(
     instanceId: string,
@@ -59,7 +81,7 @@
       lostAfterMs: 1_200,
       removeAfterMs: 30_000,
       getPeers: () => peers,
-      getRevision: () => 0,
+      getRevision: () => loads.get(instanceId) ?? 0,
       getUpstreams: () => ({ revision: 0, ageMs: 0 }),
       onHeartbeat: () => {},
       getEngineLoadSummary: () => undefined,
@@ -83,7 +105,11 @@
     if (!receiver || isolatedIds.has(from) || isolatedIds.has(to)) {
       return errAsync(createError(ErrorKind.PeerUnreachable, "isolated"));
     }
-    return okAsync(receiver.handleHeartbeat(heartbeat));
+    received.push({ from, load: heartbeat.revision });
+    const reply = receiver.handleHeartbeat(heartbeat);
+    return held
+      ? ResultAsync.fromSafePromise(held.then(() => reply))
+      : okAsync(reply);
   }
 
   async function advance(durationMs: number): Promise<void> {
@@ -190,3 +216,24 @@
   network.isolatedIds.add("c1");
   expect(await entry.exchangeHeartbeat(100)).toBe(false);
 });
+
+test("an announcement during a heartbeat in flight is sent as soon as that one ends", async () => {
+  // Guards against placements that the others learn of only with the next
+  // regular heartbeat.
+  const network = createNetwork();
+  network.add("c1", { seedIds: ["c1"], isControl: true });
+  const entry = network.add("e1", { seedIds: ["c1"] });
+  await network.advance(500);
+  const release = network.holdReplies();
+  const first = entry.exchangeHeartbeat(100);
+  network.received.length = 0;
+  network.loads.set("e1", 7);
+  const announcements = [1, 2, 3].map(() => entry.exchangeHeartbeat(100));
+  expect(network.received).toEqual([]);
+  release();
+  expect(await Promise.all([first, ...announcements])).toEqual(
+    Array(4).fill(true),
+  );
+  await network.advance(0);
+  expect(network.received).toEqual([{ from: "e1", load: 7 }]);
+});
