Leave time for a late timer in the tests of silent engines

'a report that arrived while this process was busy ...' failed once at load 15 with 'no event for 453 ms': its stream had been silent for 250 ms when it began, its wait of 190 ms took 203, and 450 ms are the limit of silence. The stream now begins with 225 ms of silence, which still causes a probe at the first check.

--- a/src/forwarding/stream_monitor_test.ts
+++ b/src/forwarding/stream_monitor_test.ts
@@ -50,8 +50,10 @@
   const losses: string[] = [];
   const stream = {
     upstream: directory.listUsable("service")[0]!,
-    startedAtMs: clock.nowMs() - 250,
-    lastEventAtMs: clock.nowMs() - 250,
+    // Silent for long enough to be probed at the first check, and not yet for 450
+    // ms when a test that waits for 190 ms ends late.
+    startedAtMs: clock.nowMs() - 225,
+    lastEventAtMs: clock.nowMs() - 225,
     isPaused: false,
     firstEventLimitMs: undefined,
     resumedAtMs: -Infinity,
