Keep the copy of a stream that waits for the retry budget

A stream with a usable copy that had to wait for a repeat was placed anew and read its prompt again. The stream now resumes from the copy while that is kept.

Beside it: reported grants no longer count twice at the leader, and the budget is asked last, since asking takes a grant.

--- a/src/forwarding/run_health.ts
+++ b/src/forwarding/run_health.ts
@@ -159,7 +159,8 @@
 }
 
 export interface LostRun {
-  readonly hasBudget: boolean;
+  /** Read last, since it asks for a repeat that would not be used otherwise. */
+  hasBudget(): boolean;
   readonly remainingMs: number;
   readonly isResumable: boolean;
   /** Attempts that ran or may have run, including the lost one. */
@@ -172,11 +173,10 @@
  * ending the run gains nothing, and the engine may have stated a wrong start.
  */
 export function mayEndLostRun({ hasBudget, ...run }: LostRun): boolean {
-  return hasBudget &&
-    mayLeaveSilentRun({
-      ...run,
-      // The run will send nothing, however short its silence was.
-      silentMs: Infinity,
-      isSlowWithoutCopy: false,
-    });
+  return mayLeaveSilentRun({
+    ...run,
+    // The run will send nothing, however short its silence was.
+    silentMs: Infinity,
+    isSlowWithoutCopy: false,
+  }) && hasBudget();
 }
--- a/src/forwarding/run_health_test.ts
+++ b/src/forwarding/run_health_test.ts
@@ -71,14 +71,14 @@
 // Guards against ending a run while its stream can't go on elsewhere.
 test("a lost run is ended only if the stream may run again", () => {
   const run = {
-    hasBudget: true,
+    hasBudget: () => true,
     remainingMs: 5_000,
     isResumable: true,
     ranCount: 2,
     maxAttempts: 3,
   };
   expect(mayEndLostRun(run)).toBe(true);
-  expect(mayEndLostRun({ ...run, hasBudget: false })).toBe(false);
+  expect(mayEndLostRun({ ...run, hasBudget: () => false })).toBe(false);
   expect(mayEndLostRun({ ...run, ranCount: 3 })).toBe(false);
   expect(mayEndLostRun({ ...run, isResumable: false })).toBe(false);
   expect(mayEndLostRun({ ...run, remainingMs: 20 })).toBe(false);
--- a/src/forwarding/stream_losses.ts
+++ b/src/forwarding/stream_losses.ts
@@ -75,7 +75,7 @@
   ): void {
     if (stream.run !== current || stream.isFinished) return;
     const mayEnd = mayEndLostRun({
-      hasBudget: budget.hasReserve(stream.budgetKey, 1),
+      hasBudget: () => budget.hasReserve(stream.budgetKey, 1),
       remainingMs: deadlineAtMs - clock.nowMs(),
       isResumable: isStreamResumable(stream),
       ranCount: stream.ranCount + 1,
@@ -104,19 +104,19 @@
     // Under load an engine may be slow for half a second, and works on.
     const isEngineAlive = context.isLoadAware(admitted.service.name) &&
       clock.nowMs() - upstream.lastActivityAtMs < probeAfterMs;
-    // A run that is ended and can't be repeated yet would be a loss.
-    const mayLeave = budget.hasReserve(stream.budgetKey, 1) &&
-      mayLeaveSilentRun({
-        remainingMs: deadlineAtMs - clock.nowMs(),
-        isResumable: isStreamResumable(stream),
-        ranCount: stream.ranCount + 1,
-        maxAttempts: route.maxAttempts,
-        silentMs,
-        isSlowWithoutCopy: isEngineAlive &&
-          current.lastEventAtMs !== undefined && !findUsableCopy(current),
-      });
+    // A run that is ended and can't be repeated yet would be a loss. The budget
+    // comes last, since it asks for a repeat that would not be used otherwise.
+    const mayLeave = mayLeaveSilentRun({
+      remainingMs: deadlineAtMs - clock.nowMs(),
+      isResumable: isStreamResumable(stream),
+      ranCount: stream.ranCount + 1,
+      maxAttempts: route.maxAttempts,
+      silentMs,
+      isSlowWithoutCopy: isEngineAlive &&
+        current.lastEventAtMs !== undefined && !findUsableCopy(current),
+    });
     const target = mayLeave ? findTarget(current) : undefined;
-    if (target) {
+    if (target && budget.hasReserve(stream.budgetKey, 1)) {
       stream.hasLeftRun = true;
       handleLoss(current, {
         wasSent: true,
@@ -230,7 +230,10 @@
       case "resumeFromCopy":
         if (budget.tryDrawReserve(stream.budgetKey, 1)) {
           startAttempt(copy!.holder, copy!.source);
-        } else placement.waitForBudget();
+        } else {
+          const lostAtMs = clock.nowMs();
+          placement.waitForBudget(() => resumeFromCopy(lost, lostAtMs));
+        }
         return;
       case "resume":
         // A request that never reached an engine has caused no work there, so
@@ -247,6 +250,14 @@
     }
   }
 
+  /** Returns false if the copy of a stream that has waited is gone. */
+  function resumeFromCopy(lost: StreamAttempt, lostAtMs: number): boolean {
+    const isKept = clock.nowMs() - lostAtMs < stream.traits.copyTtlMs;
+    const copy = isKept ? findUsableCopy(lost) : undefined;
+    if (copy) startAttempt(copy.holder, copy.source);
+    return copy !== undefined;
+  }
+
   /** A holder whose limit has no room is of no use. */
   function findUsableCopy({ copyManager }: StreamAttempt) {
     const copy = copyManager.getUsableCopy();
--- a/src/forwarding/stream_placement.ts
+++ b/src/forwarding/stream_placement.ts
@@ -32,8 +32,11 @@
   placeAttemptAfter(delayMs: number): void;
   /** Draws on the retry budget; `hasRun` if the last attempt may have run. */
   drawForRepeat(hasRun: boolean): boolean;
-  /** Starts the next attempt when the retry budget allows it. */
-  waitForBudget(): void;
+  /**
+   * Starts the next attempt when the retry budget allows it: with
+   * `resumeFromCopy`, unless that returns false because the copy has gone.
+   */
+  waitForBudget(resumeFromCopy?: () => boolean): void;
   /** `isForCopy` for the engine that holds a copy of the KV cache. */
   getPlacementContext(isForCopy?: boolean): PlacementContext;
   /** The engines that may get the next attempt. */
@@ -368,7 +371,7 @@
    * Waits until the work of others has paid for one more repeat. The caller of a
    * stream that has not run is refused instead if that takes too long.
    */
-  function waitForBudget(): void {
+  function waitForBudget(resumeFromCopy?: () => boolean): void {
     const hasRun = stream.ranCount > 0;
     waitingSinceMs ??= clock.nowMs();
     if (!hasRun && isBudgetWaitOver(waitingSinceMs)) {
@@ -378,9 +381,16 @@
       return;
     }
     if (context.isLoadAware(service.name)) {
-      wait.begin(WaitReason.Budget, () => drawAgain(hasRun), {});
+      wait.begin(
+        WaitReason.Budget,
+        () => drawAgain(hasRun, resumeFromCopy),
+        {},
+      );
     } else {
-      waitTimer = setTimeout(() => drawAgain(hasRun), budgetPollIntervalMs);
+      waitTimer = setTimeout(
+        () => drawAgain(hasRun, resumeFromCopy),
+        budgetPollIntervalMs,
+      );
     }
   }
 
@@ -399,13 +409,15 @@
       !listCandidates().some(canAdmit);
   }
 
-  function drawAgain(hasRun: boolean): void {
+  function drawAgain(hasRun: boolean, resumeFromCopy?: () => boolean): void {
+    if (stream.isFinished) return;
     if (!drawForRepeat(hasRun)) {
-      waitForBudget();
+      waitForBudget(resumeFromCopy);
       return;
     }
     // The time to wait for an engine begins now.
     if (hasRun || context.isLoadAware(service.name)) waitingSinceMs = undefined;
-    placeAttempt();
+    if (resumeFromCopy?.()) wait.end();
+    else placeAttempt();
   }
 }
--- a/src/limits/repeat_ledger.ts
+++ b/src/limits/repeat_ledger.ts
@@ -114,10 +114,11 @@
 ): number {
   // Instances may not have reported the last grants of an earlier leader.
   if (leaderForMs < reportAgeMs) return 0;
-  const usedCount = Math.max(
-    grantedCount,
-    reportedGrantedCount + recentGrantedCount,
-  );
+  // The reports may contain the recent grants already, which would then count
+  // twice; they are needed only while an earlier leader's grants are in the window.
+  const usedCount = leaderForMs >= repeatWindowMs + reportAgeMs
+    ? grantedCount
+    : Math.max(grantedCount, reportedGrantedCount + recentGrantedCount);
   const usablePart = 1 - reservedParts[urgency];
   return Math.max(0, Math.floor(grantedPart * limit * usablePart - usedCount));
 }
--- a/src/limits/repeat_window_test.ts
+++ b/src/limits/repeat_window_test.ts
@@ -201,6 +201,20 @@
   expect(getPeakUse()).toBeLessThan(1);
 });
 
+test("a leader goes on to grant what its limit leaves", () => {
+  // Guards against grants that count twice once they are reported: after a crash
+  // the leader then granted nothing for two seconds.
+  const { instances, run, getPeakUse } = createBusyDeployment();
+  for (let grant = 0; grant < 100; grant++) {
+    expect(instances[grant % 75]!.tryTakeGranted()).toBe(true);
+  }
+  run(1_500);
+  for (let grant = 0; grant < 50; grant++) {
+    expect(instances[grant]!.tryTakeGranted()).toBe(true);
+  }
+  expect(getPeakUse()).toBeLessThan(1);
+});
+
 test("a new leader grants nothing before all instances have reported", () => {
   // Guards against the grants of two leaders in one window.
   const { instances, advance, run, replaceLeader, getPeakUse } =
