Bound what is held for callers that read large responses slowly

Cause: the buffers of reads from upstreams were collected only after 32 MB, and the first MiB of a large response no longer counted as held once it was written to its caller, whether the caller took it or not.

Change: reads from upstreams count for the early collection of young buffers, as reads from callers do. Buffered bytes of a response count against the 16 MiB of all responses until the caller has taken them; responses over 64 KiB leave a quarter of this room to smaller ones.

--- a/src/core/byte_budget.ts
+++ b/src/core/byte_budget.ts
@@ -13,7 +13,17 @@
   release(): void;
 }
 
-export function createByteBudget(maxBytes: number): ByteBudget {
+/** Holders of more leave the reserved part of a budget to others. */
+const maxSmallBytes = 64 * 1024;
+
+export function createByteBudget(
+  maxBytes: number,
+  { smallReservedRatio = 0 }: {
+    /** Part of the room that is left to small holders. */
+    readonly smallReservedRatio?: number;
+  } = {},
+): ByteBudget {
+  const maxLargeBytes = maxBytes * (1 - smallReservedRatio);
   let heldBytes = 0;
   return {
     getHeldBytes: () => heldBytes,
@@ -21,7 +31,9 @@
       let ownBytes = 0;
       return {
         tryTake: (bytes) => {
-          if (heldBytes + bytes > maxBytes) return false;
+          const isLarge = ownBytes + bytes > maxSmallBytes;
+          const limitBytes = isLarge ? maxLargeBytes : maxBytes;
+          if (heldBytes + bytes > limitBytes) return false;
           heldBytes += bytes;
           ownBytes += bytes;
           return true;
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -59,6 +59,8 @@
 const maxCandidateViewAgeMs = 2_500;
 /** A small part of the 178 MB of the smallest entry machines. */
 const maxHeldResponseBytes = 16 * 1024 * 1024;
+/** Part of them that large responses to slow callers leave to small ones. */
+const smallResponsesRatio = 0.25;
 /**
  * Initial balance and least limit of the retry budget of one instance; without
  * it, no instance could ever retry.
@@ -261,7 +263,9 @@
         membership.getEntryCount() / directory.countDomains() - 1,
     }),
     metrics,
-    heldResponses: createByteBudget(maxHeldResponseBytes),
+    heldResponses: createByteBudget(maxHeldResponseBytes, {
+      smallReservedRatio: smallResponsesRatio,
+    }),
     budget: createSharedRetryBudget({
       window: repeatWindow,
       separate: createRetryBudget({
--- a/src/forwarding/call_attempt.ts
+++ b/src/forwarding/call_attempt.ts
@@ -2,7 +2,9 @@
  * Sends a non-streaming call to one upstream. The response is buffered until it
  * is complete, so that the call can still be retried when the connection breaks
  * or the upstream fails. A response above `maxBufferedBytes`, or above what all
- * attempts together may hold, is relayed as it arrives instead.
+ * attempts together may hold, is relayed as it arrives instead. What was
+ * buffered counts as held until the caller has taken it, so that callers that
+ * read slowly cannot make the instance hold more.
  */
 import type { Buffer } from "node:buffer";
 import { assertNever } from "../core/assert_never.ts";
@@ -171,22 +173,29 @@
     const mayHold = share.tryTake(chunk.length);
     if (mayHold && held.getSizeBytes() <= maxBufferedBytes) return;
     isRelaying = true;
-    share.release();
     caller.startResponse(
       head!.status,
       protocol.buildCallerHeaders(head!.headers),
     );
-    for (const block of held.takeBlocks()) relayChunk(block);
+    let isTaken = true;
+    for (const block of held.takeBlocks()) isTaken = relayChunk(block);
+    if (isTaken) share.release();
+    else {
+      caller.onDrain(share.release);
+      caller.onEnd(share.release);
+    }
   }
 
-  function relayChunk(chunk: Buffer): void {
-    if (caller.write(chunk)) return;
+  function relayChunk(chunk: Buffer): boolean {
+    if (caller.write(chunk)) return true;
     exchange.pause();
     caller.onDrain(exchange.resume);
+    return false;
   }
 
   function onEnd(): void {
-    release();
+    requestLoad.release();
+    caller.onEnd(share.release);
     const response = { ...head!, body: held.takeAll() };
     if (!isRelaying && isBrokenOff(caller.method, response)) {
       directory.recordIncompleteResponse(upstreamId);
--- a/src/forwarding/caller_exchange.ts
+++ b/src/forwarding/caller_exchange.ts
@@ -60,6 +60,8 @@
   getState(): CallerState;
   /** Calls back once if the caller disconnects before the response ends. */
   onDisconnect(callback: () => void): void;
+  /** Calls back once when the exchange has ended, or at once if it has. */
+  onEnd(callback: () => void): void;
   /** Calls back once if this instance stops before the response ends. */
   onShutdown(callback: () => void): void;
   /** Ends the exchange because this instance stops. */
@@ -131,6 +133,7 @@
   let isBodyRefused = false;
   const heldBody = options.bodies.open();
   const drainCallbacks = new Set<() => void>();
+  const endCallbacks: (() => void)[] = [];
   response.on("finish", () => finish(CallerState.Completed));
   response.on("close", () => {
     if (!response.writableFinished) finish(CallerState.Closed);
@@ -148,6 +151,10 @@
       if (state === CallerState.Closed) callback();
       else disconnectCallback = callback;
     },
+    onEnd: (callback) => {
+      if (hasEnded()) callback();
+      else endCallbacks.push(callback);
+    },
     onShutdown: (callback) => shutdownCallback = callback,
     shutDown,
     willClose: () =>
@@ -181,10 +188,11 @@
   return exchange;
 
   function finish(next: CallerState.Completed | CallerState.Closed): void {
-    if (state === CallerState.Completed || state === CallerState.Closed) return;
+    if (hasEnded()) return;
     const wasStarted = state === CallerState.Responding;
     state = next;
     heldBody.release();
+    for (const callback of endCallbacks.splice(0)) callback();
     options.onFinished(exchange, next === CallerState.Completed ? status : 0);
     if (next === CallerState.Completed) return;
     options.onIncomplete(exchange, {
@@ -195,6 +203,10 @@
     disconnectCallback?.();
   }
 
+  function hasEnded(): boolean {
+    return state === CallerState.Completed || state === CallerState.Closed;
+  }
+
   function handleDrain(): void {
     const callbacks = [...drainCallbacks];
     drainCallbacks.clear();
--- a/src/forwarding/upstream_connections.ts
+++ b/src/forwarding/upstream_connections.ts
@@ -17,6 +17,7 @@
 } from "node:http";
 import net from "node:net";
 import { getErrorMessage } from "../core/errors.ts";
+import { createMinorCollector } from "../core/minor_collection.ts";
 import { createReadPacer } from "../core/read_pacing.ts";
 import { setTimeoutAfterReads } from "../core/timeout_after_reads.ts";
 import type { RawHeaders } from "./forwarding_protocol.ts";
@@ -123,6 +124,7 @@
     maxBytesPerTurn: maxReadBytesPerTurn,
     maxMsPerTurn: maxReadMsPerTurn,
   });
+  const collectAfter = createMinorCollector();
   let openedCount = 0;
   const agent = new Agent({
     keepAlive: true,
@@ -171,7 +173,12 @@
       noDelay: true,
       allowHalfOpen: true,
     });
-    pacer.pace(socket, () => getSocketState(socket).onRead?.());
+    let collectedBytes = 0;
+    pacer.pace(socket, () => {
+      collectAfter(socket.bytesRead - collectedBytes);
+      collectedBytes = socket.bytesRead;
+      getSocketState(socket).onRead?.();
+    });
     const cancelTimeout = setTimeoutAfterReads(
       () => socket.destroy(new Error("connecting timed out")),
       connectTimeoutMs,
