Keep running sums for callers' limits, and size the room for bodies by memory

Cause: each held read counted over all connections, which is quadratic in their number. A fourth concurrent body of 4 MiB got 503 whatever the memory.

Change: byte_sum.ts keeps the sum of the bytes that are not parsed; only a sum above the limit visits the connections. Without maxBodyBytes the room is a quarter of the heap limit, or of the memory beside the heap and 40 MiB if that is less, and 16 MiB at least: 16 MiB at 178 MB, 25.5 at 250 and 27 at 490 with the heap of the deployment.

--- a/scripts/reference_pages.ts
+++ b/scripts/reference_pages.ts
@@ -101,13 +101,24 @@
   responses that it is owed.
 - \`maxBodyBytes\`: bodies of requests that have no response yet, of all
   connections; a quarter is left to bodies up to 64 KiB. Others are refused with
-  503, as not run.
+  503, as not run. If it is not given, it is a quarter of the heap limit, or of
+  the machine's memory beside the heap and 40 MiB if that is less, and 16 MiB at
+  least.
 - \`maxReadBytesPerS\`: reads of 16 KiB and more, of all connections. Others are
   delayed.
 - \`maxUnreadBytes\`: responses that wait for their callers, of all connections.
   Those that have been without progress for longest are closed.
 - \`unreadTimeoutMs\`: a connection whose caller takes no byte of a response for
   so long is closed.
+- \`maxPeerConnections\`: connections to the peer port; null is a quarter of the
+  process's descriptors, and 1,024 at most. At the limit, the connection whose
+  handshake has been incomplete for longest is closed, or else the new one.
+- \`maxPeerBytes\`: bytes of peers that are not decoded, and replies that are not
+  sent, of all connections. The connection with most is closed.
+
+On the instances of the first table, \`maxBodyBytes\` holds for the bodies of
+requests that are being handled; one without a length counts as
+\`limits.maxBodyBytes\`. The counters are \`apricotyoke.caller_limits.LIMIT\`.
 `;
 }
 
--- a/src/core/caller_limits.ts
+++ b/src/core/caller_limits.ts
@@ -10,8 +10,12 @@
 import { readFileSync } from "node:fs";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { totalmem } from "node:os";
+import process from "node:process";
+import { getHeapStatistics } from "node:v8";
 import * as z from "zod";
 import { type BodyStore, createBodyStore } from "./body_store.ts";
+import { createByteSum } from "./byte_sum.ts";
 import { logEvents } from "./log_events.ts";
 import type { Logger } from "./logger.ts";
 import type { MetricsRegistry } from "./metrics_registry.ts";
@@ -34,14 +38,23 @@
   maxTotalWaitingRequests: z.int().min(1).max(1_000_000).default(1_024),
   /** Heads and requests sent ahead that are not parsed, of all connections. */
   maxUnparsedBytes: byteCountSchema.default(8 * 1024 * 1024),
-  /** Bodies of requests that have no response yet, of all connections. */
-  maxBodyBytes: byteCountSchema.default(16 * 1024 * 1024),
+  /**
+   * Bodies of requests that have no response yet, of all connections; follows
+   * the memory of the process if it is not given.
+   */
+  maxBodyBytes: byteCountSchema.optional(),
   /** Large reads of all connections; the fastest links have 2 MB/s. */
   maxReadBytesPerS: byteCountSchema.default(16 * 1024 * 1024),
   /** Responses that wait for their callers, of all connections. */
   maxUnreadBytes: byteCountSchema.default(16 * 1024 * 1024),
   /** A connection that takes nothing of its response for so long is closed. */
   unreadTimeoutMs: z.int().min(1_000).max(86_400_000).default(30_000),
+  /** Connections to the peer port; null follows the process's descriptors. */
+  maxPeerConnections: z.int().min(1).max(1_000_000).nullable().default(null),
+  /** Incomplete frames and unsent replies of all peers. */
+  maxPeerBytes: z.int().min(4 * 1024 * 1024).max(2 ** 40).default(
+    16 * 1024 * 1024,
+  ),
 }).prefault({});
 
 export type CallerLimits = z.output<typeof callerLimitsSchema>;
@@ -55,8 +68,16 @@
   DiscardedBytes = "discardedBytes",
   UnreadBytes = "unreadBytes",
   UnreadTime = "unreadTime",
+  PeerConnections = "peerConnections",
+  PeerBytes = "peerBytes",
 }
 
+/** Where limits are counted. */
+export type LimitMetrics = Pick<
+  MetricsRegistry,
+  "createCounter" | "createGauge"
+>;
+
 export interface CallerGuard {
   /** Must be called before the server accepts connections. */
   protect(server: Server, options: ProtectedServerOptions): void;
@@ -111,12 +132,16 @@
 const staleMs = 1_000;
 /** Descriptors of other files and connections, if the limit is not known. */
 const defaultDescriptors = 1_024;
+/** Room for bodies on the smallest machines. */
+const minBodyBytes = 16 * 1024 * 1024;
+/** An instance takes 70 to 74 MB after its start, about 30 of them heap. */
+const processBytes = 40 * 1024 * 1024;
 
 export function createCallerGuard(
   { limits, logger, registry }: {
     readonly limits: CallerLimits;
     readonly logger: Logger;
-    readonly registry: MetricsRegistry;
+    readonly registry: LimitMetrics;
   },
 ): CallerGuard {
   const connections = new Set<Connection>();
@@ -130,11 +155,11 @@
   let waitingCount = 0;
   /** When what was read so far is allowed by the rate. */
   let readUntilMs = 0;
-  let unparsedBytes = 0;
+  const unparsed = createByteSum<Connection>();
   let timer: NodeJS.Timeout | undefined;
   const defer = createTurnQueue(maxMsPerTurn);
   const collectAfter = createMinorCollector();
-  const bodies = createBodyStore(limits.maxBodyBytes);
+  const bodies = createBodyStore(getMaxBodyBytes(limits));
   registry.createGauge(
     "caller_connections",
     "Connections of callers, operators and checks.",
@@ -148,7 +173,7 @@
   registry.createGauge(
     "caller_unparsed_bytes",
     "Bytes of callers that were read and not parsed.",
-    () => unparsedBytes,
+    unparsed.getTotalBytes,
   );
   registry.createGauge(
     "caller_unread_bytes",
@@ -193,6 +218,7 @@
       getReadDelayMs,
       defer,
       onHeld: () => countUnparsed(connection),
+      onReleased: () => updateUnparsed(connection),
     });
     const nowMs = performance.now();
     const connection: Connection = {
@@ -216,7 +242,8 @@
       waitingCount -= Math.max(0, connection.openCount - 1);
       connection.openCount = 0;
       connection.headBytes = 0;
-      recountUnparsed();
+      feed.discard();
+      updateUnparsed(connection);
     });
     timer ??= setInterval(() => void checkUnread(), checkIntervalMs).unref();
     return connection;
@@ -249,6 +276,7 @@
     connection.last = request;
     connection.isFresh = true;
     connection.headBytes = 0;
+    updateUnparsed(connection);
     connection.surplusBytes = 0;
     connection.openCount += 1;
     if (connection.openCount > 1) waitingCount += 1;
@@ -283,22 +311,16 @@
   }
 
   function countUnparsed(connection: Connection): void {
-    recountUnparsed();
-    if (unparsedBytes <= limits.maxUnparsedBytes || connection.isCut) return;
-    const getBytes = ({ feed, headBytes }: Connection) =>
-      feed.getHeldBytes() + headBytes;
-    let largest = connection;
-    for (const other of connections) {
-      if (getBytes(other) > getBytes(largest)) largest = other;
-    }
-    cut(largest, CallerLimit.UnparsedBytes);
+    updateUnparsed(connection);
+    if (connection.isCut) return;
+    if (unparsed.getTotalBytes() <= limits.maxUnparsedBytes) return;
+    cut(unparsed.findLargest() ?? connection, CallerLimit.UnparsedBytes);
   }
 
-  function recountUnparsed(): void {
-    unparsedBytes = 0;
-    for (const { feed, headBytes } of connections) {
-      unparsedBytes += feed.getHeldBytes() + headBytes;
-    }
+  /** Must be called after each change of what the connection holds. */
+  function updateUnparsed(connection: Connection): void {
+    const { feed, headBytes } = connection;
+    unparsed.set(connection, feed.getHeldBytes() + headBytes);
   }
 
   /** Handles no further request, and closes the connection after the others. */
@@ -308,7 +330,7 @@
     connection.isCut = true;
     connection.headBytes = 0;
     connection.feed.discard();
-    recountUnparsed();
+    updateUnparsed(connection);
     if (connection.openCount === 0) connection.socket.destroySoon();
   }
 
@@ -387,9 +409,37 @@
   }
 }
 
+/** Room for bodies: the given limit, or one that follows the memory. */
+export function getMaxBodyBytes({ maxBodyBytes }: CallerLimits): number {
+  return maxBodyBytes ?? chooseBodyBytes({
+    heapBytes: getHeapStatistics().heap_size_limit,
+    memoryBytes: Math.min(totalmem(), process.constrainedMemory() || Infinity),
+  });
+}
+
+/**
+ * A quarter of the heap limit, which states the size that the process is given
+ * where the machine has other processes, or of the memory beside heap and
+ * process, since a body may be held twice while its blocks are joined.
+ */
+export function chooseBodyBytes(
+  { heapBytes, memoryBytes }: {
+    readonly heapBytes: number;
+    readonly memoryBytes: number;
+  },
+): number {
+  const besideBytes = memoryBytes - heapBytes - processBytes;
+  const chosenBytes = Math.floor(Math.min(heapBytes, besideBytes) / 4);
+  return chosenBytes > minBodyBytes ? chosenBytes : minBodyBytes;
+}
+
 /** Half of the descriptors that the process may open. */
 export function getMaxConnections({ maxConnections }: CallerLimits): number {
-  if (maxConnections !== null) return maxConnections;
+  return maxConnections ?? Math.floor(readMaxDescriptors() / 2);
+}
+
+/** The descriptors that the process may open. */
+export function readMaxDescriptors(): number {
   let limitsText = "";
   try {
     limitsText = readFileSync("/proc/self/limits", "utf8");
@@ -397,5 +447,5 @@
     // Only Linux states the limits of a process there.
   }
   const match = /Max open files\s+(\d+)/.exec(limitsText);
-  return Math.floor(Number(match?.[1] ?? defaultDescriptors) / 2);
+  return Number(match?.[1] ?? defaultDescriptors);
 }
--- a/src/core/caller_limits_test.ts
+++ b/src/core/caller_limits_test.ts
@@ -1,14 +1,24 @@
 /** Guards against limits that lose, reorder or never end what callers are owed. */
 import { once } from "node:events";
-import { createServer, type RequestListener } from "node:http";
+import {
+  createServer,
+  type RequestListener,
+  type ServerResponse,
+} from "node:http";
 import net from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { afterEach, expect, test } from "vitest";
-import { callerLimitsSchema, createCallerGuard } from "./caller_limits.ts";
+import {
+  callerLimitsSchema,
+  chooseBodyBytes,
+  createCallerGuard,
+} from "./caller_limits.ts";
 import { createSilentLogger } from "./logger.ts";
 import { createMetricsRegistry } from "./metrics_registry.ts";
 
 const closers: (() => void)[] = [];
+const mebibyte = 1024 * 1024;
+let readMetrics: () => Promise<string>;
 
 afterEach(() => {
   for (const close of closers.splice(0)) close();
@@ -19,12 +29,14 @@
   listener: RequestListener,
 ): Promise<net.Socket> {
   const server = createServer(listener);
+  const registry = createMetricsRegistry();
   const guard = createCallerGuard({
     limits: callerLimitsSchema.parse(limits),
     logger: createSilentLogger(),
-    registry: createMetricsRegistry(),
+    registry,
   });
   guard.protect(server, { maxConnections: 2, mayPipeline: true });
+  readMetrics = registry.getText;
   closers.push(() => server.close(), () => server.closeAllConnections());
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
@@ -118,3 +130,49 @@
       .toBe(false);
   }
 });
+
+test("requests sent ahead count until they are read or their connection is closed", async () => {
+  const readUnparsedBytes = async () =>
+    Number(
+      /^apricotyoke_caller_unparsed_bytes (\d+)$/m.exec(
+        await readMetrics(),
+      )![1],
+    );
+  const responses: ServerResponse[] = [];
+  const socket = await connect(
+    { maxWaitingRequests: 1 },
+    (_request, response) => void responses.push(response),
+  );
+  socket.resume();
+  const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  socket.write(request.repeat(50));
+  await expect.poll(readUnparsedBytes).toBeGreaterThan(0);
+  const answering = setInterval(() => {
+    for (const response of responses.splice(0)) response.end();
+  }, 5);
+  closers.push(() => clearInterval(answering));
+  await expect.poll(readUnparsedBytes, { timeout: 5_000 }).toBe(0);
+  clearInterval(answering);
+  socket.write(request.repeat(50));
+  await expect.poll(readUnparsedBytes).toBeGreaterThan(0);
+  responses[0]!.socket!.destroy();
+  await expect.poll(readUnparsedBytes).toBe(0);
+});
+
+// Guards against refusing bodies that the memory has room for, and against
+// filling the smallest machines.
+test("the room for bodies follows the memory, and is 16 MiB at least", () => {
+  const choose = (heap: number, memory: number) =>
+    chooseBodyBytes({
+      heapBytes: heap * mebibyte,
+      memoryBytes: memory * mebibyte,
+    }) / mebibyte;
+  expect(choose(108, 178)).toBe(16);
+  expect(choose(108, 250)).toBe(25.5);
+  expect(choose(108, 490)).toBe(27);
+  expect(choose(4_144, 32_168)).toBe(1_036);
+  for (const absurd of [0, -1, NaN]) {
+    expect(choose(absurd, 490)).toBe(16);
+    expect(choose(108, absurd)).toBe(16);
+  }
+});
--- a/src/core/request_feed.ts
+++ b/src/core/request_feed.ts
@@ -38,6 +38,8 @@
   getReadDelayMs(bytes: number): number;
   /** Called after bytes were held. */
   onHeld(): void;
+  /** Called after held bytes were given to the parser or dropped. */
+  onReleased(): void;
 }
 
 const headEnd = "\r\n\r\n";
@@ -160,6 +162,7 @@
   function release(): void {
     held = undefined;
     heldBufferBytes = 0;
+    options.onReleased();
   }
 }
 
--- a/src/core/statsd_metrics.ts
+++ b/src/core/statsd_metrics.ts
@@ -3,6 +3,7 @@
  * client is a mock that sends nothing.
  */
 import { StatsD } from "hot-shots";
+import type { LimitMetrics } from "./caller_limits.ts";
 
 export interface StatsdMetrics {
   increment(name: string, value?: number): void;
@@ -11,6 +12,19 @@
   close(): void;
 }
 
+/** Counters only; StatsD has no gauges that are read. */
+export function createStatsdRegistry(
+  metrics: Pick<StatsdMetrics, "increment">,
+): LimitMetrics {
+  return {
+    createCounter: (name) => ({
+      add: (labels = {}, count = 1) =>
+        metrics.increment([name, ...Object.values(labels)].join("."), count),
+    }),
+    createGauge: () => {},
+  };
+}
+
 export interface StatsdOptions {
   readonly host: string;
   readonly port: number;
