Limit callers of the own interface and connections to the peer port

Cause: neither was covered by the limits for callers. Frames were decoded and called without regard to replies that the peer did not read, each connection could hold 4 MiB of an incomplete frame and 64 MiB of replies, and each failed handshake was a log line.

Change: http_server.ts uses the guard of callers, and requests with a body take room before they are handled, so that their refusal with 503 is true. The peer port limits connections, and the bytes of all of them that are not decoded or not sent; calls of a peer wait while 256 KiB of its replies are unsent or 256 calls are open. Bytes of frames are held in blocks that are used again. Failed handshakes are logged once a second with their number.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -19,15 +19,26 @@
 } from "../control/replicated_log.ts";
 import { createStateMachine } from "../control/state_machine.ts";
 import { createTicketService } from "../control/ticket_service.ts";
+import { createByteBudget } from "../core/byte_budget.ts";
+import {
+  CallerLimit,
+  createCallerGuard,
+  getMaxBodyBytes,
+  getMaxConnections,
+} from "../core/caller_limits.ts";
 import { createSystemClock } from "../core/clock.ts";
 import { type SystemError } from "../core/errors.ts";
 import { logEvents } from "../core/log_events.ts";
 import { createLogger } from "../core/logger.ts";
-import { createStatsdMetrics } from "../core/statsd_metrics.ts";
+import {
+  createStatsdMetrics,
+  createStatsdRegistry,
+} from "../core/statsd_metrics.ts";
 import { createRandom } from "../core/random.ts";
 import { createPeriodicTask, createSupervisor } from "../core/supervisor.ts";
 import { type InstanceInfo, InstanceState } from "../core/types.ts";
 import { createAuthenticator } from "../entry/authenticator.ts";
+import { limitBodies } from "../entry/body_room.ts";
 import { createCallerApp } from "../entry/caller_app.ts";
 import { createOperatorApp } from "../entry/operator_app.ts";
 import { createReportRoutes } from "../entry/report_routes.ts";
@@ -64,6 +75,8 @@
 }
 
 const answerTickMs = 25;
+/** Part of the room for bodies that large ones leave to small ones. */
+const smallBodiesRatio = 0.25;
 
 export function startDaemon(
   settings: Settings,
@@ -79,6 +92,11 @@
       instanceId: settings.instanceId,
     },
   );
+  const guard = createCallerGuard({
+    limits: settings.callerLimits,
+    logger,
+    registry: createStatsdRegistry(metrics),
+  });
   const random = createRandom(Date.now() ^ (Math.random() * 2 ** 31));
   const registry = createUpstreamRegistry({ clock, logger });
   const engines = createEngineClient();
@@ -243,6 +261,13 @@
   });
   const authenticator = createAuthenticator(settings);
   const app = new Hono();
+  app.use(limitBodies({
+    budget: createByteBudget(getMaxBodyBytes(settings.callerLimits), {
+      smallReservedRatio: smallBodiesRatio,
+    }),
+    maxBytes: settings.limits.maxBodyBytes,
+    onRefused: () => guard.record(CallerLimit.BodyBytes),
+  }));
   app.route(
     "/admin",
     createOperatorApp({
@@ -296,6 +321,8 @@
 
   return startPeerServer({
     ...settings.peers,
+    limits: settings.callerLimits,
+    recordLimit: guard.record,
     handlers: createPeerHandlers({
       selfId: settings.instanceId,
       membership,
@@ -306,7 +333,10 @@
     }),
     logger,
   }).andThen((peerServer) =>
-    startHttpServer(app, settings.callers).map((http) => run(peerServer, http))
+    startHttpServer(app, settings.callers, {
+      guard,
+      maxConnections: getMaxConnections(settings.callerLimits),
+    }).map((http) => run(peerServer, http))
   );
 
   function run(peerServer: PeerServer, http: Server): Daemon {
--- a/src/peer/frame_codec.ts
+++ b/src/peer/frame_codec.ts
@@ -8,6 +8,10 @@
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { Encoder } from "cbor-x";
 import { err, ok, type Result } from "neverthrow";
+import {
+  type ByteCollector,
+  createByteCollector,
+} from "../core/byte_collector.ts";
 import { createError, ErrorKind, getErrorMessage } from "../core/errors.ts";
 import type { SystemError } from "../core/errors.ts";
 
@@ -71,34 +75,60 @@
 export interface FrameDecoder {
   /** Adds received bytes and returns the completed values in order. */
   push(chunk: Buffer): Result<unknown[], SystemError>;
+  /** Adds received bytes, for `takeNext`. */
+  add(chunk: Buffer): void;
+  /** Returns the next value in a list, which is empty if none is complete. */
+  takeNext(): Result<unknown[], SystemError>;
+  /** Bytes that are not decoded. */
+  getPendingBytes(): number;
 }
 
-export function createFrameDecoder(): FrameDecoder {
-  let chunks: Buffer[] = [];
-  let bufferedBytes = 0;
-  return { push };
+/** Holds the bytes that are not decoded. */
+export type PendingBytes = Pick<
+  ByteCollector,
+  "add" | "getSizeBytes" | "takeAll"
+>;
+
+export function createFrameDecoder(
+  pending: PendingBytes = createByteCollector(),
+): FrameDecoder {
+  /** Size at which the pending bytes have a complete header or frame. */
+  let neededBytes = headerBytes;
+  return {
+    push,
+    add: pending.add,
+    takeNext: () => decodePending(1),
+    getPendingBytes: pending.getSizeBytes,
+  };
 
   function push(chunk: Buffer): Result<unknown[], SystemError> {
-    chunks.push(chunk);
-    bufferedBytes += chunk.length;
-    if (bufferedBytes < headerBytes) return ok([]);
-    if (chunks[0]!.length < headerBytes) chunks = [Buffer.concat(chunks)];
-    const { bodyBytes } = readHeader(chunks[0]!, 0);
-    if (bufferedBytes < headerBytes + bodyBytes) {
-      return checkLength(bodyBytes).map(() => []);
-    }
-    return decodeAll(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+    pending.add(chunk);
+    return decodePending(Infinity);
   }
 
-  function decodeAll(buffer: Buffer): Result<unknown[], SystemError> {
+  function decodePending(maxCount: number): Result<unknown[], SystemError> {
+    if (pending.getSizeBytes() < neededBytes) return ok([]);
+    return decode(pending.takeAll(), maxCount);
+  }
+
+  function decode(
+    buffer: Buffer,
+    maxCount: number,
+  ): Result<unknown[], SystemError> {
     const values: unknown[] = [];
     let offset = 0;
-    while (buffer.length - offset >= headerBytes) {
+    neededBytes = headerBytes;
+    while (
+      buffer.length - offset >= headerBytes && values.length < maxCount
+    ) {
       const { bodyBytes, isCompressed } = readHeader(buffer, offset);
       const checked = checkLength(bodyBytes);
       if (checked.isErr()) return err(checked.error);
       const start = offset + headerBytes;
-      if (buffer.length - start < bodyBytes) break;
+      if (buffer.length - start < bodyBytes) {
+        neededBytes = headerBytes + bodyBytes;
+        break;
+      }
       const body = buffer.subarray(start, start + bodyBytes);
       try {
         values.push(encoder.decode(isCompressed ? inflateBody(body) : body));
@@ -111,8 +141,7 @@
       offset = start + bodyBytes;
     }
     const rest = buffer.subarray(offset);
-    chunks = rest.length > 0 ? [rest] : [];
-    bufferedBytes = rest.length;
+    if (rest.length > 0) pending.add(rest);
     return ok(values);
   }
 }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -5,6 +5,7 @@
  * detected at start-up.
  */
 import * as z from "zod";
+import { callerLimitsSchema } from "../core/caller_limits.ts";
 import { pricesSchema } from "../reports/usage.ts";
 import { LogLevel } from "../core/log_events.ts";
 import { strictFields } from "../core/strict_fields.ts";
@@ -126,6 +127,7 @@
   services: z.array(serviceSchema).min(1),
   answers: answersSchema,
   limits: limitsSchema,
+  callerLimits: callerLimitsSchema,
   metrics: listenSchema.optional(),
   prices: pricesSchema.prefault({}),
   weightStore: strictFields({
