Let the leader grant most of the shared retry budget

The leader now grants 0.6 of the limit and instances draw on 0.25 by themselves; those without reports keep their parts.

--- a/src/limits/repeat_window.ts
+++ b/src/limits/repeat_window.ts
@@ -72,16 +72,17 @@
 const maxReportAgeMs = 2_000;
 /**
  * Part of the limit that the leader grants. In a crash of one of four failure
- * domains its instances need some 100 repeats within a second, more than their
- * shares of what is left.
+ * domains its instances need some 100 repeats of 480 within a second, and two
+ * domains may crash within the window.
  */
-export const grantedPart = 0.35;
+export const grantedPart = 0.6;
 /**
- * Parts of the limit that instances draw by themselves. With a quarter of them
- * without reports these and the granted part together stay below 0.95 of the
- * limit; the rest is for requests that are counted elsewhere at another time.
+ * Parts of the limit that instances draw by themselves. Those without reports
+ * probably can't reach the leader, so they draw more. With a quarter of the
+ * instances without reports all parts together stay below the limit; the rest is
+ * for requests that are counted elsewhere at another time.
  */
-const sharedPart = 0.5;
+const sharedPart = 0.25;
 const outdatedPart = 0.5;
 const unreportedPart = 0.4;
 /**
