--- a/src/forwarding/call_attempt_test.ts
+++ b/src/forwarding/call_attempt_test.ts
@@ -2,6 +2,7 @@
 import { Buffer } from "node:buffer";
 import { expect, test } from "vitest";
 import { createForwardingProtocol } from "../../platform/forwarding_protocol.ts";
+import { headerNames } from "../../platform/wire_names.ts";
 import { createByteBudget } from "../core/byte_budget.ts";
 import { startCallAttempt } from "./call_attempt.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
@@ -51,7 +52,12 @@
     } as unknown as RequestLoad,
     { mayReuseConnection: true },
   );
-  handlers.onHead(200, ["Request-Id", "r", "Response-Seal", "seal"], {
+  handlers.onHead(200, [
+    headerNames.requestId,
+    "r",
+    headerNames.originProof,
+    "seal",
+  ], {
     isLocal: false,
   } as never);
   return {
