--- a/src/control/repeat_grant_client.ts
+++ b/src/control/repeat_grant_client.ts
@@ -32,6 +32,8 @@
   { peers, listReachableControlIds }: RepeatGrantClientOptions,
 ): RepeatGrantClient {
   let leaderId: InstanceId | undefined;
+  /** The instance that did not reply last; another one is asked next. */
+  let silentId: InstanceId | undefined;
   return { request };
 
   async function request(
@@ -41,9 +43,13 @@
   ): Promise<number> {
     const reachableIds = listReachableControlIds();
     const isKnown = leaderId !== undefined && reachableIds.includes(leaderId);
-    const askedId = isKnown ? leaderId : reachableIds[0];
+    const askedId = isKnown
+      ? leaderId
+      : reachableIds.find((controlId) => controlId !== silentId) ??
+        reachableIds[0];
     if (askedId === undefined) return 0;
     const reply = await ask(askedId);
+    silentId = reply ? undefined : askedId;
     if (!reply) {
       leaderId = undefined;
       return 0;
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -145,6 +145,7 @@
     ratio: bounds.retryRatio,
     slack: bounds.retrySlack,
     getInstanceCount: () => core.membership.getEntryCount(),
+    usesGrants,
   });
   const limits = createUpstreamLimits({
     clock,
@@ -248,10 +249,14 @@
     getUrgentObjectiveMs: (service) => routes?.getUrgentObjectiveMs(service),
     isLoadAware,
     refreshLoads: async () => {
-      await core.membership.exchangeHeartbeat(maxRefreshMs);
+      await core.membership.exchangeHeartbeat(maxRefreshMs, {
+        hasChanges: false,
+      });
     },
     announceLoads: () => {
-      void core.membership.exchangeHeartbeat(maxRefreshMs);
+      void core.membership.exchangeHeartbeat(maxRefreshMs, {
+        hasChanges: true,
+      });
     },
     demand: {
       getShare: demand.getShare,
@@ -298,6 +303,7 @@
             bounds.retryRatio * retryWindowS * demand.getOwnRatePerS(service)),
       }),
       isShared: isLoadAware,
+      usesGrants,
       onRefusedDraw: (service, urgency) =>
         metrics.refusedRepeats.add({ service, urgency }),
     }),
@@ -405,6 +411,14 @@
     return { meter, admission, tasks: [pauses.task, admission.task] };
   }
 
+  /**
+   * A stream can wait for the leader's reply. Calls have objectives of 150 ms, and
+   * many of them, so the shares of the instances are large.
+   */
+  function usesGrants(service: string): boolean {
+    return (routes?.getService(service)?.engine ?? null) !== null;
+  }
+
   function isLoadAware(service: string): boolean {
     return routes?.hasRankedStreams(service) === true ||
       directory.hasStatedSlowness(service);
--- a/src/forwarding/call_attempt.ts
+++ b/src/forwarding/call_attempt.ts
@@ -195,13 +195,14 @@
 
   function onEnd(): void {
     requestLoad.release();
-    caller.onEnd(share.release);
     const response = { ...head!, body: held.takeAll() };
     if (!isRelaying && isBrokenOff(caller.method, response)) {
       directory.recordIncompleteResponse(upstreamId);
+      share.release();
       settle({ kind: "unknown", reason: "the response was broken off" });
       return;
     }
+    caller.onEnd(share.release);
     const durationMs = clock.nowMs() - sentAtMs;
     if (head!.status >= 500) directory.recordFailure(upstreamId);
     else directory.recordSuccess(upstreamId, durationMs);
--- a/src/forwarding/stream_losses.ts
+++ b/src/forwarding/stream_losses.ts
@@ -26,8 +26,10 @@
   readonly hasEngineEnded?: boolean;
   /** The engine received a request, probably this one, and did not run it. */
   readonly isRefused?: boolean;
-  /** The directory has recorded already that the engine's id is gone. */
+  /** The directory knows already that the engine's lifetime has ended. */
   readonly isRecorded?: boolean;
+  /** Another id has the engine's address. */
+  readonly isReplaced?: boolean;
   /** The response may be right, so it says nothing about the engine. */
   readonly mayBeSound?: boolean;
   readonly reason: string;
@@ -87,8 +89,11 @@
     }
     handleLoss(current, {
       wasSent: true,
-      hasEngineEnded: true,
-      isRecorded: cause === LostCause.AddressTaken,
+      // An engine that was replaced on purpose, or that got the request in its
+      // new lifetime, is no evidence of a crash by the request.
+      hasEngineEnded: cause === LostCause.Restarted,
+      isReplaced: cause === LostCause.AddressTaken,
+      isRecorded: true,
       reason,
     });
   }
@@ -169,6 +174,7 @@
       isRefused = false,
       hasEngineEnded = false,
       isRecorded = false,
+      isReplaced = false,
       mayBeSound = false,
       reason,
       nextEngine,
@@ -182,7 +188,8 @@
     const mayUseCopy = wasSent && lost.lastEventAtMs !== undefined &&
       afterCrash.kind === "resume";
     const copy = mayUseCopy ? findUsableCopy(lost) : undefined;
-    const saysNothing = hasEngineEnded || isRefused || mayBeSound || !wasSent;
+    const saysNothing = hasEngineEnded || isReplaced || isRefused ||
+      mayBeSound || !wasSent;
     lost.wait.end(saysNothing ? WaitEnd.Cancelled : WaitEnd.Abandoned);
     if (!saysNothing) lost.pace.recordSilence(clock.nowMs());
     endAttempt(lost, copy !== undefined);
--- a/src/forwarding/stream_monitor.ts
+++ b/src/forwarding/stream_monitor.ts
@@ -20,7 +20,7 @@
 } from "./forwarding_protocol.ts";
 import {
   decideOnRun,
-  type LostCause,
+  LostCause,
   newRun,
   type RunEvent,
   type RunKnowledge,
@@ -361,6 +361,11 @@
     const open = lost.filter((stream) => streams.has(stream));
     if (open.length === 0) return;
     const { health } = streams.get(open[0]!)!.knowledge;
+    // Once, when it is seen: a run may be left seconds later, when the engine has
+    // served requests and copies again.
+    if (health.kind === "lost" && health.cause === LostCause.Restarted) {
+      directory.recordLoss(upstreamId, health.reason);
+    }
     logger.log(logEvents.streamRunsLost, {
       upstream: upstreamId,
       cause: health.kind === "lost" ? health.cause : undefined,
--- a/src/forwarding/upstream_directory.ts
+++ b/src/forwarding/upstream_directory.ts
@@ -276,6 +276,8 @@
   }
 
   function recordAddressReuse(upstreamId: UpstreamId): void {
+    // Also of an upstream that has left the list: its runs may still be open.
+    lifetimes.notify(upstreamId, "another upstream has its address");
     const entry = entries.get(upstreamId);
     if (!entry) return;
     const nowMs = clock.nowMs();
@@ -286,14 +288,15 @@
     // replaced at the same time, so this counts as a loss in the domain.
     const { service, domainId } = entry.info;
     getDomainHealth(service).recordLoss(domainId, upstreamId, nowMs);
-    lifetimes.notify(upstreamId, "another upstream has its address");
   }
 
   function addSuccessor(
     { predecessorId, successorId, isFoundHere }: Successor,
   ): void {
     const predecessor = entries.get(predecessorId);
-    if (!predecessor || entries.has(successorId)) return;
+    if (entries.has(successorId)) return;
+    lifetimes.notify(predecessorId, `${successorId} has its address`);
+    if (!predecessor) return;
     suspend(predecessor, addressReuseSuspensionMs);
     const { info } = predecessor;
     if (info.isLeaving) return;
@@ -308,7 +311,6 @@
       predecessor: predecessorId,
       isFoundHere,
     });
-    lifetimes.notify(predecessorId, `${successorId} has its address`);
   }
 
   function getLocalLoadSummary(): EngineLoadSummary {
--- a/src/limits/rank_demand.ts
+++ b/src/limits/rank_demand.ts
@@ -61,8 +61,10 @@
       remote = demands;
       reportedAtMs = clock.nowMs();
     },
-    getMoreUrgent,
-    getAll: (service) => getMoreUrgent(service, maxRankCount),
+    // Later ranks count as the last one, whose own demand is not more urgent.
+    getMoreUrgent: (service, rank) =>
+      sumBelow(service, Math.min(rank, maxRankCount - 1)),
+    getAll: (service) => sumBelow(service, maxRankCount),
   };
 
   function recordStream(
@@ -98,7 +100,7 @@
     return entries;
   }
 
-  function getMoreUrgent(service: string, rank: number): ArrivalRate {
+  function sumBelow(service: string, rank: number): ArrivalRate {
     const isKnown = clock.nowMs() - reportedAtMs <= maxReportAgeMs;
     const ownSum = sumUp(getOwnDemands(), service, rank);
     const others = isKnown ? sumUp(remote, service, rank) : {
--- a/src/limits/repeat_grants.ts
+++ b/src/limits/repeat_grants.ts
@@ -27,7 +27,7 @@
  * Unused grants are given up, since the leader counts them as used. The streams
  * that wait for repeats ask each 50 ms.
  */
-const maxGrantAgeMs = 500;
+export const maxGrantAgeMs = 500;
 /** Requests that lose their engine together ask for their repeats together. */
 const batchDelayMs = 2;
 /** A leader that has nothing left, or can't be reached, is not asked at once. */
@@ -38,11 +38,20 @@
 interface Pool {
   /** Times at which unused repeats were granted, oldest first. */
   grantedAtMs: number[];
+  /** Repeats that the next request asks for. */
   wantedCount: number;
-  isAsking: boolean;
+  phase: PoolPhase;
   askAgainAtMs: number;
 }
 
+enum PoolPhase {
+  Idle = "idle",
+  /** Repeats that are wanted now are part of the next request. */
+  Collecting = "collecting",
+  /** Those that are wanted now ask again after the reply. */
+  Asking = "asking",
+}
+
 export function createRepeatGrants(
   { clock, request }: RepeatGrantsOptions,
 ): RepeatGrants {
@@ -70,7 +79,7 @@
       pool = {
         grantedAtMs: [],
         wantedCount: 0,
-        isAsking: false,
+        phase: PoolPhase.Idle,
         askAgainAtMs: -Infinity,
       };
       pools.set(key, pool);
@@ -81,9 +90,13 @@
   }
 
   function want(pool: Pool, service: string, urgency: RepeatUrgency): void {
+    // A stream that waits asks at each check, so only one check counts: otherwise
+    // the leader would grant, and count, several times what is needed.
+    if (pool.phase === PoolPhase.Asking) return;
+    if (clock.nowMs() < pool.askAgainAtMs) return;
     pool.wantedCount = Math.min(maxUnits, pool.wantedCount + 1);
-    if (pool.isAsking || clock.nowMs() < pool.askAgainAtMs) return;
-    pool.isAsking = true;
+    if (pool.phase === PoolPhase.Collecting) return;
+    pool.phase = PoolPhase.Collecting;
     setTimeout(() => void ask(pool, service, urgency), batchDelayMs);
   }
 
@@ -94,13 +107,13 @@
   ): Promise<void> {
     const units = pool.wantedCount;
     pool.wantedCount = 0;
+    pool.phase = PoolPhase.Asking;
     const granted = await request(service, units, urgency);
     const nowMs = clock.nowMs();
     for (let unit = 0; unit < Math.min(units, granted); unit++) {
       pool.grantedAtMs.push(nowMs);
     }
-    pool.isAsking = false;
-    pool.wantedCount = 0;
+    pool.phase = PoolPhase.Idle;
     if (granted < units) pool.askAgainAtMs = nowMs + retryDelayMs;
   }
 }
--- a/src/limits/repeat_grants_test.ts
+++ b/src/limits/repeat_grants_test.ts
@@ -37,6 +37,21 @@
   expect(tryTake()).toBe(false);
 });
 
+test("a stream that asks again while the leader grants nothing counts once", async () => {
+  // Guards against grants that nobody uses and the leader counts: ten streams had
+  // asked for fifty repeats after a refusal.
+  let granted = 0;
+  const { requests, tryTake, advance } = createTestGrants((units) =>
+    Math.min(units, granted)
+  );
+  for (let check = 0; check < 6; check++) {
+    for (let stream = 0; stream < 10; stream++) tryTake();
+    await advance(50);
+    granted = 100;
+  }
+  expect(requests).toEqual([10, 10]);
+});
+
 test("an unused grant is not drawn when the leader has forgotten it", async () => {
   const { tryTake, advance } = createTestGrants((units) => units);
   tryTake();
--- a/src/limits/repeat_ledger.ts
+++ b/src/limits/repeat_ledger.ts
@@ -6,10 +6,11 @@
  * it is counted at one place and without delay.
  *
  * Nothing of it is stored. A new leader learns from the instances' reports what
- * its predecessor granted, and grants nothing until all have reported.
+ * its predecessor granted, and grants nothing in the time that these take.
  */
 import type { Clock } from "../core/clock.ts";
 import type { RepeatTotal } from "../upstreams/load_totals.ts";
+import { maxGrantAgeMs } from "./repeat_grants.ts";
 import {
   grantedPart,
   RepeatUrgency,
@@ -42,6 +43,11 @@
  * drops those of instances that have been silent for 1.5 s.
  */
 const reportAgeMs = 2_000;
+/**
+ * Grants count for longer than the window, since the repeat is sent up to
+ * `maxGrantAgeMs` after the reply.
+ */
+const countedMs = repeatWindowMs + maxGrantAgeMs + 250;
 /** A deployment has some ten services; a faulty instance can't name more. */
 const maxServices = 1_000;
 
@@ -73,12 +79,12 @@
     let granted = grantedByService.get(service);
     if (!granted) {
       if (grantedByService.size >= maxServices) return 0;
-      granted = createWindowCounter(repeatWindowMs);
+      granted = createWindowCounter(countedMs);
       grantedByService.set(service, granted);
     }
     const available = getGrantableRepeats({
       limit: ratio * reported.requestCount + slack,
-      grantedCount: granted.count(nowMs, repeatWindowMs),
+      grantedCount: granted.count(nowMs, countedMs),
       recentGrantedCount: granted.count(nowMs, reportAgeMs),
       reportedGrantedCount: reported.grantedCount,
       leaderForMs: nowMs - leaderSinceMs,
@@ -116,7 +122,7 @@
   if (leaderForMs < reportAgeMs) return 0;
   // The reports may contain the recent grants already, which would then count
   // twice; they are needed only while an earlier leader's grants are in the window.
-  const usedCount = leaderForMs >= repeatWindowMs + reportAgeMs
+  const usedCount = leaderForMs >= countedMs + reportAgeMs
     ? grantedCount
     : Math.max(grantedCount, reportedGrantedCount + recentGrantedCount);
   const usablePart = 1 - reservedParts[urgency];
--- a/src/limits/repeat_window.ts
+++ b/src/limits/repeat_window.ts
@@ -57,6 +57,8 @@
   /** Repeats in the window that are permitted in addition. */
   readonly slack: number;
   getInstanceCount(): number;
+  /** Whether the leader grants repeats of requests to the service. */
+  usesGrants(service: string): boolean;
 }
 
 export const repeatWindowMs = 10_000;
@@ -77,14 +79,19 @@
  */
 export const grantedPart = 0.6;
 /**
- * Parts of the limit that instances draw by themselves. Those without reports
- * probably can't reach the leader, so they draw more. With a quarter of the
- * instances without reports all parts together stay below the limit; the rest is
- * for requests that are counted elsewhere at another time.
+ * Parts of the limit that instances draw by themselves, with grants beside them
+ * and without. The rest is for requests that are counted elsewhere at another
+ * time.
  */
 const sharedPart = 0.25;
-const outdatedPart = 0.5;
-const unreportedPart = 0.4;
+const ungrantedPart = 0.85;
+/**
+ * Without reports the leader probably can't be reached, so instances draw more.
+ * If control is lost right after the leader has granted its whole part, this and
+ * the grants together are 0.95 of the limit.
+ */
+const outdatedPart = 0.35;
+const unreportedPart = 0.35;
 /**
  * Part of what is left that is divided equally, for instances whose first
  * requests the shares don't show yet.
@@ -115,7 +122,7 @@
 }
 
 export function createRepeatWindow(
-  { clock, ratio, slack, getInstanceCount }: RepeatWindowOptions,
+  { clock, ratio, slack, getInstanceCount, usesGrants }: RepeatWindowOptions,
 ): RepeatWindow {
   const services = new Map<string, ServiceCounts>();
   let remote: ReadonlyMap<string, RemoteCounts> = new Map();
@@ -189,6 +196,7 @@
         Math.min(repeatWindowMs, unseenMs),
       ),
       isReportCurrent: reportedMs <= maxReportAgeMs,
+      usesGrants: usesGrants(service),
       remote: reportedMs <= repeatWindowMs
         ? remote.get(service) ?? { requestCount: 0, repeatCount: 0 }
         : undefined,
@@ -220,6 +228,8 @@
   readonly recentRepeatCount: number;
   /** Whether reports still arrive. */
   readonly isReportCurrent: boolean;
+  /** The leader grants repeats beside those of this instance. */
+  readonly usesGrants: boolean;
   /** Sums of the other instances; undefined without a report in the window. */
   readonly remote: RemoteCounts | undefined;
   /** Part of this instance if the limit were divided equally. */
@@ -246,7 +256,8 @@
   const limit = ratio * (state.requestCount + remote.requestCount) + slack;
   const knownRepeatCount = remote.repeatCount +
     state.repeatCount - recentRepeatCount;
-  const usedPart = state.isReportCurrent ? sharedPart : outdatedPart;
+  const currentPart = state.usesGrants ? sharedPart : ungrantedPart;
+  const usedPart = state.isReportCurrent ? currentPart : outdatedPart;
   const part = (usedPart * limit - knownRepeatCount) * getShare(state, remote);
   return part * usablePart - recentRepeatCount;
 }
--- a/src/limits/repeat_window_test.ts
+++ b/src/limits/repeat_window_test.ts
@@ -30,7 +30,12 @@
       ratio,
       slack,
       getInstanceCount: () => count,
+      usesGrants: () => true,
     });
+    const useGranted = () => {
+      window.recordGranted(service);
+      drawnAtMs.push(nowMs);
+    };
     return {
       isCutOff: false,
       request: () => {
@@ -42,12 +47,12 @@
         if (isDrawn) drawnAtMs.push(nowMs);
         return isDrawn;
       },
-      tryTakeGranted: (urgency = RepeatUrgency.Begun) => {
+      useGranted,
+      tryTakeGranted: (
+        { urgency = RepeatUrgency.Begun, isUsed = true } = {},
+      ) => {
         const isGranted = ledger.grant(service, 1, urgency) === 1;
-        if (isGranted) {
-          window.recordGranted(service);
-          drawnAtMs.push(nowMs);
-        }
+        if (isGranted && isUsed) useGranted();
         return isGranted;
       },
       getCounts: window.getCounts,
@@ -106,18 +111,21 @@
         if (nowMs === nextExchangeMs) exchange();
       }
     },
-    /** The highest number of repeats in a window, as a part of the limit. */
+    /**
+     * The highest number of repeats in a window, as a part of the limit, which
+     * counts the requests of that window, the one before it or the one half a
+     * window before it, whichever has most.
+     */
     getPeakUse: () =>
       Math.max(
         0,
         ...drawnAtMs.map((startMs) => {
           const isInside = (atMs: number) =>
             atMs >= startMs && atMs < startMs + windowMs;
-          const counted = requestedAtMs.filter((atMs) =>
-            atMs >= startMs - windowMs && atMs < startMs
-          ).length;
-          const inside = requestedAtMs.filter(isInside).length;
-          const limit = ratio * Math.max(counted, inside) + slack;
+          const requestCounts = [0, windowMs / 2, windowMs].map((earlierMs) =>
+            requestedAtMs.filter((atMs) => isInside(atMs + earlierMs)).length
+          );
+          const limit = ratio * Math.max(...requestCounts) + slack;
           return drawnAtMs.filter(isInside).length / limit;
         }),
       ),
@@ -215,6 +223,31 @@
   expect(getPeakUse()).toBeLessThan(1);
 });
 
+test("instances that lose control after all was granted keep the limit", () => {
+  // Guards against parts for instances without reports that leave no room for what
+  // the leader has granted.
+  const { instances, advance, getPeakUse } = createBusyDeployment();
+  for (const instance of instances) while (instance.tryTakeGranted());
+  for (const instance of instances) instance.isCutOff = true;
+  advance(2_250);
+  for (const instance of instances) while (instance.tryDraw());
+  expect(getPeakUse()).toBeLessThanOrEqual(1);
+});
+
+test("grants that are used late count in the window of their use", () => {
+  // Guards against a leader that forgets a grant before the window of the repeat
+  // has passed, and grants all of its part again.
+  const { instances, run, getPeakUse } = createBusyDeployment();
+  const [instance] = instances;
+  let grantedCount = 0;
+  while (instance!.tryTakeGranted({ isUsed: false })) grantedCount += 1;
+  run(500);
+  for (let use = 0; use < grantedCount; use++) instance!.useGranted();
+  run(9_800);
+  while (instance!.tryTakeGranted());
+  expect(getPeakUse()).toBeLessThanOrEqual(1);
+});
+
 test("a new leader grants nothing before all instances have reported", () => {
   // Guards against the grants of two leaders in one window.
   const { instances, advance, run, replaceLeader, getPeakUse } =
@@ -234,7 +267,7 @@
   const { instances } = createBusyDeployment();
   const instance = instances[0]!;
   const repeat = (urgency: RepeatUrgency) =>
-    instance.tryDraw(urgency) || instance.tryTakeGranted(urgency);
+    instance.tryDraw(urgency) || instance.tryTakeGranted({ urgency });
   while (repeat(RepeatUrgency.Normal));
   expect(repeat(RepeatUrgency.Normal)).toBe(false);
   expect(repeat(RepeatUrgency.Begun)).toBe(true);
@@ -291,9 +324,9 @@
   advance(2_000);
   instances[0]!.isCutOff = true;
   advance(3_000);
-  expect(drawAll()).toBe(7); // 0.5 of 150 / 10
+  expect(drawAll()).toBe(5); // 0.35 of 150 / 10
   advance(3_000);
   expect(drawAll()).toBe(0);
   advance(8_000);
-  expect(drawAll()).toBe(6); // 0.4 of 150 / 10
+  expect(drawAll()).toBe(5); // 0.35 of 150 / 10
 });
--- a/src/limits/shared_retry_budget.ts
+++ b/src/limits/shared_retry_budget.ts
@@ -14,12 +14,14 @@
   /** The budget of the services that do not share theirs. */
   readonly separate: RetryBudget;
   isShared(service: string): boolean;
+  /** Whether the leader grants repeats of requests to the service. */
+  usesGrants(service: string): boolean;
   /** Called when a repeat was not allowed. */
   onRefusedDraw(service: string, urgency: RepeatUrgency): void;
 }
 
 export function createSharedRetryBudget(
-  { window, grants, separate, isShared, onRefusedDraw }:
+  { window, grants, separate, isShared, usesGrants, onRefusedDraw }:
     SharedRetryBudgetOptions,
 ): RetryBudget {
   return {
@@ -33,7 +35,8 @@
     hasReserve: (key, units) =>
       isShared(key.service)
         ? window.getAvailable(key.service, RepeatUrgency.Begun) >= units ||
-          grants.has(key.service, RepeatUrgency.Begun)
+          usesGrants(key.service) &&
+            grants.has(key.service, RepeatUrgency.Begun)
         : separate.hasReserve(key, units),
     getAvailable: (key) =>
       isShared(key.service)
@@ -57,7 +60,7 @@
       return isDrawn;
     }
     if (window.tryDraw(key.service, urgency)) return true;
-    if (grants.tryTake(key.service, urgency)) {
+    if (usesGrants(key.service) && grants.tryTake(key.service, urgency)) {
       window.recordGranted(key.service);
       return true;
     }
--- a/src/membership/seed_membership.ts
+++ b/src/membership/seed_membership.ts
@@ -45,11 +45,14 @@
   scheduleHeartbeat(): void;
   /**
    * Exchanges a heartbeat with the first reachable control instance now, or joins
-   * the one in flight. What has changed since that one was sent is sent in
-   * another one as soon as it ends. Resolves with whether the reply of the first
-   * one arrived in time.
+   * the one in flight. Changes that this one does not contain are sent in another
+   * one as soon as it ends. Resolves with whether the reply of the first one
+   * arrived in time.
    */
-  exchangeHeartbeat(timeoutMs: number): Promise<boolean>;
+  exchangeHeartbeat(
+    timeoutMs: number,
+    options: { readonly hasChanges: boolean },
+  ): Promise<boolean>;
 }
 
 export interface SeedMembershipOptions {
@@ -264,10 +267,13 @@
     }, scheduledHeartbeatDelayMs).unref();
   }
 
-  function exchangeHeartbeat(timeoutMs: number): Promise<boolean> {
+  function exchangeHeartbeat(
+    timeoutMs: number,
+    { hasChanges }: { readonly hasChanges: boolean },
+  ): Promise<boolean> {
     const member = getFirstControl();
     if (!member) return Promise.resolve(false);
-    const reply = sendLatest(member);
+    const reply = hasChanges ? sendLatest(member) : joinOrSend(member);
     return new Promise((resolve) => {
       const timer = setTimeout(() => resolve(false), timeoutMs);
       void reply.then((isReplied) => {
@@ -279,9 +285,12 @@
 
   /** The heartbeat in flight does not contain what has changed since. */
   function sendLatest(member: Member): Promise<boolean> {
-    if (!member.pendingHeartbeat) return sendHeartbeat(member, lostAfterMs);
-    member.mustSendAgain = true;
-    return member.pendingHeartbeat;
+    member.mustSendAgain = member.pendingHeartbeat !== undefined;
+    return joinOrSend(member);
+  }
+
+  function joinOrSend(member: Member): Promise<boolean> {
+    return member.pendingHeartbeat ?? sendHeartbeat(member, lostAfterMs);
   }
 
   function sendHeartbeat(member: Member, timeoutMs: number): Promise<boolean> {
--- a/src/membership/seed_membership_test.ts
+++ b/src/membership/seed_membership_test.ts
@@ -203,7 +203,7 @@
   await network.advance(500);
   network.add("e2", { seedIds });
   await network.advance(1);
-  expect(await entry.exchangeHeartbeat(100)).toBe(true);
+  expect(await entry.exchangeHeartbeat(100, { hasChanges: true })).toBe(true);
   expect(entry.getEntryCount()).toBe(2);
 });
 
@@ -214,7 +214,7 @@
   const entry = network.add("e1", { seedIds });
   await network.advance(500);
   network.isolatedIds.add("c1");
-  expect(await entry.exchangeHeartbeat(100)).toBe(false);
+  expect(await entry.exchangeHeartbeat(100, { hasChanges: true })).toBe(false);
 });
 
 test("an announcement during a heartbeat in flight is sent as soon as that one ends", async () => {
@@ -225,10 +225,12 @@
   const entry = network.add("e1", { seedIds: ["c1"] });
   await network.advance(500);
   const release = network.holdReplies();
-  const first = entry.exchangeHeartbeat(100);
+  const first = entry.exchangeHeartbeat(100, { hasChanges: true });
   network.received.length = 0;
   network.loads.set("e1", 7);
-  const announcements = [1, 2, 3].map(() => entry.exchangeHeartbeat(100));
+  const announcements = [1, 2, 3].map(() =>
+    entry.exchangeHeartbeat(100, { hasChanges: true })
+  );
   expect(network.received).toEqual([]);
   release();
   expect(await Promise.all([first, ...announcements])).toEqual(
