Keep peers inside the limits connected and their heartbeats served

A reply of 4 MiB stopped the reading of heartbeats, and the default room of 16 MiB did not follow the memory. Calls now wait while unsent replies fill half of the room, except heartbeats and messages of the log, which pass waiting and open calls. Replies are written in slices, so that a slow link shows progress, and no call of a closed connection is started. The decoder copies a small rest, since a view of it kept the whole buffer.

--- a/scripts/reference_pages.ts
+++ b/scripts/reference_pages.ts
@@ -114,7 +114,10 @@
   process's descriptors, and 1,024 at most. At the limit, the connection whose
   handshake has been incomplete for longest is closed, or else the new one.
 - \`maxPeerBytes\`: bytes of peers that are not decoded, and replies that are not
-  sent, of all connections. The connection with most is closed.
+  sent, of all connections. While the replies exceed half of it, calls other
+  than heartbeats and messages of the log wait. Above all of it, the connection
+  with most is closed. If it is not given, it follows the memory as
+  \`maxBodyBytes\` does.
 
 On the instances of the first table, \`maxBodyBytes\` holds for the bodies of
 requests that are being handled; one without a length counts as
--- a/src/core/caller_limits.ts
+++ b/src/core/caller_limits.ts
@@ -51,10 +51,11 @@
   unreadTimeoutMs: z.int().min(1_000).max(86_400_000).default(30_000),
   /** Connections to the peer port; null follows the process's descriptors. */
   maxPeerConnections: z.int().min(1).max(1_000_000).nullable().default(null),
-  /** Incomplete frames and unsent replies of all peers. */
-  maxPeerBytes: z.int().min(4 * 1024 * 1024).max(2 ** 40).default(
-    16 * 1024 * 1024,
-  ),
+  /**
+   * Incomplete frames and unsent replies of all peers; follows the memory of
+   * the process if it is not given. Half of the least setting is one frame.
+   */
+  maxPeerBytes: z.int().min(8 * 1024 * 1024).max(2 ** 40).optional(),
 }).prefault({});
 
 export type CallerLimits = z.output<typeof callerLimitsSchema>;
@@ -444,7 +445,18 @@
 
 /** Room for bodies: the given limit, or one that follows the memory. */
 export function getMaxBodyBytes({ maxBodyBytes }: CallerLimits): number {
-  return maxBodyBytes ?? chooseBodyBytes({
+  return maxBodyBytes ?? chooseOwnBodyBytes();
+}
+
+/** Room for peers: the given limit, or one that follows the memory. */
+export function getMaxPeerBytes(
+  { maxPeerBytes }: Pick<CallerLimits, "maxPeerBytes">,
+): number {
+  return maxPeerBytes ?? chooseOwnBodyBytes();
+}
+
+function chooseOwnBodyBytes(): number {
+  return chooseBodyBytes({
     heapBytes: getHeapStatistics().heap_size_limit,
     memoryBytes: Math.min(totalmem(), process.constrainedMemory() || Infinity),
   });
--- a/src/peer/frame_codec.ts
+++ b/src/peer/frame_codec.ts
@@ -81,6 +81,8 @@
   takeNext(): Result<unknown[], SystemError>;
   /** Bytes that are not decoded. */
   getPendingBytes(): number;
+  /** Size of the body of the last decoded value, after inflation. */
+  getDecodedBytes(): number;
 }
 
 /** Holds the bytes that are not decoded. */
@@ -94,11 +96,13 @@
 ): FrameDecoder {
   /** Size at which the pending bytes have a complete header or frame. */
   let neededBytes = headerBytes;
+  let decodedBytes = 0;
   return {
     push,
     add: pending.add,
     takeNext: () => decodePending(1),
     getPendingBytes: pending.getSizeBytes,
+    getDecodedBytes: () => decodedBytes,
   };
 
   function push(chunk: Buffer): Result<unknown[], SystemError> {
@@ -131,7 +135,9 @@
       }
       const body = buffer.subarray(start, start + bodyBytes);
       try {
-        values.push(encoder.decode(isCompressed ? inflateBody(body) : body));
+        const inflated = isCompressed ? inflateBody(body) : body;
+        decodedBytes = inflated.length;
+        values.push(encoder.decode(inflated));
       } catch (cause) {
         return err(createError(
           ErrorKind.ProtocolError,
@@ -141,7 +147,9 @@
       offset = start + bodyBytes;
     }
     const rest = buffer.subarray(offset);
-    if (rest.length > 0) pending.add(rest);
+    // A view of one byte would keep a buffer of 4 MiB that is not counted.
+    const isSmall = rest.length * 2 < rest.buffer.byteLength;
+    if (rest.length > 0) pending.add(isSmall ? Buffer.from(rest) : rest);
     return ok(values);
   }
 }
--- a/src/peer/peer_limits.ts
+++ b/src/peer/peer_limits.ts
@@ -8,9 +8,11 @@
 import {
   CallerLimit,
   type CallerLimits,
+  getMaxPeerBytes,
   readMaxDescriptors,
 } from "../core/caller_limits.ts";
-import type { PendingBytes } from "./frame_codec.ts";
+import { maxFrameBytes, type PendingBytes } from "./frame_codec.ts";
+import { PeerCallKind } from "./messages.ts";
 
 export interface PeerGuard {
   /** Must be called with each accepted connection, before its handshake. */
@@ -27,6 +29,8 @@
   takeNext(): readonly unknown[];
   /** Bytes that were received and are not handled. */
   getPendingBytes(): number;
+  /** Size of the call that was taken last. */
+  getTakenBytes(): number;
   /** Resolves when the reply was passed to `send`. */
   handle(value: unknown): Promise<void>;
 }
@@ -48,9 +52,21 @@
 interface Connection {
   readonly socket: Socket;
   openCount: number;
+  /** Bytes that are not decoded, and calls that wait. */
   incompleteBytes: number;
   unsentBytes: number;
   progressAtMs: number;
+  handleReceived(): void;
+}
+
+interface WaitingCall {
+  readonly value: unknown;
+  readonly bytes: number;
+}
+
+interface UnsentSlice {
+  readonly content: Uint8Array;
+  readonly bytes: number;
 }
 
 /** 330 instances that connect at once, with up to three attempts each. */
@@ -58,11 +74,24 @@
 const descriptorsRatio = 0.25;
 /** A peer has some calls open, or some dozen proposals; others wait. */
 const maxOpenCalls = 256;
-/** Calls wait while more of the replies is unsent. */
-const maxUnsentBytes = 256 * 1024;
+/** The largest reply must not stop the reading of heartbeats. */
+const maxUnsentBytes = maxFrameBytes + 256 * 1024;
+/** While the unsent replies of all peers exceed this part, calls wait. */
+const unsentRatio = 0.5;
+/** Up to this part of the room, frames behind a waiting call are read. */
+const waitingRatio = 0.75;
+/** Frames behind waiting calls of more bytes are not read. */
+const maxWaitingBytes = 64 * 1024;
+/** A slow link shows progress within a large frame. */
+const sliceBytes = 64 * 1024;
 /** The objects of a frame that is not sent take about as much. */
 const frameCostBytes = 1_024;
 const checkIntervalMs = 1_000;
+/** Calls that keep membership and the log of control alive. */
+const urgentKinds: readonly unknown[] = [
+  PeerCallKind.Heartbeat,
+  PeerCallKind.LogMessage,
+];
 
 export function createPeerGuard(
   { limits, record }: PeerGuardOptions,
@@ -75,7 +104,12 @@
       maxDefaultConnections,
       Math.floor(readMaxDescriptors() * descriptorsRatio),
     );
+  const maxPeerBytes = getMaxPeerBytes(limits);
+  /** Those with calls that wait for others' replies, the next one first. */
+  const waitingConnections = new Set<Connection>();
   let heldBytes = 0;
+  let totalUnsentBytes = 0;
+  let isResumeScheduled = false;
   // `limitHeld` limits what it holds.
   const store = createBodyStore(Infinity);
   const timer = setInterval(check, checkIntervalMs).unref();
@@ -130,62 +164,151 @@
       incompleteBytes: 0,
       unsentBytes: 0,
       progressAtMs: performance.now(),
+      handleReceived,
     };
+    const waiting: WaitingCall[] = [];
+    let waitingBytes = 0;
+    const unsent: UnsentSlice[] = [];
+    let writingBytes = 0;
     connections.add(connection);
     socket.once("close", () => {
-      connections.delete(connection);
-      heldBytes -= connection.incompleteBytes + connection.unsentBytes;
-      connection.incompleteBytes = 0;
-      connection.unsentBytes = 0;
+      remove(connection);
+      waiting.length = 0;
+      unsent.length = 0;
     });
     return { handleReceived, send };
 
     function handleReceived(): void {
-      if (!connections.has(connection)) return;
+      while (waiting.length > 0 && mayStart()) {
+        const { value, bytes } = waiting.shift()!;
+        waitingBytes -= bytes;
+        start(value);
+      }
       let next: readonly unknown[] = [];
-      while (mayHandle() && (next = frames.takeNext()).length > 0) {
-        connection.openCount += 1;
-        void frames.handle(next[0]).finally(() => {
-          connection.openCount -= 1;
-          if (socket.isPaused()) handleReceived();
-        });
+      while (mayTake() && (next = frames.takeNext()).length > 0) {
+        const [value] = next;
+        if (isUrgent(value) || waiting.length === 0 && mayStart()) start(value);
+        else {
+          const bytes = frames.getTakenBytes() + frameCostBytes;
+          waiting.push({ value, bytes });
+          waitingBytes += bytes;
+        }
       }
       // A handled call may have closed the connection.
-      if (!connections.has(connection)) return;
-      heldBytes += frames.getPendingBytes() - connection.incompleteBytes;
-      connection.incompleteBytes = frames.getPendingBytes();
+      if (!isOpen()) return;
+      const incompleteBytes = frames.getPendingBytes() + waitingBytes;
+      heldBytes += incompleteBytes - connection.incompleteBytes;
+      connection.incompleteBytes = incompleteBytes;
       limitHeld();
-      if (!mayHandle()) socket.pause();
+      if (!isOpen()) return;
+      // Its own calls and replies continue one that waits for them.
+      if (waiting.length > 0 && isUnsentFull()) {
+        waitingConnections.add(connection);
+      } else waitingConnections.delete(connection);
+      if (!mayTake()) socket.pause();
       else if (socket.isPaused()) socket.resume();
     }
 
-    function mayHandle(): boolean {
-      return connection.openCount < maxOpenCalls &&
-        connection.unsentBytes <= maxUnsentBytes;
+    function isOpen(): boolean {
+      return connections.has(connection) && !socket.destroyed;
+    }
+
+    function mayStart(): boolean {
+      return isOpen() && connection.openCount < maxOpenCalls &&
+        connection.unsentBytes <= maxUnsentBytes && !isUnsentFull();
+    }
+
+    function mayTake(): boolean {
+      if (!isOpen() || connection.unsentBytes > maxUnsentBytes) return false;
+      return waiting.length === 0 || waitingBytes <= maxWaitingBytes &&
+          heldBytes <= maxPeerBytes * waitingRatio;
+    }
+
+    function start(value: unknown): void {
+      const count = isUrgent(value) ? 0 : 1;
+      connection.openCount += count;
+      void frames.handle(value).finally(() => {
+        connection.openCount -= count;
+        continueReceiving();
+      });
+    }
+
+    function continueReceiving(): void {
+      if (isOpen() && (socket.isPaused() || waiting.length > 0)) {
+        handleReceived();
+      }
     }
 
     function send(frame: Uint8Array): void {
-      if (socket.destroyed) return;
+      if (!isOpen()) return;
       if (connection.unsentBytes === 0) {
         connection.progressAtMs = performance.now();
       }
-      const bytes = frame.length + frameCostBytes;
-      heldBytes += bytes;
-      connection.unsentBytes += bytes;
-      socket.write(frame, () => {
-        if (!connections.has(connection)) return;
-        heldBytes -= bytes;
-        connection.unsentBytes -= bytes;
-        connection.progressAtMs = performance.now();
-        if (socket.isPaused()) handleReceived();
-      });
+      for (let offset = 0; offset < frame.length; offset += sliceBytes) {
+        const content = frame.subarray(offset, offset + sliceBytes);
+        const costBytes = offset === 0 ? frameCostBytes : 0;
+        unsent.push({ content, bytes: content.length + costBytes });
+      }
+      addUnsent(connection, frame.length + frameCostBytes);
+      writeUnsent();
       limitHeld();
     }
+
+    /** The socket would write all slices that it holds as one. */
+    function writeUnsent(): void {
+      while (unsent.length > 0 && writingBytes < sliceBytes) {
+        const { content, bytes } = unsent.shift()!;
+        writingBytes += bytes;
+        socket.write(content, () => {
+          writingBytes -= bytes;
+          if (!isOpen()) return;
+          addUnsent(connection, -bytes);
+          connection.progressAtMs = performance.now();
+          writeUnsent();
+          continueReceiving();
+          scheduleResume();
+        });
+      }
+    }
+  }
+
+  function isUnsentFull(): boolean {
+    return totalUnsentBytes > maxPeerBytes * unsentRatio;
+  }
+
+  function addUnsent(connection: Connection, bytes: number): void {
+    heldBytes += bytes;
+    totalUnsentBytes += bytes;
+    connection.unsentBytes += bytes;
+  }
+
+  function remove(connection: Connection): void {
+    connections.delete(connection);
+    waitingConnections.delete(connection);
+    addUnsent(connection, -connection.unsentBytes);
+    heldBytes -= connection.incompleteBytes;
+    connection.incompleteBytes = 0;
+    scheduleResume();
+  }
+
+  /** Handles one connection at a time, so that its replies count for others. */
+  function scheduleResume(): void {
+    if (isResumeScheduled || waitingConnections.size === 0) return;
+    if (isUnsentFull()) return;
+    isResumeScheduled = true;
+    setImmediate(() => {
+      isResumeScheduled = false;
+      const [connection] = waitingConnections;
+      if (!connection || isUnsentFull()) return;
+      waitingConnections.delete(connection);
+      connection.handleReceived();
+      scheduleResume();
+    });
   }
 
   /** Closes the connections that hold most. */
   function limitHeld(): void {
-    while (heldBytes > limits.maxPeerBytes) {
+    while (heldBytes > maxPeerBytes) {
       let largest: Connection | undefined;
       for (const connection of connections) {
         if (connection.socket.destroyed) continue;
@@ -195,10 +318,7 @@
       }
       if (!largest) return;
       record(CallerLimit.PeerBytes);
-      heldBytes -= getBytes(largest);
-      largest.incompleteBytes = 0;
-      largest.unsentBytes = 0;
-      connections.delete(largest);
+      remove(largest);
       largest.socket.destroy();
     }
   }
@@ -219,6 +339,10 @@
   return Buffer.from(buffer, byteOffset, byteLength);
 }
 
+function isUrgent(value: unknown): boolean {
+  return urgentKinds.includes((value as { kind?: unknown } | null)?.kind);
+}
+
 function getBytes({ incompleteBytes, unsentBytes }: Connection): number {
   return incompleteBytes + unsentBytes;
 }
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -124,6 +124,7 @@
     const flow = guard.open(socket, {
       takeNext,
       getPendingBytes: decoder.getPendingBytes,
+      getTakenBytes: decoder.getDecodedBytes,
       handle: (value) => handleRequest(socket, flow, value, { mayCompress }),
     });
     flow.send(encodeFrame(helloFrame)._unsafeUnwrap());
