Hold room for bodies until they have ended, and log errors of listening servers

An error event of a listening server, such as of accepting a connection, had no listener and ended the process. Room for a body was held until its handler returned, which is too early for a body that is not read and too late for a long call, and a room below the largest body refused it always. Tickets may have 1 MiB, also where the bodies of callers are limited to less, and larger bodies have more time to arrive.

--- a/scripts/reference_pages.ts
+++ b/scripts/reference_pages.ts
@@ -119,9 +119,11 @@
   with most is closed. If it is not given, it follows the memory as
   \`maxBodyBytes\` does.
 
-On the instances of the first table, \`maxBodyBytes\` holds for the bodies of
-requests that are being handled; one without a length counts as
-\`limits.maxBodyBytes\`. The counters are \`apricotyoke.caller_limits.LIMIT\`.
+On the instances of the first table, \`maxBodyBytes\` holds for bodies that have
+not ended; one without a length counts as the largest body, which is
+\`limits.maxBodyBytes\`, or 1 MiB if that is more. The room has place for one such
+body beside the quarter. A request has 1 ms for each 18 bytes of the largest
+body until its receipt is complete, and 60 s at least. The counters are \`apricotyoke.caller_limits.LIMIT\`.
 
 \`overload\` lets an entry instance refuse a part of the requests that it has
 read and not sent, with 503 as not run, while it is short of processor, memory
--- a/src/core/metrics_server.ts
+++ b/src/core/metrics_server.ts
@@ -6,6 +6,7 @@
 import type { CallerGuard } from "./caller_limits.ts";
 import type { SystemError } from "./errors.ts";
 import { type ListenAddress, listenOn } from "./listen_on.ts";
+import type { Logger } from "./logger.ts";
 import type { MetricsRegistry } from "./metrics_registry.ts";
 
 export const metricsPath = "/metrics";
@@ -13,7 +14,8 @@
 export function startMetricsServer(
   registry: MetricsRegistry,
   address: ListenAddress,
-  { guard, maxConnections }: {
+  { logger, guard, maxConnections }: {
+    readonly logger: Logger;
     readonly guard: CallerGuard;
     readonly maxConnections: number;
   },
@@ -30,5 +32,5 @@
     });
   });
   guard.protect(server, { maxConnections, mayPipeline: false });
-  return listenOn(server, address).map(() => server);
+  return listenOn(server, address, logger).map(() => server);
 }
--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -261,46 +261,48 @@
       maxConnections: settings.callerLimits.maxServiceConnections,
       mayPipeline: false,
     });
-    return listenOn(http, operatorsAddress).map((): RunningInstance => ({
-      task: createSupervisor({
-        name: "control-instance",
-        clock,
-        logger,
-        tasks: [
-          ...core.tasks,
-          pauses.task,
-          createSupervisor({
-            name: "control-log",
-            clock,
-            logger,
-            tasks: [
-              ...log.tasks,
-              createMoveTask({
-                clock,
-                logger,
-                table: stateMachine.moves,
-                answerCounts,
-                isLeader: log.isLeader,
-                propose: log.propose,
-              }),
-              quarantine.task,
-            ],
-          }),
-        ],
+    return listenOn(http, operatorsAddress, logger).map(
+      (): RunningInstance => ({
+        task: createSupervisor({
+          name: "control-instance",
+          clock,
+          logger,
+          tasks: [
+            ...core.tasks,
+            pauses.task,
+            createSupervisor({
+              name: "control-log",
+              clock,
+              logger,
+              tasks: [
+                ...log.tasks,
+                createMoveTask({
+                  clock,
+                  logger,
+                  table: stateMachine.moves,
+                  answerCounts,
+                  isLeader: log.isLeader,
+                  propose: log.propose,
+                }),
+                quarantine.task,
+              ],
+            }),
+          ],
+        }),
+        membership,
+        drain: async () => {
+          const closed = new Promise<void>((resolve) =>
+            http.close(() => resolve())
+          );
+          http.closeIdleConnections();
+          await Promise.race([closed, clock.sleep(operatorDrainMs)]);
+        },
+        close: async () => {
+          http.closeAllConnections();
+          peers.close();
+          await peerServer.close();
+        },
       }),
-      membership,
-      drain: async () => {
-        const closed = new Promise<void>((resolve) =>
-          http.close(() => resolve())
-        );
-        http.closeIdleConnections();
-        await Promise.race([closed, clock.sleep(operatorDrainMs)]);
-      },
-      close: async () => {
-        http.closeAllConnections();
-        peers.close();
-        await peerServer.close();
-      },
-    }));
+    );
   });
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -18,8 +18,8 @@
   createReplicatedLog,
 } from "../control/replicated_log.ts";
 import { createStateMachine } from "../control/state_machine.ts";
+import { maxTicketBytes } from "../control/ticket.ts";
 import { createTicketService } from "../control/ticket_service.ts";
-import { createByteBudget } from "../core/byte_budget.ts";
 import {
   CallerLimit,
   createCallerGuard,
@@ -38,7 +38,7 @@
 import { createPeriodicTask, createSupervisor } from "../core/supervisor.ts";
 import { type InstanceInfo, InstanceState } from "../core/types.ts";
 import { createAuthenticator } from "../entry/authenticator.ts";
-import { limitBodies } from "../entry/body_room.ts";
+import { createBodyBudget, limitBodies } from "../entry/body_room.ts";
 import { createCallerApp } from "../entry/caller_app.ts";
 import { createOperatorApp } from "../entry/operator_app.ts";
 import { createReportRoutes } from "../entry/report_routes.ts";
@@ -75,8 +75,6 @@
 }
 
 const answerTickMs = 25;
-/** Part of the room for bodies that large ones leave to small ones. */
-const smallBodiesRatio = 0.25;
 
 export function startDaemon(
   settings: Settings,
@@ -261,11 +259,14 @@
   });
   const authenticator = createAuthenticator(settings);
   const app = new Hono();
+  // Tickets may be larger than the bodies of callers.
+  const maxBodyBytes = Math.max(settings.limits.maxBodyBytes, maxTicketBytes);
   app.use(limitBodies({
-    budget: createByteBudget(getMaxBodyBytes(settings.callerLimits), {
-      smallReservedRatio: smallBodiesRatio,
-    }),
-    maxBytes: settings.limits.maxBodyBytes,
+    budget: createBodyBudget(
+      getMaxBodyBytes(settings.callerLimits),
+      maxBodyBytes,
+    ),
+    maxBytes: maxBodyBytes,
     onRefused: () => guard.record(CallerLimit.BodyBytes),
   }));
   app.route(
@@ -334,8 +335,10 @@
     logger,
   }).andThen((peerServer) =>
     startHttpServer(app, settings.callers, {
+      logger,
       guard,
       maxConnections: getMaxConnections(settings.callerLimits),
+      maxBodyBytes,
     }).map((http) => run(peerServer, http))
   );
 
--- a/src/daemon/forwarding_instance.ts
+++ b/src/daemon/forwarding_instance.ts
@@ -87,6 +87,7 @@
     const { host, metricsPort: port } = settings;
     if (port === null) return okAsync(undefined);
     return startMetricsServer(registry, { host, port }, {
+      logger,
       guard,
       maxConnections: settings.callerLimits.maxServiceConnections,
     }).map(() => {});
--- a/src/entry/body_room.ts
+++ b/src/entry/body_room.ts
@@ -2,8 +2,9 @@
  * Limits the bodies of all requests that are being read. Room is taken before a
  * body is read, so that a request that is refused has certainly not run.
  */
+import { finished, type Readable } from "node:stream";
 import type { MiddlewareHandler } from "hono";
-import type { ByteBudget } from "../core/byte_budget.ts";
+import { type ByteBudget, createByteBudget } from "../core/byte_budget.ts";
 import {
   createError,
   ErrorKind,
@@ -20,6 +21,28 @@
 
 /** Bodies are mostly read within a second. */
 const retryAfterMs = 1_000;
+/** Part of the room for bodies that large ones leave to small ones. */
+const smallBodiesRatio = 0.25;
+
+/** The room has place for one body of `maxBytes` beside the reserved part. */
+export function createBodyBudget(
+  roomBytes: number,
+  maxBytes: number,
+): ByteBudget {
+  const minRoomBytes = Math.ceil(maxBytes / (1 - smallBodiesRatio));
+  return createByteBudget(Math.max(roomBytes, minRoomBytes), {
+    smallReservedRatio: smallBodiesRatio,
+  });
+}
+
+/** A body that comes more slowly gives up its room. */
+const minBytesPerMs = 18;
+const minRequestTimeoutMs = 60_000;
+
+/** The time for the receipt of a request whose body has up to `maxBytes`. */
+export function getRequestTimeoutMs(maxBytes: number): number {
+  return Math.max(minRequestTimeoutMs, Math.ceil(maxBytes / minBytesPerMs));
+}
 
 export function limitBodies(
   { budget, maxBytes, onRefused }: BodyRoomOptions,
@@ -41,10 +64,16 @@
         "Retry-After": String(retryAfterMs / 1_000),
       });
     }
+    // Of the server; a request that is made in this process has none.
+    const { incoming } = (context.env ?? {}) as {
+      readonly incoming?: Readable;
+    };
+    // A handler may return before the body has ended, or long after.
+    if (incoming) finished(incoming, share.release);
     try {
       return await next();
     } finally {
-      share.release();
+      if (!incoming) share.release();
     }
   };
 }
--- a/src/entry/body_room_test.ts
+++ b/src/entry/body_room_test.ts
@@ -2,10 +2,15 @@
  * Guards against bodies that fill the memory together, and against a refusal of
  * a request that has run.
  */
+import { Readable } from "node:stream";
 import { Hono } from "hono";
 import { expect, test } from "vitest";
 import { createByteBudget } from "../core/byte_budget.ts";
-import { limitBodies } from "./body_room.ts";
+import {
+  createBodyBudget,
+  getRequestTimeoutMs,
+  limitBodies,
+} from "./body_room.ts";
 
 const maxBytes = 1_000_000;
 
@@ -42,3 +47,45 @@
   expect(budget.getHeldBytes()).toBe(0);
   expect((await post(chunked)).status).toBe(200);
 });
+
+test("a body has its room until it has ended, whenever its handler returns", async () => {
+  const budget = createBodyBudget(0, maxBytes);
+  let finish = () => {};
+  const finished = new Promise<void>((resolve) => finish = resolve);
+  const app = new Hono();
+  app.use(limitBodies({ budget, maxBytes, onRefused: () => {} }));
+  app.post("/early", (context) => context.text("not read"));
+  app.post("/late", async (context) => {
+    await finished;
+    return context.text("done");
+  });
+  const headers = { "content-length": String(maxBytes) };
+  const post = (path: string, incoming: Readable) =>
+    app.request(path, { method: "POST", headers }, { incoming });
+  const createBody = () => new Readable({ read: () => {} });
+  const unread = createBody();
+  expect((await post("/early", unread)).status).toBe(200);
+  expect((await post("/early", createBody())).status).toBe(503);
+  unread.destroy();
+  await expect.poll(budget.getHeldBytes).toBe(0);
+  const read = createBody();
+  const late = post("/late", read);
+  await expect.poll(budget.getHeldBytes).toBe(maxBytes);
+  read.push(null);
+  read.resume();
+  await expect.poll(budget.getHeldBytes).toBe(0);
+  finish();
+  expect((await late).status).toBe(200);
+});
+
+test("a small room holds one body of the largest size, and a small one", () => {
+  const budget = createBodyBudget(65_536, 16_777_216);
+  expect(budget.open().tryTake(16_777_216)).toBe(true);
+  expect(budget.open().tryTake(65_536)).toBe(true);
+  expect(budget.open().tryTake(16_777_216)).toBe(false);
+});
+
+test("a larger body has more time", () => {
+  expect([0, 1_048_576, 16_777_216].map(getRequestTimeoutMs))
+    .toEqual([60_000, 60_000, 932_068]);
+});
--- a/src/forwarding/entry_server.ts
+++ b/src/forwarding/entry_server.ts
@@ -123,8 +123,8 @@
   });
   return {
     listen: () =>
-      listenOn(server, options.callers).andThen(() =>
-        listenOn(readinessServer, options.readiness)
+      listenOn(server, options.callers, logger).andThen(() =>
+        listenOn(readinessServer, options.readiness, logger)
       ),
     setLimits: ({ headerTimeoutMs, idleTimeoutMs }) => {
       server.keepAliveTimeout = idleTimeoutMs + idleTimeoutMarginMs;
