Reject addresses that are not http, and quote no text of a document

An address such as localhost:8080 ended the tool with a stack trace. Messages of the JSON parser quoted the document, which may contain API keys. A service whose only targets have weight 0 is reported as unused.

--- a/src/cli/admin_client.ts
+++ b/src/cli/admin_client.ts
@@ -63,26 +63,34 @@
     path: string,
     text: string | undefined,
   ): ResultAsync<unknown, AdminFailure> {
-    return ResultAsync.fromPromise(
-      request(new URL(pathPrefix + path, baseUrl), {
-        method,
-        headers: {
-          ...(token === undefined ? {} : { authorization: `Bearer ${token}` }),
-          ...(text === undefined ? {} : { "content-type": "application/json" }),
-        },
-        ...(text === undefined ? {} : { body: text }),
-        headersTimeout: timeoutMs,
-        bodyTimeout: timeoutMs,
-      }).then(async ({ statusCode, body }) => ({
-        statusCode,
-        text: await body.text(),
-      })),
+    return ResultAsync.fromThrowable(
+      async () => {
+        // Throws if the address or the token has no valid form.
+        const { statusCode, body } = await request(
+          new URL(pathPrefix + path, baseUrl),
+          {
+            method,
+            headers: {
+              ...(token === undefined
+                ? {}
+                : { authorization: `Bearer ${token}` }),
+              ...(text === undefined
+                ? {}
+                : { "content-type": "application/json" }),
+            },
+            ...(text === undefined ? {} : { body: text }),
+            headersTimeout: timeoutMs,
+            bodyTimeout: timeoutMs,
+          },
+        );
+        return { statusCode, text: await body.text() };
+      },
       (cause) => ({
         exitCode: ExitCode.Unavailable,
         message: `no reply from ${baseUrl}: ${getErrorMessage(cause)}`,
         body: null,
       }),
-    ).andThen(parseReply);
+    )().andThen(parseReply);
   }
 }
 
--- a/src/cli/admin_command.ts
+++ b/src/cli/admin_command.ts
@@ -93,9 +93,10 @@
 
   protected getBaseUrl(): Result<string, string> {
     const baseUrl = this.url ?? process.env.APRICOTYOKE_URL;
-    return baseUrl && URL.canParse(baseUrl)
+    // "localhost:8080" is a URL too, with the scheme "localhost".
+    return baseUrl && /^https?:\/\//i.test(baseUrl) && URL.canParse(baseUrl)
       ? ok(baseUrl)
-      : err("--url or APRICOTYOKE_URL must be a URL");
+      : err("--url or APRICOTYOKE_URL must be an http or https URL");
   }
 
   protected createClient(): Result<AdminClient, string> {
--- a/src/cli/config_check_test.ts
+++ b/src/cli/config_check_test.ts
@@ -82,6 +82,42 @@
   expect(isReported).toBe(status < 2);
 });
 
+test.each(["localhost:8080", "ftp://x", "http://"])(
+  "the address %s is reported beside the other findings",
+  async (url) => {
+    const file = write("no-address", { ...valid, limitz: {} });
+    const { exitCode, stdout, stderr } = await run(file, "--url", url);
+    expect({ exitCode, stderr }).toEqual({ exitCode: 1, stderr: "" });
+    expect(stdout).toContain('unknown field "limitz"');
+    expect(stdout).toContain("not compared: --url or APRICOTYOKE_URL must be");
+    const context = { stdout: new PassThrough(), stderr: new PassThrough() };
+    const args = ["instances", "--url", url, "--token", "t"];
+    expect(await cli.run(args, context)).toBe(2);
+    expect(context.stdout.read()).toBeNull();
+    expect(String(context.stderr.read())).not.toContain("    at ");
+  },
+);
+
+test.each([
+  "{sk-secret}",
+  '{"apiKeys": [sk-secret]}',
+  "sk-secret",
+  '{"apiKeys": ["sk-secret" "b"]}',
+  '{"apiKeys": ["sk-secret\n"]}',
+])("the message about %s does not quote the text", async (text) => {
+  const file = write("quoted", text);
+  const valued = write("valued", valid);
+  const runs = [
+    await run(file),
+    await run(file, "--json"),
+    await run(valued, "--against", file),
+  ];
+  for (const { exitCode, stdout, stderr } of runs) {
+    expect(exitCode).toBe(2);
+    expect(stdout + stderr).not.toMatch(/sk|secret/);
+  }
+});
+
 test("a file that cannot be read is reported, also one to compare with", async () => {
   const missing = join(folder, "missing");
   expect(await run(missing)).toMatchObject({ exitCode: 2, stdout: "" });
--- a/src/cli/version_sources.ts
+++ b/src/cli/version_sources.ts
@@ -67,7 +67,7 @@
   text: string,
   adapter: DocumentAdapter | undefined,
 ): Result<ReadDocument, string> {
-  return parseJson(text).map((value) => {
+  return parseWithoutQuotation(text).map((value) => {
     const isPlatform = adapter !== undefined && !hasField(value, "number");
     const format = isPlatform ? DocumentFormat.Platform : DocumentFormat.Ticket;
     const maxBytes = isPlatform ? maxTableDocumentBytes : maxTicketBytes;
@@ -135,7 +135,7 @@
   text: string,
   adapter: DocumentAdapter | undefined,
 ): Result<ComparedVersion, string> {
-  return parseJson(text).andThen((value) => {
+  return parseWithoutQuotation(text).andThen((value) => {
     if (hasField(value, "number")) return readTicket(value);
     const isConfiguration = hasField(value, "configuration") ||
       hasField(value, "revision");
@@ -144,6 +144,13 @@
   });
 }
 
+/** The parser's message may quote the text, which may contain API keys. */
+function parseWithoutQuotation(text: string): Result<unknown, string> {
+  return parseJson(text).mapErr((message) =>
+    message.endsWith("is not valid JSON") ? "unexpected character" : message
+  );
+}
+
 /** The fields of the document tell tickets from other documents. */
 function hasField(value: unknown, name: string): boolean {
   return typeof value === "object" && value !== null &&
--- a/src/forwarding/forwarding_findings.ts
+++ b/src/forwarding/forwarding_findings.ts
@@ -93,7 +93,9 @@
   { routes, services }: ForwardingTable,
 ): FieldIssue[] {
   const used = new Set(
-    routes.flatMap(({ targets }) => targets.map(({ service }) => service)),
+    routes.flatMap(({ targets }) =>
+      targets.filter(({ weight }) => weight > 0).map(({ service }) => service)
+    ),
   );
   return services.flatMap(({ name }, index) =>
     used.has(name) ? [] : [{
--- a/src/forwarding/forwarding_findings_test.ts
+++ b/src/forwarding/forwarding_findings_test.ts
@@ -73,6 +73,16 @@
   ["an unused service", {
     services: [...table.services, { ...table.services[0]!, name: "spare" }],
   }, ["services.1.name"]],
+  ["a service whose only targets have no weight", {
+    services: [...table.services, { ...table.services[0]!, name: "spare" }],
+    routes: [{
+      ...route,
+      targets: [
+        ...route.targets,
+        { ...route.targets[0]!, service: "spare", weight: 0 },
+      ],
+    }],
+  }, ["services.1.name"]],
   ["customers without keys and with a repeated key", {
     customers: [[], ["k", "k"]].map((apiKeys, index) => ({
       customerId: `c${index}`,
