--- a/scripts/reference_pages.ts
+++ b/scripts/reference_pages.ts
@@ -114,11 +114,16 @@
   process's descriptors, and 1,024 at most. At the limit, the connection whose
   handshake has been incomplete for longest is closed, or else the new one.
 - \`maxPeerBytes\`: bytes of peers that are not decoded, and replies that are not
-  sent, of all connections. The connection with most is closed.
-
-On the instances of the first table, \`maxBodyBytes\` holds for the bodies of
-requests that are being handled; one without a length counts as
-\`limits.maxBodyBytes\`. The counters are \`apricotyoke.caller_limits.LIMIT\`.
+  sent, of all connections. While the replies exceed half of it, calls other
+  than heartbeats and messages of the log wait. Above all of it, the connection
+  with most is closed. If it is not given, it follows the memory as
+  \`maxBodyBytes\` does.
+
+On the instances of the first table, \`maxBodyBytes\` holds for bodies that have
+not ended; one without a length counts as the largest body, which is
+\`limits.maxBodyBytes\`, or 1 MiB if that is more. The room has place for one such
+body beside the quarter. A request has 1 ms for each 18 bytes of the largest
+body until its receipt is complete, and 60 s at least. The counters are \`apricotyoke.caller_limits.LIMIT\`.
 
 \`overload\` lets an entry instance refuse a part of the requests that it has
 read and not sent, with 503 as not run, while it is short of processor, memory
