--- a/scripts/reference_pages.ts
+++ b/scripts/reference_pages.ts
@@ -110,14 +110,6 @@
   Those that have been without progress for longest are closed.
 - \`unreadTimeoutMs\`: a connection whose caller takes no byte of a response for
   so long is closed.
-- \`maxPeerConnections\`: connections to the peer port; null is a quarter of the
-  process's descriptors, and 1,024 at most. At the limit, the connection whose
-  handshake has been incomplete for longest is closed, or else the new one.
-- \`maxPeerBytes\`: bytes of peers that are not decoded, and replies that are not
-  sent, of all connections. While the replies exceed half of it, calls other
-  than heartbeats and messages of the log wait. Above all of it, the connection
-  with most is closed. If it is not given, it follows the memory as
-  \`maxBodyBytes\` does.
 
 On the instances of the first table, \`maxBodyBytes\` holds for bodies that have
 not ended; one without a length counts as the largest body, which is
--- a/src/core/caller_limits.ts
+++ b/src/core/caller_limits.ts
@@ -49,13 +49,6 @@
   maxUnreadBytes: byteCountSchema.default(16 * 1024 * 1024),
   /** A connection that takes nothing of its response for so long is closed. */
   unreadTimeoutMs: z.int().min(1_000).max(86_400_000).default(30_000),
-  /** Connections to the peer port; null follows the process's descriptors. */
-  maxPeerConnections: z.int().min(1).max(1_000_000).nullable().default(null),
-  /**
-   * Incomplete frames and unsent replies of all peers; follows the memory of
-   * the process if it is not given. Half of the least setting is one frame.
-   */
-  maxPeerBytes: z.int().min(8 * 1024 * 1024).max(2 ** 40).optional(),
 }).prefault({});
 
 export type CallerLimits = z.output<typeof callerLimitsSchema>;
@@ -69,8 +62,6 @@
   DiscardedBytes = "discardedBytes",
   UnreadBytes = "unreadBytes",
   UnreadTime = "unreadTime",
-  PeerConnections = "peerConnections",
-  PeerBytes = "peerBytes",
 }
 
 /** Where limits are counted. */
@@ -445,18 +436,7 @@
 
 /** Room for bodies: the given limit, or one that follows the memory. */
 export function getMaxBodyBytes({ maxBodyBytes }: CallerLimits): number {
-  return maxBodyBytes ?? chooseOwnBodyBytes();
-}
-
-/** Room for peers: the given limit, or one that follows the memory. */
-export function getMaxPeerBytes(
-  { maxPeerBytes }: Pick<CallerLimits, "maxPeerBytes">,
-): number {
-  return maxPeerBytes ?? chooseOwnBodyBytes();
-}
-
-function chooseOwnBodyBytes(): number {
-  return chooseBodyBytes({
+  return maxBodyBytes ?? chooseBodyBytes({
     heapBytes: getHeapStatistics().heap_size_limit,
     memoryBytes: Math.min(totalmem(), process.constrainedMemory() || Infinity),
   });
@@ -480,11 +460,7 @@
 
 /** Half of the descriptors that the process may open. */
 export function getMaxConnections({ maxConnections }: CallerLimits): number {
-  return maxConnections ?? Math.floor(readMaxDescriptors() / 2);
-}
-
-/** The descriptors that the process may open. */
-export function readMaxDescriptors(): number {
+  if (maxConnections !== null) return maxConnections;
   let limitsText = "";
   try {
     limitsText = readFileSync("/proc/self/limits", "utf8");
@@ -492,5 +468,5 @@
     // Only Linux states the limits of a process there.
   }
   const match = /Max open files\s+(\d+)/.exec(limitsText);
-  return Number(match?.[1] ?? defaultDescriptors);
+  return Math.floor(Number(match?.[1] ?? defaultDescriptors) / 2);
 }
--- a/src/daemon/control_instance.ts
+++ b/src/daemon/control_instance.ts
@@ -226,8 +226,6 @@
     port: settings.peerPort,
     keys: settings.peerKeys,
     logger,
-    limits: settings.callerLimits,
-    recordLimit: guard.record,
     handlers: {
       [PeerCallKind.Heartbeat]: (heartbeat) =>
         ok(membership.handleHeartbeat(heartbeat)),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -322,8 +322,6 @@
 
   return startPeerServer({
     ...settings.peers,
-    limits: settings.callerLimits,
-    recordLimit: guard.record,
     handlers: createPeerHandlers({
       selfId: settings.instanceId,
       membership,
--- a/src/daemon/entry_instance.ts
+++ b/src/daemon/entry_instance.ts
@@ -363,8 +363,6 @@
     port: settings.peerPort,
     keys: settings.peerKeys,
     logger,
-    limits: settings.callerLimits,
-    recordLimit: guard.record,
     handlers: {
       [PeerCallKind.PushConfiguration]: configuration.handlePush,
       [PeerCallKind.PullConfiguration]: configuration.handlePull,
--- a/src/peer/frame_codec.ts
+++ b/src/peer/frame_codec.ts
@@ -8,10 +8,6 @@
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { Encoder } from "cbor-x";
 import { err, ok, type Result } from "neverthrow";
-import {
-  type ByteCollector,
-  createByteCollector,
-} from "../core/byte_collector.ts";
 import { createError, ErrorKind, getErrorMessage } from "../core/errors.ts";
 import type { SystemError } from "../core/errors.ts";
 
@@ -75,69 +71,37 @@
 export interface FrameDecoder {
   /** Adds received bytes and returns the completed values in order. */
   push(chunk: Buffer): Result<unknown[], SystemError>;
-  /** Adds received bytes, for `takeNext`. */
-  add(chunk: Buffer): void;
-  /** Returns the next value in a list, which is empty if none is complete. */
-  takeNext(): Result<unknown[], SystemError>;
-  /** Bytes that are not decoded. */
-  getPendingBytes(): number;
-  /** Size of the body of the last decoded value, after inflation. */
-  getDecodedBytes(): number;
 }
 
-/** Holds the bytes that are not decoded. */
-export type PendingBytes = Pick<
-  ByteCollector,
-  "add" | "getSizeBytes" | "takeAll"
->;
-
-export function createFrameDecoder(
-  pending: PendingBytes = createByteCollector(),
-): FrameDecoder {
-  /** Size at which the pending bytes have a complete header or frame. */
-  let neededBytes = headerBytes;
-  let decodedBytes = 0;
-  return {
-    push,
-    add: pending.add,
-    takeNext: () => decodePending(1),
-    getPendingBytes: pending.getSizeBytes,
-    getDecodedBytes: () => decodedBytes,
-  };
+export function createFrameDecoder(): FrameDecoder {
+  let chunks: Buffer[] = [];
+  let bufferedBytes = 0;
+  return { push };
 
   function push(chunk: Buffer): Result<unknown[], SystemError> {
-    pending.add(chunk);
-    return decodePending(Infinity);
-  }
-
-  function decodePending(maxCount: number): Result<unknown[], SystemError> {
-    if (pending.getSizeBytes() < neededBytes) return ok([]);
-    return decode(pending.takeAll(), maxCount);
+    chunks.push(chunk);
+    bufferedBytes += chunk.length;
+    if (bufferedBytes < headerBytes) return ok([]);
+    if (chunks[0]!.length < headerBytes) chunks = [Buffer.concat(chunks)];
+    const { bodyBytes } = readHeader(chunks[0]!, 0);
+    if (bufferedBytes < headerBytes + bodyBytes) {
+      return checkLength(bodyBytes).map(() => []);
+    }
+    return decodeAll(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
   }
 
-  function decode(
-    buffer: Buffer,
-    maxCount: number,
-  ): Result<unknown[], SystemError> {
+  function decodeAll(buffer: Buffer): Result<unknown[], SystemError> {
     const values: unknown[] = [];
     let offset = 0;
-    neededBytes = headerBytes;
-    while (
-      buffer.length - offset >= headerBytes && values.length < maxCount
-    ) {
+    while (buffer.length - offset >= headerBytes) {
       const { bodyBytes, isCompressed } = readHeader(buffer, offset);
       const checked = checkLength(bodyBytes);
       if (checked.isErr()) return err(checked.error);
       const start = offset + headerBytes;
-      if (buffer.length - start < bodyBytes) {
-        neededBytes = headerBytes + bodyBytes;
-        break;
-      }
+      if (buffer.length - start < bodyBytes) break;
       const body = buffer.subarray(start, start + bodyBytes);
       try {
-        const inflated = isCompressed ? inflateBody(body) : body;
-        decodedBytes = inflated.length;
-        values.push(encoder.decode(inflated));
+        values.push(encoder.decode(isCompressed ? inflateBody(body) : body));
       } catch (cause) {
         return err(createError(
           ErrorKind.ProtocolError,
@@ -147,9 +111,8 @@
       offset = start + bodyBytes;
     }
     const rest = buffer.subarray(offset);
-    // A view of one byte would keep a buffer of 4 MiB that is not counted.
-    const isSmall = rest.length * 2 < rest.buffer.byteLength;
-    if (rest.length > 0) pending.add(isSmall ? Buffer.from(rest) : rest);
+    chunks = rest.length > 0 ? [rest] : [];
+    bufferedBytes = rest.length;
     return ok(values);
   }
 }
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -11,8 +11,6 @@
   type SystemError,
   toErrorRecord,
 } from "../core/errors.ts";
-import type { CallerLimit } from "../core/caller_limits.ts";
-import { createMinorCollector } from "../core/minor_collection.ts";
 import { logEvents } from "../core/log_events.ts";
 import type { Logger } from "../core/logger.ts";
 import {
@@ -29,11 +27,6 @@
   type PeerRequest,
 } from "./messages.ts";
 import type { PeerKey } from "./peer_key.ts";
-import {
-  createPeerGuard,
-  type PeerFlow,
-  type PeerGuardOptions,
-} from "./peer_limits.ts";
 import { commonTlsOptions, getServerPskCallback } from "./peer_tls.ts";
 
 export type PeerHandler<K extends PeerCallKind> = (
@@ -54,40 +47,23 @@
   readonly keys: readonly PeerKey[];
   readonly handlers: PeerHandlers;
   readonly logger: Logger;
-  readonly limits: PeerGuardOptions["limits"];
-  /** Counts that a limit has closed a connection. */
-  recordLimit(limit: CallerLimit): void;
 }
 
-const logIntervalMs = 1_000;
+/** Limit of unsent bytes on a slow connection, beyond which it is closed. */
+const maxUnsentBytes = 64 * 1024 * 1024;
 
 export function startPeerServer(
   options: PeerServerOptions,
 ): ResultAsync<PeerServer, SystemError> {
   const { handlers, logger } = options;
   const sockets = new Set<tls.TLSSocket>();
-  const guard = createPeerGuard({
-    limits: options.limits,
-    record: options.recordLimit,
-  });
-  const collectAfter = createMinorCollector();
-  let rejectedCount = 0;
   const server = tls.createServer({
     ...commonTlsOptions,
     pskCallback: getServerPskCallback(options.keys),
     handshakeTimeout: 5_000,
   }, handleConnection);
-  server.prependListener("connection", guard.accept);
   server.on("tlsClientError", (cause) => {
-    rejectedCount += 1;
-    if (rejectedCount > 1) return;
-    setTimeout(() => {
-      logger.log(logEvents.peerRejected, {
-        reason: getErrorMessage(cause),
-        count: rejectedCount,
-      });
-      rejectedCount = 0;
-    }, logIntervalMs).unref();
+    logger.log(logEvents.peerRejected, { reason: getErrorMessage(cause) });
   });
 
   return ResultAsync.fromPromise(
@@ -111,7 +87,6 @@
   function close(): Promise<void> {
     return new Promise((resolve) => {
       server.close(() => resolve());
-      guard.close();
       for (const socket of sockets) socket.destroy();
     });
   }
@@ -119,42 +94,27 @@
   function handleConnection(socket: tls.TLSSocket): void {
     sockets.add(socket);
     socket.setNoDelay(true);
-    const decoder = createFrameDecoder(guard.createPendingBytes(socket));
+    const decoder = createFrameDecoder();
     let mayCompress = false;
-    const flow = guard.open(socket, {
-      takeNext,
-      getPendingBytes: decoder.getPendingBytes,
-      getTakenBytes: decoder.getDecodedBytes,
-      handle: (value) => handleRequest(socket, flow, value, { mayCompress }),
-    });
-    flow.send(encodeFrame(helloFrame)._unsafeUnwrap());
+    socket.write(encodeFrame(helloFrame)._unsafeUnwrap());
     socket.on("close", () => sockets.delete(socket));
     socket.on("error", () => socket.destroy());
     socket.on("data", (chunk: Buffer) => {
-      collectAfter(chunk.length);
-      decoder.add(chunk);
-      flow.handleReceived();
-    });
-
-    function takeNext(): readonly unknown[] {
-      for (;;) {
-        const decoded = decoder.takeNext();
-        if (decoded.isErr()) {
-          logger.log(logEvents.peerRejected, {
-            reason: decoded.error.message,
-          });
-          socket.destroy();
-          return [];
-        }
-        if (!isHello(decoded.value[0])) return decoded.value;
-        mayCompress = true;
+      const decoded = decoder.push(chunk);
+      if (decoded.isErr()) {
+        logger.log(logEvents.peerRejected, { reason: decoded.error.message });
+        socket.destroy();
+        return;
       }
-    }
+      for (const value of decoded.value) {
+        if (isHello(value)) mayCompress = true;
+        else void handleRequest(socket, value, { mayCompress });
+      }
+    });
   }
 
   async function handleRequest(
     socket: tls.TLSSocket,
-    flow: PeerFlow,
     value: unknown,
     frameOptions: FrameOptions,
   ): Promise<void> {
@@ -166,13 +126,17 @@
     }
     const reply = await handle(envelope?.kind, value);
     if (socket.destroyed) return;
+    if (socket.writableLength > maxUnsentBytes) {
+      socket.destroy();
+      return;
+    }
     const body = reply.isOk()
       ? { callId, reply: reply.value }
       : { callId, error: toErrorRecord(reply.error) };
     const frame = encodeFrame(body, frameOptions).orElse((error) =>
       encodeFrame({ callId, error: toErrorRecord(error) })
     );
-    if (frame.isOk()) flow.send(frame.value);
+    if (frame.isOk()) socket.write(frame.value);
   }
 
   async function handle(
