--- a/src/core/log_events.ts
+++ b/src/core/log_events.ts
@@ -364,7 +364,7 @@
   streamStaysAtSilentEngine: event(
     7213,
     Info,
-    "stream waits at its silent engine, since no other can take it",
+    "stream stays at an engine that may be lost, since it can't go on elsewhere yet",
   ),
   streamRunsLost: event(
     7216,
--- a/src/limits/limit_queue.ts
+++ b/src/limits/limit_queue.ts
@@ -8,7 +8,7 @@
 import type { UpstreamId } from "../core/types.ts";
 
 export interface WaitingRequest {
-  /** 0 is the most urgent. */
+  /** Lower ones go first; may combine those of customer and route. */
   readonly priority: number;
   /** Later, the request could not be answered before its deadline. */
   readonly sendBeforeMs: number;
--- a/src/limits/repeat_grants.ts
+++ b/src/limits/repeat_grants.ts
@@ -24,8 +24,8 @@
 }
 
 /**
- * Unused grants are given up, since the leader counts them as used. The streams
- * that wait for repeats ask each 50 ms.
+ * Unused grants are given up, so that the leader need not count them for longer.
+ * Streams that need a repeat ask again within 50 ms.
  */
 export const maxGrantAgeMs = 500;
 /** Requests that lose their engine together ask for their repeats together. */
--- a/src/limits/repeat_window.ts
+++ b/src/limits/repeat_window.ts
@@ -27,10 +27,8 @@
 import { createWindowCounter, type WindowCounter } from "./window_counter.ts";
 
 export enum RepeatUrgency {
-  /** The request has not run, or its route is not urgent. */
+  /** The caller has received nothing. */
   Normal = "normal",
-  /** The most urgent requests of a service that ranks them. */
-  Urgent = "urgent",
   /** The caller has received a part of the response. */
   Begun = "begun",
 }
@@ -100,7 +98,6 @@
 /** Parts of what is available that less urgent repeats leave to others. */
 export const reservedParts: Readonly<Record<RepeatUrgency, number>> = {
   [RepeatUrgency.Normal]: 0.3,
-  [RepeatUrgency.Urgent]: 0.15,
   [RepeatUrgency.Begun]: 0,
 };
 
--- a/src/limits/retry_budget.ts
+++ b/src/limits/retry_budget.ts
@@ -29,7 +29,10 @@
    * which later useful work has to make up for; returns false beyond it.
    */
   tryDrawReserve(key: RetryBudgetKey, units: number): boolean;
-  /** Whether `tryDrawReserve` would draw. */
+  /**
+   * Whether `tryDrawReserve` would draw. Asks for a repeat where these are granted
+   * on request, so it is called only if one would be used.
+   */
   hasReserve(key: RetryBudgetKey, units: number): boolean;
   getAvailable(key: RetryBudgetKey): number;
   getStats(): RetryBudgetStats;
--- a/src/upstreams/engine_load_summary.ts
+++ b/src/upstreams/engine_load_summary.ts
@@ -81,7 +81,8 @@
     z.tuple([z.string().min(1).max(200), z.int().min(0)]).readonly(),
   ).max(10_000).optional(),
   /**
-   * Requests and repeats in the window in which repeats are limited. Absent in summaries of earlier builds.
+   * Requests and repeats in the window in which repeats are limited. Absent in
+   * summaries of earlier builds.
    */
   repeats: z.array(repeatCountsSchema).max(10_000).optional(),
   /**
