Return the room of a body whose connection closes after its response

Node.js does not close a request whose response was sent before its body had ended, so its room was never returned, and further bodies were refused with 503 (measure/other_listeners_process_test.ts).

--- a/src/entry/body_room.ts
+++ b/src/entry/body_room.ts
@@ -2,6 +2,7 @@
  * Limits the bodies of all requests that are being read. Room is taken before a
  * body is read, so that a request that is refused has certainly not run.
  */
+import type { Socket } from "node:net";
 import { finished, type Readable } from "node:stream";
 import type { MiddlewareHandler } from "hono";
 import { type ByteBudget, createByteBudget } from "../core/byte_budget.ts";
@@ -44,6 +45,24 @@
   return Math.max(minRequestTimeoutMs, Math.ceil(maxBytes / minBytesPerMs));
 }
 
+type Incoming = Readable & { readonly socket?: Socket };
+
+/**
+ * Node.js does not close a request whose response was sent before its body had
+ * ended when the connection closes.
+ */
+function callAtEnd(incoming: Incoming, action: () => void): void {
+  const { socket } = incoming;
+  const removeListeners = finished(incoming, end);
+  socket?.once("close", end);
+
+  function end(): void {
+    removeListeners();
+    socket?.off("close", end);
+    action();
+  }
+}
+
 export function limitBodies(
   { budget, maxBytes, onRefused }: BodyRoomOptions,
 ): MiddlewareHandler {
@@ -66,10 +85,10 @@
     }
     // Of the server; a request that is made in this process has none.
     const { incoming } = (context.env ?? {}) as {
-      readonly incoming?: Readable;
+      readonly incoming?: Incoming;
     };
     // A handler may return before the body has ended, or long after.
-    if (incoming) finished(incoming, share.release);
+    if (incoming) callAtEnd(incoming, share.release);
     try {
       return await next();
     } finally {
--- a/src/entry/body_room_test.ts
+++ b/src/entry/body_room_test.ts
@@ -2,6 +2,7 @@
  * Guards against bodies that fill the memory together, and against a refusal of
  * a request that has run.
  */
+import { EventEmitter } from "node:events";
 import { Readable } from "node:stream";
 import { Hono } from "hono";
 import { expect, test } from "vitest";
@@ -68,6 +69,13 @@
   expect((await post("/early", createBody())).status).toBe(503);
   unread.destroy();
   await expect.poll(budget.getHeldBytes).toBe(0);
+  const socket = new EventEmitter();
+  const abandoned = Object.assign(createBody(), { socket });
+  expect((await post("/early", abandoned)).status).toBe(200);
+  expect(budget.getHeldBytes()).toBe(maxBytes);
+  socket.emit("close");
+  expect(budget.getHeldBytes()).toBe(0);
+  expect(socket.listenerCount("close")).toBe(0);
   const read = createBody();
   const late = post("/late", read);
   await expect.poll(budget.getHeldBytes).toBe(maxBytes);
