--- a/src/limits/repeat_window.ts
+++ b/src/limits/repeat_window.ts
@@ -12,8 +12,8 @@
  *
  * The share follows the requests of the window, since an instance with many
  * requests has many streams that can lose their engines at once. With equal
- * shares, instances with eight callers waited 2.5 s for repeats in a crash of a
- * failure domain, while those with one caller left theirs unused.
+ * shares, streams of busy instances waited 2.3 s in the mean for repeats in the
+ * crashes of a day, while instances with one caller left theirs unused.
  *
  * The other part of the limit is granted on request by the control leader (see
  * `repeat_ledger.ts`), for instances that need more than their share at once.
