--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -72,6 +72,8 @@
     process.once(signal, () => process.exit(2));
   }
   let listed = [];
+  /** Requests that each server ran. */
+  const ranCounts = new Map();
   const list = http.createServer((_request, response) => {
     response.setHeader("Content-Type", "application/json");
     response.end(JSON.stringify({ instances: listed, next: null }));
@@ -172,10 +174,12 @@
           response.end();
           return;
         }
+        ranCounts.set(id, ranCounts.get(id) + 1);
         handle({ request, response, body: Buffer.concat(chunks), id });
       });
     });
     await listen(server, host);
+    ranCounts.set(id, 0);
     listed = [...listed, {
       id,
       service,
@@ -198,6 +202,9 @@
   }
 
   async function end() {
+    for (const [id, count] of ranCounts) {
+      record.add(`server ${id} ran ${count} requests`);
+    }
     await Promise.all(instances.map(async ({ child }) => {
       if (!child) return;
       const ended = new Promise((resolve) => child.once("exit", resolve));
